Build, checks and the base module

CMake presets, formatter and linter rules, one command for all tests, and the base types: clocks, ids, verdicts, coded errors, RCU cell, log lines.

Ruled out: Criterion under the thread sanitizer (its process arena cannot be mapped there); that build runs the same tests in one process instead.

--- /dev/null
+++ b/src/base/endpoint.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace mustardtrail
+{
+
+/// Network address by IP number and port.
+struct endpoint {
+    std::string address; ///< IPv4 or IPv6 number, never a host name.
+    std::uint16_t port = 0;
+
+    auto operator<=>(const endpoint &) const = default;
+};
+
+/// "127.0.0.1:8080" or "[::1]:8080".
+std::string toString(const endpoint &value);
+std::optional<endpoint> endpointFromString(std::string_view text);
+
+} // namespace mustardtrail
--- /dev/null
+++ b/src/base/internal/rcu_cell.cpp
@@ -0,0 +1,45 @@
+#include "base/rcu_cell.h"
+
+#include <urcu/urcu-memb.h>
+
+#ifdef MT_THREAD_SANITIZER
+#include <sanitizer/tsan_interface.h>
+#endif
+
+namespace mustardtrail::rcu
+{
+
+void registerThread()
+{
+    urcu_memb_register_thread();
+}
+
+void unregisterThread()
+{
+    urcu_memb_unregister_thread();
+}
+
+void readLock()
+{
+    urcu_memb_read_lock();
+}
+
+// The thread sanitizer does not know the barriers of the library; the annotations say that a
+// reader's unlock happens before the writer's return from synchronize.
+void readUnlock([[maybe_unused]] const void *cell)
+{
+#ifdef MT_THREAD_SANITIZER
+    __tsan_release(const_cast<void *>(cell));
+#endif
+    urcu_memb_read_unlock();
+}
+
+void synchronize([[maybe_unused]] const void *cell)
+{
+    urcu_memb_synchronize_rcu();
+#ifdef MT_THREAD_SANITIZER
+    __tsan_acquire(const_cast<void *>(cell));
+#endif
+}
+
+} // namespace mustardtrail::rcu
