--- /dev/null
+++ b/src/request/request_events.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/error.h"
+#include "base/ids.h"
+#include "base/units.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+
+namespace mustardtrail::request
+{
+
+/// A caller's request after the adapter has read it. The body stays with the adapter.
+struct caller_request {
+    request_id id;
+    customer_id customer;
+    class_id workClass;
+    model_id model; ///< Empty for a plain service.
+    service_id service; ///< Empty for a model.
+    token_count promptTokens = 0;
+    token_count maxNewTokens = 0;
+    std::uint64_t prefixHash = 0;
+    std::string idempotencyKey; ///< Empty: none given.
+    bool secondAttempt = false; ///< The caller says that it sent this request before.
+};
+
+/// The caller closed its connection or was too slow to read.
+struct caller_gone {
+    request_id id;
+};
+
+/// The backend server, or the owner for it, has taken the attempt.
+struct attempt_accepted {
+    attempt_id attempt;
+    backend_server_id backend;
+};
+
+/// Next piece of an answer.
+struct attempt_output {
+    attempt_id attempt;
+    std::uint64_t sequence = 0; ///< From 0, without gaps within one attempt.
+    std::string text;
+    token_count tokens = 0;
+};
+
+/// Explicit end of an answer.
+struct attempt_finished {
+    attempt_id attempt;
+    std::uint64_t chunks = 0; ///< Pieces sent before; a difference means that the answer is not whole.
+    std::string finishReason; ///< "stop" or "length".
+};
+
+struct attempt_failed {
+    attempt_id attempt;
+    error failure;
+    backend_server_id backend; ///< Empty: none was chosen.
+};
+
+using request_event = std::variant<caller_request, caller_gone, attempt_accepted, attempt_output, attempt_finished, attempt_failed>;
+
+} // namespace mustardtrail::request
