--- /dev/null
+++ b/src/http/internal/client.cpp
@@ -0,0 +1,149 @@
+#include "http/client.h"
+
+#include "http/internal/client_stream.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include <array>
+
+namespace mustardtrail::http
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+
+namespace
+{
+
+constexpr size_t writePieceBytes = 256 * 1024;
+
+error callError(error_code code, verdict outcome, const endpoint &to, std::string_view detail)
+{
+    return error{ code, outcome, "peer=" + toString(to) + " " + std::string(detail), {} };
+}
+
+std::string headerText(const endpoint &to, const request_message &message)
+{
+    std::string text = message.method + " " + message.target + " HTTP/1.1\r\nHost: " + toString(to) + "\r\n";
+    for (const auto &[name, value] : message.headers.fields()) {
+        text += name + ": " + value + "\r\n";
+    }
+    return text + "Content-Length: " + std::to_string(message.contentLength()) + "\r\n\r\n";
+}
+
+/// Sends the request piece by piece, so that the progress limit counts from piece to piece.
+asio::awaitable<result<void>> sendRequest(
+    client_connection &connection, const endpoint &to, const request_message &message, const call_limits &limits)
+{
+    const std::string head = headerText(to, message) + message.bodyPrefix;
+    std::string_view rest;
+    if (message.body) {
+        rest = std::string_view(*message.body).substr(message.bodySkip);
+    }
+    size_t sent = 0;
+    bool first = true;
+    while (first || !rest.empty()) {
+        const std::string_view piece = rest.substr(0, writePieceBytes);
+        const std::array<asio::const_buffer, 2> buffers{ first ? asio::buffer(head) : asio::const_buffer(),
+            asio::buffer(piece.data(), piece.size()) };
+        connection.stream.expires_after(limits.progress);
+        boost::system::error_code failure;
+        sent += co_await asio::async_write(connection.stream, buffers, asio::redirect_error(asio::use_awaitable, failure));
+        if (failure) {
+            const verdict outcome = sent == 0 ? verdict::not_run : verdict::may_have_run;
+            co_return tl::unexpected(callError(error_code::backend_connection_lost, outcome, to, failure.message()));
+        }
+        rest.remove_prefix(piece.size());
+        first = false;
+    }
+    co_return result<void>{};
+}
+
+asio::awaitable<result<std::unique_ptr<client_connection>>> connect(
+    asio::any_io_executor executor, endpoint to, std::chrono::milliseconds limit)
+{
+    auto connection = std::make_unique<client_connection>(executor);
+    boost::system::error_code failure;
+    const asio::ip::tcp::endpoint remote(asio::ip::make_address(to.address, failure), to.port);
+    if (!failure) {
+        connection->stream.expires_after(limit);
+        co_await connection->stream.async_connect(remote, asio::redirect_error(asio::use_awaitable, failure));
+    }
+    if (failure) {
+        co_return tl::unexpected(callError(error_code::backend_connect_failed, verdict::not_run, to, failure.message()));
+    }
+    boost::system::error_code ignored;
+    connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+    co_return connection;
+}
+
+} // namespace
+
+client::client(asio::any_io_executor executor)
+    : m_executor(std::move(executor))
+    , m_pool(std::make_shared<connection_pool>())
+{
+}
+
+client::~client() = default;
+
+asio::awaitable<result<std::unique_ptr<response_stream>>> client::open(endpoint to, request_message message, call_limits limits)
+{
+    const auto pool = m_pool;
+    std::unique_ptr<client_connection> connection = limits.freshConnection ? nullptr : pool->take(to);
+    if (!connection) {
+        auto connected = co_await connect(m_executor, to, limits.connect);
+        if (!connected) {
+            co_return tl::unexpected(connected.error());
+        }
+        connection = std::move(*connected);
+    }
+    if (limits.beforeSend) {
+        if (const auto refusal = limits.beforeSend()) {
+            co_return tl::unexpected(*refusal);
+        }
+    }
+    if (const auto sent = co_await sendRequest(*connection, to, message, limits); !sent) {
+        co_return tl::unexpected(sent.error());
+    }
+    auto source = std::make_unique<client_stream::parser>();
+    source->body_limit(boost::none);
+    connection->stream.expires_after(limits.firstByte);
+    boost::system::error_code failure;
+    co_await beast::http::async_read_header(
+        connection->stream, connection->buffer, *source, asio::redirect_error(asio::use_awaitable, failure));
+    if (failure) {
+        const error_code code = failure == beast::error::timeout ? error_code::backend_timeout : error_code::backend_connection_lost;
+        co_return tl::unexpected(callError(code, verdict::may_have_run, to, failure.message()));
+    }
+    co_return std::make_unique<client_stream>(pool, to, std::move(connection), std::move(source), limits.progress);
+}
+
+asio::awaitable<result<response_message>> client::call(endpoint to, request_message message, call_limits limits)
+{
+    auto opened = co_await open(to, std::move(message), limits);
+    if (!opened) {
+        co_return tl::unexpected(opened.error());
+    }
+    response_message answer;
+    answer.status = (*opened)->status();
+    answer.headers = (*opened)->headers();
+    while (true) {
+        auto piece = co_await (*opened)->read();
+        if (!piece) {
+            co_return tl::unexpected(piece.error());
+        }
+        if (piece->empty()) {
+            co_return answer;
+        }
+        answer.body += *piece;
+        if (answer.body.size() > limits.bodyBytes) {
+            co_return tl::unexpected(callError(error_code::backend_answer_invalid, verdict::ran, to, "answer too large"));
+        }
+    }
+}
+
+} // namespace mustardtrail::http
--- /dev/null
+++ b/src/http/internal/client_stream.cpp
@@ -0,0 +1,105 @@
+#include "http/internal/client_stream.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/read.hpp>
+
+namespace mustardtrail::http
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+
+namespace
+{
+
+constexpr size_t pieceBytes = 16 * 1024;
+
+error lost(const endpoint &to, std::string_view what)
+{
+    return error{ error_code::backend_connection_lost, verdict::may_have_run, "peer=" + toString(to) + " " + std::string(what), {} };
+}
+
+} // namespace
+
+client_stream::client_stream(std::shared_ptr<client::connection_pool> pool,
+    endpoint to,
+    std::unique_ptr<client_connection> connection,
+    std::unique_ptr<parser> source,
+    std::chrono::milliseconds progress)
+    : m_pool(std::move(pool))
+    , m_to(std::move(to))
+    , m_connection(std::move(connection))
+    , m_source(std::move(source))
+    , m_progress(progress)
+{
+    for (const auto &field : m_source->get()) {
+        const auto name = field.name_string();
+        const auto value = field.value();
+        m_headers.add(std::string(name.data(), name.size()), std::string(value.data(), value.size()));
+    }
+}
+
+client_stream::~client_stream() = default;
+
+int client_stream::status() const
+{
+    return static_cast<int>(m_source->get().result_int());
+}
+
+const header_list &client_stream::headers() const
+{
+    return m_headers;
+}
+
+void client_stream::giveBack()
+{
+    if (m_connection && m_source->keep_alive()) {
+        m_connection->stream.expires_never();
+        m_pool->put(m_to, std::move(m_connection));
+    }
+    m_connection.reset();
+}
+
+asio::awaitable<result<std::string>> client_stream::read()
+{
+    std::string piece(pieceBytes, '\0');
+    while (m_connection && !m_source->is_done()) {
+        auto &body = m_source->get().body();
+        body.data = piece.data();
+        body.size = piece.size();
+        m_connection->stream.expires_after(m_progress);
+        boost::system::error_code failure;
+        co_await beast::http::async_read_some(
+            m_connection->stream, m_connection->buffer, *m_source, asio::redirect_error(asio::use_awaitable, failure));
+        if (failure == beast::http::error::need_buffer) {
+            failure = {};
+        }
+        if (!m_connection || failure) {
+            m_connection.reset();
+            co_return tl::unexpected(lost(m_to, failure.message()));
+        }
+        const size_t count = piece.size() - body.size;
+        if (count > 0) {
+            piece.resize(count);
+            co_return piece;
+        }
+    }
+    if (!m_source->is_done()) {
+        co_return tl::unexpected(lost(m_to, "closed"));
+    }
+    giveBack();
+    co_return std::string();
+}
+
+// The connection object stays until the read in progress has ended.
+void client_stream::close()
+{
+    if (m_connection) {
+        m_connection->stream.cancel();
+        boost::system::error_code ignored;
+        m_connection->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+    }
+}
+
+} // namespace mustardtrail::http
--- /dev/null
+++ b/src/http/internal/client_stream.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "http/internal/connection_pool.h"
+
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+
+namespace mustardtrail::http
+{
+
+/// Answer read from one connection of the client.
+class client_stream final : public response_stream
+{
+public:
+    using parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
+
+    client_stream(std::shared_ptr<client::connection_pool> pool,
+        endpoint to,
+        std::unique_ptr<client_connection> connection,
+        std::unique_ptr<parser> source,
+        std::chrono::milliseconds progress);
+    ~client_stream() override;
+
+    int status() const override;
+    const header_list &headers() const override;
+    boost::asio::awaitable<result<std::string>> read() override;
+    void close() override;
+
+private:
+    void giveBack();
+
+    std::shared_ptr<client::connection_pool> m_pool;
+    endpoint m_to;
+    std::unique_ptr<client_connection> m_connection;
+    std::unique_ptr<parser> m_source;
+    std::chrono::milliseconds m_progress;
+    header_list m_headers;
+};
+
+} // namespace mustardtrail::http
--- /dev/null
+++ b/src/http/internal/connection.cpp
@@ -0,0 +1,244 @@
+#include "http/internal/connection.h"
+
+#include "http/internal/server_exchange.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <array>
+
+namespace mustardtrail::http
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+
+namespace
+{
+
+constexpr std::chrono::milliseconds drainLimit{ 500 };
+
+using parser = beast::http::request_parser<beast::http::string_body>;
+
+std::string text(beast::string_view view)
+{
+    return std::string(view.data(), view.size());
+}
+
+request_message takeMessage(parser &source)
+{
+    auto message = source.release();
+    request_message taken;
+    taken.method = text(message.method_string());
+    taken.target = text(message.target());
+    for (const auto &field : message) {
+        taken.headers.add(text(field.name_string()), text(field.value()));
+    }
+    taken.body = std::make_shared<const std::string>(std::move(message.body()));
+    return taken;
+}
+
+/// Gives the bytes of one body back to the budget.
+class body_hold
+{
+public:
+    explicit body_hold(body_budget &budget)
+        : m_budget(budget)
+    {
+    }
+    ~body_hold()
+    {
+        m_budget.giveBack(m_bytes);
+    }
+    body_hold(const body_hold &) = delete;
+    body_hold &operator=(const body_hold &) = delete;
+
+    bool growTo(size_t bytes)
+    {
+        if (bytes <= m_bytes) {
+            return true;
+        }
+        if (!m_budget.tryTake(bytes - m_bytes)) {
+            return false;
+        }
+        m_bytes = bytes;
+        return true;
+    }
+
+private:
+    body_budget &m_budget;
+    size_t m_bytes = 0;
+};
+
+/// Cancels the reads of a connection when time runs out. The stream's own expiry would close the
+/// socket, and the peer could not be told why.
+class read_deadline
+{
+public:
+    explicit read_deadline(beast::tcp_stream &stream)
+        : m_stream(stream)
+        , m_timer(stream.get_executor())
+    {
+        m_stream.expires_never();
+    }
+
+    void expireAt(std::chrono::steady_clock::time_point when)
+    {
+        m_timer.expires_at(when);
+        m_timer.async_wait([this, passed = m_passed](boost::system::error_code failure) {
+            if (!failure && passed.use_count() > 1) {
+                *passed = true;
+                m_stream.cancel();
+            }
+        });
+    }
+    bool hasPassed() const
+    {
+        return *m_passed;
+    }
+
+private:
+    beast::tcp_stream &m_stream;
+    asio::steady_timer m_timer;
+    std::shared_ptr<bool> m_passed = std::make_shared<bool>(false);
+};
+
+error_code codeOf(boost::system::error_code failure)
+{
+    if (failure == beast::http::error::body_limit || failure == beast::http::error::header_limit) {
+        return error_code::request_too_large;
+    }
+    if (failure == beast::http::error::partial_message) {
+        return error_code::request_truncated;
+    }
+    return error_code::request_malformed;
+}
+
+int statusOf(error_code code)
+{
+    switch (code) {
+    case error_code::request_too_large:
+        return 413;
+    case error_code::request_timeout:
+        return 408;
+    case error_code::memory_budget_spent:
+        return 503;
+    default:
+        return 400;
+    }
+}
+
+bool isPlainClose(boost::system::error_code failure)
+{
+    return failure == beast::http::error::end_of_stream || failure == asio::error::connection_reset
+        || failure == asio::error::operation_aborted || failure == asio::error::broken_pipe;
+}
+
+} // namespace
+
+connection::connection(asio::ip::tcp::socket socket, std::shared_ptr<server::shared_state> state)
+    : m_state(std::move(state))
+    , m_stream(std::move(socket))
+    , m_buffer(m_state->limits.headerBytes * 4)
+{
+    ++m_state->openConnections;
+    boost::system::error_code ignored;
+    m_stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+}
+
+connection::~connection()
+{
+    --m_state->openConnections;
+}
+
+asio::awaitable<void> connection::run()
+{
+    const auto keepAlive = shared_from_this();
+    while (!m_state->stopping && co_await serveOne()) {
+    }
+    boost::system::error_code ignored;
+    m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    co_await drain();
+}
+
+// Closing with unread bytes resets the connection, and the peer may lose the answer that it has not read yet.
+asio::awaitable<void> connection::drain()
+{
+    m_stream.expires_after(drainLimit);
+    std::array<char, 16 * 1024> discarded;
+    boost::system::error_code failure;
+    while (!failure) {
+        co_await m_stream.async_read_some(asio::buffer(discarded), asio::redirect_error(asio::use_awaitable, failure));
+    }
+}
+
+asio::awaitable<bool> connection::refuse(int status, error_code code, std::string_view detail)
+{
+    const response_message message = m_state->badRequest(status, static_cast<int>(code), detail);
+    server_exchange answer(m_stream, m_state->limits, request_message{}, false);
+    co_await answer.respond(message);
+    co_return false;
+}
+
+asio::awaitable<bool> connection::serveOne()
+{
+    const server_limits &limits = m_state->limits;
+    parser source;
+    source.header_limit(static_cast<std::uint32_t>(limits.headerBytes));
+    source.body_limit(limits.bodyBytes);
+    boost::system::error_code failure;
+    auto token = asio::redirect_error(asio::use_awaitable, failure);
+    if (m_buffer.size() == 0) {
+        m_stream.expires_after(limits.idle);
+        const size_t count = co_await m_stream.async_read_some(m_buffer.prepare(4096), token);
+        m_buffer.commit(count);
+        if (failure) {
+            co_return false;
+        }
+    }
+    const auto now = std::chrono::steady_clock::now;
+    const auto readEnd = now() + limits.wholeRequest;
+    read_deadline deadline(m_stream);
+    deadline.expireAt(now() + limits.progress);
+    co_await beast::http::async_read_header(m_stream, m_buffer, source, token);
+    if (deadline.hasPassed()) {
+        co_return co_await refuse(statusOf(error_code::request_timeout), error_code::request_timeout, "header");
+    }
+    if (failure) {
+        co_return isPlainClose(failure) ? false : co_await refuse(statusOf(codeOf(failure)), codeOf(failure), failure.message());
+    }
+    body_hold hold(m_state->budget);
+    const auto announced = source.content_length();
+    if (!hold.growTo(announced ? *announced : 0)) {
+        co_return co_await refuse(503, error_code::memory_budget_spent, "bodies");
+    }
+    if (beast::iequals(source.get()[beast::http::field::expect], "100-continue")) {
+        beast::http::response<beast::http::empty_body> goOn(beast::http::status::continue_, 11);
+        co_await beast::http::async_write(m_stream, goOn, token);
+    }
+    while (!failure && !source.is_done()) {
+        deadline.expireAt(std::min(readEnd, now() + limits.progress));
+        co_await beast::http::async_read_some(m_stream, m_buffer, source, token);
+        if (!hold.growTo(source.get().body().size())) {
+            co_return co_await refuse(503, error_code::memory_budget_spent, "bodies");
+        }
+    }
+    if (deadline.hasPassed()) {
+        co_return co_await refuse(statusOf(error_code::request_timeout), error_code::request_timeout, "body");
+    }
+    if (failure) {
+        co_return isPlainClose(failure) ? false : co_await refuse(statusOf(codeOf(failure)), codeOf(failure), failure.message());
+    }
+    deadline.expireAt(std::chrono::steady_clock::time_point::max());
+    const bool keepAlive = source.get().keep_alive();
+    server_exchange answer(m_stream, limits, takeMessage(source), keepAlive);
+    co_await m_state->handle(answer);
+    co_return answer.canReuse();
+}
+
+} // namespace mustardtrail::http
--- /dev/null
+++ b/src/http/internal/connection.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "http/exchange.h"
+#include "http/server.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+namespace mustardtrail::http
+{
+
+struct server::shared_state {
+    shared_state(server_limits serverLimits, handler serve, bad_request_answer answer)
+        : limits(serverLimits)
+        , handle(std::move(serve))
+        , badRequest(std::move(answer))
+        , budget(serverLimits.bodiesBytes)
+    {
+    }
+
+    const server_limits limits;
+    const handler handle;
+    const bad_request_answer badRequest;
+    body_budget budget;
+    std::atomic<size_t> openConnections{ 0 };
+    std::atomic<bool> stopping{ false };
+    std::shared_ptr<boost::asio::ip::tcp::acceptor> acceptor;
+};
+
+/// One accepted connection: reads requests one after another and hands them to the handler.
+class connection final : public std::enable_shared_from_this<connection>
+{
+public:
+    connection(boost::asio::ip::tcp::socket socket, std::shared_ptr<server::shared_state> state);
+    ~connection();
+    connection(const connection &) = delete;
+    connection &operator=(const connection &) = delete;
+
+    boost::asio::awaitable<void> run();
+
+private:
+    boost::asio::awaitable<bool> serveOne();
+    boost::asio::awaitable<void> drain();
+    boost::asio::awaitable<bool> refuse(int status, error_code code, std::string_view detail);
+
+    std::shared_ptr<server::shared_state> m_state;
+    boost::beast::tcp_stream m_stream;
+    boost::beast::flat_buffer m_buffer;
+};
+
+} // namespace mustardtrail::http
--- /dev/null
+++ b/src/http/internal/connection_pool.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "http/client.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+#include <map>
+#include <vector>
+
+namespace mustardtrail::http
+{
+
+/// One connection to a server, with what was read ahead on it.
+struct client_connection {
+    explicit client_connection(const boost::asio::any_io_executor &executor)
+        : stream(executor)
+    {
+    }
+    boost::beast::tcp_stream stream;
+    boost::beast::flat_buffer buffer;
+    bool reused = false;
+};
+
+/// Idle connections by endpoint, all of one executor.
+class client::connection_pool
+{
+public:
+    /// An idle connection that the server has not closed, or nothing.
+    std::unique_ptr<client_connection> take(const endpoint &to);
+    void put(const endpoint &to, std::unique_ptr<client_connection> connection);
+
+private:
+    static constexpr size_t idlePerEndpoint = 64;
+
+    std::map<endpoint, std::vector<std::unique_ptr<client_connection>>> m_idle;
+};
+
+} // namespace mustardtrail::http
--- /dev/null
+++ b/src/http/internal/server.cpp
@@ -0,0 +1,102 @@
+#include "http/server.h"
+
+#include "http/internal/connection.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace mustardtrail::http
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr std::chrono::milliseconds acceptRetryPause{ 50 };
+
+// Running out of descriptors fails every accept until one is closed; a pause keeps the loop from spinning.
+asio::awaitable<void> acceptLoop(std::shared_ptr<server::shared_state> state, std::shared_ptr<asio::ip::tcp::acceptor> acceptor)
+{
+    const auto executor = acceptor->get_executor();
+    while (!state->stopping) {
+        boost::system::error_code failure;
+        asio::ip::tcp::socket socket(asio::make_strand(executor));
+        co_await acceptor->async_accept(socket, asio::redirect_error(asio::use_awaitable, failure));
+        if (failure && !acceptor->is_open()) {
+            co_return;
+        }
+        if (failure) {
+            asio::steady_timer pause(executor, acceptRetryPause);
+            co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, failure));
+            continue;
+        }
+        const auto strand = socket.get_executor();
+        const auto opened = std::make_shared<connection>(std::move(socket), state);
+        asio::co_spawn(strand, opened->run(), asio::detached);
+    }
+}
+
+} // namespace
+
+server::server(asio::any_io_executor executor, server_limits limits, handler handle, bad_request_answer badRequest)
+    : m_state(std::make_shared<shared_state>(limits, std::move(handle), std::move(badRequest)))
+{
+    m_state->acceptor = std::make_shared<asio::ip::tcp::acceptor>(asio::make_strand(executor));
+}
+
+server::~server()
+{
+    stop();
+}
+
+result<endpoint> server::listen(const endpoint &address)
+{
+    boost::system::error_code failure;
+    auto &acceptor = *m_state->acceptor;
+    const asio::ip::tcp::endpoint local(asio::ip::make_address(address.address, failure), address.port);
+    if (!failure) {
+        acceptor.open(local.protocol(), failure);
+    }
+    if (!failure) {
+        acceptor.set_option(asio::socket_base::reuse_address(true), failure);
+        acceptor.bind(local, failure);
+    }
+    if (!failure) {
+        acceptor.listen(asio::socket_base::max_listen_connections, failure);
+    }
+    if (failure) {
+        return tl::unexpected(
+            error{ error_code::settings_out_of_range, verdict::not_run, "listen " + toString(address) + ": " + failure.message(), {} });
+    }
+    const endpoint bound{ address.address, acceptor.local_endpoint().port() };
+    asio::co_spawn(acceptor.get_executor(), acceptLoop(m_state, m_state->acceptor), asio::detached);
+    return bound;
+}
+
+void server::stop()
+{
+    if (m_state->stopping.exchange(true)) {
+        return;
+    }
+    asio::post(m_state->acceptor->get_executor(), [acceptor = m_state->acceptor] {
+        boost::system::error_code ignored;
+        acceptor->close(ignored);
+    });
+}
+
+size_t server::openConnections() const
+{
+    return m_state->openConnections;
+}
+
+size_t server::bodyBytesHeld() const
+{
+    return m_state->budget.usedBytes();
+}
+
+} // namespace mustardtrail::http
--- /dev/null
+++ b/src/http/internal/server_exchange.cpp
@@ -0,0 +1,163 @@
+#include "http/internal/server_exchange.h"
+
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <array>
+
+namespace mustardtrail::http
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+
+/// Waits for the peer to close. Outlives the exchange when the wait ends after it.
+struct server_exchange::gone_watch {
+    std::function<void()> hook;
+    asio::cancellation_signal cancel;
+};
+
+namespace
+{
+
+beast::string_view view(std::string_view text)
+{
+    return { text.data(), text.size() };
+}
+
+// A request that the peer sent ahead also makes the socket readable; only an end of stream means gone.
+bool isClosed(asio::ip::tcp::socket &socket)
+{
+    boost::system::error_code failure;
+    std::array<char, 1> byte{};
+    socket.non_blocking(true, failure);
+    const size_t count = socket.receive(asio::buffer(byte), asio::socket_base::message_peek, failure);
+    return failure != asio::error::would_block && (failure || count == 0);
+}
+
+template<typename message> void setHeaders(message &target, const header_list &headers)
+{
+    for (const auto &[name, value] : headers.fields()) {
+        target.set(view(name), view(value));
+    }
+}
+
+} // namespace
+
+server_exchange::server_exchange(beast::tcp_stream &stream, const server_limits &limits, request_message request, bool keepAlive)
+    : m_stream(stream)
+    , m_limits(limits)
+    , m_request(std::move(request))
+    , m_keepAlive(keepAlive)
+{
+}
+
+server_exchange::~server_exchange()
+{
+    if (m_watch) {
+        m_watch->hook = nullptr;
+        m_watch->cancel.emit(asio::cancellation_type::terminal);
+    }
+}
+
+const request_message &server_exchange::request() const
+{
+    return m_request;
+}
+
+asio::awaitable<bool> server_exchange::respond(response_message message)
+{
+    beast::http::response<beast::http::string_body> response(static_cast<beast::http::status>(message.status), 11);
+    setHeaders(response, message.headers);
+    response.keep_alive(m_keepAlive);
+    response.body() = std::move(message.body);
+    response.prepare_payload();
+    m_started = true;
+    m_stream.expires_after(m_limits.progress);
+    boost::system::error_code failure;
+    co_await beast::http::async_write(m_stream, response, asio::redirect_error(asio::use_awaitable, failure));
+    m_finished = true;
+    m_broken = m_broken || failure;
+    co_return !failure;
+}
+
+asio::awaitable<bool> server_exchange::startStream(int status, header_list headers)
+{
+    beast::http::response<beast::http::empty_body> response(static_cast<beast::http::status>(status), 11);
+    setHeaders(response, headers);
+    response.keep_alive(m_keepAlive);
+    response.chunked(true);
+    m_started = true;
+    m_stream.expires_after(m_limits.progress);
+    boost::system::error_code failure;
+    beast::http::response_serializer<beast::http::empty_body> serializer(response);
+    co_await beast::http::async_write_header(m_stream, serializer, asio::redirect_error(asio::use_awaitable, failure));
+    m_broken = m_broken || failure;
+    co_return !failure;
+}
+
+asio::awaitable<bool> server_exchange::write(std::string_view bytes)
+{
+    if (m_broken) {
+        co_return false;
+    }
+    m_stream.expires_after(m_limits.progress);
+    boost::system::error_code failure;
+    const asio::const_buffer piece(bytes.data(), bytes.size());
+    co_await asio::async_write(m_stream, beast::http::make_chunk(piece), asio::redirect_error(asio::use_awaitable, failure));
+    m_broken = m_broken || failure;
+    co_return !failure;
+}
+
+asio::awaitable<bool> server_exchange::finishStream()
+{
+    if (m_broken) {
+        co_return false;
+    }
+    m_stream.expires_after(m_limits.progress);
+    boost::system::error_code failure;
+    co_await asio::async_write(m_stream, beast::http::make_chunk_last(), asio::redirect_error(asio::use_awaitable, failure));
+    m_broken = m_broken || failure;
+    m_finished = !failure;
+    co_return !failure;
+}
+
+bool server_exchange::hasStarted() const
+{
+    return m_started;
+}
+
+void server_exchange::onGone(std::function<void()> hook)
+{
+    m_watch = std::make_shared<gone_watch>();
+    m_watch->hook = std::move(hook);
+    const auto watch = m_watch;
+    auto &socket = m_stream.socket();
+    const auto onReadable = [watch, &socket](boost::system::error_code failure) {
+        if (failure || !watch->hook || !isClosed(socket)) {
+            return;
+        }
+        const auto notify = std::exchange(watch->hook, nullptr);
+        notify();
+    };
+    socket.async_wait(asio::ip::tcp::socket::wait_read, asio::bind_cancellation_slot(m_watch->cancel.slot(), onReadable));
+}
+
+asio::any_io_executor server_exchange::executor() const
+{
+    return m_stream.get_executor();
+}
+
+bool server_exchange::canReuse() const
+{
+    return m_keepAlive && m_finished && !m_broken;
+}
+
+} // namespace mustardtrail::http
--- /dev/null
+++ b/src/http/internal/server_exchange.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "http/exchange.h"
+#include "http/server_limits.h"
+
+#include <boost/asio/cancellation_signal.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+#include <memory>
+
+namespace mustardtrail::http
+{
+
+/// Exchange over one connection of the server.
+class server_exchange final : public exchange
+{
+public:
+    server_exchange(boost::beast::tcp_stream &stream, const server_limits &limits, request_message request, bool keepAlive);
+    ~server_exchange() override;
+
+    const request_message &request() const override;
+    boost::asio::awaitable<bool> respond(response_message message) override;
+    boost::asio::awaitable<bool> startStream(int status, header_list headers) override;
+    boost::asio::awaitable<bool> write(std::string_view bytes) override;
+    boost::asio::awaitable<bool> finishStream() override;
+    bool hasStarted() const override;
+    void onGone(std::function<void()> hook) override;
+    boost::asio::any_io_executor executor() const override;
+
+    /// True when the answer ended and the connection can take another request.
+    bool canReuse() const;
+
+private:
+    struct gone_watch;
+
+    boost::beast::tcp_stream &m_stream;
+    const server_limits &m_limits;
+    request_message m_request;
+    bool m_keepAlive;
+    bool m_started = false;
+    bool m_finished = false;
+    bool m_broken = false;
+    std::shared_ptr<gone_watch> m_watch;
+};
+
+} // namespace mustardtrail::http
--- /dev/null
+++ b/src/http/server.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "base/endpoint.h"
+#include "base/error.h"
+#include "http/body_budget.h"
+#include "http/exchange.h"
+#include "http/server_limits.h"
+
+#include <atomic>
+#include <memory>
+
+namespace mustardtrail::http
+{
+
+/// HTTP/1.1 server with keep-alive. Each connection runs on its own strand of the given executor.
+class server
+{
+public:
+    server(boost::asio::any_io_executor executor, server_limits limits, handler handle, bad_request_answer badRequest);
+    ~server();
+    server(const server &) = delete;
+    server &operator=(const server &) = delete;
+
+    /// Binds and starts to accept; port 0 takes any. Returns the bound endpoint.
+    result<endpoint> listen(const endpoint &address);
+    /// Accepts no more connections and closes idle ones after their current request.
+    void stop();
+
+    size_t openConnections() const;
+    size_t bodyBytesHeld() const;
+
+    struct shared_state;
+
+private:
+    std::shared_ptr<shared_state> m_state;
+};
+
+} // namespace mustardtrail::http
