Life of one request: attempts, retries, verdicts, idempotency keys

Cause: the node needs the decisions for one request on both sides of the hop. Ruled out: handling each key at one home alone (its death loses the memory); asking all homes at once (two requests with one key could block each other).

--- /dev/null
+++ b/src/request/internal/continuation.cpp
@@ -0,0 +1,25 @@
+#include "request/internal/continuation.h"
+
+#include <algorithm>
+
+namespace mustardtrail::request
+{
+
+std::optional<std::vector<backend_server_id>> otherVersions(
+    const config::configuration &config, const model_id &model, const backend_server_id &answeredBy)
+{
+    const auto first = config.backendServers.find(answeredBy);
+    if (first == config.backendServers.end()) {
+        return std::nullopt;
+    }
+    std::vector<backend_server_id> others;
+    for (const auto &[id, backend] : config.backendServers) {
+        const bool serves = std::find(backend.models.begin(), backend.models.end(), model) != backend.models.end();
+        if (serves && backend.modelVersion != first->second.modelVersion) {
+            others.push_back(id);
+        }
+    }
+    return others;
+}
+
+} // namespace mustardtrail::request
--- /dev/null
+++ b/src/request/internal/json_reader.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "base/error.h"
+
+#include <boost/json/value.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <set>
+#include <string>
+#include <string_view>
+
+namespace mustardtrail::request
+{
+
+/// Reads the members of one message and remembers whether all were there, of their type and known.
+class json_reader
+{
+public:
+    explicit json_reader(const boost::json::value &message);
+
+    /// Text of 1 to `maxBytes` bytes.
+    std::string text(std::string_view name, std::size_t maxBytes);
+    std::uint64_t number(std::string_view name);
+    std::chrono::milliseconds duration(std::string_view name);
+    bool flag(std::string_view name);
+    /// Whether an optional member is there.
+    bool has(std::string_view name) const;
+    void reject(std::string_view name);
+
+    /// The first fault, or that there is a member that nobody asked for.
+    std::optional<error> fault() const;
+
+private:
+    const boost::json::value *member(std::string_view name);
+
+    const boost::json::object *m_object;
+    std::set<std::string> m_read;
+    std::string m_fault;
+};
+
+} // namespace mustardtrail::request
--- /dev/null
+++ b/src/request/key_home.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/ids.h"
+#include "membership/fleet_view.h"
+#include "request/key_claim.h"
+#include "request/key_claim_reply.h"
+#include "request/key_homes.h"
+#include "request/key_outcome.h"
+
+#include <boost/json/value.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+
+namespace mustardtrail::request
+{
+
+struct key_home_options {
+    std::chrono::milliseconds window{ 600000 }; ///< How long a key is remembered after its request ended.
+    std::chrono::milliseconds retryAfter{ 1000 }; ///< Given when this home cannot decide.
+    std::size_t maxEntries = 100000; ///< Keys held; a claim beyond it is refused.
+    std::size_t maxHistory = 64; ///< Changes of the candidates held; older ones count as unknown.
+};
+
+/// Memory of the idempotency keys whose home is this instance.
+class key_home
+{
+public:
+    key_home(key_home_options options, instance_id self);
+
+    void onView(std::shared_ptr<const membership::fleet_view> view);
+
+    key_claim_reply claim(const key_claim &claim, time_point now);
+    void end(const key_outcome &outcome, time_point now);
+
+    std::size_t size() const;
+    boost::json::value dump(time_point now) const;
+
+private:
+    using entry_key = std::pair<customer_id, std::string>;
+
+    struct entry {
+        request_id request;
+        std::uint64_t fingerprint = 0;
+        bool running = true;
+        verdict outcome = verdict::may_have_run;
+        time_point expires{};
+    };
+
+    struct candidates_since {
+        time_point since{};
+        home_candidates candidates;
+    };
+
+    key_claim_reply refusal(const key_claim &claim, error_code code, std::chrono::milliseconds retryAfter) const;
+    key_claim_reply answerHeld(const key_claim &claim, const entry &held, time_point now) const;
+    key_claim_reply grant(const key_claim &claim, time_point now) const;
+    bool isYoung(const key_claim &claim, time_point now) const;
+    void insert(const key_claim &claim, time_point now);
+    void erase(std::map<entry_key, entry>::iterator held);
+    void setExpiry(const entry_key &key, entry &held, time_point expires);
+    void dropExpired(time_point now);
+
+    key_home_options m_options;
+    instance_id m_self;
+    std::shared_ptr<const membership::fleet_view> m_view;
+    std::deque<candidates_since> m_history;
+    std::map<entry_key, entry> m_entries;
+    std::set<std::pair<time_point, entry_key>> m_expiries;
+};
+
+} // namespace mustardtrail::request
--- /dev/null
+++ b/src/request/key_outcome.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "base/ids.h"
+#include "base/verdict.h"
+
+#include <string>
+
+namespace mustardtrail::request
+{
+
+/// Tells a home of an idempotency key how the request that claimed it ended. "not_run" frees the key.
+struct key_outcome {
+    request_id request;
+    customer_id customer;
+    std::string key;
+    verdict outcome = verdict::may_have_run;
+
+    bool operator==(const key_outcome &) const = default;
+};
+
+} // namespace mustardtrail::request
--- a/src/request/request_actions.h
+++ b/src/request/request_actions.h
@@ -4,6 +4,8 @@
 #include "base/error.h"
 #include "base/ids.h"
 #include "placement/work_item.h"
+#include "request/key_claim.h"
+#include "request/key_outcome.h"
 
 #include <string>
 #include <variant>
@@ -45,6 +47,19 @@
     error failure;
 };
 
-using request_action = std::variant<start_attempt, cancel_attempt, relay_output, complete_request, fail_request>;
+/// Ask a home of the request's key; it may be this instance.
+struct send_key_claim {
+    instance_id home;
+    key_claim claim;
+};
+
+/// Tell a home of the request's key how the request ended. Sent once; a loss is safe.
+struct send_key_outcome {
+    instance_id home;
+    key_outcome outcome;
+};
+
+using request_action
+    = std::variant<start_attempt, cancel_attempt, relay_output, complete_request, fail_request, send_key_claim, send_key_outcome>;
 
 } // namespace mustardtrail::request
--- a/src/request/request_events.h
+++ b/src/request/request_events.h
@@ -4,6 +4,7 @@
 #include "base/error.h"
 #include "base/ids.h"
 #include "base/units.h"
+#include "request/key_claim_reply.h"
 
 #include <cstdint>
 #include <string>
@@ -24,6 +25,7 @@
     std::uint64_t prefixHash = 0;
     std::string idempotencyKey; ///< Empty: none given.
     bool secondAttempt = false; ///< The caller says that it sent this request before.
+    std::uint64_t fingerprint = 0; ///< Hash of path and body; the same key with another one is an error.
 };
 
 /// The caller closed its connection or was too slow to read.
@@ -58,6 +60,20 @@
     backend_server_id backend; ///< Empty: none was chosen.
 };
 
-using request_event = std::variant<caller_request, caller_gone, attempt_accepted, attempt_output, attempt_finished, attempt_failed>;
+/// The claim of a key did not reach its home, or no reply came.
+struct key_claim_failed {
+    request_id request;
+    instance_id home;
+    error failure;
+};
+
+using request_event = std::variant<caller_request,
+    caller_gone,
+    attempt_accepted,
+    attempt_output,
+    attempt_finished,
+    attempt_failed,
+    key_claim_reply,
+    key_claim_failed>;
 
 } // namespace mustardtrail::request
