Published configuration: checks, store whose revision only grows, deltas of elements

Cause: no code read the published configuration; a delta of a whole key is up to 290 kB for one changed backend server, which the control budget of a node doesn't bear.

Values are kept by element, so that an update parses only elements whose text differs, and peers pass on changed elements with a digest of the result. A refused update is remembered by content, not by revision alone: the same revision may come damaged first and whole later.

--- a/src/base/error_code.h
+++ b/src/base/error_code.h
@@ -30,6 +30,17 @@
     config_unknown_reference = 2007,
     config_too_large = 2008,
     config_revision_went_back = 2009,
+    config_bad_unit = 2010,
+    config_duplicate_key = 2011,
+    config_more_problems = 2012,
+    config_incomplete = 2013,
+
+    preview_model_without_engine = 2101,
+    preview_class_without_engine = 2102,
+    preview_longest_prompt_shrinks = 2103,
+    preview_service_without_backend_server = 2104,
+    preview_load_grows = 2105,
+    preview_no_data_centre = 2106,
 
     request_malformed = 3001,
     request_too_large = 3002,
--- /dev/null
+++ b/src/config/apply_result.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "config/config_problem.h"
+
+#include <string_view>
+#include <vector>
+
+namespace mustardtrail::config
+{
+
+enum class update_source {
+    service, ///< The platform's configuration service.
+    peer,
+};
+
+enum class apply_outcome {
+    accepted, ///< A higher revision is in force now.
+    unchanged, ///< Same revision, same content.
+    older, ///< Below the revision in force; ignored.
+    conflicting, ///< Same revision, other content; ignored.
+    invalid, ///< Refused whole; see the problems.
+    needs_full, ///< Does not follow the revision in force; ask for everything.
+};
+
+struct apply_result {
+    apply_outcome outcome = apply_outcome::unchanged;
+    std::vector<config_problem> problems;
+    bool refusedBefore = false; ///< The same update was refused earlier and was not read again.
+};
+
+std::string_view toString(update_source source);
+std::string_view toString(apply_outcome outcome);
+
+} // namespace mustardtrail::config
--- /dev/null
+++ b/src/config/internal/canonical_json.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <string>
+
+#include <boost/json/value.hpp>
+
+namespace mustardtrail::config
+{
+
+/// Text with names in order and without spaces: the same for every way of writing one value.
+std::string canonicalText(const boost::json::value &value);
+
+} // namespace mustardtrail::config
