--- a/src/base/endpoint.h
+++ b/src/base/endpoint.h
@@ -13,7 +13,7 @@
     std::string address; ///< IPv4 or IPv6 number, never a host name.
     std::uint16_t port = 0;
 
-    auto operator<=>(const endpoint &) const = default;
+    auto operator<=>(const endpoint &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 /// "127.0.0.1:8080" or "[::1]:8080".
--- a/src/standin/platform/main.cpp
+++ b/src/standin/platform/main.cpp
@@ -28,7 +28,7 @@
 
 constexpr std::chrono::milliseconds longestWait{ 30'000 };
 constexpr std::chrono::milliseconds slowDelay{ 5'000 };
-constexpr std::chrono::milliseconds watchInterval { 10 };
+constexpr std::chrono::milliseconds watchInterval{ 10 };
 
 std::int64_t numberFrom(const std::string &text)
 {
