Placement: owner's scheduler and origin's router behind their final interfaces

Slow start, prefill prediction, memory ledger, fair queue and candidate ring are types of their own under them.

--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -27,6 +27,8 @@
     {
         return m_text.empty();
     }
+    // clang-tidy 14 reads the generated comparison with 0 as a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     auto operator<=>(const named_id &) const = default;
 
     friend std::ostream &operator<<(std::ostream &out, const named_id &id)
--- /dev/null
+++ b/src/placement/internal/backend_state.cpp
@@ -0,0 +1,323 @@
+#include "placement/internal/backend_state.h"
+
+#include <algorithm>
+
+namespace mustardtrail::placement
+{
+
+namespace
+{
+
+/// A first token is late when it takes this many times what was predicted, and the slack on top.
+constexpr int lateFactor = 3;
+constexpr std::chrono::milliseconds lateSlack{ 300 };
+
+} // namespace
+
+token_count memoryNeed(const work_item &work)
+{
+    return work.promptTokens + work.maxNewTokens;
+}
+
+backend_state::backend_state(const config::backend_server &server, const placement_options &options)
+    : m_options(options)
+    , m_server(server)
+    , m_slowStart(server.coldRequests, server.warmRequests, server.kind == config::backend_server_kind::engine)
+    , m_backlog(0)
+{
+    m_memory.setCapacity(server.memoryTokens);
+}
+
+void backend_state::configure(const config::backend_server &server, const membership::backend_assignment &assignment, bool isolated)
+{
+    if (server.memoryTokens != m_server.memoryTokens) {
+        m_memory.setCapacity(server.memoryTokens);
+    }
+    m_server = server;
+    m_assignment = assignment;
+    m_isolated = isolated;
+    m_owned = true;
+    m_slowStart.setBounds(server.coldRequests, server.warmRequests);
+}
+
+void backend_state::disown()
+{
+    m_owned = false;
+}
+
+const backend_server_id &backend_state::id() const
+{
+    return m_server.id;
+}
+
+bool backend_state::owned() const
+{
+    return m_owned;
+}
+
+bool backend_state::takesNewWork() const
+{
+    return m_owned && m_assignment.acceptsNewWork && !yielded();
+}
+
+bool backend_state::yielded() const
+{
+    return m_highestFencingNumber > m_assignment.fencingNumber;
+}
+
+std::uint64_t backend_state::fencingNumber() const
+{
+    return m_assignment.fencingNumber;
+}
+
+bool backend_state::isEngine() const
+{
+    return m_server.kind == config::backend_server_kind::engine;
+}
+
+int backend_state::limit(time_point now) const
+{
+    return mustStayCold(now) ? std::min(m_slowStart.limit(), m_slowStart.coldLimit()) : m_slowStart.limit();
+}
+
+int backend_state::outstanding() const
+{
+    return static_cast<int>(m_running.size()) + m_memory.foreignRequests();
+}
+
+int backend_state::freeSlots(time_point now) const
+{
+    return std::max(0, limit(now) - outstanding());
+}
+
+bool backend_state::hasSlotFor(const work_item &work, time_point now) const
+{
+    const int free = freeSlots(now);
+    // On a warm engine a long prompt leaves the last slot to a short request that may come next.
+    const bool keepsOne = lengthClassOf(work.promptTokens) == length_class::long_prompt && limit(now) > m_slowStart.coldLimit();
+    return free > (keepsOne ? 1 : 0);
+}
+
+bool backend_state::hasMemoryFor(const work_item &work) const
+{
+    if (!isEngine()) {
+        return true;
+    }
+    token_count reserve = 0;
+    if (lengthClassOf(work.promptTokens) == length_class::long_prompt) {
+        reserve = static_cast<token_count>(m_options.shortMemoryShare * static_cast<double>(m_memory.capacity()));
+        // A prompt that only fits on an idle engine still has to run somewhere.
+        reserve = std::min(reserve, m_memory.capacity() - memoryNeed(work));
+    }
+    return memoryNeed(work) + reserve <= m_memory.free();
+}
+
+bool backend_state::hasBacklogRoomFor(const work_item &work, int priority, time_point now)
+{
+    if (!isEngine()) {
+        return true;
+    }
+    const bool isLong = lengthClassOf(work.promptTokens) == length_class::long_prompt;
+    if (isLong && m_backlog.longPrompts() >= m_options.maxLongPrefills) {
+        return false;
+    }
+    const std::chrono::duration<double> ahead{ m_backlog.tokensAhead(priority, now) / m_backlog.tokensPerSecond() };
+    return ahead <= m_options.engineBacklog;
+}
+
+bool backend_state::fitsAtAll(const work_item &work) const
+{
+    return !isEngine() || memoryNeed(work) <= m_memory.capacity();
+}
+
+std::chrono::nanoseconds backend_state::predict(const work_item &work, int priority, time_point now)
+{
+    return isEngine() ? m_backlog.predict(priority, work.promptTokens, now) : std::chrono::nanoseconds(0);
+}
+
+void backend_state::send(const work_item &work, int priority, time_point now)
+{
+    running_attempt attempt;
+    attempt.work = work;
+    attempt.priority = priority;
+    attempt.sentAt = now;
+    attempt.expectedFirstToken = now + predict(work, priority, now);
+    m_memory.start(work.attempt, isEngine() ? memoryNeed(work) : 0);
+    if (isEngine()) {
+        delayLessUrgent(priority, work.promptTokens);
+        m_backlog.add(work.attempt, priority, work.promptTokens, now);
+    }
+    if (lengthClassOf(work.promptTokens) == length_class::long_prompt) {
+        ++m_longRunning;
+        m_longTokens += memoryNeed(work);
+    }
+    m_running.emplace(work.attempt, std::move(attempt));
+}
+
+void backend_state::firstToken(const attempt_id &attempt, time_point now)
+{
+    const auto found = m_running.find(attempt);
+    if (found == m_running.end() || found->second.firstTokenSeen) {
+        return;
+    }
+    found->second.firstTokenSeen = true;
+    m_backlog.complete(attempt, now);
+    if (isEngine() && !found->second.late && isLate(found->second, now)) {
+        found->second.late = true;
+        m_slowStart.fall(fall_reason::slow_first_token, now);
+    }
+}
+
+void backend_state::output(const attempt_id &attempt, token_count tokens)
+{
+    const auto found = m_running.find(attempt);
+    if (found != m_running.end()) {
+        found->second.generated += tokens;
+    }
+}
+
+void backend_state::cancelled(const attempt_id &attempt)
+{
+    const auto found = m_running.find(attempt);
+    if (found != m_running.end()) {
+        found->second.cancelled = true;
+    }
+}
+
+std::optional<running_attempt> backend_state::end(const attempt_id &attempt, std::optional<fall_reason> reason, time_point now)
+{
+    const auto found = m_running.find(attempt);
+    if (found == m_running.end()) {
+        return std::nullopt;
+    }
+    running_attempt ended = std::move(found->second);
+    m_running.erase(found);
+    m_backlog.remove(attempt, now);
+    m_memory.end(attempt, now);
+    if (lengthClassOf(ended.work.promptTokens) == length_class::long_prompt) {
+        --m_longRunning;
+        m_longTokens -= memoryNeed(ended.work);
+    }
+    if (ended.cancelled) {
+        return ended;
+    }
+    if (reason) {
+        m_slowStart.fall(*reason, now);
+    } else if (!ended.late) {
+        m_slowStart.onCompletion(!reportIsStale(now));
+    }
+    return ended;
+}
+
+void backend_state::applyReport(const engine_report &report, time_point now)
+{
+    if (m_reportTakenAt && report.takenAt < *m_reportTakenAt) {
+        return;
+    }
+    m_reportTakenAt = report.takenAt;
+    m_highestFencingNumber = std::max(m_highestFencingNumber, report.highestFencingNumber);
+    m_slowStart.onReport(report, now);
+    m_memory.applyReport(report);
+    m_backlog.setReportedRate(report.prefillTokensPerSecond);
+    m_backlog.setReportedTokens(static_cast<double>(report.queuedPrefillTokens), report.takenAt, now);
+    if (!mustStayCold(now) && m_memory.foreignRequests() > 0) {
+        m_slowStart.adopt(report.runningRequests);
+    }
+}
+
+void backend_state::applyCacheEvent(const cache_event &event, time_point now)
+{
+    if (m_prefixes.apply(event) == prefix_estimate::outcome::restarted) {
+        m_slowStart.fall(fall_reason::cache_lost, now);
+    }
+}
+
+void backend_state::checkOverdue(time_point now)
+{
+    if (!isEngine()) {
+        return;
+    }
+    for (auto &[attempt, state] : m_running) {
+        if (!state.firstTokenSeen && !state.late && isLate(state, now)) {
+            state.late = true;
+            m_slowStart.fall(fall_reason::slow_first_token, now);
+        }
+    }
+}
+
+memory_ledger &backend_state::memory()
+{
+    return m_memory;
+}
+
+const memory_ledger &backend_state::memory() const
+{
+    return m_memory;
+}
+
+prefill_backlog &backend_state::backlog()
+{
+    return m_backlog;
+}
+
+const prefix_estimate &backend_state::prefixes() const
+{
+    return m_prefixes;
+}
+
+const slow_start &backend_state::slowStart() const
+{
+    return m_slowStart;
+}
+
+const std::unordered_map<attempt_id, running_attempt> &backend_state::running() const
+{
+    return m_running;
+}
+
+std::optional<time_point> backend_state::reportTakenAt() const
+{
+    return m_reportTakenAt;
+}
+
+int backend_state::longRunning() const
+{
+    return m_longRunning;
+}
+
+token_count backend_state::longTokens() const
+{
+    return m_longTokens;
+}
+
+bool backend_state::reportIsStale(time_point now) const
+{
+    if (!m_reportTakenAt) {
+        return isEngine();
+    }
+    return now - *m_reportTakenAt > m_options.reportStaleAfter;
+}
+
+bool backend_state::mustStayCold(time_point now) const
+{
+    // The owner before may act on its own view until its lease and the list's lag are over.
+    return m_isolated || now < m_assignment.ownedSince + membership::viewLease + m_options.liveListLag;
+}
+
+bool backend_state::isLate(const running_attempt &attempt, time_point now) const
+{
+    const auto expected = attempt.expectedFirstToken - attempt.sentAt;
+    return now - attempt.sentAt > lateFactor * expected + lateSlack;
+}
+
+void backend_state::delayLessUrgent(int priority, token_count promptTokens)
+{
+    const std::chrono::duration<double> delay{ static_cast<double>(promptTokens) / m_backlog.tokensPerSecond() };
+    for (auto &[attempt, state] : m_running) {
+        if (!state.firstTokenSeen && state.priority > priority) {
+            state.expectedFirstToken += std::chrono::duration_cast<std::chrono::nanoseconds>(delay);
+        }
+    }
+}
+
+} // namespace mustardtrail::placement
--- /dev/null
+++ b/src/placement/internal/backend_state.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "config/backend_server.h"
+#include "membership/fleet_view.h"
+#include "placement/memory_ledger.h"
+#include "placement/placement_options.h"
+#include "placement/prefill_backlog.h"
+#include "placement/prefix_estimate.h"
+#include "placement/slow_start.h"
+
+#include "placement/internal/running_attempt.h"
+
+#include <chrono>
+#include <optional>
+#include <unordered_map>
+
+namespace mustardtrail::placement
+{
+
+/// What the owner knows of one backend server, and what it may send there.
+class backend_state
+{
+public:
+    backend_state(const config::backend_server &server, const placement_options &options);
+
+    void configure(const config::backend_server &server, const membership::backend_assignment &assignment, bool isolated);
+    void disown();
+
+    const backend_server_id &id() const;
+    bool owned() const;
+    bool takesNewWork() const;
+    /// A report showed a higher fencing number than ours.
+    bool yielded() const;
+    std::uint64_t fencingNumber() const;
+    bool isEngine() const;
+
+    int limit(time_point now) const;
+    int outstanding() const;
+    int freeSlots(time_point now) const;
+    bool hasSlotFor(const work_item &work, time_point now) const;
+    bool hasMemoryFor(const work_item &work) const;
+    /// The prefill that waits at the engine is short enough to send more.
+    bool hasBacklogRoomFor(const work_item &work, int priority, time_point now);
+    bool fitsAtAll(const work_item &work) const;
+    /// Time from a send now to the first token.
+    std::chrono::nanoseconds predict(const work_item &work, int priority, time_point now);
+
+    void send(const work_item &work, int priority, time_point now);
+    void firstToken(const attempt_id &attempt, time_point now);
+    void output(const attempt_id &attempt, token_count tokens);
+    void cancelled(const attempt_id &attempt);
+    /// Ends an attempt; a reason makes the limit fall.
+    std::optional<running_attempt> end(const attempt_id &attempt, std::optional<fall_reason> reason, time_point now);
+    void applyReport(const engine_report &report, time_point now);
+    void applyCacheEvent(const cache_event &event, time_point now);
+    /// Looks for first tokens that are overdue.
+    void checkOverdue(time_point now);
+
+    memory_ledger &memory();
+    const memory_ledger &memory() const;
+    prefill_backlog &backlog();
+    const prefix_estimate &prefixes() const;
+    const slow_start &slowStart() const;
+    const std::unordered_map<attempt_id, running_attempt> &running() const;
+    std::optional<time_point> reportTakenAt() const;
+    int longRunning() const;
+    token_count longTokens() const;
+
+private:
+    bool reportIsStale(time_point now) const;
+    bool mustStayCold(time_point now) const;
+    bool isLate(const running_attempt &attempt, time_point now) const;
+    void delayLessUrgent(int priority, token_count promptTokens);
+
+    const placement_options &m_options;
+    config::backend_server m_server;
+    membership::backend_assignment m_assignment;
+    bool m_owned = false;
+    bool m_isolated = false;
+    std::uint64_t m_highestFencingNumber = 0;
+    std::optional<time_point> m_reportTakenAt;
+    slow_start m_slowStart;
+    prefill_backlog m_backlog;
+    memory_ledger m_memory;
+    prefix_estimate m_prefixes;
+    std::unordered_map<attempt_id, running_attempt> m_running;
+    token_count m_longTokens = 0;
+    int m_longRunning = 0;
+};
+
+/// KV memory that an attempt takes at most.
+token_count memoryNeed(const work_item &work);
+
+} // namespace mustardtrail::placement
--- /dev/null
+++ b/src/placement/internal/owner_scheduler_pools.cpp
@@ -0,0 +1,130 @@
+#include "placement/internal/owner_scheduler_impl.h"
+
+#include <algorithm>
+
+namespace mustardtrail::placement
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds dropRetryAfter{ 100 };
+
+} // namespace
+
+void owner_scheduler::implementation::rebuildPools(time_point)
+{
+    for (auto &[id, backend] : m_backends) {
+        backend->disown();
+    }
+    std::map<pool_key, std::vector<backend_state *>> members;
+    if (m_view != nullptr && m_view->config != nullptr) {
+        for (const auto &[id, assignment] : m_view->backends) {
+            const auto server = m_view->config->backendServers.find(id);
+            if (assignment.owner != m_view->self || server == m_view->config->backendServers.end()) {
+                continue;
+            }
+            auto &backend = m_backends[id];
+            if (backend == nullptr) {
+                backend = std::make_unique<backend_state>(server->second, m_options);
+            }
+            backend->configure(server->second, assignment, m_view->isolated);
+            for (const model_id &model : server->second.models) {
+                members[{ pool_kind::model, model.str() }].push_back(backend.get());
+            }
+            if (server->second.kind == config::backend_server_kind::service) {
+                members[{ pool_kind::service, server->second.service.str() }].push_back(backend.get());
+            }
+        }
+    }
+    for (auto &[key, pool] : m_pools) {
+        members.try_emplace(key);
+    }
+    for (auto &[key, list] : members) {
+        m_pools.try_emplace(key, m_options).first->second.assign(std::move(list));
+    }
+    forgetDrained();
+}
+
+void owner_scheduler::implementation::forgetDrained()
+{
+    std::erase_if(m_backends, [](const auto &entry) {
+        return !entry.second->owned() && entry.second->running().empty();
+    });
+}
+
+void owner_scheduler::implementation::pumpAll(time_point now)
+{
+    for (auto &[key, pool] : m_pools) {
+        dropHopeless(pool, now);
+        pump(pool, nullptr, now);
+    }
+}
+
+void owner_scheduler::implementation::pumpAllOf(backend_state &backend, time_point now)
+{
+    for (auto &[key, pool] : m_pools) {
+        const auto &members = pool.members();
+        if (pool.queue().size() > 0 && std::find(members.begin(), members.end(), &backend) != members.end()) {
+            pump(pool, &backend, now);
+        }
+    }
+}
+
+void owner_scheduler::implementation::pump(pool_state &pool, backend_state *freed, time_point now)
+{
+    if (!mayDispatch(now)) {
+        return;
+    }
+    pool.queue().forEachHead([&](const queued_attempt &item) {
+        backend_state *backend = pool.choose(item, freed, now);
+        if (backend == nullptr) {
+            return false;
+        }
+        dispatch(*backend, item, now);
+        return true;
+    });
+}
+
+void owner_scheduler::implementation::dispatch(backend_state &backend, const queued_attempt &item, time_point now)
+{
+    backend.send(item.work, item.priority, now);
+    m_running[item.work.attempt] = &backend;
+    m_actions.emplace_back(
+        dispatch_attempt{ item.work, backend.id(), backend.fencingNumber(), item.priority, m_view->confirmedAt + membership::viewLease });
+}
+
+void owner_scheduler::implementation::dropHopeless(pool_state &pool, time_point now)
+{
+    if (pool.queue().size() == 0) {
+        return;
+    }
+    double rate = 0;
+    double fastest = 0;
+    bool any = false;
+    for (backend_state *backend : pool.members()) {
+        if (backend->takesNewWork()) {
+            any = true;
+            rate += backend->backlog().tokensPerSecond();
+            fastest = std::max(fastest, backend->isEngine() ? backend->backlog().tokensPerSecond() : 0);
+        }
+    }
+    const bool confirmed = mayDispatch(now);
+    double ahead = 0;
+    pool.queue().sweep([&](const queued_attempt &item) {
+        const double own = static_cast<double>(item.work.promptTokens);
+        const std::chrono::duration<double> soonest{ fastest > 0 ? ahead / rate + own / fastest : 0 };
+        const bool late = now + std::chrono::duration_cast<std::chrono::nanoseconds>(soonest) > item.work.firstTokenDeadline;
+        if (confirmed && any && !late) {
+            ahead += own;
+            return false;
+        }
+        const error_code code = !confirmed ? error_code::view_not_confirmed
+            : !any                         ? error_code::no_backend_server
+                                           : error_code::target_unreachable;
+        refuse(item.work.attempt, { code, verdict::not_run, "reason=queued", dropRetryAfter });
+        return true;
+    });
+}
+
+} // namespace mustardtrail::placement
--- /dev/null
+++ b/src/placement/internal/pool_state.cpp
@@ -0,0 +1,160 @@
+#include "placement/internal/pool_state.h"
+
+#include "base/hash.h"
+
+#include <algorithm>
+
+namespace mustardtrail::placement
+{
+
+namespace
+{
+
+using seconds_double = std::chrono::duration<double>;
+
+/// The preferred engine of a prefix is kept while it is at most this much slower than the best one.
+constexpr double affinityLoadBound = 1.25;
+constexpr std::chrono::milliseconds affinitySlack{ 20 };
+constexpr int durationWeight = 16; ///< One observation counts 1/16.
+
+bool isExcluded(const queued_attempt &item, const backend_server_id &backend)
+{
+    return std::find(item.excluded.begin(), item.excluded.end(), backend) != item.excluded.end();
+}
+
+} // namespace
+
+pool_state::pool_state(const placement_options &options)
+    : m_options(options)
+{
+}
+
+void pool_state::assign(std::vector<backend_state *> members)
+{
+    if (members == m_members) {
+        return;
+    }
+    m_members = std::move(members);
+    std::vector<std::string_view> names;
+    for (const backend_state *member : m_members) {
+        names.push_back(member->id().str());
+    }
+    m_ring.assign(names);
+}
+
+const std::vector<backend_state *> &pool_state::members() const
+{
+    return m_members;
+}
+
+fair_queue &pool_state::queue()
+{
+    return m_queue;
+}
+
+const fair_queue &pool_state::queue() const
+{
+    return m_queue;
+}
+
+backend_state *pool_state::choose(const queued_attempt &item, backend_state *freed, time_point now)
+{
+    backend_state *best = nullptr;
+    backend_state *preferred = nullptr;
+    for (backend_state *candidate : candidates(item.work)) {
+        if (!mayTake(*candidate, item, now)) {
+            continue;
+        }
+        preferred = preferred == nullptr ? candidate : preferred;
+        if (best == nullptr || isBetter(*candidate, *best, item, now)) {
+            best = candidate;
+        }
+    }
+    if (best == nullptr && freed != nullptr && mayTake(*freed, item, now)) {
+        return freed;
+    }
+    if (best == nullptr || preferred == best || !best->isEngine()) {
+        return best;
+    }
+    const auto bound = affinityLoadBound * seconds_double(best->predict(item.work, item.priority, now)) + affinitySlack;
+    return preferred->predict(item.work, item.priority, now) <= bound ? preferred : best;
+}
+
+std::chrono::nanoseconds pool_state::predict(const work_item &work, int priority, const pool_load &load) const
+{
+    const fair_queue::position ahead = m_queue.positionOf(work, priority);
+    seconds_double wait{ 0 };
+    if (load.tokensPerSecond > 0) {
+        wait = seconds_double(ahead.promptTokens / (load.tokensPerSecond * load.shareLeft));
+    }
+    const double surplus = static_cast<double>(ahead.attempts) + 1 - load.freeSlots;
+    if (surplus > 0 && load.slots > 0) {
+        wait = std::max(wait, seconds_double(m_duration) * surplus / load.slots);
+    }
+    return load.bestPrediction + std::chrono::duration_cast<std::chrono::nanoseconds>(wait);
+}
+
+pool_load pool_state::loadFor(const queued_attempt &item, time_point now)
+{
+    pool_load load;
+    const auto &looked = candidates(item.work);
+    const double scale = looked.empty() ? 0 : static_cast<double>(m_members.size()) / static_cast<double>(looked.size());
+    load.shareLeft = 0;
+    double counted = 0;
+    for (backend_state *candidate : looked) {
+        if (!candidate->takesNewWork() || isExcluded(item, candidate->id())) {
+            continue;
+        }
+        load.any = true;
+        load.fits = load.fits || candidate->fitsAtAll(item.work);
+        load.slots += scale * candidate->limit(now);
+        load.freeSlots += scale * candidate->freeSlots(now);
+        if (!candidate->fitsAtAll(item.work)) {
+            continue;
+        }
+        load.bestPrediction = std::min(load.bestPrediction, candidate->predict(item.work, item.priority, now));
+        load.tokensPerSecond += scale * (candidate->isEngine() ? candidate->backlog().tokensPerSecond() : 0);
+        load.shareLeft += candidate->backlog().shareLeft(item.priority, now);
+        ++counted;
+    }
+    load.shareLeft = counted > 0 ? load.shareLeft / counted : 1;
+    return load;
+}
+
+void pool_state::observeDuration(std::chrono::nanoseconds duration)
+{
+    m_duration = m_duration.count() == 0 ? duration : m_duration + (duration - m_duration) / durationWeight;
+}
+
+const std::vector<backend_state *> &pool_state::candidates(const work_item &work)
+{
+    m_ring.pick(work.prefixHash, hash64(work.attempt.str()), m_options.maxCandidates, m_picked);
+    m_candidates.clear();
+    for (const std::uint32_t member : m_picked) {
+        m_candidates.push_back(m_members[member]);
+    }
+    return m_candidates;
+}
+
+bool pool_state::mayTake(backend_state &backend, const queued_attempt &item, time_point now) const
+{
+    if (!backend.takesNewWork() || isExcluded(item, backend.id())) {
+        return false;
+    }
+    return backend.hasSlotFor(item.work, now) && backend.hasMemoryFor(item.work)
+        && backend.hasBacklogRoomFor(item.work, item.priority, now);
+}
+
+bool pool_state::isBetter(backend_state &left, backend_state &right, const queued_attempt &item, time_point now) const
+{
+    if (!left.isEngine()) {
+        return left.outstanding() < right.outstanding();
+    }
+    const bool isLong = lengthClassOf(item.work.promptTokens) == length_class::long_prompt;
+    if (isLong && m_options.longPlacement == long_placement::concentrate && left.longTokens() != right.longTokens()) {
+        return left.longTokens() > right.longTokens();
+    }
+    return left.predict(item.work, item.priority, now) < right.predict(item.work, item.priority, now);
+}
+
+} // namespace mustardtrail::placement
--- /dev/null
+++ b/src/placement/internal/pool_state.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "placement/candidate_ring.h"
+#include "placement/fair_queue.h"
+#include "placement/internal/backend_state.h"
+#include "placement/pool_key.h"
+
+#include <chrono>
+#include <vector>
+
+namespace mustardtrail::placement
+{
+
+/// What is known of a few backend servers, scaled up to the pool.
+struct pool_load {
+    double tokensPerSecond = 0;
+    double shareLeft = 1; ///< Of the rate, below more urgent work.
+    double freeSlots = 0;
+    double slots = 0;
+    std::chrono::nanoseconds bestPrediction{ std::chrono::nanoseconds::max() };
+    bool fits = false; ///< The attempt fits on some backend server at all.
+    bool any = false; ///< Some backend server takes new work.
+};
+
+/// The owned backend servers of one model or service, and the attempts that wait for them.
+class pool_state
+{
+public:
+    explicit pool_state(const placement_options &options);
+
+    void assign(std::vector<backend_state *> members);
+    const std::vector<backend_state *> &members() const;
+    fair_queue &queue();
+    const fair_queue &queue() const;
+
+    /// Backend server that the attempt goes to now; null when it has to wait.
+    backend_state *choose(const queued_attempt &item, backend_state *freed, time_point now);
+    /// Time from now to the first token, for an attempt that would be queued now.
+    std::chrono::nanoseconds predict(const work_item &work, int priority, const pool_load &load) const;
+    pool_load loadFor(const queued_attempt &item, time_point now);
+    void observeDuration(std::chrono::nanoseconds duration);
+
+private:
+    const std::vector<backend_state *> &candidates(const work_item &work);
+    bool mayTake(backend_state &backend, const queued_attempt &item, time_point now) const;
+    bool isBetter(backend_state &left, backend_state &right, const queued_attempt &item, time_point now) const;
+
+    const placement_options &m_options;
+    std::vector<backend_state *> m_members;
+    candidate_ring m_ring;
+    fair_queue m_queue;
+    std::chrono::nanoseconds m_duration{ 0 }; ///< Average from send to end.
+    std::vector<backend_state *> m_candidates;
+    std::vector<std::uint32_t> m_picked;
+};
+
+} // namespace mustardtrail::placement
--- /dev/null
+++ b/src/placement/internal/router_impl.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "placement/candidate_ring.h"
+#include "placement/internal/owner_load.h"
+#include "placement/router.h"
+
+#include <map>
+#include <string>
+#include <unordered_map>
+
+namespace mustardtrail::placement
+{
+
+/// State and steps behind router.
+class router::implementation
+{
+public:
+    void onView(std::shared_ptr<const membership::fleet_view> view);
+    void onSummary(const owner_summary &summary);
+    result<route> pick(const work_item &work, const route_exclusions &excluded, time_point now);
+    boost::json::value dump(time_point now) const;
+
+private:
+    /// One owner of backend servers of a pool.
+    struct owner_entry {
+        instance_id instance;
+        std::chrono::nanoseconds distance{ 0 }; ///< Cost of the hop, for the comparison of owners.
+        std::vector<backend_server_id> backends;
+        owner_load load;
+    };
+    struct pool_owners {
+        std::vector<owner_entry> owners; ///< Sorted by instance.
+        std::unordered_map<instance_id, std::size_t> index; ///< Position in owners.
+        candidate_ring ring;
+        token_count largestMemory = 0;
+        bool configured = false; ///< Some backend server is published for the pool, in service or not.
+    };
+    struct choice {
+        owner_entry *best = nullptr;
+        owner_entry *preferred = nullptr;
+        std::chrono::nanoseconds bestCost{ std::chrono::nanoseconds::max() };
+        std::chrono::nanoseconds preferredCost{ 0 };
+        std::chrono::nanoseconds soonest{ std::chrono::nanoseconds::max() }; ///< By summaries alone.
+        bool allKnown = true;
+    };
+
+    std::map<pool_key, pool_owners> buildPools() const;
+    void addBackend(pool_owners &pool, const config::backend_server &server, const membership::backend_assignment &assignment) const;
+    bool takesForwardedWork(const instance_id &owner) const;
+    std::chrono::nanoseconds distanceTo(const data_centre_id &dataCentre) const;
+    choice choose(pool_owners &pool, const work_item &work, int priority, const route_exclusions &excluded, time_point now);
+    static bool isExcluded(const owner_entry &owner, const route_exclusions &excluded);
+    static backend_server_id preferredBackend(const owner_entry &owner, const work_item &work, const route_exclusions &excluded);
+
+    std::shared_ptr<const membership::fleet_view> m_view;
+    std::map<pool_key, pool_owners> m_pools;
+    std::vector<std::uint32_t> m_picked;
+};
+
+} // namespace mustardtrail::placement
--- /dev/null
+++ b/src/placement/internal/router_view.cpp
@@ -0,0 +1,136 @@
+#include "placement/internal/router_impl.h"
+
+#include <algorithm>
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+
+namespace mustardtrail::placement
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds otherDataCentreDistance{ 20 };
+constexpr std::chrono::milliseconds otherRegionDistance{ 150 };
+
+} // namespace
+
+void router::implementation::onView(std::shared_ptr<const membership::fleet_view> view)
+{
+    m_view = std::move(view);
+    std::map<pool_key, pool_owners> pools = buildPools();
+    for (auto &[key, pool] : pools) {
+        const auto old = m_pools.find(key);
+        std::vector<std::string_view> names;
+        for (owner_entry &owner : pool.owners) {
+            names.push_back(owner.instance.str());
+            if (old == m_pools.end()) {
+                continue;
+            }
+            const auto known = old->second.index.find(owner.instance);
+            if (known != old->second.index.end()) {
+                owner.load = std::move(old->second.owners[known->second].load);
+            }
+        }
+        pool.ring.assign(names);
+    }
+    m_pools = std::move(pools);
+}
+
+std::map<pool_key, router::implementation::pool_owners> router::implementation::buildPools() const
+{
+    std::map<pool_key, pool_owners> pools;
+    if (m_view == nullptr || m_view->config == nullptr) {
+        return pools;
+    }
+    for (const auto &[id, server] : m_view->config->backendServers) {
+        const auto assignment = m_view->backends.find(id);
+        std::vector<pool_key> keys;
+        for (const model_id &model : server.models) {
+            keys.push_back({ pool_kind::model, model.str() });
+        }
+        if (server.kind == config::backend_server_kind::service) {
+            keys.push_back({ pool_kind::service, server.service.str() });
+        }
+        for (const pool_key &key : keys) {
+            pool_owners &pool = pools[key];
+            pool.configured = true;
+            if (assignment != m_view->backends.end()) {
+                addBackend(pool, server, assignment->second);
+            }
+        }
+    }
+    for (auto &[key, pool] : pools) {
+        std::sort(pool.owners.begin(), pool.owners.end(), [](const owner_entry &left, const owner_entry &right) {
+            return left.instance < right.instance;
+        });
+        for (std::size_t position = 0; position < pool.owners.size(); ++position) {
+            pool.index[pool.owners[position].instance] = position;
+        }
+    }
+    return pools;
+}
+
+void router::implementation::addBackend(
+    pool_owners &pool, const config::backend_server &server, const membership::backend_assignment &assignment) const
+{
+    if (assignment.owner.empty() || !assignment.acceptsNewWork || !takesForwardedWork(assignment.owner)) {
+        return;
+    }
+    pool.largestMemory = std::max(pool.largestMemory, server.memoryTokens);
+    const auto [index, added] = pool.index.try_emplace(assignment.owner, pool.owners.size());
+    if (added) {
+        pool.owners.push_back({ assignment.owner, distanceTo(server.dataCentre), {}, {} });
+    }
+    pool.owners[index->second].backends.push_back(server.id);
+}
+
+bool router::implementation::takesForwardedWork(const instance_id &owner) const
+{
+    if (owner == m_view->self) {
+        return !m_view->selfLeaving;
+    }
+    const auto peer = m_view->peers.find(owner);
+    if (peer == m_view->peers.end()) {
+        return false;
+    }
+    return peer->second.state == membership::peer_state::alive || peer->second.state == membership::peer_state::suspect;
+}
+
+std::chrono::nanoseconds router::implementation::distanceTo(const data_centre_id &dataCentre) const
+{
+    if (dataCentre == m_view->selfDataCentre) {
+        return std::chrono::nanoseconds(0);
+    }
+    const auto &centres = m_view->config->dataCentres;
+    const auto own = centres.find(m_view->selfDataCentre);
+    const auto other = centres.find(dataCentre);
+    const bool sameRegion = own == centres.end() || other == centres.end() || own->second.region == other->second.region;
+    return sameRegion ? otherDataCentreDistance : otherRegionDistance;
+}
+
+boost::json::value router::implementation::dump(time_point now) const
+{
+    boost::json::array pools;
+    for (const auto &[key, pool] : m_pools) {
+        boost::json::array owners;
+        for (const owner_entry &owner : pool.owners) {
+            boost::json::object entry;
+            entry["owner"] = owner.instance.str();
+            entry["backend_servers"] = owner.backends.size();
+            entry["summary_known"] = owner.load.isKnown(now);
+            entry["sent_since"] = owner.load.sentSince();
+            entry["first_token_ms"]
+                = std::chrono::duration_cast<std::chrono::milliseconds>(owner.load.predictBySummary(summaryShortTokens, now)).count();
+            if (const auto takenAt = owner.load.takenAt()) {
+                entry["summary_age_ms"] = std::chrono::duration_cast<std::chrono::milliseconds>(now - *takenAt).count();
+            }
+            owners.push_back(std::move(entry));
+        }
+        pools.push_back(boost::json::object{ { "name", key.name }, { "owners", std::move(owners) } });
+    }
+    return boost::json::object{ { "pools", std::move(pools) } };
+}
+
+} // namespace mustardtrail::placement
--- /dev/null
+++ b/src/placement/internal/running_attempt.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "placement/work_item.h"
+
+namespace mustardtrail::placement
+{
+
+/// An attempt that was sent to a backend server.
+struct running_attempt {
+    work_item work;
+    int priority = 0;
+    time_point sentAt{};
+    time_point expectedFirstToken{};
+    token_count generated = 0;
+    bool firstTokenSeen = false;
+    bool late = false; ///< Its first token came, or still is, far later than expected.
+    bool cancelled = false;
+};
+
+} // namespace mustardtrail::placement
--- /dev/null
+++ b/src/placement/placement_options.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "base/units.h"
+
+#include <chrono>
+#include <cstddef>
+
+namespace mustardtrail::placement
+{
+
+enum class long_placement {
+    spread, ///< Engine with the shortest prediction.
+    concentrate, ///< Engine that holds most long work and still has room.
+};
+
+/// Bounds of the decisions; set by the programs, never by operators.
+struct placement_options {
+    std::chrono::milliseconds liveListLag{ 3000 }; ///< Longest lag of the platform's live list.
+    std::chrono::milliseconds engineBacklog{ 60 }; ///< Prefill work sent ahead to one engine; the rest waits at the owner.
+    std::chrono::milliseconds reportStaleAfter{ 5000 }; ///< A limit does not grow on an older report.
+    std::chrono::milliseconds queueCheckInterval{ 10 }; ///< Between two looks at a queue that holds work.
+    std::chrono::milliseconds slowCheckInterval{ 500 }; ///< Between two looks for late first tokens.
+    std::size_t maxCandidates = 8; ///< Backend servers looked at for one decision.
+    std::size_t maxQueued = 4096; ///< Attempts waiting in one pool.
+    int maxLongPrefills = 1; ///< Long prompts in prefill on one engine.
+    double shortMemoryShare = 0.1; ///< Part of an engine's memory that long prompts leave free.
+    long_placement longPlacement = long_placement::spread;
+};
+
+} // namespace mustardtrail::placement
