--- /dev/null
+++ b/src/request/tests/key_home_test.cpp
@@ -0,0 +1,144 @@
+#include "request/tests/fixture.h"
+
+#include "request/key_home.h"
+
+#include "testing/expect.h"
+
+using namespace mustardtrail;
+using namespace mustardtrail::request;
+using namespace mustardtrail::request::testing;
+using mustardtrail::testing::expectEqual;
+
+namespace
+{
+
+constexpr int windowMs = 1000;
+
+key_home_options smallOptions()
+{
+    key_home_options options;
+    options.window = milliseconds(windowMs);
+    options.maxEntries = 2;
+    return options;
+}
+
+/// Key whose homes are e1 and e2, that is, whose home data centre is dc1.
+std::string keyOf(int number)
+{
+    std::string key;
+    for (int index = 0, found = -1; found < number; ++index) {
+        key = std::to_string(index);
+        const std::vector<data_centre_id> dataCentres{ data_centre_id("dc1"), data_centre_id("dc2") };
+        found += homeDataCentre(dataCentres, customer_id("c1"), key) == data_centre_id("dc1") ? 1 : 0;
+    }
+    return key;
+}
+
+key_claim claimOf(const std::string &request, const std::string &key)
+{
+    return { request_id(request), instance_id("e9"), customer_id("c1"), key, 1, milliseconds(500) };
+}
+
+key_home makeHome()
+{
+    key_home home(smallOptions(), instance_id("e1"));
+    home.onView(makeView("e1", at(0)));
+    return home;
+}
+
+key_outcome outcomeOf(const std::string &request, const std::string &key, verdict outcome)
+{
+    return { request_id(request), customer_id("c1"), key, outcome };
+}
+
+} // namespace
+
+Test(key_home, answersASecondClaimWithTheVerdict)
+{
+    key_home home = makeHome();
+    cr_assert(home.claim(claimOf("r1", keyOf(0)), at(1)).status == key_claim_status::granted);
+    cr_assert(home.claim(claimOf("r1", keyOf(0)), at(2)).status == key_claim_status::granted);
+    key_claim_reply reply = home.claim(claimOf("r2", keyOf(0)), at(3));
+    cr_assert(reply.status == key_claim_status::duplicate);
+    cr_assert(reply.outcome == verdict::may_have_run);
+    home.end(outcomeOf("r1", keyOf(0), verdict::ran), at(4));
+    cr_assert(home.claim(claimOf("r2", keyOf(0)), at(5)).outcome == verdict::ran);
+    // A repeated claim that arrives after the end must not look like a fresh grant.
+    cr_assert(home.claim(claimOf("r1", keyOf(0)), at(6)).status == key_claim_status::duplicate);
+}
+
+Test(key_home, notRunFreesTheKeyButOnlyForItsHolder)
+{
+    key_home home = makeHome();
+    home.claim(claimOf("r1", keyOf(0)), at(1));
+    home.end(outcomeOf("r2", keyOf(0), verdict::not_run), at(2));
+    cr_assert(home.claim(claimOf("r3", keyOf(0)), at(3)).status == key_claim_status::duplicate);
+    home.end(outcomeOf("r1", keyOf(0), verdict::not_run), at(4));
+    cr_assert(home.claim(claimOf("r3", keyOf(0)), at(5)).status == key_claim_status::granted);
+    home.end(outcomeOf("r3", keyOf(0), verdict::ran), at(6));
+    home.end(outcomeOf("r3", keyOf(0), verdict::not_run), at(7));
+    cr_assert(home.claim(claimOf("r4", keyOf(0)), at(8)).outcome == verdict::ran);
+}
+
+Test(key_home, sameKeyForAnotherBodyIsAnError)
+{
+    key_home home = makeHome();
+    home.claim(claimOf("r1", keyOf(0)), at(1));
+    key_claim other = claimOf("r2", keyOf(0));
+    other.fingerprint = 2;
+    const key_claim_reply reply = home.claim(other, at(2));
+    cr_assert(reply.status == key_claim_status::fingerprint_differs);
+    expectEqual(toString(reply.code), "MT-3011");
+}
+
+Test(key_home, remembersForTheWindowAndRefusesBeyondItsBound)
+{
+    key_home home = makeHome();
+    home.claim(claimOf("r1", keyOf(0)), at(1));
+    home.claim(claimOf("r2", keyOf(1)), at(2));
+    const key_claim_reply full = home.claim(claimOf("r3", keyOf(2)), at(3));
+    expectEqual(toString(full.code), "MT-4011");
+    expectEqual(full.retryAfter->count(), 1498);
+    // Without an outcome a key lasts for the time its request had left and the window.
+    home.onView(makeView("e1", at(1000)));
+    cr_assert(home.claim(claimOf("r4", keyOf(0)), at(1500)).status == key_claim_status::duplicate);
+    cr_assert(home.claim(claimOf("r4", keyOf(0)), at(1501)).status == key_claim_status::granted);
+    expectEqual(home.size(), 2U);
+}
+
+Test(key_home, isYoungUntilItWasHomeForTheWindow)
+{
+    key_home home = makeHome();
+    home.onView(makeView("e1", at(900)));
+    cr_assert(home.claim(claimOf("r1", keyOf(0)), at(999)).young);
+    cr_assert_not(home.claim(claimOf("r1", keyOf(0)), at(1001)).young);
+}
+
+Test(key_home, aGapInTheViewMakesItYoungAgain)
+{
+    key_home home = makeHome();
+    home.onView(makeView("e1", at(3000)));
+    cr_assert(home.claim(claimOf("r1", keyOf(0)), at(3001)).young);
+}
+
+Test(key_home, entriesSurviveChangesOfTheView)
+{
+    key_home home = makeHome();
+    home.claim(claimOf("r1", keyOf(0)), at(1));
+    home.onView(makeView("e1", at(100), { "e2" }));
+    home.onView(makeView("e1", at(200)));
+    cr_assert(home.claim(claimOf("r2", keyOf(0)), at(201)).status == key_claim_status::duplicate);
+}
+
+Test(key_home, decidesNothingOnAnUnconfirmedOrIsolatedView)
+{
+    key_home home = makeHome();
+    expectEqual(toString(home.claim(claimOf("r1", keyOf(0)), at(1000)).code), "MT-4008");
+    const auto isolated = makeView("e1", at(1000));
+    isolated->isolated = true;
+    home.onView(isolated);
+    expectEqual(toString(home.claim(claimOf("r1", keyOf(0)), at(1001)).code), "MT-4008");
+    key_home elsewhere(smallOptions(), instance_id("e3"));
+    elsewhere.onView(makeView("e3", at(0)));
+    expectEqual(toString(elsewhere.claim(claimOf("r1", keyOf(0)), at(1)).code), "MT-6004");
+}
