--- /dev/null
+++ b/src/group/internal/group_run_chain.cpp
@@ -0,0 +1,206 @@
+#include "group/internal/group_run.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace mustardtrail::group
+{
+
+namespace
+{
+
+bool isRefusedForNow(const error &failure)
+{
+    return failure.code == error_code::backend_refused || failure.code == error_code::group_memory_busy
+        || failure.code == error_code::order_fenced_off || failure.code == error_code::view_not_confirmed;
+}
+
+} // namespace
+
+engine_call group_run::callTo(group_member &member, time_point deadline)
+{
+    member.calledEngine = true;
+    // A process that slept past its lease must not work on memory that may be another group's.
+    const time_point notAfter = std::min(m_context.view->confirmedAt + membership::viewLease, leaseEnd(member));
+    return { m_key, member.part.backend, ++m_sequence, member.fencingNumber, deadline, notAfter };
+}
+
+void group_run::reserveAtEngines(time_point now)
+{
+    m_phase = phase::reserving_at_engines;
+    m_wakeAt = now + m_context.options.engineTimeout;
+    for (group_member &member : m_members) {
+        reserveAtEngine(member, now);
+    }
+}
+
+void group_run::reserveAtEngine(group_member &member, time_point now)
+{
+    const engine_call call = callTo(member, now + m_context.options.engineTimeout);
+    member.engineSequence = call.sequence;
+    member.engineAskedAt = now;
+    m_context.actions.emplace_back(kv_reserve{ call, member.part.reservedTokens, m_context.options.reservationLease });
+}
+
+void group_run::on(const engine_replied &event, time_point now)
+{
+    group_member *member = memberOf(event.backend);
+    if (member == nullptr || event.key != m_key || event.sequence == 0) {
+        return;
+    }
+    if (event.step == kv_step::reserve && event.sequence == member->engineSequence) {
+        member->engineSequence = 0;
+        onEngineReserved(event, *member, now);
+        return;
+    }
+    if (m_phase != phase::chaining || event.sequence != m_stepSequence || event.step != m_step) {
+        return;
+    }
+    m_stepSequence = 0;
+    if (event.failure) {
+        onStepFailed(event, now);
+        return;
+    }
+    nextStep(event, now);
+}
+
+void group_run::onEngineReserved(const engine_replied &event, group_member &member, time_point now)
+{
+    if (!event.failure) {
+        member.reservedAt = member.engineAskedAt;
+    }
+    if (m_phase != phase::reserving_at_engines) {
+        return;
+    }
+    if (event.failure && isRefusedForNow(*event.failure)) {
+        waitForMemory(*event.failure, now);
+        return;
+    }
+    if (event.failure) {
+        restartWithout(event.backend, *event.failure, now);
+        return;
+    }
+    if (!std::all_of(m_members.begin(), m_members.end(), [](const group_member &one) {
+            return one.reservedAt.has_value();
+        })) {
+        return;
+    }
+    m_phase = phase::chaining;
+    m_segment = 0;
+    m_step = kv_step::prefill;
+    sendStep(now);
+}
+
+void group_run::sendStep(time_point now)
+{
+    m_stepSequence = 0;
+    m_wakeAt = now + m_context.options.confirmInterval;
+    if (!m_context.viewConfirmed(now)) {
+        return;
+    }
+    group_member &member = m_members[m_segment];
+    const bool prefills = m_step == kv_step::prefill;
+    const time_point deadline = prefills ? m_start.work.deadline : now + m_context.options.engineTimeout;
+    const auto lease = m_context.options.reservationLease;
+    const engine_call call = callTo(member, deadline);
+    m_stepSequence = call.sequence;
+    m_wakeAt = deadline;
+    if (m_step == kv_step::attach) {
+        m_context.actions.emplace_back(kv_import{ call, m_ticket, m_digest, lease });
+    } else if (m_step == kv_step::publish) {
+        m_context.actions.emplace_back(kv_export{ call });
+    } else {
+        m_promptSent = true;
+        m_context.actions.emplace_back(kv_prefill{ call,
+            static_cast<int>(m_segment),
+            static_cast<int>(m_members.size()),
+            member.part.firstToken,
+            member.part.tokens,
+            m_digest,
+            lease });
+    }
+}
+
+void group_run::nextStep(const engine_replied &event, time_point now)
+{
+    if (m_step == kv_step::attach) {
+        m_step = kv_step::prefill;
+        sendStep(now);
+        return;
+    }
+    if (m_step == kv_step::publish) {
+        m_ticket = event.ticket;
+        m_step = kv_step::attach;
+        ++m_segment;
+        sendStep(now);
+        return;
+    }
+    m_digest = event.digest;
+    if (m_segment + 1 < m_members.size()) {
+        m_step = kv_step::publish;
+        sendStep(now);
+        return;
+    }
+    startCompletion(now);
+}
+
+void group_run::onStepFailed(const engine_replied &event, time_point now)
+{
+    // The host held the call back: nothing was sent, and the step is repeated under a confirmed view.
+    if (event.failure->code == error_code::view_not_confirmed && event.failure->outcome == verdict::not_run) {
+        m_wakeAt = now + m_context.options.confirmInterval;
+        return;
+    }
+    restartWithout(event.backend, *event.failure, now);
+}
+
+void group_run::startCompletion(time_point now)
+{
+    if (!m_context.viewConfirmed(now)) {
+        m_phase = phase::completion_refused;
+        m_wakeAt = now + m_context.options.confirmInterval;
+        return;
+    }
+    group_member &last = m_members.back();
+    m_phase = phase::completing;
+    m_wakeAt = m_start.work.deadline;
+    const engine_call call = callTo(last, m_start.work.deadline);
+    m_context.actions.emplace_back(start_completion{ m_start.work, last.owner, call, m_digest });
+}
+
+void group_run::cancelCompletion()
+{
+    const group_member &last = m_members.back();
+    m_context.actions.emplace_back(cancel_completion{ m_start.work.attempt, last.owner, last.part.backend });
+}
+
+void group_run::on(const completion_delivered & /*event*/, time_point /*now*/)
+{
+    m_delivered = true;
+}
+
+void group_run::on(const completion_finished & /*event*/, time_point /*now*/)
+{
+    if (m_phase != phase::completing) {
+        return;
+    }
+    releaseMembers();
+    m_phase = phase::ended;
+}
+
+void group_run::on(const completion_failed &event, time_point now)
+{
+    if (m_phase != phase::completing) {
+        return;
+    }
+    m_phase = phase::completion_refused;
+    const auto wait = std::max(event.failure.retryAfter.value_or(std::chrono::milliseconds(0)), backoff());
+    const bool mayRepeat = event.failure.outcome == verdict::not_run && event.failure.code != error_code::duplicate_attempt;
+    if (!mayRepeat || now + wait + m_start.expectedDecode > m_start.work.deadline) {
+        fail(event.failure);
+        return;
+    }
+    m_wakeAt = now + wait;
+}
+
+} // namespace mustardtrail::group
