Ids: comparison spelled out

clang-tidy 14 reports the zero that a defaulted three-way comparison compares with as a missing nullptr as soon as the comparison is used. Ruled out: leaving the check out for the line.

--- a/src/base/ids.h
+++ b/src/base/ids.h
@@ -27,7 +27,11 @@
     {
         return m_text.empty();
     }
-    auto operator<=>(const named_id &) const = default;
+    bool operator==(const named_id &) const = default;
+    auto operator<=>(const named_id &other) const
+    {
+        return m_text <=> other.m_text;
+    }
 
     friend std::ostream &operator<<(std::ostream &out, const named_id &id)
     {
--- a/src/group/group_key.h
+++ b/src/group/group_key.h
@@ -5,6 +5,7 @@
 #include <compare>
 #include <cstdint>
 #include <string>
+#include <tuple>
 
 namespace mustardtrail::group
 {
@@ -17,7 +18,11 @@
     group_id group;
     std::uint64_t generation = 0;
 
-    auto operator<=>(const group_key &) const = default;
+    bool operator==(const group_key &) const = default;
+    auto operator<=>(const group_key &other) const
+    {
+        return std::tie(group, generation) <=> std::tie(other.group, other.generation);
+    }
 };
 
 /// Name under which engines hold the memory of this generation: "ATTEMPT.GENERATION".
--- a/src/orders/engine_state.h
+++ b/src/orders/engine_state.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <set>
 #include <string>
+#include <tuple>
 
 namespace mustardtrail::orders
 {
@@ -15,7 +16,11 @@
     model_id model;
     std::string version;
 
-    auto operator<=>(const loaded_model &) const = default;
+    bool operator==(const loaded_model &) const = default;
+    auto operator<=>(const loaded_model &other) const
+    {
+        return std::tie(model, version) <=> std::tie(other.model, other.version);
+    }
 };
 
 /// What an engine says of itself before an order is sent.
