--- a/src/api/engine_event.h
+++ b/src/api/engine_event.h
@@ -15,7 +15,8 @@
     enum class kind {
         piece,
         finished, ///< Explicit end; sequence is the count of pieces.
-        failed,
+        failed, ///< Between entry instances: the backend server's id is in text.
+        accepted, ///< Between entry instances: the backend server took the attempt; its id is in text.
         done_mark, ///< "[DONE]"
     };
     kind type = kind::piece;
--- a/src/api/internal/engine_event.cpp
+++ b/src/api/internal/engine_event.cpp
@@ -53,7 +53,14 @@
     }
     const json::object &object = document.get_object();
     if (const json::object *failure = json_access::objectAt(object, "error")) {
-        return readFailure(*failure);
+        result<engine_event> read = readFailure(*failure);
+        read->text = json_access::textOr(object, "backend");
+        return read;
+    }
+    if (const std::string backend = json_access::textOr(object, "accepted"); !backend.empty()) {
+        event.type = engine_event::kind::accepted;
+        event.text = backend;
+        return event;
     }
     const std::int64_t sequence = json_access::numberOr(object, "seq", -1);
     if (sequence < 0) {
@@ -78,7 +85,9 @@
         return "data: [DONE]\n\n";
     }
     json::object message{ { "id", view(attempt) }, { "object", "text_completion" } };
-    if (event.type == engine_event::kind::failed) {
+    if (event.type == engine_event::kind::accepted) {
+        message["accepted"] = event.text;
+    } else if (event.type == engine_event::kind::failed) {
         json::object failure{ { "code", toString(event.failure.code) },
             { "verdict", view(toString(event.failure.outcome)) },
             { "message", event.failure.detail } };
@@ -86,6 +95,7 @@
             failure["retry_after_ms"] = event.failure.retryAfter->count();
         }
         message["error"] = std::move(failure);
+        message["backend"] = event.text;
     } else {
         const json::value reason = event.finishReason.empty() ? json::value(nullptr) : json::value(event.finishReason);
         message["seq"] = event.sequence;
--- /dev/null
+++ b/src/host/internal/view_codec.cpp
@@ -0,0 +1,134 @@
+#include "host/view_codec.h"
+
+#include "base/json_access.h"
+
+#include <boost/json/array.hpp>
+
+namespace mustardtrail::host
+{
+
+namespace json = boost::json;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+std::int64_t ageOf(time_point when, time_point now)
+{
+    return std::chrono::ceil<milliseconds>(now - when).count();
+}
+
+tl::unexpected<error> invalid(std::string_view field)
+{
+    return tl::unexpected(error{ error_code::peer_message_invalid, verdict::not_run, "field=" + std::string(field), {} });
+}
+
+json::object peerToJson(const membership::peer &peer)
+{
+    return { { "id", peer.id.str() },
+        { "data_centre", peer.dataCentre.str() },
+        { "requests", toString(peer.requests) },
+        { "heartbeats", toString(peer.heartbeats) },
+        { "state", static_cast<std::int64_t>(peer.state) },
+        { "incarnation", peer.incarnation } };
+}
+
+result<membership::peer> peerFromJson(const json::value &value)
+{
+    const json::object *message = value.if_object();
+    if (message == nullptr) {
+        return invalid("peers");
+    }
+    membership::peer peer;
+    peer.id = instance_id(json_access::textOr(*message, "id"));
+    peer.dataCentre = data_centre_id(json_access::textOr(*message, "data_centre"));
+    const auto requests = endpointFromString(json_access::textOr(*message, "requests"));
+    const auto heartbeats = endpointFromString(json_access::textOr(*message, "heartbeats"));
+    const std::int64_t state = json_access::numberOr(*message, "state", -1);
+    if (peer.id.empty() || !requests || !heartbeats || state < 0 || state > static_cast<std::int64_t>(membership::peer_state::dead)) {
+        return invalid("peers");
+    }
+    peer.requests = *requests;
+    peer.heartbeats = *heartbeats;
+    peer.state = static_cast<membership::peer_state>(state);
+    peer.incarnation = static_cast<std::uint64_t>(json_access::numberOr(*message, "incarnation", 0));
+    return peer;
+}
+
+json::object assignmentToJson(const backend_server_id &backend, const membership::backend_assignment &assignment, time_point now)
+{
+    return { { "id", backend.str() },
+        { "owner", assignment.owner.str() },
+        { "accepts", assignment.acceptsNewWork },
+        { "owned_ms", ageOf(assignment.ownedSince, now) },
+        { "fencing", assignment.fencingNumber } };
+}
+
+std::uint64_t fencingOf(const json::object &message)
+{
+    const json::value *value = message.if_contains("fencing");
+    if (value == nullptr || !value->is_number()) {
+        return 0;
+    }
+    json::error_code failure;
+    return value->to_number<std::uint64_t>(failure);
+}
+
+} // namespace
+
+json::object viewToJson(const membership::fleet_view &view, time_point now)
+{
+    json::array peers;
+    for (const auto &[id, peer] : view.peers) {
+        peers.push_back(peerToJson(peer));
+    }
+    json::array backends;
+    for (const auto &[id, assignment] : view.backends) {
+        backends.push_back(assignmentToJson(id, assignment, now));
+    }
+    return { { "self", view.self.str() },
+        { "data_centre", view.selfDataCentre.str() },
+        { "leaving", view.selfLeaving },
+        { "isolated", view.isolated },
+        { "confirmed_ms", ageOf(view.confirmedAt, now) },
+        { "peers", std::move(peers) },
+        { "backends", std::move(backends) } };
+}
+
+result<membership::fleet_view> viewFromJson(const json::object &message, time_point askedAt, time_point receivedAt)
+{
+    membership::fleet_view view;
+    view.self = instance_id(json_access::textOr(message, "self"));
+    view.selfDataCentre = data_centre_id(json_access::textOr(message, "data_centre"));
+    view.selfLeaving = json_access::boolOr(message, "leaving", false);
+    view.isolated = json_access::boolOr(message, "isolated", true);
+    const std::int64_t confirmedAge = json_access::numberOr(message, "confirmed_ms", -1);
+    const json::array *peers = json_access::arrayAt(message, "peers");
+    const json::array *backends = json_access::arrayAt(message, "backends");
+    if (view.self.empty() || confirmedAge < 0 || peers == nullptr || backends == nullptr) {
+        return invalid("view");
+    }
+    view.confirmedAt = askedAt - milliseconds(confirmedAge);
+    for (const json::value &value : *peers) {
+        const auto peer = peerFromJson(value);
+        if (!peer) {
+            return tl::unexpected(peer.error());
+        }
+        view.peers.emplace(peer->id, *peer);
+    }
+    for (const json::value &value : *backends) {
+        const json::object *item = value.if_object();
+        if (item == nullptr) {
+            return invalid("backends");
+        }
+        membership::backend_assignment assignment;
+        assignment.owner = instance_id(json_access::textOr(*item, "owner"));
+        assignment.acceptsNewWork = json_access::boolOr(*item, "accepts", false);
+        assignment.ownedSince = receivedAt - milliseconds(json_access::numberOr(*item, "owned_ms", 0));
+        assignment.fencingNumber = fencingOf(*item);
+        view.backends.emplace(backend_server_id(json_access::textOr(*item, "id")), assignment);
+    }
+    return view;
+}
+
+} // namespace mustardtrail::host
--- /dev/null
+++ b/src/node/internal/origin_side.cpp
@@ -0,0 +1,447 @@
+#include "node/internal/origin_side.h"
+
+#include "group/group_planner.h"
+#include "group/reservation_codec.h"
+#include "node/peer_methods.h"
+#include "request/key_codec.h"
+
+#include <boost/json/array.hpp>
+
+namespace mustardtrail::node
+{
+
+namespace json = boost::json;
+
+namespace
+{
+
+template<typename... handlers> struct overloaded : handlers... {
+    using handlers::operator()...;
+};
+template<typename... handlers> overloaded(handlers...) -> overloaded<handlers...>;
+
+constexpr std::uint64_t groupSeedOffset = 1; ///< Keeps the random numbers of groups apart from those of requests.
+
+/// Expected time of a prompt on the engines of a group; a bound for time-outs, not a prediction for admission.
+constexpr double slowestPrefillTokensPerSecond = 10'000;
+constexpr double slowestDecodeTokensPerSecond = 10;
+
+std::chrono::milliseconds timeFor(token_count tokens, double tokensPerSecond)
+{
+    return std::chrono::milliseconds(static_cast<std::int64_t>(static_cast<double>(tokens) / tokensPerSecond * 1000));
+}
+
+std::optional<time_point> earlierOf(std::optional<time_point> left, std::optional<time_point> right)
+{
+    if (!left || !right) {
+        return left ? left : right;
+    }
+    return std::min(*left, *right);
+}
+
+attempt_id withId(attempt_event &event, const attempt_id &id)
+{
+    return std::visit(
+        [&](auto &item) {
+            const attempt_id before = item.attempt;
+            item.attempt = id;
+            return before;
+        },
+        event);
+}
+
+request::request_event asRequestEvent(const attempt_event &event)
+{
+    return std::visit(
+        [](const auto &item) {
+            return request::request_event(item);
+        },
+        event);
+}
+
+} // namespace
+
+origin_side::origin_side(const entry_options &options, owner_side &owner)
+    : m_options(options)
+    , m_owner(owner)
+    , m_core(options.requests,
+          options.self,
+          options.seed,
+          [this](const placement::work_item &work,
+              const std::vector<backend_server_id> &backends,
+              const std::vector<instance_id> &instances,
+              time_point now) {
+              return chooseOwner(work, backends, instances, now);
+          })
+    , m_keys(options.keys, options.self)
+    , m_groups(
+          options.groups,
+          [this](const backend_server_id &backend) {
+              return m_owner.freeTokens(backend);
+          },
+          random_source(options.seed + groupSeedOffset))
+{
+}
+
+std::optional<endpoint> origin_side::addressOf(const instance_id &instance) const
+{
+    if (!m_view) {
+        return std::nullopt;
+    }
+    const auto found = m_view->peers.find(instance);
+    return found == m_view->peers.end() ? std::nullopt : std::optional(found->second.requests);
+}
+
+endpoint origin_side::backendAddress(const backend_server_id &backend) const
+{
+    const auto found = m_view->config->backendServers.find(backend);
+    return found == m_view->config->backendServers.end() ? endpoint{} : found->second.address;
+}
+
+bool origin_side::needsGroup(const placement::work_item &work) const
+{
+    if (!m_view || !m_view->config || work.model.empty()) {
+        return false;
+    }
+    token_count largest = 0;
+    for (const auto &[id, server] : m_view->config->backendServers) {
+        const bool serves = std::find(server.models.begin(), server.models.end(), work.model) != server.models.end();
+        largest = std::max(largest, serves ? server.memoryTokens : 0);
+    }
+    return largest > 0 && work.promptTokens + work.maxNewTokens > largest;
+}
+
+// A group is run by the instance that the caller reached: it holds the prompt that the segments are cut from.
+result<instance_id> origin_side::chooseOwner(const placement::work_item &work,
+    const std::vector<backend_server_id> &backends,
+    const std::vector<instance_id> &instances,
+    time_point now)
+{
+    if (needsGroup(work)) {
+        return m_options.self;
+    }
+    const auto route = m_router.pick(work, { instances, backends }, now);
+    if (!route) {
+        return tl::unexpected(route.error());
+    }
+    return route->target;
+}
+
+void origin_side::onView(std::shared_ptr<const membership::fleet_view> view, time_point now, entry_actions &out)
+{
+    m_view = std::move(view);
+    m_router.onView(m_view, now);
+    m_keys.onView(m_view);
+    carryOut(m_core.onView(m_view, now), now, out);
+    carryOut(m_groups.handle(group::view_changed{ m_view }, now), now, out);
+}
+
+void origin_side::onSummary(const placement::owner_summary &summary, time_point now)
+{
+    m_router.onSummary(summary, now);
+}
+
+void origin_side::onRequest(const request::request_event &event, time_point now, entry_actions &out)
+{
+    carryOut(m_core.handle(event, now), now, out);
+}
+
+void origin_side::carryOut(const std::vector<request::request_action> &actions, time_point now, entry_actions &out)
+{
+    for (const request::request_action &action : actions) {
+        std::visit(overloaded{
+                       [&](const request::relay_output &item) {
+                           out.push_back(item);
+                       },
+                       [&](const request::complete_request &item) {
+                           out.push_back(item);
+                       },
+                       [&](const request::fail_request &item) {
+                           out.push_back(item);
+                       },
+                       [&](const auto &item) {
+                           carryOut(item, now, out);
+                       },
+                   },
+            action);
+    }
+}
+
+void origin_side::carryOut(const request::start_attempt &action, time_point now, entry_actions &out)
+{
+    if (needsGroup(action.work)) {
+        m_groupRequests[action.work.attempt] = action.work.request;
+        group::start_group start;
+        start.work = action.work;
+        start.expectedPrefill = timeFor(action.work.promptTokens, slowestPrefillTokensPerSecond);
+        start.expectedDecode = timeFor(action.work.maxNewTokens, slowestDecodeTokensPerSecond);
+        carryOut(m_groups.handle(start, now), now, out);
+        return;
+    }
+    const hop_attempt attempt{ action.work, m_options.self, action.excluded, action.deliveredTokens, action.deliveredText, std::nullopt };
+    handOver(attempt, action.target, now, out);
+}
+
+void origin_side::handOver(const hop_attempt &attempt, const instance_id &target, time_point now, entry_actions &out)
+{
+    if (target == m_options.self) {
+        m_owner.admit(attempt, true, now, out);
+        return;
+    }
+    const auto to = addressOf(target);
+    if (!to) {
+        const error failure{ error_code::peer_connect_failed, verdict::not_run, "instance=" + target.str(), {} };
+        onAttempt(request::attempt_failed{ attempt.work.attempt, failure, {} }, now, out);
+        return;
+    }
+    m_hops.insert(attempt.work.attempt);
+    out.push_back(forward_attempt{ attempt, *to, attempt.work.request });
+}
+
+void origin_side::stopAttempt(const attempt_id &attempt, time_point now, entry_actions &out)
+{
+    if (m_hops.erase(attempt) > 0) {
+        out.push_back(close_hop{ attempt });
+        return;
+    }
+    m_owner.abandon(attempt, now, out);
+}
+
+void origin_side::carryOut(const request::cancel_attempt &action, time_point now, entry_actions &out)
+{
+    if (m_groupRequests.erase(action.attempt) > 0) {
+        carryOut(m_groups.handle(group::cancel_group{ action.attempt }, now), now, out);
+        return;
+    }
+    stopAttempt(action.attempt, now, out);
+}
+
+void origin_side::onAttempt(const attempt_event &event, time_point now, entry_actions &out)
+{
+    const bool isLast = std::holds_alternative<request::attempt_finished>(event) || std::holds_alternative<request::attempt_failed>(event);
+    if (isLast) {
+        m_hops.erase(attemptOf(event));
+    }
+    if (m_groupRuns.contains(attemptOf(event))) {
+        onGroupAttempt(event, now, out);
+        return;
+    }
+    carryOut(m_core.handle(asRequestEvent(event), now), now, out);
+}
+
+// The engines and the owner know a group's completion under the name of its generation; the request under its attempt.
+void origin_side::onGroupAttempt(const attempt_event &event, time_point now, entry_actions &out)
+{
+    const auto found = m_groupRuns.find(attemptOf(event));
+    group_run &run = found->second;
+    const group::group_key key = run.key;
+    attempt_event renamed = event;
+    withId(renamed, run.attempt);
+    if (const auto *failed = std::get_if<request::attempt_failed>(&event)) {
+        m_groupRuns.erase(found);
+        carryOut(m_groups.handle(group::completion_failed{ key, failed->failure }, now), now, out);
+        return;
+    }
+    const bool isFirstOutput = std::holds_alternative<request::attempt_output>(event) && !run.delivered;
+    const bool isEnd = std::holds_alternative<request::attempt_finished>(event);
+    run.delivered = run.delivered || isFirstOutput;
+    if (isEnd) {
+        m_groupRequests.erase(run.attempt);
+        m_groupRuns.erase(found);
+    }
+    carryOut(m_core.handle(asRequestEvent(renamed), now), now, out);
+    if (isFirstOutput) {
+        carryOut(m_groups.handle(group::completion_delivered{ key }, now), now, out);
+    }
+    if (isEnd) {
+        carryOut(m_groups.handle(group::completion_finished{ key }, now), now, out);
+    }
+}
+
+void origin_side::onGroup(const group::group_event &event, time_point now, entry_actions &out)
+{
+    carryOut(m_groups.handle(event, now), now, out);
+}
+
+void origin_side::carryOut(const group::group_actions &actions, time_point now, entry_actions &out)
+{
+    for (const group::group_action &action : actions) {
+        std::visit(overloaded{
+                       [&](const group::kv_reserve &item) {
+                           carryOutEngineCall(item, now, out);
+                       },
+                       [&](const group::kv_prefill &item) {
+                           carryOutEngineCall(item, now, out);
+                       },
+                       [&](const group::kv_export &item) {
+                           carryOutEngineCall(item, now, out);
+                       },
+                       [&](const group::kv_import &item) {
+                           carryOutEngineCall(item, now, out);
+                       },
+                       [&](const group::kv_release &item) {
+                           carryOutEngineCall(item, now, out);
+                       },
+                       [&](const auto &item) {
+                           carryOut(item, now, out);
+                       },
+                   },
+            action);
+    }
+}
+
+template<typename kv_call> void origin_side::carryOutEngineCall(const kv_call &action, time_point, entry_actions &out)
+{
+    // The group is named after its attempt; the prompt is found by the request.
+    const auto request = m_groupRequests.find(attempt_id(action.call.key.group.str()));
+    out.push_back(
+        call_engine{ action, backendAddress(action.call.backend), request == m_groupRequests.end() ? request_id() : request->second });
+}
+
+void origin_side::carryOut(const group::reserve_at_owner &action, time_point now, entry_actions &out)
+{
+    if (action.instance == m_options.self) {
+        const group::reserve_reply reply = m_owner.reserve(action.request, now);
+        carryOut(m_groups.handle(group::owner_replied{ action.instance, reply }, now), now, out);
+        return;
+    }
+    const auto answered = [this, action](const result<json::value> &answer, time_point at) {
+        group::reserve_reply reply{ action.request.key, action.request.backend, action.request.sequence, 0, std::nullopt };
+        const auto read = answer ? group::reserveReplyFromJson(*answer) : result<group::reserve_reply>(tl::unexpected(answer.error()));
+        if (read) {
+            reply = *read;
+        } else {
+            reply.failure = read.error();
+        }
+        carryOut(m_groups.handle(group::owner_replied{ action.instance, reply }, at), at, *m_out);
+    };
+    const auto to = addressOf(action.instance).value_or(endpoint{});
+    m_calls.call(to, std::string(peer_method::reserve), group::toJson(action.request), m_options.groups.ownerTimeout, answered, out);
+}
+
+void origin_side::carryOut(const group::release_at_owner &action, time_point now, entry_actions &out)
+{
+    if (action.instance == m_options.self) {
+        m_owner.release(action.request, now, out);
+        carryOut(m_groups.handle(group::owner_released{ action.instance, action.request.key, action.request.backend }, now), now, out);
+        return;
+    }
+    const auto answered = [this, action](const result<json::value> &answer, time_point at) {
+        if (answer) {
+            const group::owner_released released{ action.instance, action.request.key, action.request.backend };
+            carryOut(m_groups.handle(released, at), at, *m_out);
+        }
+    };
+    const auto to = addressOf(action.instance).value_or(endpoint{});
+    m_calls.call(to, std::string(peer_method::release), group::toJson(action.request), m_options.groups.ownerTimeout, answered, out);
+}
+
+void origin_side::carryOut(const group::start_completion &action, time_point now, entry_actions &out)
+{
+    const group::engine_group_id name = group::engineGroupOf(action.call.key);
+    hop_attempt attempt{ action.work, m_options.self, {}, 0, "", group_target{ name, action.call.backend, action.digest } };
+    attempt.work.attempt = attempt_id(name.str());
+    m_groupRuns[attempt.work.attempt] = { action.work.attempt, action.work.request, action.call.key, false };
+    handOver(attempt, action.owner, now, out);
+}
+
+void origin_side::carryOut(const group::cancel_completion &action, time_point now, entry_actions &out)
+{
+    for (auto run = m_groupRuns.begin(); run != m_groupRuns.end(); ++run) {
+        if (run->second.attempt == action.attempt) {
+            const attempt_id atOwner = run->first;
+            m_groupRuns.erase(run);
+            stopAttempt(atOwner, now, out);
+            return;
+        }
+    }
+}
+
+void origin_side::carryOut(const group::fail_group &action, time_point now, entry_actions &out)
+{
+    m_groupRequests.erase(action.attempt);
+    carryOut(m_core.handle(request::attempt_failed{ action.attempt, action.failure, {} }, now), now, out);
+}
+
+void origin_side::carryOut(const request::send_key_claim &action, time_point now, entry_actions &out)
+{
+    if (action.home == m_options.self) {
+        carryOut(m_core.handle(m_keys.claim(action.claim, now), now), now, out);
+        return;
+    }
+    const auto answered = [this, action](const result<json::value> &answer, time_point at) {
+        const auto reply
+            = answer ? request::keyClaimReplyFromJson(*answer) : result<request::key_claim_reply>(tl::unexpected(answer.error()));
+        if (reply) {
+            carryOut(m_core.handle(*reply, at), at, *m_out);
+        } else {
+            carryOut(m_core.handle(request::key_claim_failed{ action.claim.request, action.home, reply.error() }, at), at, *m_out);
+        }
+    };
+    const auto to = addressOf(action.home).value_or(endpoint{});
+    m_calls.call(to, std::string(peer_method::claimKey), request::toJson(action.claim), m_options.peerTimeout, answered, out);
+}
+
+void origin_side::carryOut(const request::send_key_outcome &action, time_point now, entry_actions &out)
+{
+    if (action.home == m_options.self) {
+        m_keys.end(action.outcome, now);
+        return;
+    }
+    const auto to = addressOf(action.home).value_or(endpoint{});
+    out.push_back(call_peer{ 0, to, std::string(peer_method::endKey), request::toJson(action.outcome), m_options.peerTimeout });
+}
+
+result<json::value> origin_side::onKeyCall(const peer_call &call, time_point now)
+{
+    if (call.method == peer_method::claimKey) {
+        const auto claim = request::keyClaimFromJson(call.parameters);
+        if (!claim) {
+            return tl::unexpected(claim.error());
+        }
+        return request::toJson(m_keys.claim(*claim, now));
+    }
+    const auto outcome = request::keyOutcomeFromJson(call.parameters);
+    if (!outcome) {
+        return tl::unexpected(outcome.error());
+    }
+    m_keys.end(*outcome, now);
+    return json::value(json::object());
+}
+
+void origin_side::onPeerAnswer(const peer_answered &event, time_point now, entry_actions &out)
+{
+    m_out = &out;
+    m_calls.onAnswer(event.call, event.answer, now);
+    m_out = nullptr;
+}
+
+void origin_side::beginStop(time_point now)
+{
+    m_core.beginStop(now);
+}
+
+void origin_side::onTick(time_point now, entry_actions &out)
+{
+    carryOut(m_core.onTick(now), now, out);
+    carryOut(m_groups.onTick(now), now, out);
+}
+
+std::optional<time_point> origin_side::nextWake() const
+{
+    return earlierOf(m_core.nextWake(), m_groups.nextWake());
+}
+
+size_t origin_side::runningRequests() const
+{
+    return m_core.runningCount();
+}
+
+json::object origin_side::dump(time_point now) const
+{
+    return {
+        { "requests", m_core.dump(now) }, { "router", m_router.dump(now) }, { "keys", m_keys.dump(now) }, { "groups", m_groups.dump(now) }
+    };
+}
+
+} // namespace mustardtrail::node
--- /dev/null
+++ b/src/programs/entry/admin_routes.cpp
@@ -0,0 +1,68 @@
+#include "programs/entry/admin_routes.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace mustardtrail::entry
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr int statusOk = 200;
+constexpr int statusNotFound = 404;
+constexpr int statusUnavailable = 503;
+
+asio::awaitable<std::string> dumpOnStrand(entry_host &host)
+{
+    co_return boost::json::serialize(host.dump());
+}
+
+http::response_message plainAnswer(int status, std::string body, const char *type)
+{
+    http::response_message message;
+    message.status = status;
+    message.headers.add("Content-Type", type);
+    message.body = std::move(body);
+    return message;
+}
+
+} // namespace
+
+admin_routes::admin_routes(entry_host &host, entry_metrics &metrics)
+    : m_host(host)
+    , m_metrics(metrics)
+{
+}
+
+bool admin_routes::isReady() const
+{
+    const auto view = m_host.view();
+    return !m_host.isStopping() && view->config != nullptr && view->config->revision > 0;
+}
+
+asio::awaitable<void> admin_routes::serve(http::exchange &exchange)
+{
+    const std::string path(exchange.request().path());
+    if (path == "/metrics") {
+        const auto view = m_host.view();
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(m_host.clock().now() - view->confirmedAt);
+        m_metrics.setConfiguration(view->config ? view->config->revision : 0, age);
+        co_await exchange.respond(plainAnswer(statusOk, m_metrics.text(), "text/plain; version=0.0.4"));
+    } else if (path == "/healthz") {
+        co_await exchange.respond(plainAnswer(statusOk, "ok\n", "text/plain"));
+    } else if (path == "/readyz") {
+        const bool ready = isReady();
+        co_await exchange.respond(plainAnswer(ready ? statusOk : statusUnavailable, ready ? "ready\n" : "not_ready\n", "text/plain"));
+    } else if (path == "/dump") {
+        std::string dump = co_await asio::co_spawn(m_host.strand(), dumpOnStrand(m_host), asio::use_awaitable);
+        co_await exchange.respond(plainAnswer(statusOk, std::move(dump), "application/json"));
+    } else {
+        co_await exchange.respond(plainAnswer(statusNotFound, "not_found\n", "text/plain"));
+    }
+}
+
+} // namespace mustardtrail::entry
--- /dev/null
+++ b/src/programs/entry/hop_message.cpp
@@ -0,0 +1,107 @@
+#include "programs/entry/hop_message.h"
+
+#include "api/engine_event.h"
+#include "base/json_access.h"
+
+#include <boost/json/serialize.hpp>
+#include <boost/json/string.hpp>
+
+#include <charconv>
+
+namespace mustardtrail::entry
+{
+
+namespace
+{
+
+constexpr const char *attemptHeader = "Mustardtrail-Hop";
+constexpr const char *targetHeader = "Mustardtrail-Target";
+constexpr const char *methodHeader = "Mustardtrail-Method";
+constexpr const char *kindHeader = "Mustardtrail-Kind";
+constexpr const char *bodyStartHeader = "Mustardtrail-Body-Start";
+constexpr const char *chatKind = "chat";
+
+void addIfGiven(http::header_list &headers, const char *name, const std::string &value)
+{
+    if (!value.empty()) {
+        headers.add(name, value);
+    }
+}
+
+} // namespace
+
+void spliceDelivered(http::request_message &message, const std::string &delivered, size_t objectStart)
+{
+    message.bodySkip = objectStart;
+    message.bodyPrefix = "{\"mt_forced_prefix\":" + boost::json::serialize(boost::json::string(delivered)) + ",";
+}
+
+http::request_message hopRequest(const node::forward_attempt &action, const payload &content, time_point now)
+{
+    http::request_message message;
+    message.method = "POST";
+    message.target = std::string(hopPath);
+    message.body = content.body;
+    message.headers.add(attemptHeader, boost::json::serialize(node::toJson(action.attempt, now)));
+    message.headers.add(methodHeader, content.method);
+    message.headers.add(targetHeader, content.target);
+    message.headers.add(kindHeader, content.kind == api::completion_kind::chat ? chatKind : "text");
+    addIfGiven(message.headers, "Content-Type", content.contentType);
+    addIfGiven(message.headers, "Idempotency-Key", content.idempotencyKey);
+    if (!action.attempt.deliveredText.empty() && content.bodyObjectStart > 0) {
+        spliceDelivered(message, action.attempt.deliveredText, content.bodyObjectStart);
+    } else {
+        message.headers.add(bodyStartHeader, std::to_string(content.bodyObjectStart));
+    }
+    return message;
+}
+
+result<hop_contents> hopContents(const http::request_message &message, time_point now)
+{
+    const auto attempt = node::hopAttemptFromJson(json_access::objectFromText(message.headers.find(attemptHeader)), now);
+    if (!attempt) {
+        return tl::unexpected(attempt.error());
+    }
+    const auto content = std::make_shared<payload>();
+    content->method = message.headers.find(methodHeader);
+    content->target = message.headers.find(targetHeader);
+    content->contentType = message.headers.find("Content-Type");
+    content->idempotencyKey = message.headers.find("Idempotency-Key");
+    content->kind = message.headers.find(kindHeader) == chatKind ? api::completion_kind::chat : api::completion_kind::text;
+    content->body = message.body;
+    const auto start = message.headers.find(bodyStartHeader);
+    std::from_chars(start.data(), start.data() + start.size(), content->bodyObjectStart);
+    if (content->method.empty() || !content->target.starts_with('/')) {
+        return tl::unexpected(error{ error_code::peer_message_invalid, verdict::not_run, "field=target", {} });
+    }
+    return hop_contents{ *attempt, content };
+}
+
+std::string hopEventText(const hop_event &event)
+{
+    api::engine_event written;
+    attempt_id attempt;
+    if (const auto *accepted = std::get_if<request::attempt_accepted>(&event)) {
+        attempt = accepted->attempt;
+        written.type = api::engine_event::kind::accepted;
+        written.text = accepted->backend.str();
+    } else if (const auto *output = std::get_if<request::attempt_output>(&event)) {
+        attempt = output->attempt;
+        written.sequence = output->sequence;
+        written.text = output->text;
+        written.tokens = output->tokens;
+    } else if (const auto *finished = std::get_if<request::attempt_finished>(&event)) {
+        attempt = finished->attempt;
+        written.type = api::engine_event::kind::finished;
+        written.sequence = finished->chunks;
+        written.finishReason = finished->finishReason.empty() ? "stop" : finished->finishReason;
+    } else if (const auto *failed = std::get_if<request::attempt_failed>(&event)) {
+        attempt = failed->attempt;
+        written.type = api::engine_event::kind::failed;
+        written.failure = failed->failure;
+        written.text = failed->backend.str();
+    }
+    return api::writeEngineEvent(written, attempt.str());
+}
+
+} // namespace mustardtrail::entry
--- /dev/null
+++ b/src/programs/entry/hop_message.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "base/error.h"
+#include "http/request_message.h"
+#include "node/entry_actions.h"
+#include "programs/entry/payload.h"
+#include "programs/entry/sessions.h"
+
+#include <memory>
+#include <string>
+
+namespace mustardtrail::entry
+{
+
+/// Path of forwarded attempts on the peers' port.
+constexpr std::string_view hopPath = "/hop";
+
+/// Splices the text that the caller has already into the JSON object of a completion body.
+void spliceDelivered(http::request_message &message, const std::string &delivered, size_t objectStart);
+
+/// A forwarded attempt as HTTP request: the attempt in a header, the caller's body as it came.
+http::request_message hopRequest(const node::forward_attempt &action, const payload &content, time_point now);
+
+struct hop_contents {
+    node::hop_attempt attempt;
+    std::shared_ptr<const payload> content;
+};
+
+/// Reads what hopRequest wrote.
+result<hop_contents> hopContents(const http::request_message &message, time_point now);
+
+/// Event of an attempt as server-sent event.
+std::string hopEventText(const hop_event &event);
+
+} // namespace mustardtrail::entry
--- /dev/null
+++ b/src/programs/entry/service_head.cpp
@@ -0,0 +1,29 @@
+#include "programs/entry/service_head.h"
+
+#include <charconv>
+
+namespace mustardtrail::entry
+{
+
+namespace
+{
+constexpr int statusBadGateway = 502;
+}
+
+std::string serviceHeadText(int status, const http::header_list &headers)
+{
+    return std::to_string(status) + " " + std::string(headers.find("Content-Type"));
+}
+
+http::response_message serviceHeadFrom(std::string_view text)
+{
+    http::response_message message;
+    message.status = statusBadGateway;
+    const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), message.status);
+    if (failure == std::errc{} && end != text.data() + text.size()) {
+        message.headers.add("Content-Type", std::string(end + 1, text.data() + text.size()));
+    }
+    return message;
+}
+
+} // namespace mustardtrail::entry
