--- a/src/config/apply_result.h
+++ b/src/config/apply_result.h
@@ -2,6 +2,7 @@
 
 #include "config/config_problem.h"
 
+#include <cstdint>
 #include <string_view>
 #include <vector>
 
@@ -19,13 +20,14 @@
     older, ///< Below the revision in force; ignored.
     conflicting, ///< Same revision, other content; ignored.
     invalid, ///< Refused whole; see the problems.
-    needs_full, ///< Does not follow the revision in force; ask for everything.
+    needs_full, ///< Does not follow what is in force; ask again from askAfter.
 };
 
 struct apply_result {
     apply_outcome outcome = apply_outcome::unchanged;
     std::vector<config_problem> problems;
     bool refusedBefore = false; ///< The same update was refused earlier and was not read again.
+    std::int64_t askAfter = 0; ///< For needs_full: revision to ask from; 0 asks for everything.
 };
 
 std::string_view toString(update_source source);
--- a/src/config/config_store.h
+++ b/src/config/config_store.h
@@ -15,7 +15,6 @@
 {
 
 struct config_part;
-struct staged_update;
 
 /// Configuration in force on one node. Its revision only grows, whoever offers another.
 class config_store
@@ -60,6 +59,9 @@
         std::vector<config_problem> problems;
     };
 
+    apply_result stage(const config_update &update, update_source source, time_point now);
+    bool isRefused(const config_update &update) const;
+    bool holdsSame(const config_entry &entry) const;
     apply_result applySameRevision(const config_update &update, update_source source, time_point now);
     apply_result refuse(const config_update &update, std::vector<config_problem> problems, time_point now);
     void confirm(const config_update &update, update_source source, time_point now);
--- a/src/config/internal/canonical_json.cpp
+++ b/src/config/internal/canonical_json.cpp
@@ -64,10 +64,10 @@
 
 } // namespace
 
-std::string canonicalText(const boost::json::value &value)
+std::string canonicalText(const boost::json::object &object)
 {
     std::string text;
-    write(text, value);
+    writeObject(text, object);
     return text;
 }
 
--- a/src/config/internal/config_store.cpp
+++ b/src/config/internal/config_store.cpp
@@ -1,6 +1,7 @@
 #include "config/config_store.h"
 
 #include "base/hash.h"
+#include "config/internal/canonical_json.h"
 #include "config/internal/config_part.h"
 #include "config/internal/update_stage.h"
 
@@ -42,25 +43,33 @@
 apply_result config_store::apply(const config_update &update, update_source source, time_point now)
 {
     if (update.revision < revision()) {
-        return { apply_outcome::older, {}, false };
+        return { apply_outcome::older, {}, false, 0 };
     }
     if (update.revision == revision()) {
         return applySameRevision(update, source, now);
     }
-    if (!update.complete && update.base > revision()) {
-        return { apply_outcome::needs_full, {}, false };
-    }
-    if (m_refused && m_refused->revision == update.revision && m_refused->fingerprint == fingerprintOf(update)) {
+    if (m_refused && isRefused(update)) {
         m_refused->at = now;
-        return { apply_outcome::invalid, m_refused->problems, true };
+        return { apply_outcome::invalid, m_refused->problems, true, 0 };
     }
-    update_stage stage(*this, update);
-    const update_stage::state state = stage.run();
-    if (state == update_stage::state::needs_full) {
-        return { apply_outcome::needs_full, {}, false };
+    if (!update.complete && update.base > revision()) {
+        return { apply_outcome::needs_full, {}, false, revision() };
     }
-    if (state == update_stage::state::invalid) {
+    return stage(update, source, now);
+}
+
+apply_result config_store::stage(const config_update &update, update_source source, time_point now)
+{
+    update_stage stage(*this, update);
+    switch (stage.run()) {
+    case update_stage::state::needs_full:
+        return { apply_outcome::needs_full, {}, false, 0 };
+    case update_stage::state::damaged:
+        return { apply_outcome::invalid, stage.takeProblems(), false, 0 };
+    case update_stage::state::invalid:
         return refuse(update, stage.takeProblems(), now);
+    case update_stage::state::ready:
+        break;
     }
     m_parts = stage.parts();
     m_inForce = stage.result();
@@ -68,7 +77,17 @@
         m_refused.reset();
     }
     confirm(update, source, now);
-    return { apply_outcome::accepted, {}, false };
+    return { apply_outcome::accepted, {}, false, 0 };
+}
+
+bool config_store::isRefused(const config_update &update) const
+{
+    if (update.revision != m_refused->revision) {
+        return false;
+    }
+    // A watch from the refused revision that ended without a change.
+    const bool nothingNew = update.base == update.revision && update.entries.empty() && update.patches.empty();
+    return nothingNew || m_refused->fingerprint == fingerprintOf(update);
 }
 
 const std::shared_ptr<const configuration> &config_store::inForce() const
@@ -143,20 +162,38 @@
 
 apply_result config_store::applySameRevision(const config_update &update, update_source source, time_point now)
 {
-    for (const config_entry &entry : update.entries) {
-        const auto part = m_parts.find(entry.key);
-        if (part == m_parts.end() || part->second->revision != entry.revision) {
-            return { apply_outcome::conflicting, {}, false };
-        }
+    const bool sameEntries = std::all_of(update.entries.begin(), update.entries.end(), [this](const config_entry &entry) {
+        return holdsSame(entry);
+    });
+    const bool samePatches = std::all_of(update.patches.begin(), update.patches.end(), [this](const config_patch &patch) {
+        const auto part = m_parts.find(patch.key);
+        return part != m_parts.end() && part->second->digest == patch.digest;
+    });
+    if (!sameEntries || !samePatches) {
+        return { apply_outcome::conflicting, {}, false, 0 };
     }
     confirm(update, source, now);
-    return { apply_outcome::unchanged, {}, false };
+    return { apply_outcome::unchanged, {}, false, 0 };
+}
+
+bool config_store::holdsSame(const config_entry &entry) const
+{
+    const auto part = m_parts.find(entry.key);
+    if (part == m_parts.end() || part->second->deleted || !entry.value) {
+        return part != m_parts.end() && part->second->deleted && !entry.value;
+    }
+    problem_list problems;
+    config_part offered;
+    for (const auto &[id, object] : readValue(part->second->key, *entry.value, problems)) {
+        offered.set(id, canonicalText(object));
+    }
+    return problems.empty() && offered.digest == part->second->digest;
 }
 
 apply_result config_store::refuse(const config_update &update, std::vector<config_problem> problems, time_point now)
 {
     m_refused = refused_update{ update.revision, fingerprintOf(update), now, problems };
-    return { apply_outcome::invalid, std::move(problems), false };
+    return { apply_outcome::invalid, std::move(problems), false, 0 };
 }
 
 void config_store::confirm(const config_update &update, update_source source, time_point now)
--- a/src/config/internal/update_stage.cpp
+++ b/src/config/internal/update_stage.cpp
@@ -24,7 +24,7 @@
 {
     if (!checkEnvelope()) {
         m_refusal = m_problems.take();
-        return state::invalid;
+        return state::damaged;
     }
     for (const config_patch &patch : m_update.patches) {
         if (!stagePatch(patch)) {
@@ -179,7 +179,7 @@
             }
             id = std::string(given->get_string().data(), given->get_string().size());
         }
-        change.part->set(id, canonicalText(*value));
+        change.part->set(id, canonicalText(object));
         change.changed[id] = std::move(object);
     }
     // The digest tells whether the sender patched the content that is in force here.
@@ -202,7 +202,7 @@
         part.remove(id);
     }
     for (auto &[id, object] : elements) {
-        std::string text = canonicalText(boost::json::value(object));
+        std::string text = canonicalText(object);
         const auto held = part.elements.find(id);
         if (held != part.elements.end() && held->second.text == text) {
             continue;
--- a/src/config/internal/update_stage.h
+++ b/src/config/internal/update_stage.h
@@ -21,7 +21,8 @@
 public:
     enum class state {
         ready,
-        invalid,
+        invalid, ///< Whole, and its content is refused.
+        damaged, ///< Only a part of it came, or it contradicts itself.
         needs_full,
     };
 
--- /dev/null
+++ b/src/programs/ctl/internal/subcommands.cpp
@@ -0,0 +1,19 @@
+#include "programs/ctl/internal/subcommands.h"
+
+#include "programs/ctl/internal/run_ctl.h"
+
+namespace mustardtrail::ctl
+{
+
+const std::vector<subcommand> &subcommands()
+{
+    static const std::vector<subcommand> table{
+        { "check", "FILE", 1, "help_check", runCheck },
+        { "preview", "OLD NEW", 2, "help_preview", runPreview },
+        { "codes", "", 0, "help_codes", runCodes },
+        { "explain", "CODE", 1, "help_explain", runExplain },
+    };
+    return table;
+}
+
+} // namespace mustardtrail::ctl
