--- a/src/config/internal/cross_checks.cpp
+++ b/src/config/internal/cross_checks.cpp
@@ -42,10 +42,12 @@
     return concat({ "backend_servers/", server.dataCentre.str() });
 }
 
+// A field that could not be read is reported already and holds zero or nothing here.
+
 void checkClasses(const configuration &value, problem_list &problems)
 {
     for (const auto &[id, item] : value.classes) {
-        if (item.firstTokenTarget > item.totalTarget) {
+        if (item.totalTarget.count() != 0 && item.firstTokenTarget > item.totalTarget) {
             problems.add({ error_code::config_out_of_range,
                 "classes",
                 id.str() + ".first_token_target",
@@ -77,7 +79,7 @@
                 }) });
         }
     }
-    if (server.coldRequests > server.warmRequests) {
+    if (server.warmRequests != 0 && server.coldRequests > server.warmRequests) {
         problems.add({ error_code::config_out_of_range,
             keyOf(server),
             server.id.str() + ".cold_requests",
@@ -88,6 +90,9 @@
 
 void checkAddress(address_owners &owners, const backend_server &server, problem_list &problems)
 {
+    if (server.address.address.empty()) {
+        return;
+    }
     const auto [entry, isNew] = owners.emplace(server.address, &server);
     if (!isNew) {
         problems.add({ error_code::config_duplicate_id,
--- a/src/config/internal/field_reader.cpp
+++ b/src/config/internal/field_reader.cpp
@@ -78,33 +78,33 @@
 {
     const boost::json::value *value = any(name);
     if (value == nullptr) {
-        return least;
+        return {};
     }
     if (value->is_uint64()) {
         report(error_code::config_out_of_range, name, shortText(*value), range(least, most));
-        return least;
+        return {};
     }
     if (!value->is_int64()) {
         report(error_code::config_wrong_type, name, shortText(*value), anyInteger);
-        return least;
+        return {};
     }
-    return checkRange(name, value->get_int64(), least, most) ? value->get_int64() : least;
+    return checkRange(name, value->get_int64(), least, most) ? value->get_int64() : 0;
 }
 
 std::chrono::milliseconds field_reader::duration(std::string_view name, std::chrono::milliseconds least, std::chrono::milliseconds most)
 {
     const boost::json::string *text = findText(name);
     if (text == nullptr) {
-        return least;
+        return {};
     }
     const std::optional<std::chrono::milliseconds> value = durationFromText({ text->data(), text->size() });
     if (!value) {
         report(error_code::config_bad_unit, name, shortText(*text), anyDuration);
-        return least;
+        return {};
     }
     if (*value < least || *value > most) {
         report(error_code::config_out_of_range, name, shortText(*text), durationToText(least) + ".." + durationToText(most));
-        return least;
+        return {};
     }
     return *value;
 }
@@ -113,7 +113,7 @@
 {
     const boost::json::value *value = any(name);
     if (value == nullptr) {
-        return least;
+        return {};
     }
     std::optional<std::int64_t> number;
     if (value->is_int64()) {
@@ -123,11 +123,11 @@
     }
     if (!number) {
         report(value->is_string() ? error_code::config_bad_unit : error_code::config_wrong_type, name, shortText(*value), anyBytes);
-        return least;
+        return {};
     }
     if (*number < least || *number > most) {
         report(error_code::config_out_of_range, name, shortText(*value), bytesToText(least) + ".." + bytesToText(most));
-        return least;
+        return {};
     }
     return *number;
 }
--- a/src/config/internal/field_reader.h
+++ b/src/config/internal/field_reader.h
@@ -15,7 +15,7 @@
 namespace mustardtrail::config
 {
 
-/// Reads the fields of one JSON object; names that are passed in must outlive it. Each bad field is reported and gives a default value;
+/// Reads the fields of one JSON object; names that are passed in must outlive it. Each bad field is reported and reads as empty or zero;
 /// fields that were not asked for are reported by finish().
 class field_reader
 {
--- a/src/config/internal/update_stage.cpp
+++ b/src/config/internal/update_stage.cpp
@@ -75,7 +75,7 @@
         check(patch.key, patch.revision);
     }
     // The newest entry carries the revision itself, so a reply without it was cut short.
-    if (newest != m_update.revision) {
+    if (newest < m_update.revision) {
         m_problems.add({ error_code::config_incomplete, "", "revision", std::to_string(newest), std::to_string(m_update.revision) });
     }
     if (m_update.complete) {
@@ -124,6 +124,9 @@
         change.part->horizon = revision;
     } else {
         change.part = std::make_shared<config_part>(*held->second);
+        if (held->second->deleted) {
+            change.part->horizon = revision; // Who holds the key as deleted has nothing to patch.
+        }
     }
     change.part->revision = revision;
     return change;
