--- a/src/config/internal/update_stage.cpp
+++ b/src/config/internal/update_stage.cpp
@@ -24,7 +24,7 @@
 {
     if (!checkEnvelope()) {
         m_refusal = m_problems.take();
-        return state::invalid;
+        return state::damaged;
     }
     for (const config_patch &patch : m_update.patches) {
         if (!stagePatch(patch)) {
@@ -75,7 +75,7 @@
         check(patch.key, patch.revision);
     }
     // The newest entry carries the revision itself, so a reply without it was cut short.
-    if (newest != m_update.revision) {
+    if (newest < m_update.revision) {
         m_problems.add({ error_code::config_incomplete, "", "revision", std::to_string(newest), std::to_string(m_update.revision) });
     }
     if (m_update.complete) {
@@ -124,6 +124,9 @@
         change.part->horizon = revision;
     } else {
         change.part = std::make_shared<config_part>(*held->second);
+        if (held->second->deleted) {
+            change.part->horizon = revision; // Who holds the key as deleted has nothing to patch.
+        }
     }
     change.part->revision = revision;
     return change;
@@ -179,7 +182,7 @@
             }
             id = std::string(given->get_string().data(), given->get_string().size());
         }
-        change.part->set(id, canonicalText(*value));
+        change.part->set(id, canonicalText(object));
         change.changed[id] = std::move(object);
     }
     // The digest tells whether the sender patched the content that is in force here.
@@ -202,7 +205,7 @@
         part.remove(id);
     }
     for (auto &[id, object] : elements) {
-        std::string text = canonicalText(boost::json::value(object));
+        std::string text = canonicalText(object);
         const auto held = part.elements.find(id);
         if (held != part.elements.end() && held->second.text == text) {
             continue;
