Golden sessions and random schedules of the request module

Cause: a key home counted as mature one window after its start, but a key may be held for a window after the end of a request that ran for its whole target. A home is now young for the window and the longest such target. A refusal or a connection that was never made no longer leads to a cancel at the engine.

--- a/src/request/backend_attempt.h
+++ b/src/request/backend_attempt.h
@@ -69,6 +69,7 @@
     void resumeOrFail(const error &failure, time_point now, backend_actions &out);
     void sendResume(time_point now, backend_actions &out);
     void fail(const error &failure, time_point now, backend_actions &out);
+    void reportFailure(const error &failure, backend_actions &out);
     void endWithCancel(time_point now, backend_actions &out);
     void sendCancel(time_point now, backend_actions &out);
     void onCancelDue(time_point now, backend_actions &out);
--- a/src/request/backend_attempt_actions.h
+++ b/src/request/backend_attempt_actions.h
@@ -25,10 +25,11 @@
     std::uint64_t from = 0; ///< First piece that is missing.
 };
 
-/// Close the attempt's connection, so that no further byte leaves, and send the engine's cancel; idempotent there.
+/// Close the attempt's connection, so that no further byte leaves.
 struct cancel_stream {
     attempt_id attempt;
     backend_server_id backend;
+    bool atEngine = true; ///< Also send the engine's cancel; idempotent there.
 };
 
 /// The last four go to the origin as they are.
--- a/src/request/internal/backend_attempt_end.cpp
+++ b/src/request/internal/backend_attempt_end.cpp
@@ -34,26 +34,31 @@
 }
 
 void backend_attempt::fail(const error &failure, time_point now, backend_actions &out)
+{
+    endWithCancel(now, out);
+    reportFailure(failure, out);
+}
+
+void backend_attempt::reportFailure(const error &failure, backend_actions &out)
 {
     error reported = failure;
     reported.outcome = m_outcome;
-    endWithCancel(now, out);
     out.push_back(attempt_failed{ m_attempt, std::move(reported), m_backend });
 }
 
 void backend_attempt::endWithCancel(time_point now, backend_actions &out)
 {
     const bool begun = m_state != state::idle;
-    const bool mayRunThere = m_outcome != verdict::not_run;
     m_state = state::done;
     if (!begun) {
         return;
     }
-    if (m_kind == kind::engine && mayRunThere) {
+    if (m_kind == kind::engine && m_outcome != verdict::not_run) {
         m_state = state::cancelling;
+        return sendCancel(now, out);
     }
-    // Also where nothing was sent: it closes the connection before a byte leaves.
-    sendCancel(now, out);
+    // Where nothing was sent, closing the connection keeps "not run" true.
+    out.push_back(cancel_stream{ m_attempt, m_backend, false });
 }
 
 void backend_attempt::sendCancel(time_point now, backend_actions &out)
--- a/src/request/internal/key_home.cpp
+++ b/src/request/internal/key_home.cpp
@@ -9,6 +9,23 @@
 
 using std::chrono::milliseconds;
 
+namespace
+{
+
+/// Longest time that a request which claims a key may run.
+milliseconds longestTarget(const config::configuration &config)
+{
+    milliseconds longest{ 0 };
+    for (const auto &[id, workClass] : config.classes) {
+        if (!workClass.repeatable) {
+            longest = std::max(longest, workClass.totalTarget);
+        }
+    }
+    return longest;
+}
+
+} // namespace
+
 key_home::key_home(key_home_options options, instance_id self)
     : m_options(options)
     , m_self(std::move(self))
@@ -33,6 +50,7 @@
     while (m_history.size() > m_options.maxHistory) {
         m_history.pop_front();
     }
+    m_longestTarget = longestTarget(*view->config);
     m_view = std::move(view);
 }
 
@@ -136,7 +154,8 @@
 
 bool key_home::isYoung(const key_claim &claim, time_point now) const
 {
-    const time_point windowStart = now - m_options.window;
+    // A key whose outcome is still open was claimed up to one target before its window starts.
+    const time_point windowStart = now - m_options.window - m_longestTarget;
     if (m_history.front().since > windowStart) {
         return true;
     }
--- a/src/request/key_home.h
+++ b/src/request/key_home.h
@@ -71,6 +71,7 @@
     key_home_options m_options;
     instance_id m_self;
     std::shared_ptr<const membership::fleet_view> m_view;
+    std::chrono::milliseconds m_longestTarget{ 0 };
     std::deque<candidates_since> m_history;
     std::map<entry_key, entry> m_entries;
     std::set<std::pair<time_point, entry_key>> m_expiries;
--- /dev/null
+++ b/src/request/tests/session.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "request/backend_attempt.h"
+#include "request/key_home.h"
+#include "request/request_core.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <sstream>
+#include <string>
+
+namespace mustardtrail::request::testing
+{
+
+/// Runs a script of inputs against cores, key homes and attempts, and writes what each input led to.
+/// An input is a line "> MS NAME COMMAND ARGUMENTS"; docs/design/request.md lists the commands.
+class session
+{
+public:
+    session();
+
+    /// The script with the trace after each input; other lines of an older trace are dropped, comments stay.
+    std::string run(const std::string &script);
+
+private:
+    struct node {
+        std::unique_ptr<request_core> core;
+        std::unique_ptr<key_home> home;
+    };
+
+    struct key_message {
+        instance_id from;
+        request_action action;
+    };
+
+    void runInput(std::istringstream &line);
+    void runNode(const std::string &name, const std::string &command, std::istringstream &line, time_point now);
+    void runAttempt(const std::string &name, const std::string &command, std::istringstream &line, time_point now);
+    void start(const std::string &name, time_point now);
+    void deliver(time_point now);
+    void fillRequest(const std::string &name, std::istringstream &line, time_point now);
+    void write(const std::string &name, const request_core::actions &actions);
+    void write(const backend_actions &actions);
+
+    std::map<std::string, node> m_nodes;
+    std::map<std::string, backend_attempt> m_attempts;
+    std::deque<key_message> m_keyMessages;
+    std::ostringstream m_out;
+};
+
+} // namespace mustardtrail::request::testing
