--- a/src/request/tests/simulation.cpp
+++ b/src/request/tests/simulation.cpp
@@ -51,6 +51,15 @@
             });
         }
     }
+    if (chance(30)) {
+        const milliseconds start = warmUp + delay(sendingMs);
+        after(start, [this] {
+            m_partitioned = true;
+        });
+        after(start + delay(2000), [this] {
+            m_partitioned = false;
+        });
+    }
     if (chance(40)) {
         const std::string victim = nodeNames()[m_random.below(3)];
         after(warmUp + delay(sendingMs), [this, victim] {
@@ -138,7 +147,8 @@
         if (attempt.owner == name && !attempt.stopped) {
             attempt.stopped = true;
             const error failure{ error_code::peer_connection_lost, verdict::may_have_run, "", {} };
-            sendEvent(attempt.origin, attempt_failed{ attempt_id(id), failure, {} });
+            // The origin sees its connection break, whoever is cut off.
+            sendEvent(attempt.origin, attempt.origin, attempt_failed{ attempt_id(id), failure, {} });
         }
     }
     after(milliseconds(200) + delay(800), [this, name] {
@@ -151,13 +161,13 @@
 
 void simulation::refreshViews()
 {
-    std::vector<std::string> dead;
-    for (const auto &[name, target] : m_nodes) {
-        if (!target.alive) {
-            dead.push_back(name);
-        }
-    }
     for (const std::string &name : nodeNames()) {
+        std::vector<std::string> dead;
+        for (const auto &[peer, target] : m_nodes) {
+            if (!target.alive || !isReachable(name, peer)) {
+                dead.push_back(peer);
+            }
+        }
         const auto view = makeView(name, m_now, dead);
         if (m_nodes.at(name).alive) {
             m_nodes.at(name).home->onView(view);
@@ -194,14 +204,21 @@
     }
 }
 
-void simulation::sendEvent(const std::string &name, const request_event &event)
+bool simulation::isReachable(const std::string &from, const std::string &to) const
+{
+    return !m_partitioned || (from == "e3") == (to == "e3");
+}
+
+void simulation::sendEvent(const std::string &from, const std::string &to, const request_event &event)
 {
     const int copies = chance(2) ? 0 : chance(10) ? 2 : 1;
     for (int copy = 0; copy < copies; ++copy) {
-        after(delay(20), [this, name, event] {
-            runCore(name, [&](request_core &core) {
-                return core.handle(event, m_now);
-            });
+        after(delay(20), [this, from, to, event] {
+            if (isReachable(from, to)) {
+                runCore(to, [&](request_core &core) {
+                    return core.handle(event, m_now);
+                });
+            }
         });
     }
 }
@@ -287,24 +304,23 @@
     const int copies = chance(5) ? 0 : chance(10) ? 2 : 1;
     for (int copy = 0; copy < copies; ++copy) {
         after(delay(40), [this, name, home, claim = action.claim] {
-            if (m_nodes.at(home).alive) {
-                return sendEvent(name, m_nodes.at(home).home->claim(claim, m_now));
+            if (m_nodes.at(home).alive && isReachable(name, home)) {
+                return sendEvent(home, name, m_nodes.at(home).home->claim(claim, m_now));
             }
             const error failure{ error_code::peer_connect_failed, verdict::not_run, "", {} };
-            sendEvent(name, key_claim_failed{ claim.request, instance_id(home), failure });
+            sendEvent(name, name, key_claim_failed{ claim.request, instance_id(home), failure });
         });
     }
 }
 
 void simulation::act(const std::string &name, const send_key_outcome &action)
 {
-    (void)name;
     const std::string home = action.home.str();
     if (chance(10)) {
         return;
     }
-    after(delay(20), [this, home, outcome = action.outcome] {
-        if (m_nodes.at(home).alive) {
+    after(delay(20), [this, name, home, outcome = action.outcome] {
+        if (m_nodes.at(home).alive && isReachable(name, home)) {
             m_nodes.at(home).home->end(outcome, m_now);
         }
     });
--- a/src/request/tests/simulation.h
+++ b/src/request/tests/simulation.h
@@ -61,7 +61,8 @@
     void refreshViews();
     void addTotals(const std::string &name);
     void runCore(const std::string &name, const std::function<request_core::actions(request_core &)> &step);
-    void sendEvent(const std::string &name, const request_event &event);
+    void sendEvent(const std::string &from, const std::string &to, const request_event &event);
+    bool isReachable(const std::string &from, const std::string &to) const;
 
     void sendRequest(const std::string &callerId);
     void callAgain(const std::string &callerId);
@@ -94,6 +95,7 @@
     std::vector<trace_entry> m_trace;
     request_counters m_totals;
     int m_nextRequest = 0;
+    bool m_partitioned = false; ///< dc1 and dc2 do not hear each other.
 };
 
 } // namespace mustardtrail::request::testing
--- a/src/request/tests/simulation_backends.cpp
+++ b/src/request/tests/simulation_backends.cpp
@@ -17,10 +17,9 @@
 
 void simulation::act(const std::string &name, const cancel_attempt &action)
 {
-    (void)name;
     const std::string id = action.attempt.str();
-    after(delay(10), [this, id] {
-        if (m_attempts.contains(id)) {
+    after(delay(10), [this, name, id] {
+        if (m_attempts.contains(id) && isReachable(name, m_attempts.at(id).owner)) {
             runAttempt(id, [this](backend_attempt &attempt) {
                 return attempt.handle(attempt_abandoned{}, m_now);
             });
@@ -32,9 +31,9 @@
 {
     const std::string id = action.work.attempt.str();
     const std::string owner = action.target.str();
-    if (!m_nodes.at(owner).alive) {
+    if (!m_nodes.at(owner).alive || !isReachable(origin, owner)) {
         const error failure{ error_code::peer_connect_failed, verdict::not_run, "", {} };
-        return sendEvent(origin, attempt_failed{ action.work.attempt, failure, {} });
+        return sendEvent(origin, origin, attempt_failed{ action.work.attempt, failure, {} });
     }
     const bool service = !action.work.service.empty();
     backend_server_id chosen;
@@ -48,7 +47,7 @@
     }
     if (chosen.empty()) {
         const error failure{ error_code::no_backend_server, verdict::not_run, "", {} };
-        return sendEvent(origin, attempt_failed{ action.work.attempt, failure, {} });
+        return sendEvent(origin, origin, attempt_failed{ action.work.attempt, failure, {} });
     }
     const auto kind = service ? backend_attempt::kind::service : backend_attempt::kind::engine;
     backend_attempt machine({}, kind, action.work.attempt, chosen, action.work.deadline);
@@ -97,15 +96,15 @@
         return chance(80) ? backendEvent(id, cancel_acknowledged{}) : void();
     }
     if (const auto *accepted = std::get_if<attempt_accepted>(&action)) {
-        return sendEvent(attempt.origin, *accepted);
+        return sendEvent(attempt.owner, attempt.origin, *accepted);
     }
     if (const auto *output = std::get_if<attempt_output>(&action)) {
-        return sendEvent(attempt.origin, *output);
+        return sendEvent(attempt.owner, attempt.origin, *output);
     }
     if (const auto *finished = std::get_if<attempt_finished>(&action)) {
-        return sendEvent(attempt.origin, *finished);
+        return sendEvent(attempt.owner, attempt.origin, *finished);
     }
-    sendEvent(attempt.origin, std::get<attempt_failed>(action));
+    sendEvent(attempt.owner, attempt.origin, std::get<attempt_failed>(action));
 }
 
 void simulation::backendEvent(const std::string &id, const backend_event &event)
