--- a/src/group/group_options.h
+++ b/src/group/group_options.h
@@ -14,6 +14,7 @@
     std::chrono::milliseconds renewInterval{ 2000 };
     std::chrono::milliseconds ownerTimeout{ 500 }; ///< Answer of an owner.
     std::chrono::milliseconds engineTimeout{ 1000 }; ///< Answer of an engine, except a prefill's.
+    int prefillPatience = 4; ///< A prefill that may go to other engines is given up after this many times its expected time.
     std::chrono::milliseconds backoffBase{ 20 }; ///< First wait for memory; doubles with each try.
     std::chrono::milliseconds backoffLimit{ 1000 };
     std::chrono::milliseconds releaseInterval{ 500 }; ///< Between repeats of a release that was not answered.
--- a/src/group/internal/group_coordinator.cpp
+++ b/src/group/internal/group_coordinator.cpp
@@ -63,11 +63,11 @@
             run.on(event, now);
         }
     }
-    void on(const cancel_group &event, time_point /*now*/)
+    void on(const cancel_group &event, time_point now)
     {
         const auto found = runs.find(group_id(event.attempt.str()));
         if (found != runs.end()) {
-            found->second.cancel();
+            found->second.cancel(now);
         }
     }
 
@@ -136,7 +136,7 @@
 bool group_coordinator::maySend(const engine_call &call, time_point now) const
 {
     const auto found = m_state->runs.find(call.key.group);
-    return found != m_state->runs.end() && found->second.key() == call.key && now < call.notAfter && m_state->context.viewConfirmed(now);
+    return found != m_state->runs.end() && found->second.key() == call.key && now < call.notAfter;
 }
 
 bool group_coordinator::idle() const
--- a/src/group/internal/release_queue.cpp
+++ b/src/group/internal/release_queue.cpp
@@ -53,17 +53,24 @@
     });
 }
 
-void release_queue::onTick(const group_options &options, time_point now, group_actions &actions)
+void release_queue::flush(const group_options &options, time_point now, group_actions &actions)
 {
     for (auto &[key, item] : m_pieces) {
-        if (item.giveUpAt && item.nextAt > now) {
-            continue;
-        }
         if (!item.giveUpAt) {
             item.giveUpAt = now + options.releaseLimit;
+            item.nextAt = now + options.releaseInterval;
+            send(key, item, options, now, actions);
+        }
+    }
+}
+
+void release_queue::onTick(const group_options &options, time_point now, group_actions &actions)
+{
+    for (auto &[key, item] : m_pieces) {
+        if (item.nextAt <= now) {
+            item.nextAt = now + options.releaseInterval;
+            send(key, item, options, now, actions);
         }
-        send(key, item, options, now, actions);
-        item.nextAt = now + options.releaseInterval;
     }
     std::erase_if(m_pieces, [now](const auto &entry) {
         return *entry.second.giveUpAt <= now;
--- a/src/group/internal/release_queue.h
+++ b/src/group/internal/release_queue.h
@@ -21,6 +21,8 @@
 public:
     /// Frees the group at the owners that were asked, and at the engine if a call went there.
     void add(const group_key &key, const backend_server_id &backend, const std::set<instance_id> &owners, bool atEngine);
+    /// Sends what was added and not sent yet.
+    void flush(const group_options &options, time_point now, group_actions &actions);
 
     void on(const owner_released &event);
     void on(const engine_replied &event);
