--- a/src/programs/entry/engine_report_reader.h
+++ b/src/programs/entry/engine_report_reader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/error.h"
 #include "group/engine_holdings.h"
 #include "placement/prefix_estimate.h"
 
