--- /dev/null
+++ b/src/programs/view/engine_orders.cpp
@@ -0,0 +1,82 @@
+#include "programs/view/engine_orders.h"
+
+#include "base/json_access.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace mustardtrail::view
+{
+
+namespace json = boost::json;
+
+namespace
+{
+
+constexpr int statusOk = 200;
+constexpr int statusConflict = 409;
+
+std::uint64_t unsignedOr(const json::object &object, std::string_view key)
+{
+    const json::value *value = object.if_contains(json::string_view(key.data(), key.size()));
+    if (value == nullptr || !value->is_number()) {
+        return 0;
+    }
+    json::error_code failure;
+    const auto number = value->to_number<std::uint64_t>(failure);
+    return failure ? 0 : number;
+}
+
+} // namespace
+
+result<orders::engine_state> engineStateFrom(const result<std::string> &body)
+{
+    if (!body) {
+        return tl::unexpected(body.error());
+    }
+    const json::object message = json_access::objectFromText(*body);
+    const json::array *models = json_access::arrayAt(message, "models");
+    if (models == nullptr) {
+        return tl::unexpected(error{ error_code::backend_answer_invalid, verdict::ran, "field=models", {} });
+    }
+    orders::engine_state state;
+    state.incarnation = unsignedOr(message, "incarnation");
+    state.role = json_access::textOr(message, "role");
+    state.highestFencingNumber = unsignedOr(message, "highest_fencing");
+    for (const json::value &value : *models) {
+        if (const json::object *model = value.if_object()) {
+            state.models.insert({ model_id(json_access::textOr(*model, "model")), json_access::textOr(*model, "version") });
+        }
+    }
+    return state;
+}
+
+http::request_message orderRequest(const orders::engine_order &order)
+{
+    const std::string_view kind = toString(order.kind);
+    json::object body{ { "order", json::string_view(kind.data(), kind.size()) },
+        { "model", order.model.model.str() },
+        { "version", order.model.version },
+        { "role", order.role },
+        { "fencing", order.fencingNumber } };
+    http::request_message message;
+    message.method = "POST";
+    message.target = "/orders";
+    message.headers.add("Content-Type", "application/json");
+    message.body = std::make_shared<const std::string>(json::serialize(body));
+    return message;
+}
+
+result<void> orderOutcome(const result<http::response_message> &answer)
+{
+    if (!answer) {
+        return tl::unexpected(answer.error());
+    }
+    if (answer->status == statusOk) {
+        return {};
+    }
+    const error_code code = answer->status == statusConflict ? error_code::order_fenced_off : error_code::backend_refused;
+    return tl::unexpected(error{ code, verdict::not_run, "status=" + std::to_string(answer->status), {} });
+}
+
+} // namespace mustardtrail::view
