--- /dev/null
+++ b/src/placement/bench/fake_engine.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "placement/bench/event_loop.h"
+#include "placement/engine_report.h"
+#include "placement/work_item.h"
+
+#include <deque>
+#include <functional>
+#include <list>
+
+namespace mustardtrail::placement::bench
+{
+
+/// Engine with continuous batching, chunked prefill in order of priority, and KV memory.
+class fake_engine
+{
+public:
+    struct observer {
+        std::function<void(const work_item &)> firstToken;
+        std::function<void(const work_item &)> finished;
+    };
+
+    fake_engine(event_loop &loop, backend_server_id id, observer callbacks);
+
+    void submit(const work_item &work, int priority, std::uint64_t fencingNumber);
+    void turnCold();
+    engine_report report() const;
+    const backend_server_id &id() const;
+    int outstanding() const;
+    /// Requests that arrived while the engine was cold and had all it bears.
+    int coldOverloads() const;
+
+private:
+    struct stream {
+        work_item work;
+        int priority = 0;
+        std::uint64_t fencingNumber = 0;
+        token_count prefillLeft = 0;
+        token_count outputLeft = 0;
+        bool admitted = false; ///< Holds its memory.
+    };
+
+    void admitWaiting();
+    void startIteration();
+    void endIteration();
+    void completeOne(std::list<stream>::iterator item);
+
+    event_loop &m_loop;
+    backend_server_id m_id;
+    observer m_observer;
+    std::list<stream> m_streams; ///< Sorted by priority, then by arrival.
+    bool m_busy = false;
+    std::uint64_t m_incarnation = 1;
+    token_count m_usedTokens = 0;
+    int m_completedWhileCold = 0;
+    bool m_cold = false;
+    int m_coldOverloads = 0;
+};
+
+constexpr token_count engineMemoryTokens = 400000;
+constexpr int engineColdRequests = 2;
+constexpr int engineWarmRequests = 48;
+
+} // namespace mustardtrail::placement::bench
--- a/src/placement/internal/length_class.cpp
+++ b/src/placement/internal/length_class.cpp
@@ -11,6 +11,8 @@
 
 constexpr double referencePromptTokens = 1024;
 constexpr std::chrono::duration<double> referenceTarget{ 0.25 };
+/// Steps are coarse, so that prompts of like length take turns and the longer ones are not passed over.
+constexpr double doublingsPerPriority = 2;
 
 } // namespace
 
@@ -39,7 +41,7 @@
 {
     const double length = std::max(1.0, static_cast<double>(promptTokens) / referencePromptTokens);
     const double target = std::max(1.0, std::chrono::duration<double>(firstTokenTarget) / referenceTarget);
-    const int urgency = static_cast<int>(std::log2(length) + std::log2(target));
+    const int urgency = static_cast<int>((std::log2(length) + std::log2(target)) / doublingsPerPriority);
     return std::clamp(urgency, 0, leastUrgentPriority);
 }
 
--- a/src/placement/internal/prefill_backlog.cpp
+++ b/src/placement/internal/prefill_backlog.cpp
@@ -13,8 +13,8 @@
 
 constexpr double prefillChunkTokens = 2048; ///< An engine yields to more urgent work after one chunk.
 constexpr seconds_double arrivalMemory{ 10 }; ///< Time constant of the arrival rates.
-constexpr seconds_double observationSpan{ 0.5 }; ///< Shortest busy time that says something about the rate.
-constexpr double observationWeight = 0.2;
+constexpr seconds_double rateMemory{ 20 }; ///< Time constant of the observed rate.
+constexpr seconds_double leastBusyTime{ 0.5 }; ///< Shortest busy time that says something about the rate.
 constexpr double lowestRateShare = 0.1; ///< Of the reported rate.
 constexpr double highestRateShare = 1.5;
 constexpr double leastShareLeft = 0.05;
@@ -38,10 +38,6 @@
     advance(now);
     decayArrivals(now);
     m_arrivals[priority] += static_cast<double>(promptTokens) / arrivalMemory.count();
-    if (m_entries.empty()) {
-        m_observedFrom = now;
-        m_observedTokens = 0;
-    }
     const auto place = std::upper_bound(m_entries.begin(), m_entries.end(), priority, [](int value, const entry &other) {
         return value < other.priority;
     });
@@ -59,19 +55,17 @@
     }
     m_observedTokens += static_cast<double>(found->promptTokens);
     m_entries.erase(found);
-    learn(now);
+    learn();
 }
 
 void prefill_backlog::remove(const attempt_id &attempt, time_point now)
 {
     advance(now);
-    const auto removed = std::erase_if(m_entries, [&](const entry &other) {
-        return other.attempt == attempt;
+    std::erase_if(m_entries, [&](const entry &other) {
+        const bool found = other.attempt == attempt;
+        m_observedTokens += found ? static_cast<double>(other.promptTokens) - other.remaining : 0;
+        return found;
     });
-    if (removed > 0) {
-        m_observedFrom = now;
-        m_observedTokens = 0;
-    }
 }
 
 void prefill_backlog::setReportedRate(double tokensPerSecond)
@@ -89,13 +83,18 @@
 void prefill_backlog::setReportedTokens(double tokens, time_point takenAt, time_point now)
 {
     advance(now);
-    double total = tokens - secondsBetween(takenAt, now) * m_rate;
-    double own = 0;
+    double excess = tokens - secondsBetween(takenAt, now) * m_rate;
     for (const entry &other : m_entries) {
-        total += other.sentAt > takenAt ? static_cast<double>(other.promptTokens) : 0;
-        own += other.remaining;
+        excess += other.sentAt > takenAt ? static_cast<double>(other.promptTokens) : 0;
+        excess -= other.remaining;
     }
-    m_foreign = std::max(0.0, total - own);
+    // The engine works on urgent prompts first, so what it has left more than thought is of the least urgent ones.
+    for (auto other = m_entries.rbegin(); other != m_entries.rend() && excess > 0; ++other) {
+        const double back = std::min(excess, static_cast<double>(other->promptTokens) - other->remaining);
+        other->remaining += back;
+        excess -= back;
+    }
+    m_foreign = std::max(0.0, excess);
 }
 
 double prefill_backlog::tokensPerSecond() const
@@ -147,8 +146,14 @@
 
 void prefill_backlog::advance(time_point now)
 {
-    double budget = secondsBetween(m_advancedAt, now) * m_rate;
+    const double elapsed = secondsBetween(m_advancedAt, now);
     m_advancedAt = std::max(m_advancedAt, now);
+    if (!m_entries.empty()) {
+        const double decay = std::exp(-elapsed / rateMemory.count());
+        m_observedTokens *= decay;
+        m_observedBusy = m_observedBusy * decay + elapsed;
+    }
+    double budget = elapsed * m_rate;
     const double foreignDone = std::min(budget, m_foreign);
     m_foreign -= foreignDone;
     budget -= foreignDone;
@@ -176,17 +181,16 @@
     m_arrivalsAt = now;
 }
 
-void prefill_backlog::learn(time_point now)
+void prefill_backlog::learn()
 {
-    // Prompts end in lumps, so a rate is read off only over a busy time that left nothing half done.
-    if (!m_entries.empty()) {
+    if (m_observedBusy < leastBusyTime.count()) {
         return;
     }
-    const double busy = secondsBetween(m_observedFrom, now);
-    if (busy < observationSpan.count()) {
-        return;
+    double done = m_observedTokens;
+    for (const entry &other : m_entries) {
+        done += static_cast<double>(other.promptTokens) - other.remaining;
     }
-    m_rate += observationWeight * (m_observedTokens / busy - m_rate);
+    m_rate = done / m_observedBusy;
     if (m_reportedRate > 0) {
         m_rate = std::clamp(m_rate, lowestRateShare * m_reportedRate, highestRateShare * m_reportedRate);
     }
--- a/src/placement/prefill_backlog.h
+++ b/src/placement/prefill_backlog.h
@@ -50,7 +50,7 @@
     void advance(time_point now);
     void decayArrivals(time_point now);
     double arrivalFactor(time_point now) const;
-    void learn(time_point now);
+    void learn();
 
     std::vector<entry> m_entries; ///< Sorted by priority, then by time of sending.
     std::array<double, leastUrgentPriority + 1> m_arrivals{}; ///< Tokens a second by priority, decayed to m_arrivalsAt.
@@ -59,8 +59,8 @@
     double m_rate;
     double m_reportedRate;
     double m_foreign = 0; ///< Tokens that the engine reports beyond those sent from here.
-    double m_observedTokens = 0;
-    time_point m_observedFrom{};
+    double m_observedTokens = 0; ///< Processed, decayed; without prompts that are half done.
+    double m_observedBusy = 0; ///< Seconds with prompts to process, decayed alike.
 };
 
 } // namespace mustardtrail::placement
