Placement: tests that produce the failures, golden sessions, earlier refusal of queued work

Cause: a queued attempt was refused only when its own prefill no longer fitted; what the engines had still to process ahead of it was left out. The look over the queue now counts it. An attempt that waits for a slot is judged by half a second a request until durations are known. A cached prefix is looked for in the nearest data centre only, so that requests stay in their own.

--- a/src/placement/internal/owner_scheduler_pools.cpp
+++ b/src/placement/internal/owner_scheduler_pools.cpp
@@ -10,6 +10,46 @@
 
 constexpr std::chrono::milliseconds dropRetryAfter{ 100 };
 
+/// Prefill rates of a pool, in tokens a second.
+struct sweep_rates {
+    double all = 0;
+    double fastest = 0;
+    bool any = false; ///< Some backend server takes new work.
+};
+
+sweep_rates ratesOf(const pool_state &pool)
+{
+    sweep_rates rates;
+    for (backend_state *backend : pool.members()) {
+        if (!backend->takesNewWork()) {
+            continue;
+        }
+        rates.any = true;
+        if (backend->isEngine()) {
+            rates.all += backend->backlog().tokensPerSecond();
+            rates.fastest = std::max(rates.fastest, backend->backlog().tokensPerSecond());
+        }
+    }
+    return rates;
+}
+
+double sentTokensAhead(const pool_state &pool, int priority, time_point now)
+{
+    double sum = 0;
+    for (backend_state *backend : pool.members()) {
+        sum += backend->takesNewWork() && backend->isEngine() ? backend->backlog().tokensAhead(priority, now) : 0;
+    }
+    return sum;
+}
+
+error_code whyDropped(bool confirmed, bool any)
+{
+    if (!confirmed) {
+        return error_code::view_not_confirmed;
+    }
+    return any ? error_code::target_unreachable : error_code::no_backend_server;
+}
+
 } // namespace
 
 void owner_scheduler::implementation::rebuildPools(time_point)
@@ -99,30 +139,24 @@
     if (pool.queue().size() == 0) {
         return;
     }
-    double rate = 0;
-    double fastest = 0;
-    bool any = false;
-    for (backend_state *backend : pool.members()) {
-        if (backend->takesNewWork()) {
-            any = true;
-            rate += backend->backlog().tokensPerSecond();
-            fastest = std::max(fastest, backend->isEngine() ? backend->backlog().tokensPerSecond() : 0);
-        }
-    }
     const bool confirmed = mayDispatch(now);
-    double ahead = 0;
+    const sweep_rates rates = ratesOf(pool);
+    double queuedAhead = 0;
+    double sentAhead = 0;
+    int priority = -1;
     pool.queue().sweep([&](const queued_attempt &item) {
+        if (item.priority != priority) {
+            priority = item.priority;
+            sentAhead = sentTokensAhead(pool, priority, now);
+        }
         const double own = static_cast<double>(item.work.promptTokens);
-        const std::chrono::duration<double> soonest{ fastest > 0 ? ahead / rate + own / fastest : 0 };
+        const std::chrono::duration<double> soonest{ rates.all > 0 ? (sentAhead + queuedAhead) / rates.all + own / rates.fastest : 0 };
         const bool late = now + std::chrono::duration_cast<std::chrono::nanoseconds>(soonest) > item.work.firstTokenDeadline;
-        if (confirmed && any && !late) {
-            ahead += own;
+        if (confirmed && rates.any && !late) {
+            queuedAhead += own;
             return false;
         }
-        const error_code code = !confirmed ? error_code::view_not_confirmed
-            : !any                         ? error_code::no_backend_server
-                                           : error_code::target_unreachable;
-        refuse(item.work.attempt, { code, verdict::not_run, "reason=queued", dropRetryAfter });
+        refuse(item.work.attempt, { whyDropped(confirmed, rates.any), verdict::not_run, "reason=queued", dropRetryAfter });
         return true;
     });
 }
--- a/src/placement/internal/pool_state.cpp
+++ b/src/placement/internal/pool_state.cpp
@@ -123,7 +123,7 @@
 
 void pool_state::observeDuration(std::chrono::nanoseconds duration)
 {
-    m_duration = m_duration.count() == 0 ? duration : m_duration + (duration - m_duration) / durationWeight;
+    m_duration += (duration - m_duration) / durationWeight;
 }
 
 const std::vector<backend_state *> &pool_state::candidates(const work_item &work)
--- a/src/placement/internal/pool_state.h
+++ b/src/placement/internal/pool_state.h
@@ -49,7 +49,7 @@
     std::vector<backend_state *> m_members;
     candidate_ring m_ring;
     fair_queue m_queue;
-    std::chrono::nanoseconds m_duration{ 0 }; ///< Average from send to end.
+    std::chrono::nanoseconds m_duration{ std::chrono::milliseconds(500) }; ///< Average from send to end; a guess at first.
     std::vector<backend_state *> m_candidates;
     std::vector<std::uint32_t> m_picked;
 };
--- a/src/placement/internal/router_impl.cpp
+++ b/src/placement/internal/router_impl.cpp
@@ -96,7 +96,8 @@
         }
         chosen.allKnown = chosen.allKnown && owner.load.isKnown(now);
         chosen.soonest = std::min(chosen.soonest, owner.load.predictBySummary(work.promptTokens, now));
-        if (chosen.preferred == nullptr) {
+        // A cached prefix is looked for in the nearest data centre only.
+        if (chosen.preferred == nullptr || owner.distance < chosen.preferred->distance) {
             chosen.preferred = &owner;
             chosen.preferredCost = cost;
         }
--- /dev/null
+++ b/src/placement/tests/golden_test.cpp
@@ -0,0 +1,109 @@
+#include "placement/tests/script_runner.h"
+
+#include "testing/expect.h"
+
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
+
+using namespace mustardtrail;
+using placement::tests::script_runner;
+
+namespace
+{
+
+/// Lines with this mark are inputs; those with # are comments; the others are what the inputs gave.
+constexpr char inputMark = '>';
+
+std::string readFile(const std::string &path)
+{
+    std::ifstream in(path);
+    cr_assert(in.good(), "%s", path.c_str());
+    std::ostringstream text;
+    text << in.rdbuf();
+    return text.str();
+}
+
+std::string replay(const std::string &session)
+{
+    script_runner runner;
+    std::istringstream in(session);
+    std::string trace;
+    for (std::string line; std::getline(in, line);) {
+        if (line.starts_with('#')) {
+            trace += line + '\n';
+        } else if (line.starts_with(inputMark)) {
+            trace += line + '\n' + runner.run(line.substr(1));
+        }
+    }
+    return trace;
+}
+
+void compareSession(const char *name)
+{
+    const std::string path = std::string(MT_PLACEMENT_TESTS_DIR) + "/golden/" + name + ".txt";
+    const std::string session = readFile(path);
+    const std::string trace = replay(session);
+    if (std::getenv("MT_REGEN_GOLDEN") != nullptr) {
+        std::ofstream(path) << trace;
+        return;
+    }
+    testing::expectEqual(trace, session);
+}
+
+} // namespace
+
+Test(golden, coldOverload)
+{
+    compareSession("cold_overload");
+}
+
+Test(golden, twoOwners)
+{
+    compareSession("two_owners");
+}
+
+Test(golden, sleptOwner)
+{
+    compareSession("slept_owner");
+}
+
+Test(golden, silentCold)
+{
+    compareSession("silent_cold");
+}
+
+Test(golden, drainedBackend)
+{
+    compareSession("drained_backend");
+}
+
+Test(golden, fairness)
+{
+    compareSession("fairness");
+}
+
+Test(golden, deadlineRefusal)
+{
+    compareSession("deadline_refusal");
+}
+
+Test(golden, memory)
+{
+    compareSession("memory");
+}
+
+Test(golden, cacheGap)
+{
+    compareSession("cache_gap");
+}
+
+Test(golden, staleReport)
+{
+    compareSession("stale_report");
+}
+
+Test(golden, plainService)
+{
+    compareSession("plain_service");
+}
