Placement: memory is left free by length, long prompts wait within a margin, cold engines in the bench

Cause of slow short requests near capacity (found by the engines' own counts): KV memory, 300,000 of 400,000 tokens used on average, filled by long and medium prompts, so that short ones waited for memory. Long and medium prompts now leave a tenth free; a long prompt's wait counts the turnover of memory and has to fit four times.

--- a/src/placement/bench/fake_engine.cpp
+++ b/src/placement/bench/fake_engine.cpp
@@ -1,6 +1,7 @@
 #include "placement/bench/fake_engine.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace mustardtrail::placement::bench
 {
@@ -47,13 +48,26 @@
     m_completedWhileCold = 0;
 }
 
+void fake_engine::restart()
+{
+    turnCold();
+    m_saysCold = true;
+    ++m_incarnation;
+    ++m_iteration;
+    m_busy = false;
+    m_usedTokens = 0;
+    for (const stream &item : std::exchange(m_streams, {})) {
+        m_observer.dropped(item.work);
+    }
+}
+
 engine_report fake_engine::report() const
 {
     engine_report result;
     result.backend = m_id;
     result.incarnation = m_incarnation;
     result.takenAt = m_loop.now();
-    result.warm = true; // A loss of warmth is never reported: the owner has to find it out.
+    result.warm = !m_saysCold;
     result.runningRequests = outstanding();
     result.memoryTokens = engineMemoryTokens;
     result.usedTokens = m_usedTokens;
@@ -112,13 +126,16 @@
     if (m_cold) {
         time *= coldSlowdown;
     }
-    m_loop.after(std::chrono::duration_cast<std::chrono::nanoseconds>(time), [this] {
-        endIteration();
+    m_loop.after(std::chrono::duration_cast<std::chrono::nanoseconds>(time), [this, iteration = m_iteration] {
+        endIteration(iteration);
     });
 }
 
-void fake_engine::endIteration()
+void fake_engine::endIteration(std::uint64_t iteration)
 {
+    if (iteration != m_iteration) {
+        return;
+    }
     token_count prefill = chunkTokens;
     for (auto item = m_streams.begin(); item != m_streams.end();) {
         const auto current = item++;
@@ -150,6 +167,7 @@
     m_streams.erase(item);
     if (m_cold && ++m_completedWhileCold >= completionsUntilWarm) {
         m_cold = false;
+        m_saysCold = false;
     }
     m_observer.finished(work);
 }
--- a/src/placement/bench/session.h
+++ b/src/placement/bench/session.h
@@ -22,6 +22,7 @@
     std::chrono::milliseconds summaryInterval{ 1000 };
     bool summaryWithAnswers = true; ///< Answers to forwarded requests carry the owner's summary as well.
     int silentColds = 0; ///< Engines that turn cold without saying so, one after another.
+    int restarts = 0; ///< Engines that restart, one after another.
     placement_options placement;
 };
 
--- a/src/placement/fair_queue.h
+++ b/src/placement/fair_queue.h
@@ -31,6 +31,7 @@
     struct position {
         double promptTokens = 0;
         std::size_t attempts = 0;
+        std::size_t attemptsAlike = 0; ///< Of the same priority.
     };
 
     void push(queued_attempt item);
--- a/src/placement/internal/backend_state.cpp
+++ b/src/placement/internal/backend_state.cpp
@@ -103,12 +103,20 @@
     if (!isEngine()) {
         return true;
     }
-    token_count reserve = 0;
-    if (lengthClassOf(work.promptTokens) == length_class::long_prompt) {
-        reserve = static_cast<token_count>(m_options.shortMemoryShare * static_cast<double>(m_memory.capacity()));
-        // A prompt that only fits on an idle engine still has to run somewhere.
-        reserve = std::min(reserve, m_memory.capacity() - memoryNeed(work));
+    double leavesFree = 0;
+    switch (lengthClassOf(work.promptTokens)) {
+    case length_class::short_prompt:
+        break;
+    case length_class::medium_prompt:
+        leavesFree = m_options.mediumLeavesFree;
+        break;
+    case length_class::long_prompt:
+        leavesFree = m_options.longLeavesFree;
+        break;
     }
+    // A prompt that only fits on an idle engine still has to run somewhere.
+    const auto wanted = static_cast<token_count>(leavesFree * static_cast<double>(m_memory.capacity()));
+    const token_count reserve = std::min(wanted, m_memory.capacity() - memoryNeed(work));
     return memoryNeed(work) + reserve <= m_memory.free();
 }
 
--- a/src/placement/internal/fair_queue.cpp
+++ b/src/placement/internal/fair_queue.cpp
@@ -43,6 +43,7 @@
         for (auto item = queue.items.begin(); item != queue.items.end() && item->first < key; ++item) {
             ahead.promptTokens += static_cast<double>(item->second.work.promptTokens);
             ++ahead.attempts;
+            ++ahead.attemptsAlike;
         }
     }
     return ahead;
--- a/src/placement/internal/owner_scheduler_impl.cpp
+++ b/src/placement/internal/owner_scheduler_impl.cpp
@@ -87,7 +87,10 @@
     if (pool.queue().size() >= m_options.maxQueued) {
         return refusal(error_code::queue_full, "queued=" + std::to_string(pool.queue().size()), leastRetryAfter);
     }
-    const auto predicted = pool.predict(item.work, item.priority, load);
+    // The wait of a long prompt hangs on what comes in after it, so it has to fit several times over.
+    const bool isLong = lengthClassOf(item.work.promptTokens) == length_class::long_prompt;
+    const auto wait = pool.queueWait(item.work, item.priority, load) * (isLong ? m_options.longWaitMargin : 1);
+    const auto predicted = load.bestPrediction + wait;
     const auto left = item.work.firstTokenDeadline - now;
     if (predicted > left) {
         return tooLate(predicted, left);
@@ -142,10 +145,12 @@
     const auto ended = backend->end(attempt, reason, now);
     const auto pool = m_pools.find(poolKeyOf(ended->work));
     if (pool != m_pools.end() && !reason) {
-        pool->second.observeDuration(now - ended->sentAt);
+        pool->second.observeDuration(ended->work, now - ended->sentAt);
     }
     pumpAllOf(*backend, now);
-    forgetDrained();
+    if (!backend->owned()) {
+        forgetDrained();
+    }
 }
 
 void owner_scheduler::implementation::report(const engine_report &report, time_point now)
--- a/src/placement/internal/owner_scheduler_reports.cpp
+++ b/src/placement/internal/owner_scheduler_reports.cpp
@@ -69,7 +69,8 @@
     const auto predictFor = [&](token_count tokens, milliseconds target) {
         const queued_attempt item = reference(tokens, target, now);
         const pool_load load = pool.loadFor(item, now);
-        return load.any && load.fits ? duration_cast<milliseconds>(pool.predict(item.work, item.priority, load)) : summaryUnreachable;
+        return load.any && load.fits ? duration_cast<milliseconds>(load.bestPrediction + pool.queueWait(item.work, item.priority, load))
+                                     : summaryUnreachable;
     };
     result.shortFirstToken = predictFor(summaryShortTokens, summaryShortTarget);
     result.longFirstToken = predictFor(summaryLongTokens, summaryLongTarget);
--- a/src/placement/internal/pool_state.cpp
+++ b/src/placement/internal/pool_state.cpp
@@ -16,6 +16,7 @@
 constexpr double affinityLoadBound = 1.25;
 constexpr std::chrono::milliseconds affinitySlack{ 20 };
 constexpr int durationWeight = 16; ///< One observation counts 1/16.
+constexpr int longDurationWeight = 4;
 
 bool isExcluded(const queued_attempt &item, const backend_server_id &backend)
 {
@@ -80,7 +81,7 @@
     return preferred->predict(item.work, item.priority, now) <= bound ? preferred : best;
 }
 
-std::chrono::nanoseconds pool_state::predict(const work_item &work, int priority, const pool_load &load) const
+std::chrono::nanoseconds pool_state::queueWait(const work_item &work, int priority, const pool_load &load) const
 {
     const fair_queue::position ahead = m_queue.positionOf(work, priority);
     seconds_double wait{ 0 };
@@ -91,7 +92,12 @@
     if (surplus > 0 && load.slots > 0) {
         wait = std::max(wait, seconds_double(m_duration) * surplus / load.slots);
     }
-    return load.bestPrediction + std::chrono::duration_cast<std::chrono::nanoseconds>(wait);
+    // Long prompts wait for the memory of those that run.
+    if (lengthClassOf(work.promptTokens) == length_class::long_prompt && load.roomy > 0) {
+        const double turns = static_cast<double>(ahead.attemptsAlike) + (load.memoryFree ? 0 : 1);
+        wait = std::max(wait, seconds_double(m_longDuration) * turns / load.roomy);
+    }
+    return std::chrono::duration_cast<std::chrono::nanoseconds>(wait);
 }
 
 pool_load pool_state::loadFor(const queued_attempt &item, time_point now)
@@ -112,6 +118,8 @@
         if (!candidate->fitsAtAll(item.work)) {
             continue;
         }
+        load.roomy += scale;
+        load.memoryFree = load.memoryFree || candidate->hasMemoryFor(item.work);
         load.bestPrediction = std::min(load.bestPrediction, candidate->predict(item.work, item.priority, now));
         load.tokensPerSecond += scale * (candidate->isEngine() ? candidate->backlog().tokensPerSecond() : 0);
         load.shareLeft += candidate->backlog().shareLeft(item.priority, now);
@@ -121,9 +129,14 @@
     return load;
 }
 
-void pool_state::observeDuration(std::chrono::nanoseconds duration)
+void pool_state::observeDuration(const work_item &work, std::chrono::nanoseconds duration)
 {
     m_duration += (duration - m_duration) / durationWeight;
+    if (lengthClassOf(work.promptTokens) != length_class::long_prompt) {
+        return;
+    }
+    const bool isFirst = m_longDuration.count() == 0;
+    m_longDuration = isFirst ? duration : m_longDuration + (duration - m_longDuration) / longDurationWeight;
 }
 
 const std::vector<backend_state *> &pool_state::candidates(const work_item &work)
--- a/src/placement/internal/pool_state.h
+++ b/src/placement/internal/pool_state.h
@@ -18,6 +18,8 @@
     double freeSlots = 0;
     double slots = 0;
     std::chrono::nanoseconds bestPrediction{ std::chrono::nanoseconds::max() };
+    double roomy = 0; ///< Backend servers whose memory could hold the attempt.
+    bool memoryFree = false; ///< One of them has that memory free now.
     bool fits = false; ///< The attempt fits on some backend server at all.
     bool any = false; ///< Some backend server takes new work.
 };
@@ -35,10 +37,10 @@
 
     /// Backend server that the attempt goes to now; null when it has to wait.
     backend_state *choose(const queued_attempt &item, backend_state *freed, time_point now);
-    /// Time from now to the first token, for an attempt that would be queued now.
-    std::chrono::nanoseconds predict(const work_item &work, int priority, const pool_load &load) const;
+    /// Time in the queue of an attempt that would be queued now.
+    std::chrono::nanoseconds queueWait(const work_item &work, int priority, const pool_load &load) const;
     pool_load loadFor(const queued_attempt &item, time_point now);
-    void observeDuration(std::chrono::nanoseconds duration);
+    void observeDuration(const work_item &work, std::chrono::nanoseconds duration);
 
 private:
     const std::vector<backend_state *> &candidates(const work_item &work);
@@ -49,6 +51,7 @@
     std::vector<backend_state *> m_members;
     candidate_ring m_ring;
     fair_queue m_queue;
+    std::chrono::nanoseconds m_longDuration{ 0 }; ///< The same for long prompts.
     std::chrono::nanoseconds m_duration{ std::chrono::milliseconds(500) }; ///< Average from send to end; a guess at first.
     std::vector<backend_state *> m_candidates;
     std::vector<std::uint32_t> m_picked;
--- a/src/placement/internal/router.cpp
+++ b/src/placement/internal/router.cpp
@@ -5,8 +5,8 @@
 namespace mustardtrail::placement
 {
 
-router::router()
-    : m_impl(std::make_unique<implementation>())
+router::router(placement_options options)
+    : m_impl(std::make_unique<implementation>(options))
 {
 }
 
--- a/src/placement/internal/router_impl.cpp
+++ b/src/placement/internal/router_impl.cpp
@@ -12,6 +12,9 @@
 {
 
 constexpr std::size_t maxOwnersLookedAt = 12;
+/// Long prompts that are kept together try owners in one order, up to this part of the time left.
+constexpr std::uint64_t concentrateKey = 1;
+constexpr double concentrateShare = 0.3;
 /// The owner preferred by the prefix is kept while it costs at most this much more than the best one.
 constexpr double affinityLoadBound = 1.25;
 constexpr std::chrono::milliseconds affinitySlack{ 20 };
@@ -36,6 +39,11 @@
 
 } // namespace
 
+router::implementation::implementation(placement_options options)
+    : m_options(options)
+{
+}
+
 void router::implementation::onSummary(const owner_summary &summary)
 {
     for (const pool_summary &entry : summary.pools) {
@@ -80,11 +88,18 @@
     return route{ owner.instance, preferredBackend(owner, work, excluded) };
 }
 
+bool router::implementation::concentrates(const work_item &work) const
+{
+    return m_options.longPlacement == long_placement::concentrate && lengthClassOf(work.promptTokens) == length_class::long_prompt;
+}
+
 router::implementation::choice router::implementation::choose(
     pool_owners &pool, const work_item &work, int priority, const route_exclusions &excluded, time_point now)
 {
     choice chosen;
-    pool.ring.pick(work.prefixHash, hash64(work.attempt.str()), maxOwnersLookedAt, m_picked);
+    const bool together = concentrates(work);
+    pool.ring.pick(together ? concentrateKey : work.prefixHash, hash64(work.attempt.str()), maxOwnersLookedAt, m_picked);
+    const auto good = std::chrono::duration_cast<std::chrono::nanoseconds>(concentrateShare * (work.firstTokenDeadline - now));
     for (const std::uint32_t member : m_picked) {
         owner_entry &owner = pool.owners[member];
         if (isExcluded(owner, excluded)) {
@@ -105,6 +120,11 @@
             chosen.best = &owner;
             chosen.bestCost = cost;
         }
+        if (together && cost <= good) {
+            chosen.best = chosen.preferred = &owner;
+            chosen.bestCost = chosen.preferredCost = cost;
+            return chosen;
+        }
     }
     return chosen;
 }
--- a/src/placement/internal/router_impl.h
+++ b/src/placement/internal/router_impl.h
@@ -15,6 +15,8 @@
 class router::implementation
 {
 public:
+    explicit implementation(placement_options options);
+
     void onView(std::shared_ptr<const membership::fleet_view> view);
     void onSummary(const owner_summary &summary);
     result<route> pick(const work_item &work, const route_exclusions &excluded, time_point now);
@@ -48,10 +50,12 @@
     void addBackend(pool_owners &pool, const config::backend_server &server, const membership::backend_assignment &assignment) const;
     bool takesForwardedWork(const instance_id &owner) const;
     std::chrono::nanoseconds distanceTo(const data_centre_id &dataCentre) const;
+    bool concentrates(const work_item &work) const;
     choice choose(pool_owners &pool, const work_item &work, int priority, const route_exclusions &excluded, time_point now);
     static bool isExcluded(const owner_entry &owner, const route_exclusions &excluded);
     static backend_server_id preferredBackend(const owner_entry &owner, const work_item &work, const route_exclusions &excluded);
 
+    placement_options m_options;
     std::shared_ptr<const membership::fleet_view> m_view;
     std::map<pool_key, pool_owners> m_pools;
     std::vector<std::uint32_t> m_picked;
--- a/src/placement/length_class.h
+++ b/src/placement/length_class.h
@@ -15,7 +15,7 @@
 };
 
 constexpr token_count shortPromptLimit = 8192;
-constexpr token_count longPromptLimit = 65536;
+constexpr token_count longPromptLimit = 100000;
 
 /// Priorities run from 0 (most urgent) to this value.
 constexpr int leastUrgentPriority = 31;
--- a/src/placement/placement_options.h
+++ b/src/placement/placement_options.h
@@ -22,8 +22,10 @@
     std::chrono::milliseconds slowCheckInterval{ 500 }; ///< Between two looks for late first tokens.
     std::size_t maxCandidates = 8; ///< Backend servers looked at for one decision.
     std::size_t maxQueued = 4096; ///< Attempts waiting in one pool.
+    int longWaitMargin = 4; ///< Long prompts are admitted when their predicted wait fits this many times.
     int maxLongPrefills = 1; ///< Long prompts in prefill on one engine.
-    double shortMemoryShare = 0.1; ///< Part of an engine's memory that long prompts leave free.
+    double longLeavesFree = 0.1; ///< Part of an engine's memory that long prompts leave to shorter ones.
+    double mediumLeavesFree = 0.1; ///< Part that medium prompts leave to short ones.
     long_placement longPlacement = long_placement::spread;
 };
 
--- a/src/placement/router.h
+++ b/src/placement/router.h
@@ -4,6 +4,7 @@
 #include "base/ids.h"
 #include "membership/fleet_view.h"
 #include "placement/owner_summary.h"
+#include "placement/placement_options.h"
 #include "placement/work_item.h"
 
 #include <memory>
@@ -31,7 +32,7 @@
 class router
 {
 public:
-    router();
+    explicit router(placement_options options = {});
     ~router();
     router(const router &) = delete;
     router &operator=(const router &) = delete;
