--- a/src/request/tests/simulation.h
+++ b/src/request/tests/simulation.h
@@ -95,6 +95,7 @@
     std::vector<trace_entry> m_trace;
     request_counters m_totals;
     int m_nextRequest = 0;
+    bool m_callersMark = true; ///< Callers say when they sent a request before.
     bool m_partitioned = false; ///< dc1 and dc2 do not hear each other.
 };
 
