--- a/src/orders/order_options.h
+++ b/src/orders/order_options.h
@@ -21,6 +21,7 @@
     std::chrono::milliseconds checkInterval{ 10000 }; ///< Between two reads of an engine that is as it should be.
     std::chrono::milliseconds stateTimeout{ 1000 };
     std::chrono::milliseconds orderTimeout{ 60000 };
+    std::chrono::milliseconds settleInterval{ 1000 }; ///< Between an accepted order and the read that confirms it.
     std::chrono::milliseconds backoffBase{ 500 };
     std::chrono::milliseconds backoffLimit{ 30000 };
     weight_bytes_hook weightBytes;
