Groups: planning looks at the own data centre first

Ruled out: an index of engines by data centre kept between plans; it would have to follow the view. The checker now also notices a prompt that may not be repeated and is sent under a second generation.

--- a/src/group/internal/group_planner.cpp
+++ b/src/group/internal/group_planner.cpp
@@ -12,12 +12,20 @@
 
 constexpr int wholePercent = 100;
 
+/// An engine that may take a segment; the id is the configuration's.
 struct candidate {
-    backend_server_id id;
+    const backend_server_id *id = nullptr;
     token_count memory = 0;
     token_count free = 0;
+
+    /// Less free memory, then the later id.
+    bool operator<(const candidate &other) const
+    {
+        return free != other.free ? free < other.free : *other.id < *id;
+    }
 };
 using candidates_by_centre = std::map<data_centre_id, std::vector<candidate>>;
+using centre_filter = std::function<bool(const data_centre_id &)>;
 
 /// Memory that engines of one data centre could hold for a group.
 struct centre_capacity {
@@ -53,21 +61,30 @@
     return centres;
 }
 
-bool takesWork(const membership::fleet_view &view, const backend_server_id &id)
+bool takesWork(const membership::backend_assignment &assignment)
 {
-    const auto assignment = view.backends.find(id);
-    return assignment != view.backends.end() && assignment->second.acceptsNewWork && !assignment->second.owner.empty();
+    return assignment.acceptsNewWork && !assignment.owner.empty();
 }
 
-candidates_by_centre usableCandidates(const membership::fleet_view &view, const free_tokens_hook &freeTokens, const plan_request &request)
+candidates_by_centre usableCandidates(
+    const membership::fleet_view &view, const free_tokens_hook &freeTokens, const plan_request &request, const centre_filter &wanted)
 {
     candidates_by_centre centres;
+    // Both maps are in the order of the ids: one walk over them costs far less than a search for each engine.
+    auto assignment = view.backends.begin();
     for (const auto &[id, server] : view.config->backendServers) {
-        if (!serves(server, request.model) || !takesWork(view, id) || request.excluded.contains(id)) {
-            continue;
+        while (assignment != view.backends.end() && assignment->first < id) {
+            ++assignment;
+        }
+        if (assignment == view.backends.end()) {
+            break;
+        }
+        const bool usable = wanted(server.dataCentre) && assignment->first == id && takesWork(assignment->second)
+            && serves(server, request.model) && !request.excluded.contains(id);
+        if (usable) {
+            const token_count free = freeTokens(id).value_or(0);
+            centres[server.dataCentre].push_back({ &id, server.memoryTokens, std::min(free, server.memoryTokens) });
         }
-        const token_count free = freeTokens(id).value_or(0);
-        centres[server.dataCentre].push_back({ id, server.memoryTokens, std::min(free, server.memoryTokens) });
     }
     return centres;
 }
@@ -78,19 +95,20 @@
     for (candidate &engine : engines) {
         engine.free -= engine.memory * headroomPercent / wholePercent;
     }
-    std::sort(engines.begin(), engines.end(), [](const candidate &left, const candidate &right) {
-        return left.free != right.free ? left.free > right.free : left.id < right.id;
-    });
+    std::make_heap(engines.begin(), engines.end());
     if (engines.empty() || engines.front().free <= request.maxNewTokens) {
         return {};
     }
     const token_count wanted = request.promptTokens + request.maxNewTokens;
     token_count sum = 0;
-    for (size_t count = 0; count < engines.size() && engines[count].free > 0; ++count) {
-        sum += engines[count].free;
+    std::vector<candidate> chosen;
+    while (!engines.empty() && engines.front().free > 0) {
+        std::pop_heap(engines.begin(), engines.end());
+        chosen.push_back(engines.back());
+        engines.pop_back();
+        sum += chosen.back().free;
         if (sum >= wanted) {
-            engines.resize(count + 1);
-            return engines;
+            return chosen;
         }
     }
     return {};
@@ -137,7 +155,7 @@
         const bool last = place + 1 == engines.size();
         const token_count tokens = shares[place] + (last ? 1 : 0);
         if (tokens > 0) {
-            segments.push_back({ engines[place].id, first, tokens, tokens + (last ? request.maxNewTokens : 0) });
+            segments.push_back({ *engines[place].id, first, tokens, tokens + (last ? request.maxNewTokens : 0) });
             first += tokens;
         }
     }
@@ -193,6 +211,16 @@
 result<group_plan> planGroup(
     const membership::fleet_view &view, const free_tokens_hook &freeTokens, const plan_request &request, const planner_options &options)
 {
+    const data_centre_id &own = view.selfDataCentre;
+    const auto isOwn = [&own](const data_centre_id &centre) {
+        return centre == own;
+    };
+    if (request.promptTokens > 0) {
+        // The own data centre answers nearly always; the others are looked at only when it cannot.
+        if (auto plan = bestPlan(usableCandidates(view, freeTokens, request, isOwn), request, own, options.headroomPercent)) {
+            return *std::move(plan);
+        }
+    }
     const auto configured = configuredCapacity(*view.config, request.model);
     const bool everFits = request.promptTokens > 0 && std::any_of(configured.begin(), configured.end(), [&](const auto &entry) {
         return entry.second.holds(request);
@@ -200,10 +228,13 @@
     if (!everFits) {
         return tl::unexpected(refusal(error_code::prompt_exceeds_fleet, request, std::nullopt));
     }
-    const candidates_by_centre centres = usableCandidates(view, freeTokens, request);
-    // Room is left for short requests where possible; a prompt that fits only without it still runs.
+    const auto isAny = [](const data_centre_id & /*centre*/) {
+        return true;
+    };
+    const candidates_by_centre centres = usableCandidates(view, freeTokens, request, isAny);
+    // Room is left for short requests where any data centre allows it; a prompt that fits only without it still runs.
     for (const int headroom : { options.headroomPercent, 0 }) {
-        if (auto plan = bestPlan(centres, request, view.selfDataCentre, headroom)) {
+        if (auto plan = bestPlan(centres, request, own, headroom)) {
             return *std::move(plan);
         }
     }
--- a/src/group/tests/support/group_world.cpp
+++ b/src/group/tests/support/group_world.cpp
@@ -88,7 +88,8 @@
         node &item = m_nodes[name];
         item.maker = { config, instance_id(name), owners, {}, false };
         const auto free = [this](const backend_server_id &id) -> std::optional<token_count> {
-            const bool stale = m_random.below(100) < static_cast<std::uint64_t>(m_options.staleFreePercent);
+            const bool stale
+                = m_options.staleFreePercent > 0 && m_random.below(100) < static_cast<std::uint64_t>(m_options.staleFreePercent);
             return m_options.memoryTokens - (stale ? 0 : m_engines.at(id.str()).heldTokens(m_now));
         };
         item.coordinator = std::make_unique<group_coordinator>(options.group, free, random_source(options.seed * 31 + next++));
@@ -119,6 +120,7 @@
     start.expectedDecode = decodeTime;
     attempts[attempt].entry = entry;
     attempts[attempt].deadline = start.work.deadline;
+    attempts[attempt].repeatable = repeatable;
     toEntry(entry, start);
 }
 
@@ -251,7 +253,7 @@
         if (record.accepted > 1) {
             breach(name + " ran twice");
         }
-        if (record.failure && record.failure->outcome == verdict::not_run && record.promptSeen) {
+        if (record.failure && record.failure->outcome == verdict::not_run && record.promptSeen != 0) {
             breach(name + " says not run, and an engine saw it");
         }
         if (everyAttemptFinishes && !record.finished) {
@@ -468,7 +470,11 @@
 {
     deliver([this, entry, reply, work, body] {
         if (reply.step == kv_step::prefill) {
-            attempts[reply.key.group.str()].promptSeen = true;
+            attempt_record &record = attempts[reply.key.group.str()];
+            if (!record.repeatable && record.promptSeen != 0 && record.promptSeen != reply.key.generation) {
+                breach("prompt sent again, and it may not be repeated");
+            }
+            record.promptSeen = reply.key.generation;
             m_chains[engineGroupOf(reply.key)].insert(reply.backend.str());
         }
         post(work, [this, entry, reply, body] {
--- a/src/group/tests/support/group_world.h
+++ b/src/group/tests/support/group_world.h
@@ -64,7 +64,8 @@
         bool finished = false;
         std::optional<error> failure;
         int accepted = 0;
-        bool promptSeen = false;
+        bool repeatable = true;
+        std::uint64_t promptSeen = 0; ///< Generation in which an engine saw the prompt; 0: none.
     };
     std::map<std::string, attempt_record> attempts;
     int actions = 0;
