--- a/src/config/internal/backend_server_parser.cpp
+++ b/src/config/internal/backend_server_parser.cpp
@@ -44,11 +44,12 @@
         value.service = service_id(fields.id("service"));
     }
     const auto held = into.backendServers.find(value.id);
-    if (held != into.backendServers.end() && held->second.dataCentre != value.dataCentre) {
+    if (held != into.backendServers.end()) {
         problems.add({ error_code::config_duplicate_id, key.text, value.id.str(), held->second.dataCentre.str(), "1" });
         return;
     }
-    into.backendServers[value.id] = std::move(value);
+    const backend_server_id id = value.id;
+    into.backendServers.emplace(id, std::move(value));
 }
 
 } // namespace mustardtrail::config
--- a/src/config/internal/backend_server_parser.h
+++ b/src/config/internal/backend_server_parser.h
@@ -8,7 +8,7 @@
 namespace mustardtrail::config
 {
 
-/// Reads one backend server; an id that another data centre holds already is reported.
+/// Reads one backend server; an id that the configuration holds already is reported.
 void parseBackendServer(const config_key &key, field_reader &fields, configuration &into, problem_list &problems);
 
 } // namespace mustardtrail::config
--- a/src/config/internal/config_key.cpp
+++ b/src/config/internal/config_key.cpp
@@ -55,8 +55,11 @@
     if (!text.starts_with(backendServersPrefix)) {
         return std::nullopt;
     }
-    const std::string_view name = text.substr(backendServersPrefix.size());
-    if (!isValidId(name)) {
+    const std::string_view rest = text.substr(backendServersPrefix.size());
+    const size_t slash = rest.find('/');
+    const std::string_view name = rest.substr(0, slash);
+    const bool hasPart = slash != std::string_view::npos;
+    if (!isValidId(name) || (hasPart && !isValidId(rest.substr(slash + 1)))) {
         return std::nullopt;
     }
     return config_key{ key_kind::backend_servers, data_centre_id(std::string(name)), std::string(text) };
@@ -68,7 +71,7 @@
     for (const fixed_key &candidate : fixedKeys) {
         result += std::string(candidate.name) + " | ";
     }
-    return result + std::string(backendServersPrefix) + "DC";
+    return result.append(backendServersPrefix) + "DC[/PART]";
 }
 
 } // namespace mustardtrail::config
--- a/src/config/internal/config_key.h
+++ b/src/config/internal/config_key.h
@@ -23,7 +23,7 @@
 /// Key of the published configuration, read from its text.
 struct config_key {
     key_kind kind = key_kind::classes;
-    data_centre_id dataCentre; ///< Backend servers only.
+    data_centre_id dataCentre; ///< Backend servers only; a data centre may spread them over several keys.
     std::string text;
 
     /// True when the value is a list of elements with ids; else it is one object.
--- a/src/config/internal/element_parser.h
+++ b/src/config/internal/element_parser.h
@@ -11,7 +11,7 @@
 namespace mustardtrail::config
 {
 
-/// Reads one element under a key into the configuration, in place of one with the same id.
+/// Reads one element under a key into the configuration; an earlier one with the same id has been removed.
 void parseElement(
     const config_key &key, const std::string &id, const boost::json::object &object, configuration &into, problem_list &problems);
 
--- a/src/config/internal/update_stage.cpp
+++ b/src/config/internal/update_stage.cpp
@@ -182,6 +182,9 @@
             }
             id = std::string(given->get_string().data(), given->get_string().size());
         }
+        if (change.part->elements.contains(id)) {
+            change.removed.push_back(id);
+        }
         change.part->set(id, canonicalText(object));
         change.changed[id] = std::move(object);
     }
@@ -210,6 +213,9 @@
         if (held != part.elements.end() && held->second.text == text) {
             continue;
         }
+        if (held != part.elements.end()) {
+            change.removed.push_back(id);
+        }
         part.set(id, std::move(text));
         change.changed.emplace(id, std::move(object));
     }
@@ -219,7 +225,8 @@
 {
     m_result = std::make_shared<configuration>(*m_store.m_inForce);
     m_result->revision = m_update.revision;
-    // All removals come first, so that a backend server may move from one key to another.
+    // All removals come first, so that a backend server may move from one key to another and
+    // an id that is left belongs to another key.
     for (const part_change &change : m_changes) {
         for (const std::string &id : change.removed) {
             removeElement(change.part->key, id, *m_result);
--- a/src/config/internal/update_stage.h
+++ b/src/config/internal/update_stage.h
@@ -36,7 +36,7 @@
 private:
     struct part_change {
         std::shared_ptr<config_part> part;
-        std::vector<std::string> removed;
+        std::vector<std::string> removed; ///< Ids that are gone or that change.
         std::map<std::string, boost::json::object> changed;
     };
 
--- a/src/config/tests/parse_test.cpp
+++ b/src/config/tests/parse_test.cpp
@@ -129,6 +129,16 @@
     cr_assert(parseConfiguration(entries).error().at(0).code == error_code::config_duplicate_key);
 }
 
+Test(parse, takesTheBackendServersOfADataCentreFromSeveralKeys)
+{
+    sample_values values = sampleValues();
+    values["backend_servers/dc2/rack-7"] = concat({ "[", engineText("g9", 9009), "]" });
+    const auto parsed = parseConfiguration(entriesOf(values));
+    testing::expectEqual((*parsed)->backendServers.at(backend_server_id("g9")).dataCentre, data_centre_id("dc2"));
+    values["backend_servers/dc2/rack-8"] = concat({ "[", engineText("g9", 9010), "]" });
+    testing::expectEqual(shown(problemsOf(values)), "MT-2006 backend_servers/dc2/rack-8 g9|dc2|1\n");
+}
+
 Test(parse, refusesUnknownReferences)
 {
     expectProblem(dc1, "[\"pay\"]", "[\"pays\"]", error_code::config_unknown_reference, "g1.models");
--- a/src/config/tests/store_property_test.cpp
+++ b/src/config/tests/store_property_test.cpp
@@ -69,7 +69,7 @@
         case 4:
             return { "classes", coin(sampleValues()["classes"], R"([{"id":"lookup"}])") };
         default:
-            return { coin("backend_servers/dc1", "backend_servers/dc2"), randomServers() };
+            return { coin("backend_servers/dc1", coin("backend_servers/dc2", "backend_servers/dc2/part")), randomServers() };
         }
     }
 
