--- a/src/config/bench/config_bench.cpp
+++ b/src/config/bench/config_bench.cpp
@@ -21,6 +21,7 @@
 {
     fleet_size size;
     size.backendServers = static_cast<int>(state.range(0));
+    size.partsPerDataCentre = static_cast<int>(state.range(1));
     return size;
 }
 
@@ -32,7 +33,7 @@
 config_update oneChange(const fleet_size &size, std::int64_t base)
 {
     const int warmRequests = 64 + static_cast<int>(base % 2);
-    return { base + 1, base, false, { { "backend_servers/dc-0", base + 1, backendServersText(size, 0, warmRequests) } }, {}, {} };
+    return { base + 1, base, false, { { backendServersKey(size, 0, 0), base + 1, backendServersText(size, 0, 0, warmRequests) } }, {}, {} };
 }
 
 double heapBytes()
@@ -120,7 +121,8 @@
 
 void sizes(benchmark::internal::Benchmark *bench)
 {
-    bench->Arg(36)->Arg(1'200)->Arg(12'000)->Unit(benchmark::kMillisecond);
+    bench->ArgNames({ "servers", "parts" })->Args({ 36, 1 })->Args({ 1'200, 1 })->Args({ 12'000, 1 })->Args({ 12'000, 13 });
+    bench->Unit(benchmark::kMillisecond);
 }
 
 BENCHMARK(parseWhole)->Apply(sizes);
--- a/src/config/bench/fleet_values.cpp
+++ b/src/config/bench/fleet_values.cpp
@@ -11,6 +11,7 @@
 {
 
 constexpr int firstPort = 9000;
+constexpr int usualWarmRequests = 64;
 
 std::string list(int count, const std::function<std::string(int)> &element)
 {
@@ -60,14 +61,20 @@
 
 } // namespace
 
-std::string backendServersText(const fleet_size &size, int dataCentre, int firstWarmRequests)
+std::string backendServersText(const fleet_size &size, int dataCentre, int part, int firstWarmRequests)
 {
-    constexpr int warmRequests = 64;
-    return list(size.backendServers / size.dataCentres, [&](int number) {
-        return engine(size, dataCentre, number, number == 0 ? firstWarmRequests : warmRequests);
+    const int count = size.backendServers / size.dataCentres / size.partsPerDataCentre;
+    return list(count, [&](int number) {
+        return engine(size, dataCentre, part * count + number, number == 0 ? firstWarmRequests : usualWarmRequests);
     });
 }
 
+std::string backendServersKey(const fleet_size &size, int dataCentre, int part)
+{
+    const std::string key = concat({ "backend_servers/dc-", std::to_string(dataCentre) });
+    return size.partsPerDataCentre == 1 ? key : concat({ key, "/part-", std::to_string(part) });
+}
+
 std::vector<config_entry> fleetEntries(const fleet_size &size, std::int64_t revision)
 {
     std::vector<config_entry> entries;
@@ -81,8 +88,10 @@
     entries.push_back({ "models", revision, named("model", size.models) });
     entries.push_back({ "weight_store", revision, R"({"bytes_per_second":"10GB"})" });
     for (int dataCentre = 0; dataCentre < size.dataCentres; ++dataCentre) {
-        entries.push_back(
-            { concat({ "backend_servers/dc-", std::to_string(dataCentre) }), revision, backendServersText(size, dataCentre, 64) });
+        for (int part = 0; part < size.partsPerDataCentre; ++part) {
+            entries.push_back(
+                { backendServersKey(size, dataCentre, part), revision, backendServersText(size, dataCentre, part, usualWarmRequests) });
+        }
     }
     return entries;
 }
--- a/src/config/internal/json_reader.cpp
+++ b/src/config/internal/json_reader.cpp
@@ -1,7 +1,10 @@
 #include "config/internal/json_reader.h"
 
+#include "config/internal/config_key.h"
 #include "config/internal/name_scan.h"
 
+#include <cstdio>
+
 #include <boost/json/basic_parser_impl.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
@@ -14,6 +17,7 @@
 
 constexpr size_t maxDepth = 16;
 constexpr size_t maxShownBytes = 60;
+constexpr unsigned char firstByteAboveText = 0x7f;
 
 json_failure syntaxFailure(size_t offset)
 {
@@ -27,6 +31,22 @@
     return options;
 }
 
+/// JSON leaves bytes above ASCII as they are; a terminal might turn text around or hide it.
+std::string escaped(const std::string &text)
+{
+    std::string result;
+    for (const char byte : text) {
+        if (static_cast<unsigned char>(byte) < firstByteAboveText) {
+            result += byte;
+            continue;
+        }
+        char code[5];
+        std::snprintf(code, sizeof code, "\\x%02x", static_cast<unsigned>(static_cast<unsigned char>(byte)));
+        result += code;
+    }
+    return result;
+}
+
 } // namespace
 
 tl::expected<boost::json::value, json_failure> readJson(std::string_view text)
@@ -53,15 +73,14 @@
     if (value.is_array() && value.get_array().size() > maxShownBytes) {
         return "[...]";
     }
-    std::string text = boost::json::serialize(value);
-    if (text.size() <= maxShownBytes) {
-        return text;
-    }
-    size_t end = maxShownBytes;
-    while (end > 0 && (static_cast<unsigned char>(text[end]) & 0xC0U) == 0x80U) {
-        --end;
-    }
-    return text.substr(0, end) + "...";
+    const std::string text = boost::json::serialize(value);
+    const std::string shown = escaped(text.substr(0, maxShownBytes));
+    return text.size() > maxShownBytes ? shown + "..." : shown;
+}
+
+std::string shownName(const std::string &name)
+{
+    return isValidId(name) ? name : shortText(boost::json::string(name));
 }
 
 } // namespace mustardtrail::config
--- a/src/config/internal/json_reader.h
+++ b/src/config/internal/json_reader.h
@@ -24,7 +24,9 @@
 /// Strict JSON: no comments, no trailing commas, no name twice in an object.
 tl::expected<boost::json::value, json_failure> readJson(std::string_view text);
 
-/// Text of a value, cut to a length that fits a table.
+/// Text of a value in ASCII, cut to a length that fits a table.
 std::string shortText(const boost::json::value &value);
+/// Name of an object's member as it is shown in a place: quoted and cut unless it is a plain id.
+std::string shownName(const std::string &name);
 
 } // namespace mustardtrail::config
--- a/src/config/internal/name_scan.cpp
+++ b/src/config/internal/name_scan.cpp
@@ -44,7 +44,7 @@
     frame &top = m_frames[m_depth - 1];
     const auto end = top.names.begin() + static_cast<std::ptrdiff_t>(top.nameCount);
     if (std::find(top.names.begin(), end, m_name) != end) {
-        return fail(error_code::config_duplicate_key, m_name, "1", code);
+        return fail(error_code::config_duplicate_key, shownName(m_name), "1", code);
     }
     if (top.nameCount == maxObjectNames) {
         return fail(error_code::config_too_large,
@@ -105,7 +105,7 @@
             continue;
         }
         result += result.empty() ? "" : ".";
-        result += step.names[step.nameCount - 1];
+        result += shownName(step.names[step.nameCount - 1]);
     }
     return result;
 }
--- a/src/config/internal/update_stage.cpp
+++ b/src/config/internal/update_stage.cpp
@@ -5,14 +5,32 @@
 #include "config/internal/element_parser.h"
 #include "config/internal/json_reader.h"
 #include "config/internal/required_keys.h"
+#include "config/internal/update_envelope.h"
 #include "config/parse_configuration.h"
 
 #include <algorithm>
-#include <set>
+#include <optional>
 
 namespace mustardtrail::config
 {
 
+namespace
+{
+
+std::optional<std::string> elementId(const config_key &key, const boost::json::object &object)
+{
+    if (!key.isList()) {
+        return std::string();
+    }
+    const boost::json::value *id = object.if_contains("id");
+    if (id == nullptr || !id->is_string()) {
+        return std::nullopt;
+    }
+    return std::string(id->get_string().data(), id->get_string().size());
+}
+
+} // namespace
+
 update_stage::update_stage(const config_store &store, const config_update &update)
     : m_store(store)
     , m_update(update)
@@ -22,8 +40,8 @@
 
 update_stage::state update_stage::run()
 {
-    if (!checkEnvelope()) {
-        m_refusal = m_problems.take();
+    m_refusal = checkEnvelope(m_update, heldRevisions());
+    if (!m_refusal.empty()) {
         return state::damaged;
     }
     for (const config_patch &patch : m_update.patches) {
@@ -57,51 +75,13 @@
     return m_result;
 }
 
-bool update_stage::checkEnvelope()
-{
-    std::int64_t newest = 0;
-    std::set<std::string> seen;
-    const auto check = [&](const std::string &key, std::int64_t revision) {
-        if (!seen.insert(key).second) {
-            m_problems.add({ error_code::config_duplicate_key, shownKey(key), "", shownKey(key), "1" });
-        }
-        checkEntry(key, revision);
-        newest = std::max(newest, revision);
-    };
-    for (const config_entry &entry : m_update.entries) {
-        check(entry.key, entry.revision);
-    }
-    for (const config_patch &patch : m_update.patches) {
-        check(patch.key, patch.revision);
-    }
-    // The newest entry carries the revision itself, so a reply without it was cut short.
-    if (newest < m_update.revision) {
-        m_problems.add({ error_code::config_incomplete, "", "revision", std::to_string(newest), std::to_string(m_update.revision) });
-    }
-    if (m_update.complete) {
-        for (const auto &[key, part] : m_parts) {
-            if (!seen.contains(key)) {
-                m_problems.add({ error_code::config_incomplete, key, "", "", key });
-            }
-        }
-    }
-    return m_problems.empty();
-}
-
-void update_stage::checkEntry(const std::string &key, std::int64_t revision)
+std::map<std::string, std::int64_t> update_stage::heldRevisions() const
 {
-    if (revision < 1 || revision > m_update.revision) {
-        m_problems.add({ error_code::config_out_of_range,
-            shownKey(key),
-            "revision",
-            std::to_string(revision),
-            "1.." + std::to_string(m_update.revision) });
-    }
-    const std::int64_t held = m_store.keyRevision(key);
-    if (m_update.complete && revision < held) {
-        m_problems.add(
-            { error_code::config_revision_went_back, shownKey(key), "revision", std::to_string(revision), ">= " + std::to_string(held) });
+    std::map<std::string, std::int64_t> revisions;
+    for (const auto &[key, part] : m_parts) {
+        revisions[key] = part->revision;
     }
+    return revisions;
 }
 
 bool update_stage::isNewer(const std::string &key, std::int64_t revision) const
@@ -168,34 +148,42 @@
         change.part->remove(id);
         change.removed.push_back(id);
     }
-    for (const std::string &text : patch.changed) {
-        tl::expected<boost::json::value, json_failure> value = readJson(text);
-        if (!value || !value->is_object()) {
-            return false;
-        }
-        boost::json::object &object = value->get_object();
-        std::string id;
-        if (change.part->key.isList()) {
-            const boost::json::value *given = object.if_contains("id");
-            if (given == nullptr || !given->is_string()) {
-                return false;
-            }
-            id = std::string(given->get_string().data(), given->get_string().size());
-        }
-        if (change.part->elements.contains(id)) {
-            change.removed.push_back(id);
-        }
-        change.part->set(id, canonicalText(object));
-        change.changed[id] = std::move(object);
-    }
+    const bool allRead = std::all_of(patch.changed.begin(), patch.changed.end(), [&change](const std::string &text) {
+        return change.readElement(text);
+    });
     // The digest tells whether the sender patched the content that is in force here.
-    if (change.part->digest != patch.digest) {
+    if (!allRead || change.part->digest != patch.digest) {
         return false;
     }
     m_changes.push_back(std::move(change));
     return true;
 }
 
+bool update_stage::part_change::readElement(const std::string &text)
+{
+    tl::expected<boost::json::value, json_failure> value = readJson(text);
+    if (!value || !value->is_object()) {
+        return false;
+    }
+    boost::json::object &object = value->get_object();
+    const std::optional<std::string> id = elementId(part->key, object);
+    if (!id) {
+        return false;
+    }
+    std::string canonical = canonicalText(object);
+    set(*id, std::move(canonical), std::move(object));
+    return true;
+}
+
+void update_stage::part_change::set(const std::string &id, std::string text, boost::json::object object)
+{
+    if (part->elements.contains(id)) {
+        removed.push_back(id);
+    }
+    part->set(id, std::move(text));
+    changed[id] = std::move(object);
+}
+
 void update_stage::diff(part_change &change, element_objects elements) const
 {
     config_part &part = *change.part;
@@ -213,11 +201,7 @@
         if (held != part.elements.end() && held->second.text == text) {
             continue;
         }
-        if (held != part.elements.end()) {
-            change.removed.push_back(id);
-        }
-        part.set(id, std::move(text));
-        change.changed.emplace(id, std::move(object));
+        change.set(id, std::move(text), std::move(object));
     }
 }
 
--- a/src/config/internal/update_stage.h
+++ b/src/config/internal/update_stage.h
@@ -38,10 +38,12 @@
         std::shared_ptr<config_part> part;
         std::vector<std::string> removed; ///< Ids that are gone or that change.
         std::map<std::string, boost::json::object> changed;
+
+        bool readElement(const std::string &text);
+        void set(const std::string &id, std::string text, boost::json::object object);
     };
 
-    bool checkEnvelope();
-    void checkEntry(const std::string &key, std::int64_t revision);
+    std::map<std::string, std::int64_t> heldRevisions() const;
     bool isNewer(const std::string &key, std::int64_t revision) const;
     part_change startChange(const config_key &key, std::int64_t revision) const;
     void stageEntry(const config_entry &entry);
--- a/src/config/tests/parse_test.cpp
+++ b/src/config/tests/parse_test.cpp
@@ -157,6 +157,15 @@
     expectProblem("weight_store", "{", "{" + names, error_code::config_too_large, "");
 }
 
+Test(parse, showsForeignTextInAsciiAndCut)
+{
+    sample_values values = sampleValues();
+    values["weight_store"] = concat({ "{\"\xe2\x80\xae\\u001b\":{\"a\":1,\"a\":2}}" });
+    testing::expectEqual(shown(problemsOf(values)), "MT-2011 weight_store \"\\xe2\\x80\\xae\\u001b\"|a|1\n");
+    values["weight_store"] = concat({ "{\"bytes_per_second\":\"", std::string(5000, 'x'), "\"}" });
+    cr_assert(shown(problemsOf(values)).size() < 200);
+}
+
 Test(parse, listsAllProblemsInOneOrderAndBoundsThem)
 {
     sample_values values = sampleValues();
