--- a/src/config/internal/cross_checks.cpp
+++ b/src/config/internal/cross_checks.cpp
@@ -37,11 +37,6 @@
 
 using address_owners = std::unordered_map<endpoint, const backend_server *, endpoint_hash>;
 
-std::string keyOf(const backend_server &server)
-{
-    return concat({ "backend_servers/", server.dataCentre.str() });
-}
-
 // A field that could not be read is reported already and holds zero or nothing here.
 
 void checkClasses(const configuration &value, problem_list &problems)
@@ -57,7 +52,7 @@
     }
 }
 
-void checkBackendServer(const configuration &value, const backend_server &server, problem_list &problems)
+void checkBackendServer(const configuration &value, const backend_server &server, const key_of_server &keyOf, problem_list &problems)
 {
     if (!value.dataCentres.contains(server.dataCentre)) {
         problems.add({ error_code::config_unknown_reference,
@@ -88,7 +83,7 @@
     }
 }
 
-void checkAddress(address_owners &owners, const backend_server &server, problem_list &problems)
+void checkAddress(address_owners &owners, const backend_server &server, const key_of_server &keyOf, problem_list &problems)
 {
     if (server.address.address.empty()) {
         return;
@@ -105,14 +100,14 @@
 
 } // namespace
 
-void checkReferences(const configuration &value, problem_list &problems)
+void checkReferences(const configuration &value, const key_of_server &keyOf, problem_list &problems)
 {
     checkClasses(value, problems);
     address_owners owners;
     owners.reserve(value.backendServers.size());
     for (const auto &[id, server] : value.backendServers) {
-        checkBackendServer(value, server, problems);
-        checkAddress(owners, server, problems);
+        checkBackendServer(value, server, keyOf, problems);
+        checkAddress(owners, server, keyOf, problems);
     }
 }
 
--- a/src/config/internal/parse_configuration.cpp
+++ b/src/config/internal/parse_configuration.cpp
@@ -6,6 +6,7 @@
 #include "config/internal/value_reader.h"
 
 #include <algorithm>
+#include <map>
 #include <set>
 
 namespace mustardtrail::config
@@ -27,7 +28,9 @@
     return sorted;
 }
 
-void parseEntry(const config_entry &entry, configuration &into, problem_list &problems)
+using keys_by_server = std::map<backend_server_id, std::string>;
+
+void parseEntry(const config_entry &entry, configuration &into, keys_by_server &keys, problem_list &problems)
 {
     const std::optional<config_key> key = configKeyFromString(entry.key);
     if (!key) {
@@ -36,6 +39,9 @@
     }
     for (const auto &[id, object] : readValue(*key, *entry.value, problems)) {
         parseElement(*key, id, object, into, problems);
+        if (key->kind == key_kind::backend_servers) {
+            keys.emplace(id, entry.key);
+        }
     }
 }
 
@@ -46,6 +52,7 @@
     problem_list problems;
     std::set<std::string> present;
     std::set<std::string> seen;
+    keys_by_server keys;
     const auto result = std::make_shared<configuration>();
     for (const config_entry *entry : sortedByKey(entries)) {
         result->revision = std::max(result->revision, entry->revision);
@@ -57,14 +64,19 @@
             continue;
         }
         present.insert(entry->key);
-        parseEntry(*entry, *result, problems);
+        parseEntry(*entry, *result, keys, problems);
     }
     checkRequiredKeys(
         [&present](const std::string &key) {
             return present.contains(key);
         },
         problems);
-    checkReferences(*result, problems);
+    checkReferences(
+        *result,
+        [&keys](const backend_server &server) {
+            return keys.at(server.id);
+        },
+        problems);
     if (!problems.empty()) {
         return tl::unexpected(problems.take());
     }
--- a/src/config/internal/update_stage.cpp
+++ b/src/config/internal/update_stage.cpp
@@ -228,7 +228,13 @@
             return part != m_parts.end() && !part->second->deleted;
         },
         m_problems);
-    checkReferences(*m_result, m_problems);
+    // Only whether there are problems counts here; wholeProblems() names them.
+    checkReferences(
+        *m_result,
+        [](const backend_server &server) {
+            return server.dataCentre.str();
+        },
+        m_problems);
 }
 
 std::vector<config_problem> update_stage::wholeProblems()
--- a/src/config/tests/parse_test.cpp
+++ b/src/config/tests/parse_test.cpp
@@ -135,6 +135,9 @@
     values["backend_servers/dc2/rack-7"] = concat({ "[", engineText("g9", 9009), "]" });
     const auto parsed = parseConfiguration(entriesOf(values));
     testing::expectEqual((*parsed)->backendServers.at(backend_server_id("g9")).dataCentre, data_centre_id("dc2"));
+    values["backend_servers/dc2/rack-7"] = concat({ "[", engineText("g9", 9001), "]" });
+    testing::expectEqual(shown(problemsOf(values)), "MT-2006 backend_servers/dc2/rack-7 g9.address|127.0.0.1:9001|!= g1\n");
+    values["backend_servers/dc2/rack-7"] = concat({ "[", engineText("g9", 9009), "]" });
     values["backend_servers/dc2/rack-8"] = concat({ "[", engineText("g9", 9010), "]" });
     testing::expectEqual(shown(problemsOf(values)), "MT-2006 backend_servers/dc2/rack-8 g9|dc2|1\n");
 }
