--- a/src/config/tests/parse_test.cpp
+++ b/src/config/tests/parse_test.cpp
@@ -129,6 +129,19 @@
     cr_assert(parseConfiguration(entries).error().at(0).code == error_code::config_duplicate_key);
 }
 
+Test(parse, takesTheBackendServersOfADataCentreFromSeveralKeys)
+{
+    sample_values values = sampleValues();
+    values["backend_servers/dc2/rack-7"] = concat({ "[", engineText("g9", 9009), "]" });
+    const auto parsed = parseConfiguration(entriesOf(values));
+    testing::expectEqual((*parsed)->backendServers.at(backend_server_id("g9")).dataCentre, data_centre_id("dc2"));
+    values["backend_servers/dc2/rack-7"] = concat({ "[", engineText("g9", 9001), "]" });
+    testing::expectEqual(shown(problemsOf(values)), "MT-2006 backend_servers/dc2/rack-7 g9.address|127.0.0.1:9001|!= g1\n");
+    values["backend_servers/dc2/rack-7"] = concat({ "[", engineText("g9", 9009), "]" });
+    values["backend_servers/dc2/rack-8"] = concat({ "[", engineText("g9", 9010), "]" });
+    testing::expectEqual(shown(problemsOf(values)), "MT-2006 backend_servers/dc2/rack-8 g9|dc2|1\n");
+}
+
 Test(parse, refusesUnknownReferences)
 {
     expectProblem(dc1, "[\"pay\"]", "[\"pays\"]", error_code::config_unknown_reference, "g1.models");
@@ -147,6 +160,15 @@
     expectProblem("weight_store", "{", "{" + names, error_code::config_too_large, "");
 }
 
+Test(parse, showsForeignTextInAsciiAndCut)
+{
+    sample_values values = sampleValues();
+    values["weight_store"] = concat({ "{\"\xe2\x80\xae\\u001b\":{\"a\":1,\"a\":2}}" });
+    testing::expectEqual(shown(problemsOf(values)), "MT-2011 weight_store \"\\xe2\\x80\\xae\\u001b\"|a|1\n");
+    values["weight_store"] = concat({ "{\"bytes_per_second\":\"", std::string(5000, 'x'), "\"}" });
+    cr_assert(shown(problemsOf(values)).size() < 200);
+}
+
 Test(parse, listsAllProblemsInOneOrderAndBoundsThem)
 {
     sample_values values = sampleValues();
