--- a/src/membership/internal/member_table.cpp
+++ b/src/membership/internal/member_table.cpp
@@ -230,6 +230,7 @@
 // that only the list knows starts at incarnation 0, which any datagram of it replaces.
 void member_table::list(const std::vector<live_list_entry> &entries, time_point now)
 {
+    const std::set<instance_id> before = listedIds();
     for (auto &[id, known] : m_members) {
         known.listed = false;
     }
@@ -250,6 +251,18 @@
             adoptEndpoints(known.news.member, { id, entry.dataCentre, entry.requests, entry.heartbeats, peer_state::alive, 0 });
         }
     }
+    m_changes += before == listedIds() ? 0 : 1;
+}
+
+std::set<instance_id> member_table::listedIds() const
+{
+    std::set<instance_id> ids;
+    for (const auto &[id, known] : m_members) {
+        if (known.listed) {
+            ids.insert(ids.end(), id);
+        }
+    }
+    return ids;
 }
 
 void member_table::setListState(const instance_id &id, listing_state state)
--- a/src/membership/internal/member_table.h
+++ b/src/membership/internal/member_table.h
@@ -6,6 +6,7 @@
 #include "membership/live_list_entry.h"
 
 #include <map>
+#include <set>
 #include <vector>
 
 namespace mustardtrail::membership
@@ -48,6 +49,7 @@
     void insert(const member_news &news, time_point now);
     void setState(member &subject, peer_state state, time_point now);
     void restoreDataCentre(const data_centre_id &dataCentre, time_point now);
+    std::set<instance_id> listedIds() const;
     bool isBuried(const member_news &news) const;
     void bury(const member &subject, time_point now);
 
--- a/src/membership/internal/peer_message.cpp
+++ b/src/membership/internal/peer_message.cpp
@@ -51,9 +51,16 @@
     return std::chrono::milliseconds(age - 1);
 }
 
+bool isPrintable(const std::string &text)
+{
+    return std::all_of(text.begin(), text.end(), [](unsigned char byte) {
+        return byte > ' ' && byte < 0x7f;
+    });
+}
+
 bool isId(const std::string &text)
 {
-    return !text.empty() && text.size() <= maxIdBytes;
+    return !text.empty() && text.size() <= maxIdBytes && isPrintable(text);
 }
 
 bool readAddress(const std::string &bytes, endpoint &out)
@@ -113,7 +120,7 @@
 
 bool readHead(const wire::Datagram &in, peer_message &out)
 {
-    if (!isKind(in.kind()) || in.config_revision() < 0 || in.subject().size() > maxIdBytes) {
+    if (!isKind(in.kind()) || in.config_revision() < 0 || (!in.subject().empty() && !isId(in.subject()))) {
         return false;
     }
     out.cluster = in.cluster();
--- a/src/membership/internal/view_builder.cpp
+++ b/src/membership/internal/view_builder.cpp
@@ -30,6 +30,24 @@
     return (server.inService && dataCentreIn && listed) || !inputs.drains;
 }
 
+const std::vector<instance_id> &candidatesIn(const owner_candidates &candidates, const data_centre_id &dataCentre)
+{
+    static const std::vector<instance_id> nobody;
+    const auto found = candidates.find(dataCentre);
+    return found == candidates.end() ? nobody : found->second;
+}
+
+std::set<data_centre_id> unchangedIn(const owner_candidates &before, const owner_candidates &after)
+{
+    std::set<data_centre_id> unchanged;
+    for (const auto &[dataCentre, candidates] : after) {
+        if (candidatesIn(before, dataCentre) == candidates) {
+            unchanged.insert(dataCentre);
+        }
+    }
+    return unchanged;
+}
+
 } // namespace
 
 owner_candidates ownerCandidates(const member_table &members, const config::configuration &config)
@@ -51,7 +69,7 @@
     return candidates;
 }
 
-fleet_view buildView(const view_inputs &inputs)
+fleet_view buildView(const view_inputs &inputs, const fleet_view *before, owner_candidates &candidates)
 {
     fleet_view view;
     view.config = inputs.config;
@@ -61,12 +79,13 @@
     for (const auto &[id, known] : inputs.members.members()) {
         view.peers.emplace_hint(view.peers.end(), id, shown(known));
     }
-    const owner_candidates candidates = ownerCandidates(inputs.members, *inputs.config);
-    const std::vector<instance_id> nobody;
+    const owner_candidates old = std::exchange(candidates, ownerCandidates(inputs.members, *inputs.config));
+    const std::set<data_centre_id> unchanged
+        = before != nullptr && before->config == inputs.config ? unchangedIn(old, candidates) : std::set<data_centre_id>();
     for (const auto &[id, server] : inputs.config->backendServers) {
-        const auto found = candidates.find(server.dataCentre);
+        const std::vector<instance_id> &choice = candidatesIn(candidates, server.dataCentre);
         backend_assignment assignment;
-        assignment.owner = ownerOf(id, found == candidates.end() ? nobody : found->second);
+        assignment.owner = unchanged.contains(server.dataCentre) ? before->backends.at(id).owner : ownerOf(id, choice);
         assignment.acceptsNewWork = acceptsNewWork(server, inputs);
         view.backends.emplace_hint(view.backends.end(), id, assignment);
     }
--- a/src/membership/internal/view_builder.h
+++ b/src/membership/internal/view_builder.h
@@ -26,8 +26,9 @@
     bool drains = true;
 };
 
-/// View without confirmation, isolation and the node's own claims.
-fleet_view buildView(const view_inputs &inputs);
+/// View without confirmation, isolation and the node's own claims. Owners are taken over from the view before where
+/// neither the configuration nor the candidates of the data centre have changed; `candidates` is brought up to date.
+fleet_view buildView(const view_inputs &inputs, const fleet_view *before, owner_candidates &candidates);
 
 /// Backend servers that the view gives to its own instance.
 std::set<backend_server_id> ownedBySelf(const fleet_view &view);
--- a/src/membership/internal/view_logic.cpp
+++ b/src/membership/internal/view_logic.cpp
@@ -90,11 +90,11 @@
 
 void view_logic::readServices(time_point now)
 {
-    const std::vector<instance_id> candidates = localCandidates();
-    add(m_list.tick(readerRank(listService, m_settings.self, candidates), now));
+    countMembers();
+    add(m_list.tick(m_counts.listRank, now));
     const bool knowsPeers = m_list.list().age(now).has_value() || now - *m_startedAt >= m_settings.firstListWait;
     if (knowsPeers) {
-        add(m_config.tick(readerRank(configService, m_settings.self, candidates), now));
+        add(m_config.tick(m_counts.configRank, now));
     }
 }
 
@@ -198,6 +198,7 @@
     }
     log(log_line("leaving").str());
     m_members.leave();
+    ++m_claimChanges;
     send(m_detector.probeNow(m_settings.detector.pushFanout, now), now);
 }
 
@@ -208,8 +209,10 @@
 
 void view_logic::confirm(time_point now)
 {
+    countMembers();
     const bool wasIsolated = m_confirmation.isIsolated();
-    const bool reunited = m_confirmation.update(countMembers(true), countMembers(false), isUpToDate(), now);
+    const bool wasRefreshing = m_confirmation.isRefreshing();
+    const bool reunited = m_confirmation.update(m_counts.listedPeers, m_counts.answering, isUpToDate(), now);
     if (wasIsolated != m_confirmation.isIsolated()) {
         log(log_line(wasIsolated ? "isolation_over" : "isolated").str());
         ++m_claimChanges;
@@ -217,16 +220,21 @@
     if (reunited) {
         m_ownership.interrupt();
     }
+    if (wasRefreshing && !m_confirmation.isRefreshing()) {
+        ++m_claimChanges;
+    }
     if (m_config.store().revision() > m_pushedRevision) {
         m_pushedRevision = m_config.store().revision();
         send(m_detector.probeNow(m_settings.detector.pushFanout, now), now);
     }
 }
 
-bool view_logic::isStale() const
+// Changes of members come in bursts when a data centre is cut off; they are taken together.
+bool view_logic::isStale(time_point now) const
 {
-    return m_builtRevision != m_config.store().revision() || m_builtMembers != m_members.changes()
-        || m_builtListings != m_list.book().changes() || m_builtClaims != m_claimChanges;
+    const bool urgent
+        = m_builtRevision != m_config.store().revision() || m_builtListings != m_list.book().changes() || m_builtClaims != m_claimChanges;
+    return urgent || (m_builtMembers != m_members.changes() && now - m_rebuiltAt >= m_settings.tickInterval);
 }
 
 void view_logic::publish(time_point now)
@@ -236,7 +244,7 @@
     }
     const time_point confirmedAt = m_confirmation.confirmedAt();
     const bool renewed = m_view == nullptr || (confirmedAt > m_view->confirmedAt && now - m_publishedAt >= m_settings.publishInterval);
-    if (isStale()) {
+    if (isStale(now)) {
         rebuild(now);
     } else if (renewed) {
         auto next = std::make_shared<fleet_view>(*m_view);
@@ -251,8 +259,13 @@
 
 void view_logic::rebuild(time_point now)
 {
-    auto next = std::make_shared<fleet_view>(buildView({ m_members, m_list.book(), m_config.store().inForce(), m_settings.drains }));
-    m_ownership.update(ownedBySelf(*next), m_clock, now);
+    auto next = std::make_shared<fleet_view>(
+        buildView({ m_members, m_list.book(), m_config.store().inForce(), m_settings.drains }, m_view.get(), m_builtCandidates));
+    m_rebuiltAt = now;
+    // During a refresh no claim is made: its number could be below that of an owner not heard of yet.
+    if (!m_confirmation.isRefreshing()) {
+        m_ownership.update(ownedBySelf(*next), m_clock, now);
+    }
     addClaims(*next, m_ownership);
     next->confirmedAt = m_confirmation.confirmedAt();
     next->isolated = m_confirmation.isIsolated();
@@ -320,11 +333,21 @@
     return candidates;
 }
 
-size_t view_logic::countMembers(bool listedOnly) const
+// Counted anew only after a change: at 910 members this is the dearest step of an event.
+void view_logic::countMembers()
 {
-    return static_cast<size_t>(std::count_if(m_members.members().begin(), m_members.members().end(), [listedOnly](const auto &entry) {
-        return listedOnly ? entry.second.listed && !entry.second.listLeaving : entry.second.state() == peer_state::alive;
-    }));
+    if (m_countedAt == m_members.changes()) {
+        return;
+    }
+    m_countedAt = m_members.changes();
+    m_counts = {};
+    for (const auto &[id, known] : m_members.members()) {
+        m_counts.listedPeers += known.listed && !known.listLeaving ? 1 : 0;
+        m_counts.answering += known.state() == peer_state::alive ? 1 : 0;
+    }
+    const std::vector<instance_id> candidates = localCandidates();
+    m_counts.configRank = readerRank(configService, m_settings.self, candidates);
+    m_counts.listRank = readerRank(listService, m_settings.self, candidates);
 }
 
 } // namespace mustardtrail::membership
--- a/src/membership/internal/view_logic.h
+++ b/src/membership/internal/view_logic.h
@@ -17,6 +17,14 @@
 constexpr std::string_view configService = "configuration";
 constexpr std::string_view listService = "live_list";
 
+/// What follows from the member table and is asked for at every event.
+struct member_counts {
+    size_t listedPeers = 0; ///< Called live by the list.
+    size_t answering = 0; ///< Held for alive.
+    int configRank = 0;
+    int listRank = 0;
+};
+
 /// Parts of the view process and the order in which events pass through them.
 class view_logic
 {
@@ -47,7 +55,7 @@
     void confirm(time_point now);
     void publish(time_point now);
     void rebuild(time_point now);
-    bool isStale() const;
+    bool isStale(time_point now) const;
     void takeMessage(const peer_message &message, const endpoint &from, time_point now);
     void send(std::vector<outgoing_message> messages, time_point now);
     void complete(outgoing_message &out, time_point now);
@@ -55,7 +63,7 @@
     void log(std::string line);
     void logMembers();
     std::vector<instance_id> localCandidates() const;
-    size_t countMembers(bool listedOnly) const;
+    void countMembers();
     bool isUpToDate() const;
 
     view_settings m_settings;
@@ -80,6 +88,10 @@
     std::uint64_t m_builtListings = 0;
     std::uint64_t m_builtClaims = 0;
     std::uint64_t m_claimChanges = 1;
+    time_point m_rebuiltAt{};
+    owner_candidates m_builtCandidates;
+    std::optional<std::uint64_t> m_countedAt;
+    member_counts m_counts;
     std::map<instance_id, peer_state> m_loggedStates;
     std::uint64_t m_loggedAt = 0;
     std::int64_t m_pushedRevision = 0;
--- a/src/membership/tests/fake_fleet.cpp
+++ b/src/membership/tests/fake_fleet.cpp
@@ -67,7 +67,9 @@
             settings.adjust(added.settings);
         }
         schedule(milliseconds(m_random.below(200)), [this, index] {
-            start(index);
+            if (m_starts[static_cast<size_t>(index)] == 0) {
+                start(index);
+            }
         });
     }
 }
--- a/src/membership/tests/view_core_test.cpp
+++ b/src/membership/tests/view_core_test.cpp
@@ -1,48 +1,16 @@
-#include "tests/fake_fleet.h"
+#include "tests/fleet_checks.h"
 
 #include "testing/expect.h"
 
 #include "testing/criterion.h"
 
+#include <algorithm>
+
 using namespace mustardtrail;
 using namespace mustardtrail::membership;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-namespace
-{
-
-bool everyone(fake_fleet &fleet, const std::function<bool(int)> &condition)
-{
-    for (int index = 0; index < fleet.size(); ++index) {
-        if (fleet.isUp(index) && (fleet.view(index) == nullptr || !condition(index))) {
-            return false;
-        }
-    }
-    return true;
-}
-
-bool allSee(fake_fleet &fleet, int subject, peer_state state)
-{
-    return everyone(fleet, [&](int index) {
-        return index == subject || fleet.stateAt(index, subject) == state;
-    });
-}
-
-bool allAtRevision(fake_fleet &fleet)
-{
-    return everyone(fleet, [&](int index) {
-        return fleet.view(index)->config->revision == fleet.platform.revision();
-    });
-}
-
-bool acceptsWork(fake_fleet &fleet, int index, const char *server)
-{
-    return fleet.view(index)->backends.at(backend_server_id(server)).acceptsNewWork;
-}
-
-} // namespace
-
 Test(view_core, startsConfirmedAndAgreesOnOwners)
 {
     fake_fleet fleet({ .nodes = 9, .dataCentres = 3 });
@@ -50,10 +18,10 @@
     cr_assert(everyone(fleet, [&](int index) {
         return fleet.isConfirmed(index) && !fleet.view(index)->isolated && fleet.view(index)->peers.size() == 8;
     }));
-    for (const auto &[id, assignment] : fleet.view(0)->backends) {
-        cr_assert(assignment.acceptsNewWork);
+    for (const auto &entry : fleet.view(0)->backends) {
+        cr_assert(entry.second.acceptsNewWork);
         cr_assert(everyone(fleet, [&](int index) {
-            return fleet.view(index)->backends.at(id).owner == assignment.owner;
+            return fleet.view(index)->backends.at(entry.first).owner == entry.second.owner;
         }));
     }
 }
@@ -102,3 +70,168 @@
         cr_assert(owner == fleet.view(1)->backends.at(id).owner && owner != instance_id("e3"));
     }
 }
+
+Test(view_core, leavingAndAbsentBackendServersGetNoNewWork)
+{
+    fake_fleet fleet({ .nodes = 9, .dataCentres = 3 });
+    fleet.run(seconds(5));
+    fleet.platform.entries["g1-1"].state = listing_state::leaving;
+    fleet.platform.entries.erase("g2-1");
+    const auto took = fleet.runUntil(
+        [&] {
+            return everyone(fleet, [&](int index) {
+                return !acceptsWork(fleet, index, "g1-1") && !acceptsWork(fleet, index, "g2-1");
+            });
+        },
+        seconds(3));
+    cr_assert(took.has_value());
+    cr_assert(everyone(fleet, [&](int index) {
+        return acceptsWork(fleet, index, "g1-2");
+    }));
+}
+
+Test(view_core, plannedStopHandsOwnershipOver)
+{
+    fake_fleet fleet({ .nodes = 3, .serversPerDataCentre = 12 });
+    fleet.run(seconds(5));
+    fleet.deliver(1, begin_stop{});
+    cr_assert(fleet.view(1)->selfLeaving);
+    cr_assert(fleet.runUntil(
+        [&] {
+            return allSee(fleet, 1, peer_state::leaving);
+        },
+        seconds(3)));
+    cr_assert(everyone(fleet, [&](int index) {
+        const auto &backends = fleet.view(index)->backends;
+        return std::none_of(backends.begin(), backends.end(), [](const auto &entry) {
+            return entry.second.owner == instance_id("e2");
+        });
+    }));
+    fleet.kill(1);
+    cr_assert(fleet.runUntil(
+        [&] {
+            return allSee(fleet, 1, peer_state::dead);
+        },
+        seconds(10)));
+}
+
+Test(view_core, pausedProcessConfirmsOnlyAfterARefresh)
+{
+    fake_fleet fleet({ .nodes = 3 });
+    fleet.run(seconds(5));
+    fleet.pause(0);
+    fleet.publish("data_centres", dataCentresValue(1, { 0 }));
+    fleet.run(seconds(10));
+    cr_assert(allSee(fleet, 0, peer_state::dead));
+    bool sawOldConfirmed = false;
+    fleet.onAction = [&](int index, const view_action &action) {
+        const auto *published = std::get_if<publish_view>(&action);
+        const bool isOld = index == 0 && published != nullptr && published->view->config->revision < fleet.platform.revision();
+        sawOldConfirmed = sawOldConfirmed || (isOld && published->view->isConfirmed(fleet.now()));
+    };
+    fleet.wake(0);
+    cr_assert_not(fleet.isConfirmed(0));
+    cr_assert(fleet.runUntil(
+        [&] {
+            return fleet.isConfirmed(0);
+        },
+        seconds(3)));
+    cr_assert_not(sawOldConfirmed);
+    cr_assert_not(acceptsWork(fleet, 0, "g1-1"));
+    cr_assert(fleet.runUntil(
+                  [&] {
+                      return allSee(fleet, 0, peer_state::alive);
+                  },
+                  seconds(3)),
+        "it contradicts its death");
+}
+
+Test(view_core, ownershipAfterALongPauseStartsAnew)
+{
+    fake_fleet fleet({ .nodes = 2, .serversPerDataCentre = 12 });
+    fleet.run(seconds(5));
+    const auto before = fleet.view(0)->backends;
+    fleet.pause(0);
+    fleet.run(seconds(6));
+    const auto successor = fleet.view(1)->backends;
+    fleet.wake(0);
+    fleet.run(seconds(3));
+    for (const auto &[id, assignment] : before) {
+        if (assignment.owner == instance_id("e1")) {
+            const auto &after = fleet.view(0)->backends.at(id);
+            cr_assert(after.ownedSince > assignment.ownedSince);
+            cr_assert(successor.at(id).fencingNumber > assignment.fencingNumber);
+            cr_assert(after.fencingNumber > successor.at(id).fencingNumber);
+        }
+    }
+}
+
+Test(view_core, fencingGrowsAlthoughTheSuccessorsWallClockIsBehind)
+{
+    fake_fleet fleet({ .nodes = 2, .serversPerDataCentre = 12 });
+    fleet.at(1).wallSkew = std::chrono::hours(-2);
+    fleet.run(seconds(5));
+    const auto before = fleet.view(0)->backends;
+    fleet.kill(0);
+    fleet.run(seconds(6));
+    for (const auto &[id, assignment] : before) {
+        cr_assert(fleet.view(1)->backends.at(id).fencingNumber > assignment.fencingNumber || assignment.owner == instance_id("e2"));
+        cr_assert(fleet.view(1)->backends.at(id).owner == instance_id("e2"));
+    }
+    fleet.deliver(1, fencing_seen{ backend_server_id("g1-1"), std::uint64_t(1) << 60 });
+    fleet.run(seconds(1));
+    cr_assert(fleet.view(1)->backends.at(backend_server_id("g1-1")).fencingNumber < std::uint64_t(1) << 53, "garbage is not followed");
+}
+
+Test(view_core, restartWithANewIncarnationIsAliveAgain)
+{
+    fake_fleet fleet({ .nodes = 9, .dataCentres = 3 });
+    fleet.run(seconds(5));
+    fleet.kill(4);
+    fleet.run(seconds(8));
+    cr_assert(allSee(fleet, 4, peer_state::dead));
+    fleet.restart(4);
+    cr_assert(fleet.runUntil(
+        [&] {
+            return allSee(fleet, 4, peer_state::alive) && fleet.isConfirmed(4);
+        },
+        seconds(5)));
+    cr_assert(everyone(fleet, [&](int index) {
+        return index == 4 || fleet.view(index)->peers.at(instance_id("e5")).incarnation == 2;
+    }));
+}
+
+Test(view_core, isolatedNodeServesItsOwnAndRejoins)
+{
+    fake_fleet fleet({ .nodes = 3, .serversPerDataCentre = 12 });
+    fleet.run(seconds(5));
+    fleet.isCut = [](int from, int to) {
+        return from == 0 || to == 0;
+    };
+    cr_assert(fleet.runUntil(
+        [&] {
+            return fleet.view(0)->isolated && fleet.isConfirmed(0);
+        },
+        seconds(3)));
+    fleet.run(seconds(10));
+    cr_assert(fleet.isConfirmed(0));
+    cr_assert_not(fleet.view(1)->isolated);
+    fleet.isCut = {};
+    cr_assert(fleet.runUntil(
+        [&] {
+            return !fleet.view(0)->isolated && allSee(fleet, 0, peer_state::alive);
+        },
+        seconds(5)));
+    cr_assert(allSee(fleet, 1, peer_state::alive) && allSee(fleet, 2, peer_state::alive));
+    for (const auto &[id, assignment] : fleet.view(0)->backends) {
+        cr_assert(assignment.owner == ownerAt(fleet, 1, id.str()));
+    }
+}
+
+Test(view_core, oneNodeAloneIsConfirmedAndNotIsolated)
+{
+    fake_fleet fleet({ .nodes = 1 });
+    fleet.run(seconds(5));
+    cr_assert(fleet.isConfirmed(0));
+    cr_assert_not(fleet.view(0)->isolated);
+}
