--- a/src/membership/internal/reader_duty.cpp
+++ b/src/membership/internal/reader_duty.cpp
@@ -11,7 +11,7 @@
     : m_settings(settings)
     , m_random(random)
     , m_backoff(settings.firstBackoff)
-    , m_jitter(jitter(settings.silenceStep))
+    , m_jitter(jitter(settings.silenceJitter))
 {
 }
 
@@ -44,6 +44,9 @@
     if (isChosen(rank)) {
         return true;
     }
+    if (now < m_nextStepIn) {
+        return false;
+    }
     const time_point silentSince = std::max(m_freshAt.value_or(time_point{}), m_silentSince.value_or(time_point{}));
     return now - silentSince >= silenceBound(rank);
 }
@@ -62,16 +65,18 @@
     m_answerBy.reset();
     m_freshAt = now;
     m_backoff = m_settings.firstBackoff;
-    m_jitter = jitter(m_settings.silenceStep);
+    m_jitter = jitter(m_settings.silenceJitter);
     m_nextRead = now + m_settings.period;
 }
 
+// The chosen readers are few and go on at a steady rate, so that the end of an outage is noticed soon.
 void reader_duty::failed(time_point now)
 {
     m_answerBy.reset();
-    m_nextRead = now + m_backoff + jitter(m_backoff);
+    m_nextRead = now + m_settings.firstBackoff + jitter(m_settings.firstBackoff);
+    m_nextStepIn = now + m_backoff + jitter(m_backoff);
     m_backoff = std::min(m_backoff * 2, m_settings.longestBackoff);
-    m_jitter = jitter(m_settings.silenceStep);
+    m_jitter = jitter(m_settings.silenceJitter);
 }
 
 void reader_duty::heardAge(milliseconds age, time_point now)
@@ -88,6 +93,7 @@
 void reader_duty::readAt(time_point at)
 {
     m_nextRead = at;
+    m_nextStepIn = at;
 }
 
 std::optional<milliseconds> reader_duty::age(time_point now) const
--- a/src/membership/internal/reader_duty.h
+++ b/src/membership/internal/reader_duty.h
@@ -42,6 +42,7 @@
     std::optional<time_point> m_silentSince;
     std::optional<time_point> m_answerBy;
     time_point m_nextRead{};
+    time_point m_nextStepIn{}; ///< Of a node that is not a chosen reader.
     std::chrono::milliseconds m_backoff;
     std::chrono::milliseconds m_jitter{ 0 };
     std::uint64_t m_reads = 0;
--- a/src/membership/view_settings.h
+++ b/src/membership/view_settings.h
@@ -25,7 +25,7 @@
 
     std::chrono::milliseconds tickInterval{ 50 };
     std::chrono::milliseconds publishInterval{ 150 }; ///< Longest time between two views while only their confirmation changes.
-    std::chrono::milliseconds watchWait{ 2000 }; ///< How long one read of the configuration waits for a change.
+    std::chrono::milliseconds watchWait{ 1000 }; ///< How long one read of the configuration waits for a change.
     std::chrono::milliseconds fetchTimeout{ 1000 }; ///< Of a delta from a peer.
     std::chrono::milliseconds listRefresh{ 300000 }; ///< Every node reads the list itself this often.
     std::chrono::milliseconds firstListWait{ 1000 }; ///< The configuration is not read before the list, or this.
