--- a/src/group/internal/memory_reconciler.cpp
+++ b/src/group/internal/memory_reconciler.cpp
@@ -82,6 +82,14 @@
     pass.record.groups = std::move(unknown);
 }
 
+void memory_reconciler::released(const backend_server_id &backend, const engine_group_id &group)
+{
+    const auto found = m_engines.find(backend);
+    if (found != m_engines.end()) {
+        found->second.groups.erase(group);
+    }
+}
+
 std::optional<engine_accounting> memory_reconciler::accounting(const backend_server_id &backend) const
 {
     const auto found = m_engines.find(backend);
--- a/src/group/memory_reconciler.h
+++ b/src/group/memory_reconciler.h
@@ -42,6 +42,8 @@
 
     reconcile_actions onHoldings(
         const engine_holdings &holdings, const known_streams &streams, const membership::fleet_view &view, time_point now);
+    /// The group ended here: what the engine listed for it no longer counts, until it lists it again.
+    void released(const backend_server_id &backend, const engine_group_id &group);
     /// The engine is no longer this instance's.
     void forget(const backend_server_id &backend);
 
--- a/src/node/entry_actions.h
+++ b/src/node/entry_actions.h
@@ -91,6 +91,7 @@
     backend_server_id backend;
     endpoint to;
     std::uint64_t eventsFrom = 0;
+    bool withEvents = false;
     bool withGroups = false;
 };
 
--- a/src/node/entry_options.h
+++ b/src/node/entry_options.h
@@ -26,7 +26,9 @@
     group::group_options groups;
     group::reservation_options reservations;
     group::reconcile_options reconciling;
-    std::chrono::milliseconds reportInterval{ 250 }; ///< Between two load reports of one engine.
+    std::chrono::milliseconds reportInterval{ 250 }; ///< Shortest time between two load reports of one engine.
+    int reportsPerSecond = 8; ///< Of all engines of this instance together; bounds the control traffic.
+    int eventsEvery = 4; ///< Every so many reports the engine's cache events are read too.
     int groupsEvery = 8; ///< Every so many reports the engine's groups are read too.
     std::chrono::milliseconds summaryInterval{ 1'000 };
     std::chrono::milliseconds peerTimeout{ 500 };
--- a/src/node/internal/owner_side.cpp
+++ b/src/node/internal/owner_side.cpp
@@ -402,6 +402,10 @@
 void owner_side::release(const group::release_request &request, time_point now, entry_actions &out)
 {
     m_reservations.release(request, now);
+    m_reconciler.released(request.backend, group::engineGroupOf(request.key));
+    if (const auto poll = m_polls.find(request.backend); poll != m_polls.end()) {
+        poll->second.groupsAreDue = true;
+    }
     carryOut(m_scheduler.releaseMemory(group::engineGroupOf(request.key).str(), now), now, out);
 }
 
@@ -412,13 +416,16 @@
 
 void owner_side::pollEngines(time_point now, entry_actions &out)
 {
+    const std::chrono::milliseconds shared(1000 * m_polls.size() / static_cast<size_t>(m_options.reportsPerSecond));
     for (auto &[backend, poll] : m_polls) {
         if (poll.next > now) {
             continue;
         }
-        poll.next = now + m_options.reportInterval;
-        const bool withGroups = ++poll.count % m_options.groupsEvery == 0;
-        out.push_back(read_engine{ backend, addressOf(backend), poll.eventsFrom, withGroups });
+        poll.next = now + std::max(m_options.reportInterval, shared);
+        ++poll.count;
+        const bool withEvents = poll.count % m_options.eventsEvery == 0;
+        const bool withGroups = std::exchange(poll.groupsAreDue, false) || poll.count % m_options.groupsEvery == 0;
+        out.push_back(read_engine{ backend, addressOf(backend), poll.eventsFrom, withEvents, withGroups });
     }
 }
 
--- a/src/node/internal/owner_side.h
+++ b/src/node/internal/owner_side.h
@@ -61,6 +61,7 @@
         time_point next{};
         int count = 0;
         std::uint64_t eventsFrom = 0;
+        bool groupsAreDue = false; ///< The next read includes the groups.
     };
 
     void carryOut(const placement::owner_action_list &actions, time_point now, entry_actions &out);
--- a/src/programs/entry/engine_calls.cpp
+++ b/src/programs/entry/engine_calls.cpp
@@ -140,10 +140,12 @@
     }
     group::engine_holdings holdings;
     holdings.report = *report;
-    const auto events
-        = co_await client.call(action.to, getRequest("/events?from=" + std::to_string(action.eventsFrom)), limitsOf(readTimeout));
-    if (events) {
-        read.cacheEvents = cacheEventsFrom(events->body);
+    if (action.withEvents) {
+        const std::string target = "/events?from=" + std::to_string(action.eventsFrom);
+        const auto events = co_await client.call(action.to, getRequest(target), limitsOf(readTimeout));
+        if (events) {
+            read.cacheEvents = cacheEventsFrom(events->body);
+        }
     }
     if (action.withGroups) {
         const auto groups = co_await client.call(action.to, getRequest("/kv"), limitsOf(readTimeout));
--- a/src/proof/demo/main.cpp
+++ b/src/proof/demo/main.cpp
@@ -1,7 +1,6 @@
+#include "proof/fleet/expected_answer.h"
 #include "proof/fleet/process_fleet.h"
 
-#include "standin/engine/answer_text.h"
-
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
@@ -29,16 +28,6 @@
     bool stream;
 };
 
-std::string promptOf(size_t bytes)
-{
-    std::string prompt;
-    while (prompt.size() < bytes) {
-        prompt += "pay " + std::to_string(prompt.size()) + " ";
-    }
-    prompt.resize(bytes);
-    return prompt;
-}
-
 bool printRow(const char *name, const std::string &through, size_t tokens, const caller_answer &answer, bool isRight)
 {
     const std::string verdict(answer.headers.find("Mustardtrail-Verdict"));
@@ -59,8 +48,7 @@
 {
     const size_t bytes = item.promptTokens * bytesPerToken;
     const caller_answer answer = fleet.complete(through, item.workClass, bytes, maxTokens, item.stream);
-    const auto digest = standin::extendDigest(standin::emptyDigest, promptOf(bytes));
-    const bool isRight = answer.status == 200 && answer.isWhole && answerText(answer) == standin::answerTokens(digest, 0, maxTokens);
+    const bool isRight = answer.status == 200 && answer.isWhole && answerText(answer) == expectedAnswer(bytes, maxTokens);
     if (!isRight) {
         std::printf("    %s %s\n", answer.body.substr(0, 300).c_str(), answer.failure.detail.c_str());
     }
--- a/src/proof/fleet/process_fleet.cpp
+++ b/src/proof/fleet/process_fleet.cpp
@@ -1,5 +1,7 @@
 #include "proof/fleet/process_fleet.h"
 
+#include "proof/fleet/expected_answer.h"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/json/serialize.hpp>
@@ -275,11 +277,7 @@
 caller_answer process_fleet::complete(
     const fleet_instance &through, const std::string &workClass, size_t promptBytes, int maxTokens, bool stream)
 {
-    std::string prompt;
-    while (prompt.size() < promptBytes) {
-        prompt += "pay " + std::to_string(prompt.size()) + " ";
-    }
-    prompt.resize(promptBytes);
+    const std::string prompt = testPrompt(promptBytes);
     http::request_message message;
     message.method = "POST";
     message.target = "/v1/completions";
--- /dev/null
+++ b/src/proof/tests/test_fleet.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "proof/fleet/process_fleet.h"
+
+namespace mustardtrail::proof
+{
+
+/// Fleet of the test programs' folder, started and ready; fails the test otherwise.
+std::unique_ptr<process_fleet> startedFleet(fleet_options options = {});
+
+/// Counter of a stand-in's control port.
+std::int64_t counterOf(const endpoint &controlPort, const std::string &name);
+
+/// Times that an effect with this key ran at the service.
+std::int64_t effectsOf(const process_fleet &fleet, const std::string &key);
+
+/// Requests that ran at the engines of a data centre.
+std::int64_t requestsIn(const process_fleet &fleet, const std::string &dataCentre);
+
+/// True when no engine holds memory for a stream or a group.
+bool allMemoryIsFree(const process_fleet &fleet);
+
+} // namespace mustardtrail::proof
