--- a/src/request/internal/continuation.cpp
+++ b/src/request/internal/continuation.cpp
@@ -5,17 +5,12 @@
 namespace mustardtrail::request
 {
 
-std::optional<std::vector<backend_server_id>> otherVersions(
-    const config::configuration &config, const model_id &model, const backend_server_id &answeredBy)
+std::vector<backend_server_id> otherVersions(const config::configuration &config, const model_id &model, const std::string &version)
 {
-    const auto first = config.backendServers.find(answeredBy);
-    if (first == config.backendServers.end()) {
-        return std::nullopt;
-    }
     std::vector<backend_server_id> others;
     for (const auto &[id, backend] : config.backendServers) {
         const bool serves = std::find(backend.models.begin(), backend.models.end(), model) != backend.models.end();
-        if (serves && backend.modelVersion != first->second.modelVersion) {
+        if (serves && backend.modelVersion != version) {
             others.push_back(id);
         }
     }
--- a/src/request/internal/continuation.h
+++ b/src/request/internal/continuation.h
@@ -3,15 +3,13 @@
 #include "base/ids.h"
 #include "config/configuration.h"
 
-#include <optional>
+#include <string>
 #include <vector>
 
 namespace mustardtrail::request
 {
 
-/// Backend servers that may not go on with an answer that `answeredBy` began, because their model
-/// version is another one. Nothing when the version of the answer is unknown.
-std::optional<std::vector<backend_server_id>> otherVersions(
-    const config::configuration &config, const model_id &model, const backend_server_id &answeredBy);
+/// Backend servers of the model that may not go on with an answer of this version, because theirs is another one.
+std::vector<backend_server_id> otherVersions(const config::configuration &config, const model_id &model, const std::string &version);
 
 } // namespace mustardtrail::request
--- a/src/request/internal/request_core.cpp
+++ b/src/request/internal/request_core.cpp
@@ -87,36 +87,50 @@
         ++m_counters.eventsIgnored;
         return;
     }
+    const result<config::work_class> workClass = check(event);
+    if (!workClass) {
+        ++m_counters.refused;
+        out.push_back(fail_request{ event.id, workClass.error() });
+        return;
+    }
+    running_request &request = admit(event, *workClass, now);
+    if (!request.repeatable && !event.idempotencyKey.empty()) {
+        return startClaims(request, now, out);
+    }
+    startAttempt(request, now, out);
+}
+
+result<config::work_class> request_core::check(const caller_request &request) const
+{
     if (m_stopping) {
-        return refuse(event, { error_code::instance_stopping, verdict::not_run, "", m_options.retryAfter }, out);
+        return tl::make_unexpected(error{ error_code::instance_stopping, verdict::not_run, "", m_options.retryAfter });
     }
     if (m_view == nullptr) {
-        return refuse(event, { error_code::view_not_confirmed, verdict::not_run, "", m_options.retryAfter }, out);
-    }
-    const result<config::work_class> workClass = checkRequest(event, *m_view->config, m_services);
-    if (!workClass) {
-        return refuse(event, workClass.error(), out);
+        return tl::make_unexpected(error{ error_code::view_not_confirmed, verdict::not_run, "", m_options.retryAfter });
     }
-    const bool needsKey = !workClass->repeatable && !event.idempotencyKey.empty();
-    if (!workClass->repeatable && event.secondAttempt && !needsKey) {
+    result<config::work_class> workClass = checkRequest(request, *m_view->config, m_services);
+    const bool unknownFirst = request.secondAttempt && request.idempotencyKey.empty();
+    if (workClass && !workClass->repeatable && unknownFirst) {
         // Without a key nobody can tell whether the first one ran.
-        return refuse(event, { error_code::duplicate_attempt, verdict::may_have_run, "reason=no_key", {} }, out);
+        return tl::make_unexpected(error{ error_code::duplicate_attempt, verdict::may_have_run, "reason=no_key", {} });
     }
+    return workClass;
+}
+
+running_request &request_core::admit(const caller_request &event, const config::work_class &workClass, time_point now)
+{
     auto owned = std::make_unique<running_request>();
     running_request &request = *owned;
     request.spec = event;
-    request.repeatable = workClass->repeatable;
+    request.repeatable = workClass.repeatable;
     request.order = m_nextOrder++;
     request.arrival = now;
-    request.firstTokenDeadline = now + workClass->firstTokenTarget;
-    request.deadline = now + workClass->totalTarget;
+    request.firstTokenDeadline = now + workClass.firstTokenTarget;
+    request.deadline = now + workClass.totalTarget;
     m_requests.emplace(event.id, std::move(owned));
     m_byOrder.emplace(request.order, &request);
     ++m_counters.admitted;
-    if (needsKey) {
-        return startClaims(request, now, out);
-    }
-    startAttempt(request, now, out);
+    return request;
 }
 
 void request_core::on(const caller_gone &event, time_point, actions &out)
@@ -128,12 +142,6 @@
     fail(*found->second, { error_code::caller_gone, verdict::not_run, "", {} }, out);
 }
 
-void request_core::refuse(const caller_request &request, const error &failure, actions &out)
-{
-    ++m_counters.refused;
-    out.push_back(fail_request{ request.id, failure });
-}
-
 void request_core::complete(running_request &request, const std::string &finishReason, actions &out)
 {
     ++m_counters.completed;
--- a/src/request/internal/request_core_attempts.cpp
+++ b/src/request/internal/request_core_attempts.cpp
@@ -1,7 +1,5 @@
 #include "request/request_core.h"
 
-#include "request/internal/continuation.h"
-#include "request/internal/failure_kind.h"
 #include "request/internal/running_request.h"
 
 #include <algorithm>
@@ -29,6 +27,7 @@
     request.attempt = work.attempt;
     request.target = *target;
     request.backend = {};
+    request.version.reset();
     request.answer.emplace(m_options.maxPiecesAhead);
     request.gapSince.reset();
     m_live.emplace(request.attempt, &request);
@@ -122,8 +121,10 @@
         return;
     }
     request->backend = event.backend;
+    // The version may change while the answer runs: what counts is the one at its start.
+    request->version = versionOf(event.backend);
     if (request->answer->taken() > 0) {
-        request->answeredBy = event.backend;
+        request->answeredVersion = request->version;
     }
 }
 
@@ -157,7 +158,7 @@
     while (std::optional<attempt_output> piece = request.answer->take()) {
         request.delivered = true;
         request.deliveredTokens += piece->tokens;
-        request.answeredBy = request.backend;
+        request.answeredVersion = request.version;
         if (request.repeatable) {
             request.deliveredText += piece->text;
         }
@@ -198,29 +199,6 @@
     afterFailure(request, failure, request.backend, now, out);
 }
 
-void request_core::afterFailure(
-    running_request &request, const error &failure, const backend_server_id &backend, time_point now, actions &out)
-{
-    if (request.delivered && request.answeredBy.empty()) {
-        request.answeredBy = backend;
-    }
-    request.worst = std::max(request.worst, failure.outcome);
-    recordFailure(request, failure.code, backend.empty() ? request.backend : backend);
-    endAttempt(request);
-    retryOrFail(request, failure, now, out);
-}
-
-void request_core::recordFailure(running_request &request, error_code code, const backend_server_id &backend)
-{
-    ++request.failures[dataCentreOf(request.target)];
-    if (backend.empty() || isFaultOfInstance(code)) {
-        request.excludedInstances.push_back(request.target);
-    }
-    if (!backend.empty()) {
-        request.excludedBackends.push_back(backend);
-    }
-}
-
 void request_core::endAttempt(running_request &request)
 {
     if (request.attempt.empty()) {
@@ -232,58 +210,4 @@
     request.gapSince.reset();
 }
 
-void request_core::retryOrFail(running_request &request, const error &failure, time_point now, actions &out)
-{
-    const bool allDelivered = request.repeatable && request.spec.maxNewTokens > 0 && request.deliveredTokens >= request.spec.maxNewTokens;
-    if (allDelivered) {
-        // Only the explicit end was lost: the answer has reached the length that the caller allowed.
-        return complete(request, "length", out);
-    }
-    const milliseconds wait = backoff(request);
-    if (const std::optional<error> final = whyNoRetry(request, failure, now, wait)) {
-        return fail(request, *final, out);
-    }
-    if (request.delivered) {
-        const auto others = otherVersions(*m_view->config, request.spec.model, request.answeredBy);
-        request.excludedBackends.insert(request.excludedBackends.end(), others->begin(), others->end());
-    }
-    if (wait == milliseconds(0)) {
-        return startAttempt(request, now, out);
-    }
-    request.state = request_state::waiting;
-    request.retryAt = now + wait;
-    schedule(request);
-}
-
-std::optional<error> request_core::whyNoRetry(const running_request &request, const error &failure, time_point now, milliseconds wait)
-{
-    const bool mayRunAgain = request.repeatable || request.worst == verdict::not_run;
-    if (!mayRunAgain || !isWorthRetry(failure.code) || request.attempts >= m_options.maxAttempts) {
-        return failure;
-    }
-    const bool mayContinue = !request.delivered || otherVersions(*m_view->config, request.spec.model, request.answeredBy).has_value();
-    if (!mayContinue) {
-        return failure;
-    }
-    const std::string cause = "cause=" + toString(failure.code);
-    if (now + wait + m_options.minAttemptTime >= wakeOf(request)) {
-        return error{ error_code::deadline_exceeded, failure.outcome, cause, failure.retryAfter };
-    }
-    if (!m_budget.trySpend()) {
-        return error{ error_code::retry_budget_spent, failure.outcome, cause, failure.retryAfter };
-    }
-    return std::nullopt;
-}
-
-milliseconds request_core::backoff(const running_request &request)
-{
-    // The second attempt goes to another backend server: waiting would only cost time.
-    if (request.attempts < 2) {
-        return milliseconds(0);
-    }
-    const milliseconds longest = std::min(m_options.backoffLimit, m_options.backoffBase * (1 << std::min(request.attempts - 2, 16)));
-    const auto half = longest.count() / 2;
-    return milliseconds(half + static_cast<std::int64_t>(m_random.below(static_cast<std::uint64_t>(longest.count() - half) + 1)));
-}
-
 } // namespace mustardtrail::request
--- a/src/request/internal/running_request.h
+++ b/src/request/internal/running_request.h
@@ -40,6 +40,7 @@
     attempt_id attempt; ///< Empty: none is live.
     instance_id target;
     backend_server_id backend; ///< Empty until the live attempt was accepted.
+    std::optional<std::string> version; ///< Model version of that backend server when it accepted.
     std::optional<answer_assembler> answer; ///< Of the live attempt.
     std::optional<time_point> gapSince;
     time_point retryAt{};
@@ -47,7 +48,7 @@
     std::string deliveredText; ///< Kept for repeatable requests only.
     token_count deliveredTokens = 0;
     bool delivered = false; ///< The caller has a part of the answer.
-    backend_server_id answeredBy; ///< Backend server of the latest piece delivered; empty when unknown.
+    std::optional<std::string> answeredVersion; ///< Model version that gave the latest piece delivered.
     verdict worst = verdict::not_run; ///< Over all attempts that ended.
 
     std::vector<backend_server_id> excludedBackends;
--- a/src/request/request_core.h
+++ b/src/request/request_core.h
@@ -66,7 +66,8 @@
     void on(const key_claim_reply &event, time_point now, actions &out);
     void on(const key_claim_failed &event, time_point now, actions &out);
 
-    void refuse(const caller_request &request, const error &failure, actions &out);
+    result<config::work_class> check(const caller_request &request) const;
+    running_request &admit(const caller_request &event, const config::work_class &workClass, time_point now);
     void startClaims(running_request &request, time_point now, actions &out);
     void sendClaim(running_request &request, time_point now, actions &out);
     void onClaimGranted(running_request &request, const key_claim_reply &reply, time_point now, actions &out);
@@ -84,6 +85,8 @@
     void recordFailure(running_request &request, error_code code, const backend_server_id &backend);
     void retryOrFail(running_request &request, const error &failure, time_point now, actions &out);
     std::optional<error> whyNoRetry(const running_request &request, const error &failure, time_point now, std::chrono::milliseconds wait);
+    void excludeOtherVersions(running_request &request) const;
+    std::optional<std::string> versionOf(const backend_server_id &backend) const;
     std::chrono::milliseconds backoff(const running_request &request);
 
     void complete(running_request &request, const std::string &finishReason, actions &out);
--- a/src/request/tests/session.cpp
+++ b/src/request/tests/session.cpp
@@ -194,6 +194,9 @@
             request.fingerprint = std::stoull(value);
         } else if (option.starts_with("max=")) {
             request.maxNewTokens = std::stoll(value);
+        } else if (option == "service") {
+            request.model = {};
+            request.service = service_id("orders");
         } else if (option == "second") {
             request.secondAttempt = true;
         } else {
