A node whose first read lacked keys takes them at the same revision; patches held to be exact

Cause: a reply that lacks whole optional keys but holds the newest entry can't be told from a whole one; the node kept the gap until those keys changed. A complete update of the same revision that names more keys is now checked and taken; peers see the need by the digest.

--- a/src/config/apply_result.h
+++ b/src/config/apply_result.h
@@ -15,7 +15,7 @@
 };
 
 enum class apply_outcome {
-    accepted, ///< A higher revision is in force now.
+    accepted, ///< In force now: a higher revision, or the same one with keys that were lacking.
     unchanged, ///< Same revision, same content.
     older, ///< Below the revision in force; ignored.
     conflicting, ///< Same revision, other content; ignored.
--- a/src/config/config_store.h
+++ b/src/config/config_store.h
@@ -32,7 +32,7 @@
     std::int64_t revision() const;
     /// Revision at which the key changed last; 0 for a key that was never seen.
     std::int64_t keyRevision(const std::string &key) const;
-    /// Same on two nodes that hold the same content, whatever way it came.
+    /// Same on two nodes that hold the same content, whatever way it came. Where it differs at one revision, ask for everything.
     std::uint64_t digest() const;
 
     /// What a peer at the given revision lacks; everything from 0.
@@ -61,6 +61,7 @@
 
     apply_result stage(const config_update &update, update_source source, time_point now);
     bool isRefused(const config_update &update) const;
+    bool namesMoreKeys(const config_update &update) const;
     bool holdsSame(const config_entry &entry) const;
     apply_result applySameRevision(const config_update &update, update_source source, time_point now);
     apply_result refuse(const config_update &update, std::vector<config_problem> problems, time_point now);
--- a/src/config/internal/config_store.cpp
+++ b/src/config/internal/config_store.cpp
@@ -162,6 +162,10 @@
 
 apply_result config_store::applySameRevision(const config_update &update, update_source source, time_point now)
 {
+    // What was put in force here came from a reply that lacked whole keys.
+    if (update.complete && namesMoreKeys(update)) {
+        return stage(update, source, now);
+    }
     const bool sameEntries = std::all_of(update.entries.begin(), update.entries.end(), [this](const config_entry &entry) {
         return holdsSame(entry);
     });
@@ -176,6 +180,13 @@
     return { apply_outcome::unchanged, {}, false, 0 };
 }
 
+bool config_store::namesMoreKeys(const config_update &update) const
+{
+    return std::any_of(update.entries.begin(), update.entries.end(), [this](const config_entry &entry) {
+        return !m_parts.contains(entry.key);
+    });
+}
+
 bool config_store::holdsSame(const config_entry &entry) const
 {
     const auto part = m_parts.find(entry.key);
--- a/src/config/tests/config_store_test.cpp
+++ b/src/config/tests/config_store_test.cpp
@@ -162,6 +162,33 @@
     cr_assert(store.inForce()->dataCentres.at(data_centre_id("dc1")).inService);
 }
 
+Test(config_store, takesTheKeysThatItsFirstReadLacked)
+{
+    sample_values half = sampleValues();
+    half.erase("backend_servers/dc2");
+    config_store cutShort;
+    config_store whole = filledStore();
+    testing::expectEqual(outcome(cutShort.apply(completeUpdate(half), update_source::service, start)), "accepted");
+    testing::expectEqual(outcome(whole.apply(cutShort.deltaSince(0, start), update_source::peer, start)), "unchanged");
+    testing::expectEqual(whole.inForce()->backendServers.size(), 4U);
+    testing::expectEqual(outcome(cutShort.apply(whole.deltaSince(0, start), update_source::peer, start)), "accepted");
+    testing::expectEqual(cutShort.digest(), whole.digest());
+    testing::expectEqual(cutShort.revision(), 1);
+}
+
+Test(config_store, everythingRepairsAKeyThatDiffersAtOneRevision)
+{
+    config_store sender = filledStore();
+    config_store receiver;
+    sample_values other = sampleValues();
+    other["customers"] = R"([{"id":"hotel-2"}])";
+    receiver.apply(completeUpdate(other), update_source::service, start);
+    sender.apply(deltaUpdate(1, { { "data_centres", 2, drainedDc1() } }), update_source::service, start);
+    testing::expectEqual(outcome(receiver.apply(sender.deltaSince(0, start), update_source::peer, start)), "accepted");
+    testing::expectEqual(receiver.digest(), sender.digest());
+    cr_assert(receiver.inForce()->customers.contains(customer_id("hotel-1")));
+}
+
 Test(config_store, deletesAKeyAndTellsPeers)
 {
     config_store sender = filledStore();
--- a/src/config/tests/parse_test.cpp
+++ b/src/config/tests/parse_test.cpp
@@ -183,5 +183,6 @@
     std::reverse(entries.begin(), entries.end());
     testing::expectEqual(shown(parseConfiguration(entries).error()), forwards);
     cr_assert(forwards.find("MT-2004 classes |{}|[...]") == 0);
+    testing::expectEqual(static_cast<size_t>(std::count(forwards.begin(), forwards.end(), '\n')), maxProblemsPerKey + 2);
     cr_assert(forwards.find("MT-2012 customers |101|100") != std::string::npos);
 }
--- a/src/config/tests/store_property_test.cpp
+++ b/src/config/tests/store_property_test.cpp
@@ -104,10 +104,8 @@
 void follow(config_store &follower, const config_store &leader)
 {
     const config_update delta = *decodeUpdate(encodeUpdate(leader.deltaSince(follower.revision(), start)));
-    apply_result result = follower.apply(delta, update_source::peer, start);
-    if (result.outcome == apply_outcome::needs_full) {
-        result = follower.apply(leader.deltaSince(result.askAfter, start), update_source::peer, start);
-    }
+    // The leader held every revision that the follower holds, so no patch may fall short.
+    const apply_result result = follower.apply(delta, update_source::peer, start);
     cr_assert(result.outcome == apply_outcome::accepted || result.outcome == apply_outcome::unchanged);
     testing::expectEqual(follower.digest(), leader.digest());
     cr_assert(*follower.inForce() == *leader.inForce());
