--- a/src/base/error_code.h
+++ b/src/base/error_code.h
@@ -52,6 +52,7 @@
     request_header_missing = 3008,
     request_timeout = 3009,
     request_wrong_method = 3010,
+    idempotency_key_reused = 3011,
 
     target_unreachable = 4001,
     queue_full = 4002,
