--- a/src/membership/internal/failure_detector.cpp
+++ b/src/membership/internal/failure_detector.cpp
@@ -1,6 +1,6 @@
 #include "membership/internal/failure_detector.h"
 
-#include <algorithm>
+#include <set>
 
 namespace mustardtrail::membership
 {
@@ -23,7 +23,7 @@
     m_nextProbe = now + m_settings.probeInterval;
     ++m_probes;
     const bool probesDead = m_probes % static_cast<std::uint64_t>(m_settings.deadEvery) == 0;
-    for (const instance_id &target : { chooseTarget(), probesDead ? chooseDead() : instance_id() }) {
+    for (const instance_id &target : { chooseTarget(), chooseSuspect(), probesDead ? chooseDead() : instance_id() }) {
         if (!target.empty()) {
             out.push_back(probe(target, now));
         }
@@ -37,16 +37,21 @@
     const auto isLocal = [&own](const member &known) {
         return known.isReachable() && known.news.member.dataCentre == own;
     };
-    const auto isRemote = [&own](const member &known) {
-        return known.isReachable() && known.news.member.dataCentre != own;
-    };
     const bool remoteFirst = m_probes % static_cast<std::uint64_t>(m_settings.remoteEvery) == 0;
     if (remoteFirst) {
-        const instance_id remote = m_remoteOrder.next(m_members.members(), m_random, isRemote);
+        const instance_id remote = chooseRemote();
         return remote.empty() ? m_localOrder.next(m_members.members(), m_random, isLocal) : remote;
     }
     const instance_id local = m_localOrder.next(m_members.members(), m_random, isLocal);
-    return local.empty() ? m_remoteOrder.next(m_members.members(), m_random, isRemote) : local;
+    return local.empty() ? chooseRemote() : local;
+}
+
+// The one that raised a suspicion keeps telling the suspect, so that it can contradict before the time-out.
+instance_id failure_detector::chooseSuspect()
+{
+    return m_suspectOrder.next(m_members.members(), m_random, [](const member &known) {
+        return known.suspectedHere;
+    });
 }
 
 instance_id failure_detector::chooseDead()
@@ -67,18 +72,25 @@
     return out;
 }
 
+instance_id failure_detector::chooseRemote()
+{
+    const data_centre_id &own = m_members.self().member.dataCentre;
+    return m_remoteOrder.next(m_members.members(), m_random, [&own](const member &known) {
+        return known.isReachable() && known.news.member.dataCentre != own;
+    });
+}
+
+// One target is in another data centre where there is one. In a small fleet the order comes round to a target that
+// was drawn already; a few more draws then find another.
 std::vector<outgoing_message> failure_detector::probeNow(int count, time_point now)
 {
-    std::vector<instance_id> targets;
-    for (int index = 0; index < count; ++index) {
-        const instance_id target = index == 0 ? m_remoteOrder.next(m_members.members(),
-                                       m_random,
-                                       [this](const member &known) {
-                                           return known.isReachable() && known.news.member.dataCentre != m_members.self().member.dataCentre;
-                                       })
-                                              : chooseTarget();
-        if (!target.empty() && std::find(targets.begin(), targets.end(), target) == targets.end()) {
-            targets.push_back(target);
+    std::set<instance_id> targets;
+    if (const instance_id remote = chooseRemote(); !remote.empty()) {
+        targets.insert(remote);
+    }
+    for (int draw = 0; draw < 2 * count && static_cast<int>(targets.size()) < count; ++draw) {
+        if (const instance_id target = chooseTarget(); !target.empty()) {
+            targets.insert(target);
         }
     }
     std::vector<outgoing_message> out;
--- a/src/membership/internal/failure_detector.h
+++ b/src/membership/internal/failure_detector.h
@@ -39,6 +39,8 @@
     };
 
     instance_id chooseTarget();
+    instance_id chooseRemote();
+    instance_id chooseSuspect();
     instance_id chooseDead();
     outgoing_message probe(const instance_id &target, time_point now);
     outgoing_message reply(const peer_message &message, const endpoint &from) const;
@@ -52,6 +54,7 @@
     random_source &m_random;
     probe_order m_localOrder;
     probe_order m_remoteOrder;
+    probe_order m_suspectOrder;
     probe_order m_deadOrder;
     probe_order m_helperOrder;
     std::map<std::uint32_t, open_probe> m_open;
--- a/src/membership/internal/member.h
+++ b/src/membership/internal/member.h
@@ -13,6 +13,7 @@
     member_news news;
     bool listed = false; ///< The last good list has it.
     bool listLeaving = false; ///< The list calls it leaving.
+    bool suspectedHere = false; ///< This node raised the suspicion and gives the member the chance to contradict.
     time_point stateSince{};
     std::optional<time_point> lastHeard; ///< Any datagram of it, or an ack passed on.
     std::optional<time_point> leavingLostAt; ///< A leaving member stopped answering.
--- a/src/membership/internal/member_table.cpp
+++ b/src/membership/internal/member_table.cpp
@@ -84,9 +84,15 @@
     if (!isNewer(news, known.news)) {
         return;
     }
+    const bool isFirstContact = known.news.member.incarnation == 0 && known.state() == peer_state::alive;
     adoptEndpoints(known.news.member, news.member);
     known.news.member.incarnation = news.member.incarnation;
     known.news.refutation = news.refutation;
+    if (isFirstContact && news.member.state == peer_state::alive) {
+        // Everyone has it from the list: passing it on would fill the datagrams of a whole fleet that starts.
+        ++m_changes;
+        return;
+    }
     setState(known, news.member.state, now);
 }
 
@@ -128,6 +134,8 @@
     subject.news.member.state = state;
     subject.stateSince = now;
     subject.leavingLostAt.reset();
+    subject.suspectedHere = false;
+    m_mayExpire = m_mayExpire || state != peer_state::alive;
     m_news.put(subject.news.member.id.str(), subject.news);
     ++m_changes;
 }
@@ -181,6 +189,7 @@
     }
     if (found->second.state() == peer_state::alive) {
         setState(found->second, peer_state::suspect, now);
+        found->second.suspectedHere = true;
     } else if (found->second.state() == peer_state::leaving && !found->second.leavingLostAt) {
         found->second.leavingLostAt = now;
     }
@@ -188,8 +197,13 @@
 
 void member_table::expire(time_point now)
 {
+    if (!m_mayExpire) {
+        return;
+    }
+    m_mayExpire = false;
     for (auto entry = m_members.begin(); entry != m_members.end();) {
         member &known = entry->second;
+        m_mayExpire = m_mayExpire || known.state() != peer_state::alive;
         const bool suspectOver = known.state() == peer_state::suspect && now - known.stateSince >= m_settings.suspicionTimeout;
         const bool leaverGone = known.leavingLostAt && now - *known.leavingLostAt >= m_settings.suspicionTimeout;
         if (suspectOver || leaverGone) {
@@ -302,8 +316,11 @@
         news.push_back(known->news);
     }
     const int repeats = newsRepeats(m_settings.repeatFactor, m_members.size() + 1);
+    const bool hasDirect = !news.empty();
     for (member_news &item : m_news.take(count - static_cast<int>(news.size()), repeats)) {
-        news.push_back(std::move(item));
+        if (!hasDirect || item.member.id != receiver) {
+            news.push_back(std::move(item));
+        }
     }
     return news;
 }
--- a/src/membership/internal/member_table.h
+++ b/src/membership/internal/member_table.h
@@ -66,6 +66,7 @@
     news_queue<member_news> m_news;
     std::uint64_t m_changes = 0;
     bool m_declaredDead = false;
+    bool m_mayExpire = false; ///< Some member is not alive, or a grave is kept.
 };
 
 } // namespace mustardtrail::membership
--- a/src/membership/internal/news_queue.h
+++ b/src/membership/internal/news_queue.h
@@ -4,7 +4,9 @@
 #include "membership/member_news.h"
 
 #include <map>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace mustardtrail::membership
@@ -17,57 +19,42 @@
     /// Replaces older news about the same subject.
     void put(const std::string &subject, item news)
     {
-        m_entries[subject] = { std::move(news), 0 };
-    }
-
-    void erase(const std::string &subject)
-    {
-        m_entries.erase(subject);
+        entry_state &entry = m_entries[subject];
+        m_order.erase(order_key(entry.sent, subject));
+        entry = { std::move(news), 0 };
+        m_order.insert(order_key(0, subject));
     }
 
     /// Up to `count` items, each counted as sent once.
     std::vector<item> take(int count, int repeats)
     {
         std::vector<item> taken;
-        for (int sent = 0; sent < repeats && static_cast<int>(taken.size()) < count; ++sent) {
-            takeSentSoOften(sent, count, taken);
-        }
-        std::erase_if(m_entries, [repeats](const auto &entry) {
-            return entry.second.sent >= repeats;
-        });
-        for (auto &[subject, entry] : m_entries) {
-            entry.takenNow = false;
+        std::vector<order_key> again;
+        while (static_cast<int>(taken.size()) < count && !m_order.empty()) {
+            const order_key next = *m_order.begin();
+            m_order.erase(m_order.begin());
+            entry_state &entry = m_entries[next.second];
+            taken.push_back(entry.news);
+            if (++entry.sent < repeats) {
+                again.emplace_back(entry.sent, next.second);
+            } else {
+                m_entries.erase(next.second);
+            }
         }
+        m_order.insert(again.begin(), again.end());
         return taken;
     }
 
-    size_t size() const
-    {
-        return m_entries.size();
-    }
-
 private:
+    using order_key = std::pair<int, std::string>; ///< Times sent, subject.
+
     struct entry_state {
         item news;
         int sent = 0;
-        bool takenNow = false;
     };
 
-    void takeSentSoOften(int sent, int count, std::vector<item> &taken)
-    {
-        for (auto &[subject, entry] : m_entries) {
-            if (static_cast<int>(taken.size()) >= count) {
-                return;
-            }
-            if (entry.sent == sent && !entry.takenNow) {
-                taken.push_back(entry.news);
-                ++entry.sent;
-                entry.takenNow = true;
-            }
-        }
-    }
-
     std::map<std::string, entry_state> m_entries;
+    std::set<order_key> m_order;
 };
 
 /// Times one item is passed on by one node: grows with the number of digits of the fleet's size.
--- a/src/membership/internal/view_logic.cpp
+++ b/src/membership/internal/view_logic.cpp
@@ -19,6 +19,23 @@
     return { { settings.self, settings.dataCentre, settings.requests, settings.heartbeats, peer_state::alive, settings.incarnation }, 0 };
 }
 
+// What is left out was counted as passed on; the other nodes still spread it.
+std::string encodeWithinBound(peer_message &message)
+{
+    std::string bytes = encode(message);
+    while (bytes.size() > maxDatagramBytes && !(message.ownerLoads.empty() && message.listings.empty() && message.members.empty())) {
+        if (!message.ownerLoads.empty()) {
+            message.ownerLoads.pop_back();
+        } else if (!message.listings.empty()) {
+            message.listings.pop_back();
+        } else {
+            message.members.pop_back();
+        }
+        bytes = encode(message);
+    }
+    return bytes;
+}
+
 std::chrono::milliseconds inMilliseconds(std::chrono::nanoseconds value)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(value);
@@ -280,7 +297,7 @@
 {
     for (outgoing_message &out : messages) {
         complete(out, now);
-        m_out.emplace_back(send_datagram{ out.to, encode(out.message) });
+        m_out.emplace_back(send_datagram{ out.to, encodeWithinBound(out.message) });
     }
 }
 
