--- a/src/membership/internal/member.h
+++ b/src/membership/internal/member.h
@@ -28,4 +28,7 @@
     }
 };
 
+/// Takes the addresses over that were told; empty ones tell nothing.
+void adoptEndpoints(peer &known, const peer &told);
+
 } // namespace mustardtrail::membership
--- a/src/membership/internal/member_table.cpp
+++ b/src/membership/internal/member_table.cpp
@@ -15,16 +15,6 @@
     return state == peer_state::suspect || state == peer_state::dead;
 }
 
-void adoptEndpoints(peer &known, const peer &told)
-{
-    if (!told.requests.address.empty()) {
-        known.requests = told.requests;
-    }
-    if (!told.heartbeats.address.empty()) {
-        known.heartbeats = told.heartbeats;
-    }
-}
-
 } // namespace
 
 member_table::member_table(member_news self, const detector_settings &settings)
@@ -240,58 +230,6 @@
     }
 }
 
-// The list's incarnations are the platform's own count and are not compared with those that peers tell. A member
-// that only the list knows starts at incarnation 0, which any datagram of it replaces.
-void member_table::list(const std::vector<live_list_entry> &entries, time_point now)
-{
-    const std::set<instance_id> before = listedIds();
-    for (auto &[id, known] : m_members) {
-        known.listed = false;
-    }
-    for (const live_list_entry &entry : entries) {
-        const instance_id id(entry.id);
-        if (entry.kind != listing_kind::instance || id == m_self.member.id) {
-            continue;
-        }
-        const bool isNew = !m_members.contains(id);
-        member &known = m_members[id];
-        known.listed = true;
-        if (isNew) {
-            known.news.member = { id, entry.dataCentre, entry.requests, entry.heartbeats, peer_state::alive, 0 };
-            known.stateSince = now;
-            ++m_changes;
-        }
-        if (known.news.member.heartbeats != entry.heartbeats && known.state() == peer_state::dead) {
-            adoptEndpoints(known.news.member, { id, entry.dataCentre, entry.requests, entry.heartbeats, peer_state::alive, 0 });
-        }
-    }
-    m_changes += before == listedIds() ? 0 : 1;
-}
-
-std::set<instance_id> member_table::listedIds() const
-{
-    std::set<instance_id> ids;
-    for (const auto &[id, known] : m_members) {
-        if (known.listed) {
-            ids.insert(ids.end(), id);
-        }
-    }
-    return ids;
-}
-
-void member_table::setListState(const instance_id &id, listing_state state)
-{
-    const auto found = m_members.find(id);
-    if (found == m_members.end()) {
-        return;
-    }
-    const bool leaving = state == listing_state::leaving;
-    if (found->second.listLeaving != leaving) {
-        found->second.listLeaving = leaving;
-        ++m_changes;
-    }
-}
-
 void member_table::leave()
 {
     if (m_self.member.state == peer_state::leaving) {
--- a/src/membership/internal/view_logic.cpp
+++ b/src/membership/internal/view_logic.cpp
@@ -2,7 +2,6 @@
 
 #include "base/hash.h"
 #include "base/log_line.h"
-#include "membership/config_reader_choice.h"
 
 #include <algorithm>
 
@@ -12,30 +11,11 @@
 namespace
 {
 
-constexpr int listingsPerDatagram = 8;
-
 member_news selfOf(const view_settings &settings)
 {
     return { { settings.self, settings.dataCentre, settings.requests, settings.heartbeats, peer_state::alive, settings.incarnation }, 0 };
 }
 
-// What is left out was counted as passed on; the other nodes still spread it.
-std::string encodeWithinBound(peer_message &message)
-{
-    std::string bytes = encode(message);
-    while (bytes.size() > maxDatagramBytes && !(message.ownerLoads.empty() && message.listings.empty() && message.members.empty())) {
-        if (!message.ownerLoads.empty()) {
-            message.ownerLoads.pop_back();
-        } else if (!message.listings.empty()) {
-            message.listings.pop_back();
-        } else {
-            message.members.pop_back();
-        }
-        bytes = encode(message);
-    }
-    return bytes;
-}
-
 std::chrono::milliseconds inMilliseconds(std::chrono::nanoseconds value)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(value);
@@ -219,106 +199,6 @@
     send(m_detector.probeNow(m_settings.detector.pushFanout, now), now);
 }
 
-bool view_logic::isUpToDate() const
-{
-    return m_config.isCaughtUp() && m_list.hasAnswerSince(m_confirmation.refreshingSince());
-}
-
-void view_logic::confirm(time_point now)
-{
-    countMembers();
-    const bool wasIsolated = m_confirmation.isIsolated();
-    const bool wasRefreshing = m_confirmation.isRefreshing();
-    const bool reunited = m_confirmation.update(m_counts.listedPeers, m_counts.answering, isUpToDate(), now);
-    if (wasIsolated != m_confirmation.isIsolated()) {
-        log(log_line(wasIsolated ? "isolation_over" : "isolated").str());
-        ++m_claimChanges;
-    }
-    if (reunited) {
-        m_ownership.interrupt();
-    }
-    if (wasRefreshing && !m_confirmation.isRefreshing()) {
-        ++m_claimChanges;
-    }
-    if (m_config.store().revision() > m_pushedRevision) {
-        m_pushedRevision = m_config.store().revision();
-        send(m_detector.probeNow(m_settings.detector.pushFanout, now), now);
-    }
-}
-
-// Changes of members come in bursts when a data centre is cut off; they are taken together.
-bool view_logic::isStale(time_point now) const
-{
-    const bool urgent
-        = m_builtRevision != m_config.store().revision() || m_builtListings != m_list.book().changes() || m_builtClaims != m_claimChanges;
-    return urgent || (m_builtMembers != m_members.changes() && now - m_rebuiltAt >= m_settings.tickInterval);
-}
-
-void view_logic::publish(time_point now)
-{
-    if (m_config.store().revision() == 0) {
-        return;
-    }
-    const time_point confirmedAt = m_confirmation.confirmedAt();
-    const bool renewed = m_view == nullptr || (confirmedAt > m_view->confirmedAt && now - m_publishedAt >= m_settings.publishInterval);
-    if (isStale(now)) {
-        rebuild(now);
-    } else if (renewed) {
-        auto next = std::make_shared<fleet_view>(*m_view);
-        next->confirmedAt = confirmedAt;
-        m_view = std::move(next);
-    } else {
-        return;
-    }
-    m_publishedAt = now;
-    m_out.emplace_back(publish_view{ m_view });
-}
-
-void view_logic::rebuild(time_point now)
-{
-    auto next = std::make_shared<fleet_view>(
-        buildView({ m_members, m_list.book(), m_config.store().inForce(), m_settings.drains }, m_view.get(), m_builtCandidates));
-    m_rebuiltAt = now;
-    // During a refresh no claim is made: its number could be below that of an owner not heard of yet.
-    if (!m_confirmation.isRefreshing()) {
-        m_ownership.update(ownedBySelf(*next), m_clock, now);
-    }
-    addClaims(*next, m_ownership);
-    next->confirmedAt = m_confirmation.confirmedAt();
-    next->isolated = m_confirmation.isIsolated();
-    m_view = std::move(next);
-    m_builtRevision = m_config.store().revision();
-    m_builtMembers = m_members.changes();
-    m_builtListings = m_list.book().changes();
-    m_builtClaims = m_claimChanges;
-}
-
-void view_logic::send(std::vector<outgoing_message> messages, time_point now)
-{
-    for (outgoing_message &out : messages) {
-        complete(out, now);
-        m_out.emplace_back(send_datagram{ out.to, encodeWithinBound(out.message) });
-    }
-}
-
-// Only a probe tells the sender's addresses: whoever acks was told them before, or they are in the list.
-void view_logic::complete(outgoing_message &out, time_point now)
-{
-    peer_message &message = out.message;
-    message.cluster = m_cluster;
-    if (message.kind != peer_message_kind::probe) {
-        message.sender.member.requests = {};
-        message.sender.member.heartbeats = {};
-    }
-    message.configRevision = m_config.store().revision();
-    message.configAge = m_config.age(now);
-    message.listAge = m_list.duty().age(now);
-    message.logicalTime = m_clock.current();
-    message.ownerLoads = m_loads;
-    message.members = m_members.takeNews(out.receiver, m_settings.detector.newsPerDatagram);
-    message.listings = m_list.takeNews(listingsPerDatagram, newsRepeats(m_settings.detector.repeatFactor, m_members.members().size() + 1));
-}
-
 void view_logic::add(std::vector<view_action> actions)
 {
     std::move(actions.begin(), actions.end(), std::back_inserter(m_out));
@@ -339,32 +219,4 @@
     return m_view;
 }
 
-std::vector<instance_id> view_logic::localCandidates() const
-{
-    std::vector<instance_id> candidates{ m_settings.self };
-    for (const auto &[id, known] : m_members.members()) {
-        if (known.state() == peer_state::alive && known.news.member.dataCentre == m_settings.dataCentre) {
-            candidates.push_back(id);
-        }
-    }
-    return candidates;
-}
-
-// Counted anew only after a change: at 910 members this is the dearest step of an event.
-void view_logic::countMembers()
-{
-    if (m_countedAt == m_members.changes()) {
-        return;
-    }
-    m_countedAt = m_members.changes();
-    m_counts = {};
-    for (const auto &[id, known] : m_members.members()) {
-        m_counts.listedPeers += known.listed && !known.listLeaving ? 1 : 0;
-        m_counts.answering += known.state() == peer_state::alive ? 1 : 0;
-    }
-    const std::vector<instance_id> candidates = localCandidates();
-    m_counts.configRank = readerRank(configService, m_settings.self, candidates);
-    m_counts.listRank = readerRank(listService, m_settings.self, candidates);
-}
-
 } // namespace mustardtrail::membership
