--- a/src/membership/internal/member_table.cpp
+++ b/src/membership/internal/member_table.cpp
@@ -15,16 +15,6 @@
     return state == peer_state::suspect || state == peer_state::dead;
 }
 
-void adoptEndpoints(peer &known, const peer &told)
-{
-    if (!told.requests.address.empty()) {
-        known.requests = told.requests;
-    }
-    if (!told.heartbeats.address.empty()) {
-        known.heartbeats = told.heartbeats;
-    }
-}
-
 } // namespace
 
 member_table::member_table(member_news self, const detector_settings &settings)
@@ -84,9 +74,15 @@
     if (!isNewer(news, known.news)) {
         return;
     }
+    const bool isFirstContact = known.news.member.incarnation == 0 && known.state() == peer_state::alive;
     adoptEndpoints(known.news.member, news.member);
     known.news.member.incarnation = news.member.incarnation;
     known.news.refutation = news.refutation;
+    if (isFirstContact && news.member.state == peer_state::alive) {
+        // Everyone has it from the list: passing it on would fill the datagrams of a whole fleet that starts.
+        ++m_changes;
+        return;
+    }
     setState(known, news.member.state, now);
 }
 
@@ -128,6 +124,8 @@
     subject.news.member.state = state;
     subject.stateSince = now;
     subject.leavingLostAt.reset();
+    subject.suspectedHere = false;
+    m_mayExpire = m_mayExpire || state != peer_state::alive;
     m_news.put(subject.news.member.id.str(), subject.news);
     ++m_changes;
 }
@@ -181,6 +179,7 @@
     }
     if (found->second.state() == peer_state::alive) {
         setState(found->second, peer_state::suspect, now);
+        found->second.suspectedHere = true;
     } else if (found->second.state() == peer_state::leaving && !found->second.leavingLostAt) {
         found->second.leavingLostAt = now;
     }
@@ -188,8 +187,13 @@
 
 void member_table::expire(time_point now)
 {
+    if (!m_mayExpire) {
+        return;
+    }
+    m_mayExpire = false;
     for (auto entry = m_members.begin(); entry != m_members.end();) {
         member &known = entry->second;
+        m_mayExpire = m_mayExpire || known.state() != peer_state::alive;
         const bool suspectOver = known.state() == peer_state::suspect && now - known.stateSince >= m_settings.suspicionTimeout;
         const bool leaverGone = known.leavingLostAt && now - *known.leavingLostAt >= m_settings.suspicionTimeout;
         if (suspectOver || leaverGone) {
@@ -226,58 +230,6 @@
     }
 }
 
-// The list's incarnations are the platform's own count and are not compared with those that peers tell. A member
-// that only the list knows starts at incarnation 0, which any datagram of it replaces.
-void member_table::list(const std::vector<live_list_entry> &entries, time_point now)
-{
-    const std::set<instance_id> before = listedIds();
-    for (auto &[id, known] : m_members) {
-        known.listed = false;
-    }
-    for (const live_list_entry &entry : entries) {
-        const instance_id id(entry.id);
-        if (entry.kind != listing_kind::instance || id == m_self.member.id) {
-            continue;
-        }
-        const bool isNew = !m_members.contains(id);
-        member &known = m_members[id];
-        known.listed = true;
-        if (isNew) {
-            known.news.member = { id, entry.dataCentre, entry.requests, entry.heartbeats, peer_state::alive, 0 };
-            known.stateSince = now;
-            ++m_changes;
-        }
-        if (known.news.member.heartbeats != entry.heartbeats && known.state() == peer_state::dead) {
-            adoptEndpoints(known.news.member, { id, entry.dataCentre, entry.requests, entry.heartbeats, peer_state::alive, 0 });
-        }
-    }
-    m_changes += before == listedIds() ? 0 : 1;
-}
-
-std::set<instance_id> member_table::listedIds() const
-{
-    std::set<instance_id> ids;
-    for (const auto &[id, known] : m_members) {
-        if (known.listed) {
-            ids.insert(ids.end(), id);
-        }
-    }
-    return ids;
-}
-
-void member_table::setListState(const instance_id &id, listing_state state)
-{
-    const auto found = m_members.find(id);
-    if (found == m_members.end()) {
-        return;
-    }
-    const bool leaving = state == listing_state::leaving;
-    if (found->second.listLeaving != leaving) {
-        found->second.listLeaving = leaving;
-        ++m_changes;
-    }
-}
-
 void member_table::leave()
 {
     if (m_self.member.state == peer_state::leaving) {
@@ -302,8 +254,11 @@
         news.push_back(known->news);
     }
     const int repeats = newsRepeats(m_settings.repeatFactor, m_members.size() + 1);
+    const bool hasDirect = !news.empty();
     for (member_news &item : m_news.take(count - static_cast<int>(news.size()), repeats)) {
-        news.push_back(std::move(item));
+        if (!hasDirect || item.member.id != receiver) {
+            news.push_back(std::move(item));
+        }
     }
     return news;
 }
