Keys move to the next homes at a planned stop

Cause: a rolling restart replaces both homes of a key inside its window, and callers who do not say that they come again would run twice. Ruled out: letting a successor count as mature, as it cannot know that it was given every key.

--- a/src/request/internal/json_reader.cpp
+++ b/src/request/internal/json_reader.cpp
@@ -72,6 +72,26 @@
     return found->get_bool();
 }
 
+const boost::json::array *json_reader::items(std::string_view name, std::size_t maxItems)
+{
+    const boost::json::value *found = member(name);
+    const boost::json::array *list = found == nullptr ? nullptr : found->if_array();
+    if (list == nullptr || list->size() > maxItems) {
+        reject(name);
+        return nullptr;
+    }
+    return list;
+}
+
+verdict json_reader::outcome(std::string_view name)
+{
+    const std::optional<verdict> value = verdictFromString(text(name, maxIdBytes));
+    if (!value) {
+        reject(name);
+    }
+    return value.value_or(verdict::may_have_run);
+}
+
 bool json_reader::has(std::string_view name) const
 {
     return m_object != nullptr && m_object->contains(name);
--- a/src/request/internal/json_reader.h
+++ b/src/request/internal/json_reader.h
@@ -13,6 +13,9 @@
 namespace mustardtrail::request
 {
 
+/// Longest id in a message, in bytes.
+constexpr std::size_t maxIdBytes = 256;
+
 /// Reads the members of one message and remembers whether all were there, of their type and known.
 class json_reader
 {
@@ -24,6 +27,9 @@
     std::uint64_t number(std::string_view name);
     std::chrono::milliseconds duration(std::string_view name);
     bool flag(std::string_view name);
+    verdict outcome(std::string_view name);
+    /// Nothing unless it is an array of at most `maxItems`.
+    const boost::json::array *items(std::string_view name, std::size_t maxItems);
     /// Whether an optional member is there.
     bool has(std::string_view name) const;
     void reject(std::string_view name);
--- a/src/request/internal/key_codec.cpp
+++ b/src/request/internal/key_codec.cpp
@@ -10,8 +10,6 @@
 namespace
 {
 
-constexpr std::size_t maxIdBytes = 256;
-
 constexpr key_claim_status statuses[]
     = { key_claim_status::granted, key_claim_status::duplicate, key_claim_status::fingerprint_differs, key_claim_status::refused };
 
@@ -42,15 +40,6 @@
     return key_claim_status::refused;
 }
 
-verdict readVerdict(json_reader &reader)
-{
-    const std::optional<verdict> value = verdictFromString(reader.text("verdict", maxIdBytes));
-    if (!value) {
-        reader.reject("verdict");
-    }
-    return value.value_or(verdict::may_have_run);
-}
-
 template<typename message> result<message> finish(const json_reader &reader, message &&value)
 {
     if (const std::optional<error> fault = reader.fault()) {
@@ -114,7 +103,7 @@
     reply.home = instance_id(reader.text("home", maxIdBytes));
     reply.status = readStatus(reader);
     reply.young = reader.flag("young");
-    reply.outcome = readVerdict(reader);
+    reply.outcome = reader.outcome("verdict");
     constexpr std::uint64_t highestCode = 9999;
     const std::uint64_t code = reader.number("code");
     if (code > highestCode) {
@@ -135,7 +124,7 @@
     outcome.request = request_id(reader.text("request", maxIdBytes));
     outcome.customer = customer_id(reader.text("customer", maxIdBytes));
     outcome.key = reader.text("key", maxKeyBytes);
-    outcome.outcome = readVerdict(reader);
+    outcome.outcome = reader.outcome("verdict");
     return finish(reader, std::move(outcome));
 }
 
--- a/src/request/internal/key_home.cpp
+++ b/src/request/internal/key_home.cpp
@@ -71,7 +71,12 @@
         const auto wait = std::chrono::ceil<milliseconds>(m_expiries.begin()->first - now);
         return refusal(claim, error_code::memory_budget_spent, std::max(wait, milliseconds(1)));
     }
-    insert(claim, now);
+    entry granted;
+    granted.request = claim.request;
+    granted.fingerprint = claim.fingerprint;
+    // The outcome may never arrive: then the window starts at the deadline of the request.
+    granted.expires = now + claim.remaining + m_options.window;
+    insert({ claim.customer, claim.key }, std::move(granted));
     return grant(claim, now);
 }
 
@@ -170,14 +175,8 @@
     return false;
 }
 
-void key_home::insert(const key_claim &claim, time_point now)
+void key_home::insert(const entry_key &key, entry held)
 {
-    const entry_key key{ claim.customer, claim.key };
-    entry held;
-    held.request = claim.request;
-    held.fingerprint = claim.fingerprint;
-    // The outcome may never arrive: then the window starts at the deadline of the request.
-    held.expires = now + claim.remaining + m_options.window;
     m_expiries.emplace(held.expires, key);
     m_entries.emplace(key, std::move(held));
 }
--- a/src/request/internal/key_homes.cpp
+++ b/src/request/internal/key_homes.cpp
@@ -100,12 +100,17 @@
     return strongest(liveInstances(view, dataCentre), keySeed(customer, key));
 }
 
-bool isKeyHome(const home_candidates &candidates, const instance_id &instance, const customer_id &customer, const std::string &key)
+std::vector<instance_id> homesAmong(const home_candidates &candidates, const customer_id &customer, const std::string &key)
 {
     if (homeDataCentre(candidates.dataCentres, customer, key) != candidates.dataCentre) {
-        return false;
+        return {};
     }
-    const std::vector<instance_id> homes = strongest(candidates.instances, keySeed(customer, key));
+    return strongest(candidates.instances, keySeed(customer, key));
+}
+
+bool isKeyHome(const home_candidates &candidates, const instance_id &instance, const customer_id &customer, const std::string &key)
+{
+    const std::vector<instance_id> homes = homesAmong(candidates, customer, key);
     return std::find(homes.begin(), homes.end(), instance) != homes.end();
 }
 
--- a/src/request/key_home.h
+++ b/src/request/key_home.h
@@ -5,6 +5,7 @@
 #include "membership/fleet_view.h"
 #include "request/key_claim.h"
 #include "request/key_claim_reply.h"
+#include "request/key_handover.h"
 #include "request/key_homes.h"
 #include "request/key_outcome.h"
 
@@ -18,6 +19,7 @@
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace mustardtrail::request
 {
@@ -40,6 +42,11 @@
     key_claim_reply claim(const key_claim &claim, time_point now);
     void end(const key_outcome &outcome, time_point now);
 
+    /// Planned stop: the keys held here, for the instances that are their homes without this one.
+    std::vector<key_handover> handOver(time_point now) const;
+    /// Takes keys over from a home that stops; what is known here already stays.
+    void take(const key_handover &handover, time_point now);
+
     std::size_t size() const;
     boost::json::value dump(time_point now) const;
 
@@ -63,7 +70,7 @@
     key_claim_reply answerHeld(const key_claim &claim, const entry &held, time_point now) const;
     key_claim_reply grant(const key_claim &claim, time_point now) const;
     bool isYoung(const key_claim &claim, time_point now) const;
-    void insert(const key_claim &claim, time_point now);
+    void insert(const entry_key &key, entry held);
     void erase(std::map<entry_key, entry>::iterator held);
     void setExpiry(const entry_key &key, entry &held, time_point expires);
     void dropExpired(time_point now);
--- a/src/request/key_homes.h
+++ b/src/request/key_homes.h
@@ -30,6 +30,9 @@
 /// Homes of a key, in the order in which they are asked; empty when none is live.
 std::vector<instance_id> keyHomes(const membership::fleet_view &view, const customer_id &customer, const std::string &key);
 
+/// Homes of a key under these candidates; empty when its home data centre is another one.
+std::vector<instance_id> homesAmong(const home_candidates &candidates, const customer_id &customer, const std::string &key);
+
 /// Whether the instance is a home of the key under these candidates.
 bool isKeyHome(const home_candidates &candidates, const instance_id &instance, const customer_id &customer, const std::string &key);
 
--- a/src/request/tests/key_codec_test.cpp
+++ b/src/request/tests/key_codec_test.cpp
@@ -44,6 +44,11 @@
     cr_assert(keyClaimReplyFromJson(throughText(toJson(reply))) == reply);
     const key_outcome outcome{ request_id("r1"), customer_id("c1"), "k", verdict::ran };
     cr_assert(keyOutcomeFromJson(throughText(toJson(outcome))) == outcome);
+    const held_key held{ request_id("r1"), customer_id("c1"), "k", 7, false, verdict::ran, std::chrono::milliseconds(8) };
+    const key_handover handover{ instance_id("e1"), { held, held } };
+    cr_assert(keyHandoverFromJson(throughText(toJson(handover))) == handover);
+    const key_handover tooMany{ instance_id("e1"), std::vector<held_key>(maxKeysPerHandover + 1, held) };
+    cr_assert_not(keyHandoverFromJson(toJson(tooMany)).has_value());
 }
 
 Test(key_codec, refusesWhatIsNotExactlyTheMessage)
--- a/src/request/tests/session.cpp
+++ b/src/request/tests/session.cpp
@@ -1,8 +1,11 @@
 #include "request/tests/session.h"
 
+#include "request/key_codec.h"
 #include "request/tests/fixture.h"
 #include "request/tests/trace.h"
 
+#include <boost/json/serialize.hpp>
+
 #include <stdexcept>
 
 namespace mustardtrail::request::testing
@@ -164,6 +167,11 @@
         return write(name, target.core->onView(makeView(name, now, dead), now));
     }
     if (command == "stop") {
+        for (const key_handover &handover : target.home->handOver(now)) {
+            const boost::json::value message = toJson(handover);
+            m_out << "  " << name << ": key_handover " << boost::json::serialize(message) << '\n';
+            m_nodes.at(handover.home.str()).home->take(keyHandoverFromJson(message).value(), now);
+        }
         return target.core->beginStop(now);
     }
     if (command == "restart") {
