--- a/src/placement/internal/owner_load.cpp
+++ b/src/placement/internal/owner_load.cpp
@@ -13,6 +13,8 @@
 constexpr std::chrono::seconds summaryStaleAfter{ 5 };
 /// Own sends count this long when no summary comes to settle them.
 constexpr std::chrono::seconds sentMemory{ 5 };
+/// Other origins see the same summary and choose alike, so each own send stands for some of theirs.
+constexpr double originsPerSend = 3;
 constexpr double unknownRate = 10000; ///< Tokens a second of an owner that sent no summary yet.
 
 std::chrono::nanoseconds tokensAtRate(double tokens, double tokensPerSecond)
@@ -64,7 +66,7 @@
     for (const sent_work &other : m_sent) {
         sent += other.priority <= priority ? static_cast<double>(other.promptTokens) : 0;
     }
-    return predictBySummary(work.promptTokens, now) + tokensAtRate(sent, rate());
+    return predictBySummary(work.promptTokens, now) + tokensAtRate(originsPerSend * sent, rate());
 }
 
 bool owner_load::hasMemoryFor(const work_item &work, time_point now) const
--- a/src/placement/internal/pool_state.cpp
+++ b/src/placement/internal/pool_state.cpp
@@ -101,9 +101,14 @@
 }
 
 pool_load pool_state::loadFor(const queued_attempt &item, time_point now)
+{
+    const pool_load load = loadOf(candidates(item.work), item, now);
+    return load.fits ? load : loadOf(m_members, item, now);
+}
+
+pool_load pool_state::loadOf(const std::vector<backend_state *> &looked, const queued_attempt &item, time_point now) const
 {
     pool_load load;
-    const auto &looked = candidates(item.work);
     const double scale = looked.empty() ? 0 : static_cast<double>(m_members.size()) / static_cast<double>(looked.size());
     load.shareLeft = 0;
     double counted = 0;
--- a/src/placement/internal/pool_state.h
+++ b/src/placement/internal/pool_state.h
@@ -39,10 +39,12 @@
     backend_state *choose(const queued_attempt &item, backend_state *freed, time_point now);
     /// Time in the queue of an attempt that would be queued now.
     std::chrono::nanoseconds queueWait(const work_item &work, int priority, const pool_load &load) const;
+    /// From a few backend servers; from all when none of those takes the attempt.
     pool_load loadFor(const queued_attempt &item, time_point now);
     void observeDuration(const work_item &work, std::chrono::nanoseconds duration);
 
 private:
+    pool_load loadOf(const std::vector<backend_state *> &looked, const queued_attempt &item, time_point now) const;
     const std::vector<backend_state *> &candidates(const work_item &work);
     bool mayTake(backend_state &backend, const queued_attempt &item, time_point now) const;
     bool isBetter(backend_state &left, backend_state &right, const queued_attempt &item, time_point now) const;
--- a/src/placement/internal/router_impl.cpp
+++ b/src/placement/internal/router_impl.cpp
@@ -11,13 +11,14 @@
 namespace
 {
 
-constexpr std::size_t maxOwnersLookedAt = 12;
+/// Few, half of them by chance: origins that all took the best of all owners would chase each other.
+constexpr std::size_t maxOwnersLookedAt = 6;
 /// Long prompts that are kept together try owners in one order, up to this part of the time left.
 constexpr std::uint64_t concentrateKey = 1;
 constexpr double concentrateShare = 0.3;
 /// The owner preferred by the prefix is kept while it costs at most this much more than the best one.
 constexpr double affinityLoadBound = 1.25;
-constexpr std::chrono::milliseconds affinitySlack{ 20 };
+constexpr std::chrono::milliseconds affinitySlack{ 60 };
 /// An owner whose memory is taken is used only when no other is left.
 constexpr std::chrono::seconds noMemoryCost{ 60 };
 constexpr std::chrono::milliseconds outOfServiceRetryAfter{ 5000 };
@@ -74,7 +75,10 @@
         return refusal(error_code::prompt_exceeds_fleet, "need_tokens=" + std::to_string(need), std::nullopt);
     }
     const int priority = priorityOf(work.promptTokens, work.firstTokenDeadline - work.arrival);
-    const choice chosen = choose(pool, work, priority, excluded, now);
+    choice chosen = choose(pool, work, priority, excluded, maxOwnersLookedAt, now);
+    if (chosen.best == nullptr && pool.owners.size() > maxOwnersLookedAt) {
+        chosen = choose(pool, work, priority, excluded, pool.owners.size(), now);
+    }
     if (chosen.best == nullptr) {
         return refusal(error_code::no_backend_server, "reason=all_failed_before pool=" + key.name, leastRetryAfter);
     }
@@ -94,11 +98,11 @@
 }
 
 router::implementation::choice router::implementation::choose(
-    pool_owners &pool, const work_item &work, int priority, const route_exclusions &excluded, time_point now)
+    pool_owners &pool, const work_item &work, int priority, const route_exclusions &excluded, std::size_t lookedAt, time_point now)
 {
     choice chosen;
     const bool together = concentrates(work);
-    pool.ring.pick(together ? concentrateKey : work.prefixHash, hash64(work.attempt.str()), maxOwnersLookedAt, m_picked);
+    pool.ring.pick(together ? concentrateKey : work.prefixHash, hash64(work.attempt.str()), lookedAt, m_picked);
     const auto good = std::chrono::duration_cast<std::chrono::nanoseconds>(concentrateShare * (work.firstTokenDeadline - now));
     for (const std::uint32_t member : m_picked) {
         owner_entry &owner = pool.owners[member];
--- a/src/placement/internal/router_impl.h
+++ b/src/placement/internal/router_impl.h
@@ -51,7 +51,8 @@
     bool takesForwardedWork(const instance_id &owner) const;
     std::chrono::nanoseconds distanceTo(const data_centre_id &dataCentre) const;
     bool concentrates(const work_item &work) const;
-    choice choose(pool_owners &pool, const work_item &work, int priority, const route_exclusions &excluded, time_point now);
+    choice choose(
+        pool_owners &pool, const work_item &work, int priority, const route_exclusions &excluded, std::size_t lookedAt, time_point now);
     static bool isExcluded(const owner_entry &owner, const route_exclusions &excluded);
     static backend_server_id preferredBackend(const owner_entry &owner, const work_item &work, const route_exclusions &excluded);
 
--- a/src/placement/placement_options.h
+++ b/src/placement/placement_options.h
@@ -16,7 +16,7 @@
 /// Bounds of the decisions; set by the programs, never by operators.
 struct placement_options {
     std::chrono::milliseconds liveListLag{ 3000 }; ///< Longest lag of the platform's live list.
-    std::chrono::milliseconds engineBacklog{ 60 }; ///< Prefill work sent ahead to one engine; the rest waits at the owner.
+    std::chrono::milliseconds engineBacklog{ 40 }; ///< Prefill work sent ahead to one engine; the rest waits at the owner.
     std::chrono::milliseconds reportStaleAfter{ 5000 }; ///< A limit does not grow on an older report.
     std::chrono::milliseconds queueCheckInterval{ 10 }; ///< Between two looks at a queue that holds work.
     std::chrono::milliseconds slowCheckInterval{ 500 }; ///< Between two looks for late first tokens.
