--- a/src/placement/internal/router_impl.cpp
+++ b/src/placement/internal/router_impl.cpp
@@ -11,7 +11,7 @@
 namespace
 {
 
-/// Few, half of them by chance: origins that all took the best of all owners would chase each other.
+/// Few, half of them by chance: origins that all took the best of all owners would send there at once.
 constexpr std::size_t maxOwnersLookedAt = 6;
 /// Long prompts that are kept together try owners in one order, up to this part of the time left.
 constexpr std::uint64_t concentrateKey = 1;
