--- a/src/group/internal/group_run.cpp
+++ b/src/group/internal/group_run.cpp
@@ -87,6 +87,10 @@
         plan(now);
         return;
     }
+    if (m_nextReserve == m_reserveOrder.size()) {
+        reserveAtEngines(now);
+        return;
+    }
     m_phase = phase::reserving;
     askNextOwner(now);
 }
