--- a/src/group/tests/support/group_world.h
+++ b/src/group/tests/support/group_world.h
@@ -18,6 +18,10 @@
 namespace mustardtrail::group::testing
 {
 
+constexpr token_count prefillTokensPerSecond = 1000; ///< Of every engine.
+constexpr std::chrono::milliseconds decodeTime{ 1000 };
+constexpr std::chrono::milliseconds confirmInterval{ 250 }; ///< Between two confirmations of a view.
+
 struct world_options {
     std::uint64_t seed = 1;
     int entries = 2;
