Groups through any instance: free memory of engines of other owners is estimated

Cause: the planner took an engine whose free memory is unknown as full, so only the owner itself could plan, and only after its first list of groups. Ruled out: reservations that stay (the table and the scheduler were empty while the request waited).

--- a/src/node/internal/origin_side.cpp
+++ b/src/node/internal/origin_side.cpp
@@ -77,7 +77,7 @@
     , m_groups(
           options.groups,
           [this](const backend_server_id &backend) {
-              return m_owner.freeTokens(backend);
+              return freeTokens(backend);
           },
           random_source(options.seed + groupSeedOffset))
 {
@@ -111,6 +111,28 @@
     return largest > 0 && work.promptTokens + work.maxNewTokens > largest;
 }
 
+std::optional<token_count> origin_side::freeTokens(const backend_server_id &backend) const
+{
+    const auto server = m_view->config->backendServers.find(backend);
+    const auto assignment = m_view->backends.find(backend);
+    if (server == m_view->config->backendServers.end() || assignment == m_view->backends.end()) {
+        return std::nullopt;
+    }
+    const token_count configured = server->second.memoryTokens;
+    if (assignment->second.owner == m_options.self) {
+        return m_owner.freeTokens(backend).value_or(configured);
+    }
+    const auto summary = m_summaries.find(assignment->second.owner);
+    if (summary == m_summaries.end()) {
+        return configured;
+    }
+    token_count largest = 0;
+    for (const placement::pool_summary &pool : summary->second.pools) {
+        largest = std::max(largest, pool.freeTokens);
+    }
+    return std::min(configured, largest);
+}
+
 // A group is run by the instance that the caller reached: it holds the prompt that the segments are cut from.
 result<instance_id> origin_side::chooseOwner(const placement::work_item &work,
     const std::vector<backend_server_id> &backends,
@@ -139,6 +161,7 @@
 void origin_side::onSummary(const placement::owner_summary &summary, time_point now)
 {
     m_router.onSummary(summary, now);
+    m_summaries[summary.owner] = summary;
 }
 
 void origin_side::onRequest(const request::request_event &event, time_point now, entry_actions &out)
--- a/src/node/internal/origin_side.h
+++ b/src/node/internal/origin_side.h
@@ -52,6 +52,8 @@
         const std::vector<instance_id> &instances,
         time_point now);
     bool needsGroup(const placement::work_item &work) const;
+    /// Best guess of an engine's free KV memory; its owner has the last word.
+    std::optional<token_count> freeTokens(const backend_server_id &backend) const;
 
     void carryOut(const std::vector<request::request_action> &actions, time_point now, entry_actions &out);
     void carryOut(const request::start_attempt &action, time_point now, entry_actions &out);
@@ -81,6 +83,7 @@
     request::key_home m_keys;
     group::group_coordinator m_groups;
     peer_calls m_calls;
+    std::map<instance_id, placement::owner_summary> m_summaries;
     std::map<attempt_id, request_id> m_groupRequests; ///< Attempts that run as a group.
     std::map<attempt_id, group_run> m_groupRuns; ///< By the attempt id at the owner.
     std::set<attempt_id> m_hops; ///< Attempts at other instances.
