--- a/src/node/entry_events.h
+++ b/src/node/entry_events.h
@@ -67,10 +67,14 @@
     result<boost::json::value> answer;
 };
 
-/// Planned stop.
+/// Planned stop: new requests are refused, what runs finishes.
 struct begin_stop {
 };
 
+/// Planned stop, last step: nothing runs any more.
+struct end_stop {
+};
+
 /// Time has reached nextWake().
 struct clock_tick {
 };
@@ -91,6 +95,7 @@
     peer_call,
     peer_answered,
     begin_stop,
+    end_stop,
     clock_tick>;
 
 } // namespace mustardtrail::node
--- a/src/node/internal/entry_node.cpp
+++ b/src/node/internal/entry_node.cpp
@@ -130,9 +130,13 @@
     {
         m_origin.onPeerAnswer(event, now, out);
     }
-    void on(const begin_stop &, time_point now, entry_actions &)
+    void on(const begin_stop &, time_point now, entry_actions &out)
     {
-        m_origin.beginStop(now);
+        m_origin.beginStop(now, out);
+    }
+    void on(const end_stop &, time_point now, entry_actions &out)
+    {
+        m_origin.handOverKeys(now, out);
     }
     void on(const clock_tick &, time_point now, entry_actions &out)
     {
@@ -142,7 +146,7 @@
 
     result<json::value> answerTo(const peer_call &call, time_point now, entry_actions &out)
     {
-        if (call.method == peer_method::claimKey || call.method == peer_method::endKey) {
+        if (call.method == peer_method::claimKey || call.method == peer_method::endKey || call.method == peer_method::handOverKeys) {
             return m_origin.onKeyCall(call, now);
         }
         if (call.method == peer_method::reserve) {
--- a/src/node/internal/origin_side.cpp
+++ b/src/node/internal/origin_side.cpp
@@ -424,6 +424,14 @@
         }
         return request::toJson(m_keys.claim(*claim, now));
     }
+    if (call.method == peer_method::handOverKeys) {
+        const auto handover = request::keyHandoverFromJson(call.parameters);
+        if (!handover) {
+            return tl::unexpected(handover.error());
+        }
+        m_keys.take(*handover, now);
+        return json::value(json::object());
+    }
     const auto outcome = request::keyOutcomeFromJson(call.parameters);
     if (!outcome) {
         return tl::unexpected(outcome.error());
@@ -439,9 +447,19 @@
     m_out = nullptr;
 }
 
-void origin_side::beginStop(time_point now)
+void origin_side::beginStop(time_point now, entry_actions &out)
 {
     m_core.beginStop(now);
+    handOverKeys(now, out);
+}
+
+void origin_side::handOverKeys(time_point now, entry_actions &out)
+{
+    for (const request::key_handover &handover : m_keys.handOver(now)) {
+        if (const auto to = addressOf(handover.home)) {
+            out.push_back(call_peer{ 0, *to, std::string(peer_method::handOverKeys), request::toJson(handover), m_options.peerTimeout });
+        }
+    }
 }
 
 void origin_side::onTick(time_point now, entry_actions &out)
--- a/src/node/internal/origin_side.h
+++ b/src/node/internal/origin_side.h
@@ -32,7 +32,9 @@
     void onGroup(const group::group_event &event, time_point now, entry_actions &out);
     void onPeerAnswer(const peer_answered &event, time_point now, entry_actions &out);
     result<boost::json::value> onKeyCall(const peer_call &call, time_point now);
-    void beginStop(time_point now);
+    void beginStop(time_point now, entry_actions &out);
+    /// Hands the keys held here to the instances that are their homes next.
+    void handOverKeys(time_point now, entry_actions &out);
     void onTick(time_point now, entry_actions &out);
     std::optional<time_point> nextWake() const;
 
--- a/src/node/internal/owner_side.cpp
+++ b/src/node/internal/owner_side.cpp
@@ -215,7 +215,8 @@
                            out.push_back(resume_backend{ item.attempt, item.backend, addressOf(item.backend), item.connection, item.from });
                        },
                        [&](const request::cancel_stream &item) {
-                           out.push_back(cancel_backend{ item.attempt, item.backend, addressOf(item.backend), isEngine(item.backend), {} });
+                           out.push_back(cancel_backend{
+                               item.attempt, item.backend, addressOf(item.backend), item.atEngine && isEngine(item.backend), {} });
                        },
                        [&](const auto &event) {
                            noteEvent(owned, event, now, out);
--- a/src/programs/entry/entry_host.cpp
+++ b/src/programs/entry/entry_host.cpp
@@ -55,8 +55,11 @@
     , m_timer(m_strand)
     , m_rpc(std::make_unique<rpc_parts>())
 {
-    for (const std::string_view name :
-        { node::peer_method::claimKey, node::peer_method::endKey, node::peer_method::reserve, node::peer_method::release }) {
+    for (const std::string_view name : { node::peer_method::claimKey,
+             node::peer_method::endKey,
+             node::peer_method::handOverKeys,
+             node::peer_method::reserve,
+             node::peer_method::release }) {
         m_rpc->dispatcher.add(std::string(name), [this, method = std::string(name)](const std::string &parameters) {
             m_rpc->answer.reset();
             handle(node::peer_call{ m_rpc->nextCall++, method, json::parse(parameters) });
@@ -120,6 +123,11 @@
     handle(node::begin_stop{});
 }
 
+void entry_host::endStop()
+{
+    handle(node::end_stop{});
+}
+
 std::string entry_host::handleRpc(const std::string &text)
 {
     return m_rpc->dispatcher.handle(text);
--- a/src/programs/entry/entry_host.h
+++ b/src/programs/entry/entry_host.h
@@ -43,6 +43,8 @@
     void markNotReady();
     /// Planned stop, second step: new requests are refused.
     void beginStop();
+    /// Planned stop, last step: nothing runs any more.
+    void endStop();
 
     /// Any thread that holds an rcu_thread.
     std::shared_ptr<const membership::fleet_view> view() const;
--- a/src/programs/entry/planned_stop.cpp
+++ b/src/programs/entry/planned_stop.cpp
@@ -63,6 +63,7 @@
         timer.expires_after(checkInterval);
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
+    m_host.endStop();
     timer.expires_after(lastBytes);
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     m_peers.stop();
