--- a/src/node/internal/origin_side.cpp
+++ b/src/node/internal/origin_side.cpp
@@ -22,10 +22,6 @@
 
 constexpr std::uint64_t groupSeedOffset = 1; ///< Keeps the random numbers of groups apart from those of requests.
 
-/// Expected time of a prompt on the engines of a group; a bound for time-outs, not a prediction for admission.
-constexpr double slowestPrefillTokensPerSecond = 10'000;
-constexpr double slowestDecodeTokensPerSecond = 10;
-
 std::chrono::milliseconds timeFor(token_count tokens, double tokensPerSecond)
 {
     return std::chrono::milliseconds(static_cast<std::int64_t>(static_cast<double>(tokens) / tokensPerSecond * 1000));
@@ -196,8 +192,11 @@
         m_groupRequests[action.work.attempt] = action.work.request;
         group::start_group start;
         start.work = action.work;
-        start.expectedPrefill = timeFor(action.work.promptTokens, slowestPrefillTokensPerSecond);
-        start.expectedDecode = timeFor(action.work.maxNewTokens, slowestDecodeTokensPerSecond);
+        // Without a report the expectation is none, and the group starts while any time is left.
+        if (const auto rates = m_owner.ratesFor(action.work.model)) {
+            start.expectedPrefill = timeFor(action.work.promptTokens, rates->prefillTokensPerSecond);
+            start.expectedDecode = timeFor(action.work.maxNewTokens, rates->decodeTokensPerSecond);
+        }
         carryOut(m_groups.handle(start, now), now, out);
         return;
     }
--- a/src/node/internal/owner_side.cpp
+++ b/src/node/internal/owner_side.cpp
@@ -330,6 +330,7 @@
     if (!event.holdings || poll == m_polls.end() || !m_view) {
         return;
     }
+    poll->second.rates = { event.holdings->report.prefillTokensPerSecond, event.holdings->report.decodeTokensPerSecond };
     carryOut(m_scheduler.onReport(event.holdings->report, now), now, out);
     for (const placement::cache_event &cached : event.cacheEvents) {
         poll->second.eventsFrom = std::max(poll->second.eventsFrom, cached.sequence + 1);
@@ -415,6 +416,23 @@
     return m_reconciler.freeApartFrom(backend, {});
 }
 
+std::optional<owner_side::engine_rates> owner_side::ratesFor(const model_id &model) const
+{
+    std::optional<engine_rates> slowest;
+    for (const auto &[backend, poll] : m_polls) {
+        const auto server = m_view->config->backendServers.find(backend);
+        const bool serves = server != m_view->config->backendServers.end()
+            && std::find(server->second.models.begin(), server->second.models.end(), model) != server->second.models.end();
+        if (!serves || poll.rates.prefillTokensPerSecond <= 0 || poll.rates.decodeTokensPerSecond <= 0) {
+            continue;
+        }
+        if (!slowest || poll.rates.prefillTokensPerSecond < slowest->prefillTokensPerSecond) {
+            slowest = poll.rates;
+        }
+    }
+    return slowest;
+}
+
 void owner_side::pollEngines(time_point now, entry_actions &out)
 {
     const std::chrono::milliseconds shared(1000 * m_polls.size() / static_cast<size_t>(m_options.reportsPerSecond));
--- a/src/node/internal/owner_side.h
+++ b/src/node/internal/owner_side.h
@@ -42,6 +42,12 @@
 
     group::reserve_reply reserve(const group::reserve_request &request, time_point now);
     void release(const group::release_request &request, time_point now, entry_actions &out);
+    /// Rates of the slowest engine of the model that this instance owns; nothing before a report.
+    struct engine_rates {
+        double prefillTokensPerSecond = 0;
+        double decodeTokensPerSecond = 0;
+    };
+    std::optional<engine_rates> ratesFor(const model_id &model) const;
     /// Free KV memory of an engine that this instance owns, as last reported.
     std::optional<token_count> freeTokens(const backend_server_id &backend) const;
 
@@ -61,6 +67,7 @@
         time_point next{};
         int count = 0;
         std::uint64_t eventsFrom = 0;
+        engine_rates rates; ///< As last reported.
         bool groupsAreDue = false; ///< The next read includes the groups.
     };
 
--- a/src/placement/internal/owner_scheduler_impl.cpp
+++ b/src/placement/internal/owner_scheduler_impl.cpp
@@ -67,7 +67,12 @@
         return;
     }
     queued_attempt item{ work, excluded, priorityOf(work.promptTokens, work.firstTokenDeadline - work.arrival), now };
-    if (auto failure = whyRefused(pool, item, now)) {
+    auto failure = whyRefused(pool, item, now);
+    if (failure && failure->code == error_code::no_backend_server && !item.excluded.empty()) {
+        item.excluded.clear();
+        failure = whyRefused(pool, item, now);
+    }
+    if (failure) {
         refuse(work.attempt, std::move(*failure));
         return;
     }
--- a/src/placement/internal/router_impl.cpp
+++ b/src/placement/internal/router_impl.cpp
@@ -79,6 +79,10 @@
     if (chosen.best == nullptr && pool.owners.size() > maxOwnersLookedAt) {
         chosen = choose(pool, work, priority, excluded, pool.owners.size(), now);
     }
+    if (chosen.best == nullptr && !excluded.backends.empty()) {
+        // A server that failed before is better than none; attempts and the retry budget bound the repeats.
+        chosen = choose(pool, work, priority, { excluded.instances, {} }, pool.owners.size(), now);
+    }
     if (chosen.best == nullptr) {
         return refusal(error_code::no_backend_server, "reason=all_failed_before pool=" + key.name, leastRetryAfter);
     }
