Placement: memory of a cancelled attempt comes back when its end is never heard

Cause: a cancelled attempt stayed counted until the adapter told its end; a lost word would have kept its memory for good. A report taken two seconds after the cancel, without the stream, ends it.

--- a/src/placement/internal/backend_state.cpp
+++ b/src/placement/internal/backend_state.cpp
@@ -11,6 +11,8 @@
 /// A first token is late when it takes this many times what was predicted, and the slack on top.
 constexpr int lateFactor = 3;
 constexpr std::chrono::milliseconds lateSlack{ 300 };
+/// A stream may be listed this long after it was cancelled.
+constexpr std::chrono::seconds cancelGrace{ 2 };
 
 } // namespace
 
@@ -45,36 +47,6 @@
     m_owned = false;
 }
 
-const backend_server_id &backend_state::id() const
-{
-    return m_server.id;
-}
-
-bool backend_state::owned() const
-{
-    return m_owned;
-}
-
-bool backend_state::takesNewWork() const
-{
-    return m_owned && m_assignment.acceptsNewWork && !yielded();
-}
-
-bool backend_state::yielded() const
-{
-    return m_highestFencingNumber > m_assignment.fencingNumber;
-}
-
-std::uint64_t backend_state::fencingNumber() const
-{
-    return m_assignment.fencingNumber;
-}
-
-bool backend_state::isEngine() const
-{
-    return m_server.kind == config::backend_server_kind::engine;
-}
-
 int backend_state::limit(time_point now) const
 {
     return mustStayCold(now) ? std::min(m_slowStart.limit(), m_slowStart.coldLimit()) : m_slowStart.limit();
@@ -184,14 +156,31 @@
     }
 }
 
-void backend_state::cancelled(const attempt_id &attempt)
+void backend_state::cancelled(const attempt_id &attempt, time_point now)
 {
     const auto found = m_running.find(attempt);
     if (found != m_running.end()) {
-        found->second.cancelled = true;
+        found->second.cancelledAt = now;
     }
 }
 
+std::vector<attempt_id> backend_state::goneAfterCancel(const engine_report &report) const
+{
+    std::vector<attempt_id> gone;
+    for (const auto &[attempt, state] : m_running) {
+        if (!state.cancelledAt || *state.cancelledAt + cancelGrace > report.takenAt) {
+            continue;
+        }
+        const bool listed = std::any_of(report.streams.begin(), report.streams.end(), [&id = attempt](const reported_stream &stream) {
+            return stream.attempt == id;
+        });
+        if (!listed) {
+            gone.push_back(attempt);
+        }
+    }
+    return gone;
+}
+
 std::optional<running_attempt> backend_state::end(const attempt_id &attempt, std::optional<fall_reason> reason, time_point now)
 {
     const auto found = m_running.find(attempt);
@@ -206,7 +195,7 @@
         --m_longRunning;
         m_longTokens -= memoryNeed(ended.work);
     }
-    if (ended.cancelled) {
+    if (ended.cancelledAt) {
         return ended;
     }
     if (reason) {
@@ -253,51 +242,6 @@
     }
 }
 
-memory_ledger &backend_state::memory()
-{
-    return m_memory;
-}
-
-const memory_ledger &backend_state::memory() const
-{
-    return m_memory;
-}
-
-prefill_backlog &backend_state::backlog()
-{
-    return m_backlog;
-}
-
-const prefix_estimate &backend_state::prefixes() const
-{
-    return m_prefixes;
-}
-
-const slow_start &backend_state::slowStart() const
-{
-    return m_slowStart;
-}
-
-const std::unordered_map<attempt_id, running_attempt> &backend_state::running() const
-{
-    return m_running;
-}
-
-std::optional<time_point> backend_state::reportTakenAt() const
-{
-    return m_reportTakenAt;
-}
-
-int backend_state::longRunning() const
-{
-    return m_longRunning;
-}
-
-token_count backend_state::longTokens() const
-{
-    return m_longTokens;
-}
-
 bool backend_state::reportIsStale(time_point now) const
 {
     if (!m_reportTakenAt) {
--- a/src/placement/internal/backend_state.h
+++ b/src/placement/internal/backend_state.h
@@ -13,6 +13,7 @@
 #include <chrono>
 #include <optional>
 #include <unordered_map>
+#include <vector>
 
 namespace mustardtrail::placement
 {
@@ -26,13 +27,31 @@
     void configure(const config::backend_server &server, const membership::backend_assignment &assignment, bool isolated);
     void disown();
 
-    const backend_server_id &id() const;
-    bool owned() const;
-    bool takesNewWork() const;
+    const backend_server_id &id() const
+    {
+        return m_server.id;
+    }
+    bool owned() const
+    {
+        return m_owned;
+    }
+    bool takesNewWork() const
+    {
+        return m_owned && m_assignment.acceptsNewWork && !yielded();
+    }
     /// A report showed a higher fencing number than ours.
-    bool yielded() const;
-    std::uint64_t fencingNumber() const;
-    bool isEngine() const;
+    bool yielded() const
+    {
+        return m_highestFencingNumber > m_assignment.fencingNumber;
+    }
+    std::uint64_t fencingNumber() const
+    {
+        return m_assignment.fencingNumber;
+    }
+    bool isEngine() const
+    {
+        return m_server.kind == config::backend_server_kind::engine;
+    }
 
     int limit(time_point now) const;
     int outstanding() const;
@@ -48,7 +67,9 @@
     void send(const work_item &work, int priority, time_point now);
     void firstToken(const attempt_id &attempt, time_point now);
     void output(const attempt_id &attempt, token_count tokens);
-    void cancelled(const attempt_id &attempt);
+    void cancelled(const attempt_id &attempt, time_point now);
+    /// Attempts that were cancelled well before the report was taken and that it does not list any more.
+    std::vector<attempt_id> goneAfterCancel(const engine_report &report) const;
     /// Ends an attempt; a reason makes the limit fall.
     std::optional<running_attempt> end(const attempt_id &attempt, std::optional<fall_reason> reason, time_point now);
     void applyReport(const engine_report &report, time_point now);
@@ -56,15 +77,42 @@
     /// Looks for first tokens that are overdue.
     void checkOverdue(time_point now);
 
-    memory_ledger &memory();
-    const memory_ledger &memory() const;
-    prefill_backlog &backlog();
-    const prefix_estimate &prefixes() const;
-    const slow_start &slowStart() const;
-    const std::unordered_map<attempt_id, running_attempt> &running() const;
-    std::optional<time_point> reportTakenAt() const;
-    int longRunning() const;
-    token_count longTokens() const;
+    memory_ledger &memory()
+    {
+        return m_memory;
+    }
+    const memory_ledger &memory() const
+    {
+        return m_memory;
+    }
+    prefill_backlog &backlog()
+    {
+        return m_backlog;
+    }
+    const prefix_estimate &prefixes() const
+    {
+        return m_prefixes;
+    }
+    const slow_start &slowStart() const
+    {
+        return m_slowStart;
+    }
+    const std::unordered_map<attempt_id, running_attempt> &running() const
+    {
+        return m_running;
+    }
+    std::optional<time_point> reportTakenAt() const
+    {
+        return m_reportTakenAt;
+    }
+    int longRunning() const
+    {
+        return m_longRunning;
+    }
+    token_count longTokens() const
+    {
+        return m_longTokens;
+    }
 
 private:
     bool reportIsStale(time_point now) const;
--- a/src/placement/internal/owner_scheduler_impl.cpp
+++ b/src/placement/internal/owner_scheduler_impl.cpp
@@ -106,7 +106,7 @@
 void owner_scheduler::implementation::cancel(const attempt_id &attempt, time_point now)
 {
     if (backend_state *backend = backendOf(attempt)) {
-        backend->cancelled(attempt);
+        backend->cancelled(attempt, now);
         m_actions.emplace_back(cancel_at_backend{ attempt, backend->id() });
         return;
     }
@@ -161,6 +161,13 @@
     }
     backend_state &backend = *found->second;
     backend.applyReport(report, now);
+    // The word that a cancelled stream ended may be lost; its memory must not be.
+    for (const attempt_id &gone : backend.goneAfterCancel(report)) {
+        end(gone, std::nullopt, now);
+    }
+    if (!m_backends.contains(report.backend)) {
+        return; // The last attempt of a backend server that belongs to another owner by now.
+    }
     for (const attempt_id &orphan : backend.memory().orphans()) {
         m_actions.emplace_back(cancel_at_backend{ orphan, backend.id() });
     }
--- a/src/placement/internal/running_attempt.h
+++ b/src/placement/internal/running_attempt.h
@@ -2,6 +2,8 @@
 
 #include "placement/work_item.h"
 
+#include <optional>
+
 namespace mustardtrail::placement
 {
 
@@ -14,7 +16,7 @@
     token_count generated = 0;
     bool firstTokenSeen = false;
     bool late = false; ///< Its first token came, or still is, far later than expected.
-    bool cancelled = false;
+    std::optional<time_point> cancelledAt;
 };
 
 } // namespace mustardtrail::placement
--- a/src/placement/owner_scheduler.h
+++ b/src/placement/owner_scheduler.h
@@ -32,7 +32,7 @@
 
     /// Dispatches, queues or refuses; a refusal comes at once.
     owner_action_list admit(const work_item &work, const std::vector<backend_server_id> &excluded, time_point now);
-    /// A queued attempt is forgotten; a running one stays counted until onFinished or onFailed.
+    /// A queued attempt is forgotten; a running one stays counted until onFinished, onFailed or a report without it.
     owner_action_list cancel(const attempt_id &attempt, time_point now);
 
     owner_action_list onAccepted(const attempt_id &attempt, time_point now);
--- a/src/placement/tests/owner_scheduler_test.cpp
+++ b/src/placement/tests/owner_scheduler_test.cpp
@@ -163,3 +163,22 @@
     runner.run("20 release group=k");
     testing::expectEqual(runner.stateOf("g1", "held_for_groups_tokens", milliseconds(20)), 0);
 }
+
+Test(owner_scheduler, freesTheMemoryOfACancelledAttemptWhoseEndWasLost)
+{
+    script_runner runner;
+    runner.runAll({ "0 view drained=g2", "0 report backend=g1", "0 admit id=a", "500 cancel id=a" });
+    runner.run("1000 report backend=g1");
+    testing::expectEqual(runner.stateOf("g1", "free_tokens", milliseconds(1000)), 98900);
+    runner.run("2600 report backend=g1");
+    testing::expectEqual(runner.stateOf("g1", "free_tokens", milliseconds(2600)), 100000);
+}
+
+Test(owner_scheduler, forgetsABackendOfAnotherOwnerWhenItsLastAttemptIsGone)
+{
+    script_runner runner;
+    runner.runAll({ "0 view drained=g2", "0 report backend=g1", "0 admit id=a", "500 cancel id=a", "600 view lost=g1" });
+    testing::expectEqual(runner.stateOf("g1", "running", milliseconds(600)), 1);
+    testing::expectEqual(runner.run("2600 report backend=g1"), "");
+    testing::expectEqual(runner.stateOf("g1", "running", milliseconds(2600)), -1);
+}
