Placement: queued work judged by the share it really gets; unchanged views are not rebuilt

Cause: the look over the queue took the whole rate for the prompt's own prefill, so long prompts were sent that missed their target.

--- a/src/placement/internal/owner_scheduler_impl.cpp
+++ b/src/placement/internal/owner_scheduler_impl.cpp
@@ -13,6 +13,12 @@
 constexpr std::chrono::milliseconds outOfServiceRetryAfter{ 5000 };
 constexpr std::chrono::milliseconds leastRetryAfter{ 100 };
 
+/// Most views only confirm the one before.
+bool sameOwnership(const membership::fleet_view &left, const membership::fleet_view &right)
+{
+    return left.config == right.config && left.isolated == right.isolated && left.backends == right.backends;
+}
+
 error refusal(error_code code, std::string detail, std::optional<std::chrono::milliseconds> retryAfter)
 {
     return { code, verdict::not_run, std::move(detail), retryAfter };
@@ -41,8 +47,11 @@
 
 void owner_scheduler::implementation::setView(std::shared_ptr<const membership::fleet_view> view, time_point now)
 {
+    const bool unchanged = m_view != nullptr && view != nullptr && sameOwnership(*m_view, *view);
     m_view = std::move(view);
-    rebuildPools(now);
+    if (!unchanged) {
+        rebuildPools(now);
+    }
     pumpAll(now);
 }
 
--- a/src/placement/internal/owner_scheduler_pools.cpp
+++ b/src/placement/internal/owner_scheduler_pools.cpp
@@ -42,6 +42,15 @@
     return sum;
 }
 
+double largestShareLeft(const pool_state &pool, int priority, time_point now)
+{
+    double share = 0;
+    for (backend_state *backend : pool.members()) {
+        share = std::max(share, backend->takesNewWork() ? backend->backlog().shareLeft(priority, now) : 0);
+    }
+    return share > 0 ? share : 1;
+}
+
 error_code whyDropped(bool confirmed, bool any)
 {
     if (!confirmed) {
@@ -143,14 +152,17 @@
     const sweep_rates rates = ratesOf(pool);
     double queuedAhead = 0;
     double sentAhead = 0;
+    double share = 1;
     int priority = -1;
     pool.queue().sweep([&](const queued_attempt &item) {
         if (item.priority != priority) {
             priority = item.priority;
             sentAhead = sentTokensAhead(pool, priority, now);
+            share = largestShareLeft(pool, priority, now);
         }
         const double own = static_cast<double>(item.work.promptTokens);
-        const std::chrono::duration<double> soonest{ rates.all > 0 ? (sentAhead + queuedAhead) / rates.all + own / rates.fastest : 0 };
+        const std::chrono::duration<double> soonest{ rates.all > 0 ? (sentAhead + queuedAhead) / rates.all + own / (rates.fastest * share)
+                                                                   : 0 };
         const bool late = now + std::chrono::duration_cast<std::chrono::nanoseconds>(soonest) > item.work.firstTokenDeadline;
         if (confirmed && rates.any && !late) {
             queuedAhead += own;
--- a/src/placement/internal/router_view.cpp
+++ b/src/placement/internal/router_view.cpp
@@ -14,11 +14,22 @@
 constexpr std::chrono::milliseconds otherDataCentreDistance{ 20 };
 constexpr std::chrono::milliseconds otherRegionDistance{ 150 };
 
+/// Most views only confirm the one before.
+bool sameFleet(const membership::fleet_view &left, const membership::fleet_view &right)
+{
+    return left.config == right.config && left.selfLeaving == right.selfLeaving && left.peers == right.peers
+        && left.backends == right.backends;
+}
+
 } // namespace
 
 void router::implementation::onView(std::shared_ptr<const membership::fleet_view> view)
 {
+    const bool unchanged = m_view != nullptr && view != nullptr && sameFleet(*m_view, *view);
     m_view = std::move(view);
+    if (unchanged) {
+        return;
+    }
     std::map<pool_key, pool_owners> pools = buildPools();
     for (auto &[key, pool] : pools) {
         const auto old = m_pools.find(key);
