--- a/src/placement/internal/owner_scheduler_impl.cpp
+++ b/src/placement/internal/owner_scheduler_impl.cpp
@@ -13,6 +13,12 @@
 constexpr std::chrono::milliseconds outOfServiceRetryAfter{ 5000 };
 constexpr std::chrono::milliseconds leastRetryAfter{ 100 };
 
+/// Most views only confirm the one before.
+bool sameOwnership(const membership::fleet_view &left, const membership::fleet_view &right)
+{
+    return left.config == right.config && left.isolated == right.isolated && left.backends == right.backends;
+}
+
 error refusal(error_code code, std::string detail, std::optional<std::chrono::milliseconds> retryAfter)
 {
     return { code, verdict::not_run, std::move(detail), retryAfter };
@@ -41,8 +47,11 @@
 
 void owner_scheduler::implementation::setView(std::shared_ptr<const membership::fleet_view> view, time_point now)
 {
+    const bool unchanged = m_view != nullptr && view != nullptr && sameOwnership(*m_view, *view);
     m_view = std::move(view);
-    rebuildPools(now);
+    if (!unchanged) {
+        rebuildPools(now);
+    }
     pumpAll(now);
 }
 
@@ -111,7 +120,7 @@
 void owner_scheduler::implementation::cancel(const attempt_id &attempt, time_point now)
 {
     if (backend_state *backend = backendOf(attempt)) {
-        backend->cancelled(attempt);
+        backend->cancelled(attempt, now);
         m_actions.emplace_back(cancel_at_backend{ attempt, backend->id() });
         return;
     }
@@ -166,6 +175,13 @@
     }
     backend_state &backend = *found->second;
     backend.applyReport(report, now);
+    // The word that a cancelled stream ended may be lost; its memory must not be.
+    for (const attempt_id &gone : backend.goneAfterCancel(report)) {
+        end(gone, std::nullopt, now);
+    }
+    if (!m_backends.contains(report.backend)) {
+        return; // The last attempt of a backend server that belongs to another owner by now.
+    }
     for (const attempt_id &orphan : backend.memory().orphans()) {
         m_actions.emplace_back(cancel_at_backend{ orphan, backend.id() });
     }
