--- a/src/membership/bench/membership_bench.cpp
+++ b/src/membership/bench/membership_bench.cpp
@@ -2,6 +2,8 @@
 // Usage: membership_bench steady NODES DATA_CENTRES SERVERS_PER_DATA_CENTRE SECONDS
 //        membership_bench change NODES DATA_CENTRES SEEDS
 //        membership_bench outage NODES DATA_CENTRES SEEDS
+//        membership_bench leaving NODES DATA_CENTRES SEEDS
+//        membership_bench cut NODES DATA_CENTRES
 //        membership_bench death NODES DATA_CENTRES SEEDS
 
 #include "base/log_line.h"
@@ -163,6 +165,62 @@
     });
 }
 
+bool everyoneStopped(fake_fleet &fleet, const std::string &server)
+{
+    for (int index = 0; index < fleet.size(); ++index) {
+        const fleet_view *view = fleet.view(index);
+        if (fleet.isUp(index) && (view == nullptr || view->backends.at(backend_server_id(server)).acceptsNewWork)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void leaving(const fake_fleet_settings &settings, int seeds)
+{
+    worstOf("leaving_backend_server", settings, seeds, [](fake_fleet &fleet) {
+        fleet.platform.entries[serverName(0, 0)].state = listing_state::leaving;
+        return fleet.runUntil(
+            [&fleet] {
+                return everyoneStopped(fleet, serverName(0, 0));
+            },
+            longestWait);
+    });
+}
+
+std::uint64_t mostBytesIn(fake_fleet &fleet, seconds length)
+{
+    for (int index = 0; index < fleet.size(); ++index) {
+        fleet.at(index).bytes = 0;
+    }
+    fleet.run(length);
+    std::uint64_t most = 0;
+    for (int index = 0; index < fleet.size(); ++index) {
+        most = std::max(most, fleet.at(index).bytes);
+    }
+    return most / static_cast<std::uint64_t>(length.count());
+}
+
+// Bytes of the busiest node, by the second, after a data centre is cut off and after it is back.
+void cut(const fake_fleet_settings &settings)
+{
+    constexpr seconds window{ 10 };
+    fake_fleet fleet(settings);
+    fleet.run(warmUp);
+    fleet.isCut = [&fleet](int from, int to) {
+        return (fleet.dataCentreOf(from) == 0) != (fleet.dataCentreOf(to) == 0);
+    };
+    const std::uint64_t duringCut = mostBytesIn(fleet, window);
+    fleet.run(warmUp);
+    fleet.isCut = {};
+    const std::uint64_t afterHealing = mostBytesIn(fleet, window);
+    std::printf("cut nodes=%d data_centres=%d most_bytes_per_s_in_cut=%lu most_bytes_per_s_after_healing=%lu\n",
+        settings.nodes,
+        settings.dataCentres,
+        static_cast<unsigned long>(duringCut),
+        static_cast<unsigned long>(afterHealing));
+}
+
 void death(const fake_fleet_settings &settings, int seeds)
 {
     worstOf("death_known_everywhere", settings, seeds, [](fake_fleet &fleet) {
@@ -179,14 +237,20 @@
 
 int main(int argc, char **argv)
 {
-    if (argc < 5) {
-        std::fprintf(stderr, "usage: membership_bench steady|change|outage|death NODES DATA_CENTRES ...\n");
+    if (argc < 4) {
+        std::fprintf(stderr, "usage: membership_bench steady|change|outage|leaving|cut|death NODES DATA_CENTRES ...\n");
         return EXIT_FAILURE;
     }
     const std::string mode = argv[1];
     const fake_fleet_settings settings{ .nodes = std::atoi(argv[2]), .dataCentres = std::atoi(argv[3]) };
     if (mode == "steady" && argc == 6) {
         steady(settings.nodes, settings.dataCentres, std::atoi(argv[4]), seconds(std::atoi(argv[5])));
+    } else if (mode == "cut") {
+        cut(settings);
+    } else if (argc < 5) {
+        return EXIT_FAILURE;
+    } else if (mode == "leaving") {
+        leaving(settings, std::atoi(argv[4]));
     } else if (mode == "change") {
         change(settings, std::atoi(argv[4]));
     } else if (mode == "outage") {
--- a/src/membership/detector_settings.h
+++ b/src/membership/detector_settings.h
@@ -15,7 +15,8 @@
     int helpers = 2; ///< Members asked to probe.
     std::chrono::milliseconds suspicionTimeout{ 2000 }; ///< Then the suspect is declared dead.
     std::chrono::seconds forgetAfter{ 60 }; ///< A dead member that is not listed is forgotten then.
-    int repeatFactor = 4; ///< News is passed on this often per decimal digit of the fleet's size.
+    int repeatFactor = 4; ///< Times that news of members is passed on, per decimal digit of the fleet's size and once more.
+    int listingRepeatFactor = 8; ///< Same for changes of the list, which nobody tells again.
     int newsPerDatagram = 6;
     int pushFanout = 3; ///< Probes sent at once when something new must spread.
 
--- a/src/membership/internal/member_table.cpp
+++ b/src/membership/internal/member_table.cpp
@@ -166,6 +166,7 @@
         if (known.news.member.dataCentre == dataCentre && lostInCut) {
             known.news.member.state = peer_state::alive;
             known.stateSince = now;
+            m_news.drop(id.str());
             ++m_changes;
         }
     }
@@ -245,18 +246,20 @@
     return std::exchange(m_declaredDead, false);
 }
 
-// News about the receiver itself goes first: only the receiver can contradict it.
-std::vector<member_news> member_table::takeNews(const instance_id &receiver, int count)
+// News about the receiver itself goes first: only the receiver can contradict it. A node that hears nobody has no
+// sound opinion on who failed and would bury, with its first datagrams after a cut, those who are well.
+std::vector<member_news> member_table::takeNews(const instance_id &receiver, int count, bool passesFailures)
 {
     std::vector<member_news> news;
     const member *known = find(receiver);
-    if (known != nullptr && isFailure(known->state())) {
+    const bool hasDirect = known != nullptr && isFailure(known->state());
+    if (hasDirect) {
         news.push_back(known->news);
     }
     const int repeats = newsRepeats(m_settings.repeatFactor, m_members.size() + 1);
-    const bool hasDirect = !news.empty();
     for (member_news &item : m_news.take(count - static_cast<int>(news.size()), repeats)) {
-        if (!hasDirect || item.member.id != receiver) {
+        const bool isDirect = hasDirect && item.member.id == receiver;
+        if (!isDirect && (passesFailures || !isFailure(item.member.state))) {
             news.push_back(std::move(item));
         }
     }
--- a/src/membership/internal/member_table.h
+++ b/src/membership/internal/member_table.h
@@ -41,7 +41,7 @@
 
     /// Set when this node heard that it was declared dead; cleared by the call.
     bool takeDeclaredDead();
-    std::vector<member_news> takeNews(const instance_id &receiver, int count);
+    std::vector<member_news> takeNews(const instance_id &receiver, int count, bool passesFailures);
 
 private:
     void applyToSelf(const member_news &news);
--- a/src/membership/internal/news_queue.cpp
+++ b/src/membership/internal/news_queue.cpp
@@ -6,11 +6,11 @@
 int newsRepeats(int factor, size_t members)
 {
     constexpr size_t base = 10;
-    int digits = 1;
+    int steps = 2;
     for (size_t rest = members; rest >= base; rest /= base) {
-        ++digits;
+        ++steps;
     }
-    return factor * digits;
+    return factor * steps;
 }
 
 } // namespace mustardtrail::membership
--- a/src/membership/internal/news_queue.h
+++ b/src/membership/internal/news_queue.h
@@ -25,6 +25,15 @@
         m_order.insert(order_key(0, subject));
     }
 
+    void drop(const std::string &subject)
+    {
+        const auto found = m_entries.find(subject);
+        if (found != m_entries.end()) {
+            m_order.erase(order_key(found->second.sent, subject));
+            m_entries.erase(found);
+        }
+    }
+
     /// Up to `count` items, each counted as sent once.
     std::vector<item> take(int count, int repeats)
     {
@@ -57,7 +66,7 @@
     std::set<order_key> m_order;
 };
 
-/// Times one item is passed on by one node: grows with the number of digits of the fleet's size.
+/// Times one item is passed on by one node: factor times one more than the number of digits of the fleet's size.
 int newsRepeats(int factor, size_t members);
 
 } // namespace mustardtrail::membership
--- a/src/membership/internal/view_sending.cpp
+++ b/src/membership/internal/view_sending.cpp
@@ -49,8 +49,9 @@
     message.listAge = m_list.duty().age(now);
     message.logicalTime = m_clock.current();
     message.ownerLoads = m_loads;
-    message.members = m_members.takeNews(out.receiver, m_settings.detector.newsPerDatagram);
-    message.listings = m_list.takeNews(listingsPerDatagram, newsRepeats(m_settings.detector.repeatFactor, m_members.members().size() + 1));
+    message.members = m_members.takeNews(out.receiver, m_settings.detector.newsPerDatagram, !m_confirmation.isIsolated());
+    message.listings
+        = m_list.takeNews(listingsPerDatagram, newsRepeats(m_settings.detector.listingRepeatFactor, m_members.members().size() + 1));
 }
 
 } // namespace mustardtrail::membership
--- a/src/membership/tests/partition_test.cpp
+++ b/src/membership/tests/partition_test.cpp
@@ -52,19 +52,34 @@
     cr_assert_not(lostOwn, "news of a cut data centre must not bury members of another");
 }
 
-Test(partition, cutTowardsOneMemberIsBridgedByHelpers)
+namespace
+{
+
+/// Whether the first node ever suspects a member that it cannot reach itself but the others can.
+bool suspectsBehindCut(bool indirectProbes, bool oneWay)
 {
-    fake_fleet fleet({ .nodes = 5 });
+    fake_fleet fleet({ .nodes = 5, .adjust = [=](view_settings &settings) {
+                          settings.detector.indirectProbes = indirectProbes;
+                      } });
     fleet.run(seconds(5));
-    fleet.isCut = [](int from, int to) {
-        return from == 0 && to == 1;
+    fleet.isCut = [oneWay](int from, int to) {
+        return (from == 0 && to == 1) || (!oneWay && from == 1 && to == 0);
     };
-    bool died = false;
-    fleet.onAction = [&](int index, const view_action &) {
-        died = died || (index == 0 && fleet.stateAt(0, 1) == peer_state::dead);
+    bool suspected = false;
+    fleet.onAction = [&](int, const view_action &) {
+        suspected = suspected || fleet.stateAt(0, 1) != peer_state::alive;
     };
     fleet.run(seconds(30));
-    cr_assert_not(died);
+    return suspected;
+}
+
+} // namespace
+
+Test(partition, cutTowardsOneMemberIsBridgedByHelpers)
+{
+    cr_assert_not(suspectsBehindCut(true, true));
+    cr_assert_not(suspectsBehindCut(true, false));
+    cr_assert(suspectsBehindCut(false, false), "without helpers it is noticed");
 }
 
 Test(partition, lostDoubledAndReorderedDatagramsKillNobody)
--- a/src/membership/tests/view_core_test.cpp
+++ b/src/membership/tests/view_core_test.cpp
@@ -235,3 +235,40 @@
     cr_assert(fleet.isConfirmed(0));
     cr_assert_not(fleet.view(0)->isolated);
 }
+
+Test(view_core, instanceOutOfServiceOwnsNothing)
+{
+    fake_fleet fleet({ .nodes = 3, .serversPerDataCentre = 12 });
+    fleet.run(seconds(5));
+    fleet.publish("instances", R"([{"id":"e2","in_service":false}])");
+    cr_assert(fleet.runUntil(
+        [&] {
+            return allAtRevision(fleet);
+        },
+        seconds(3)));
+    cr_assert(everyone(fleet, [&](int index) {
+        const auto &backends = fleet.view(index)->backends;
+        return std::none_of(backends.begin(), backends.end(), [](const auto &entry) {
+            return entry.second.owner == instance_id("e2");
+        });
+    }));
+}
+
+Test(view_core, loadSummariesReachPeersOfTheSameCluster)
+{
+    fake_fleet fleet({ .nodes = 3, .adjust = [](view_settings &settings) {
+                          settings.cluster = settings.self == instance_id("e3") ? "other" : "test";
+                      } });
+    std::map<int, std::string> received;
+    fleet.onAction = [&](int index, const view_action &action) {
+        if (const auto *loads = std::get_if<load_summaries_received>(&action)) {
+            received[index] = loads->summaries.at(0);
+        }
+    };
+    fleet.run(seconds(2));
+    fleet.deliver(0, load_summaries_set{ { "load" } });
+    fleet.run(seconds(3));
+    cr_assert(received[1] == "load");
+    cr_assert_not(received.contains(2));
+    cr_assert(fleet.stateAt(0, 2) == peer_state::dead || fleet.stateAt(0, 2) == peer_state::suspect);
+}
