--- a/cmake/MustardtrailTargets.cmake
+++ b/cmake/MustardtrailTargets.cmake
@@ -28,6 +28,14 @@
     target_compile_options(mt_options INTERFACE -Wno-maybe-uninitialized -Wno-stringop-overflow)
 endif()
 
+# Test programs whose code runs on several threads; the sanitizer builds make only these.
+add_custom_target(threaded_tests)
+
+function(mt_threaded NAME)
+    set_tests_properties(${NAME} PROPERTIES LABELS threaded)
+    add_dependencies(threaded_tests ${NAME}_test)
+endfunction()
+
 function(mt_module NAME)
     cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
     add_library(mt_${NAME} STATIC ${ARG_SOURCES})
--- a/src/membership/fleet_view.h
+++ b/src/membership/fleet_view.h
@@ -2,7 +2,7 @@
 
 #include "base/clock.h"
 #include "config/configuration.h"
-#include "membership/backend_assignment.h"
+#include "membership/backend_assignments.h"
 #include "membership/peer.h"
 
 #include <map>
@@ -19,7 +19,7 @@
     bool selfLeaving = false;
     bool isolated = false; ///< No peer that the live list calls live answers: only cold limits apply.
     std::map<instance_id, peer> peers; ///< Without self.
-    std::map<backend_server_id, backend_assignment> backends;
+    backend_assignments backends;
     time_point confirmedAt{}; ///< Last time the view was confirmed, on this instance's clock.
 
     /// True while the view may be used to send work: it was confirmed within the lease.
--- a/src/membership/internal/view_builder.cpp
+++ b/src/membership/internal/view_builder.cpp
@@ -105,9 +105,10 @@
 
 void addClaims(fleet_view &view, const ownership_record &record)
 {
+    backend_assignments::map &backends = view.backends.edit();
     for (const auto &[id, claim] : record.claims()) {
-        const auto found = view.backends.find(id);
-        if (found != view.backends.end()) {
+        const auto found = backends.find(id);
+        if (found != backends.end()) {
             found->second.ownedSince = claim.since;
             found->second.fencingNumber = claim.fencingNumber;
         }
