--- a/src/host/internal/view_codec.cpp
+++ b/src/host/internal/view_codec.cpp
@@ -76,6 +76,12 @@
 
 } // namespace
 
+bool sameContent(const membership::fleet_view &left, const membership::fleet_view &right)
+{
+    return left.config == right.config && left.selfLeaving == right.selfLeaving && left.isolated == right.isolated
+        && left.backends == right.backends && left.peers == right.peers;
+}
+
 json::object viewToJson(const membership::fleet_view &view, time_point now)
 {
     json::array peers;
--- a/src/host/view_codec.h
+++ b/src/host/view_codec.h
@@ -8,6 +8,9 @@
 namespace mustardtrail::host
 {
 
+/// True when the views differ in nothing but the time of their confirmation.
+bool sameContent(const membership::fleet_view &left, const membership::fleet_view &right);
+
 /// The view without its configuration, which travels as a delta of its own. Times travel as ages.
 boost::json::object viewToJson(const membership::fleet_view &view, time_point now);
 
--- a/src/programs/ctl/internal/run_ctl.cpp
+++ b/src/programs/ctl/internal/run_ctl.cpp
@@ -63,7 +63,7 @@
         printHelp(commands, line->language, host.err);
         return exit_code::usage;
     }
-    const command_context context{ line->json, line->language, host.out, host.err, host.readFile };
+    const command_context context{ line->json, line->language, host.out, host.err, host.readFile, host.readDump };
     return command->run({ line->words.begin() + 1, line->words.end() }, context);
 }
 
--- a/src/programs/ctl/internal/run_ctl.h
+++ b/src/programs/ctl/internal/run_ctl.h
@@ -13,6 +13,7 @@
     std::ostream &out;
     std::ostream &err;
     std::function<std::optional<std::string>(const std::string &path)> readFile;
+    std::function<std::optional<std::string>(const std::string &address)> readDump{}; ///< GET /dump of a process.
 };
 
 /// Runs the program with the arguments after its name and one table of subcommands.
--- a/src/programs/ctl/internal/subcommand.h
+++ b/src/programs/ctl/internal/subcommand.h
@@ -20,6 +20,7 @@
     std::ostream &out;
     std::ostream &err;
     std::function<std::optional<std::string>(const std::string &path)> readFile;
+    std::function<std::optional<std::string>(const std::string &address)> readDump{};
 };
 
 /// One subcommand of the program.
--- a/src/programs/ctl/internal/subcommands.cpp
+++ b/src/programs/ctl/internal/subcommands.cpp
@@ -12,6 +12,7 @@
         { "preview", "OLD NEW", 2, "help_preview", runPreview },
         { "codes", "", 0, "help_codes", runCodes },
         { "explain", "CODE", 1, "help_explain", runExplain },
+        { "dump", "IP:PORT", 1, "help_dump", runDump },
     };
     return table;
 }
--- a/src/programs/ctl/main.cpp
+++ b/src/programs/ctl/main.cpp
@@ -1,4 +1,6 @@
 #include "programs/ctl/internal/run_ctl.h"
+#include "programs/ctl/internal/subcommands.h"
+#include "programs/ctl/read_dump.h"
 
 #include <filesystem>
 #include <fstream>
@@ -27,5 +29,5 @@
 {
     using namespace mustardtrail::ctl;
     const std::vector<std::string> arguments(argv + std::min(argc, 1), argv + argc);
-    return static_cast<int>(runCtl(subcommands(), arguments, { std::cout, std::cerr, readFile }));
+    return static_cast<int>(runCtl(subcommands(), arguments, { std::cout, std::cerr, readFile, readDump }));
 }
--- a/src/programs/entry/entry_host.h
+++ b/src/programs/entry/entry_host.h
@@ -84,6 +84,8 @@
     boost::asio::awaitable<void> followView();
     boost::asio::awaitable<bool> askView();
     bool takeView(const boost::json::object &answer, time_point askedAt);
+    std::shared_ptr<const membership::fleet_view> viewFrom(const boost::json::object &answer, time_point askedAt);
+    void takeSummaries(const boost::json::object &answer, time_point askedAt);
     std::shared_ptr<const payload> payloadOf(const attempt_id &attempt, const request_id &request) const;
     void endCaller(const request_id &request, caller_event event);
 
@@ -102,6 +104,8 @@
     std::unordered_map<attempt_id, request_id> m_attemptRequests; ///< Attempts that answer a caller of this instance.
     std::unordered_map<attempt_id, std::shared_ptr<attempt_link>> m_links;
     std::unordered_map<request_id, std::shared_ptr<const std::string>> m_prompts; ///< Prompt texts that segments are cut from.
+    std::int64_t m_viewIncarnation = -1; ///< Of the view process that sent the view in use.
+    std::int64_t m_viewVersion = -1;
     std::vector<std::string> m_summaries; ///< Own load, encoded for the peers.
     std::unique_ptr<rpc_parts> m_rpc;
     std::atomic<bool> m_stopping{ false };
--- a/src/programs/view/view_host.cpp
+++ b/src/programs/view/view_host.cpp
@@ -234,6 +234,7 @@
 
 void view_host::carryOut(const membership::publish_view &action)
 {
+    m_viewVersion += host::sameContent(*m_view, *action.view) ? 0 : 1;
     m_view = action.view;
     handleOrder(orders::view_updated{ m_view });
 }
@@ -262,26 +263,23 @@
     return json::serialize(answer);
 }
 
-std::string view_host::answerView(const std::string &parameters)
+void view_host::takeSummaries(const json::object &asked)
 {
-    const json::object asked = json_access::objectFromText(parameters);
-    const time_point now = m_clock.now();
-    m_askedAt = now;
-    if (const json::array *summaries = json_access::arrayAt(asked, "summaries")) {
-        membership::load_summaries_set load;
-        for (const json::value &summary : *summaries) {
-            if (summary.is_string()) {
-                load.summaries.emplace_back(summary.get_string());
-            }
-        }
-        handle(load);
+    const json::array *summaries = json_access::arrayAt(asked, "summaries");
+    if (summaries == nullptr) {
+        return;
     }
-    json::object answer;
-    const std::int64_t after = json_access::numberOr(asked, "after_revision", 0);
-    if (m_view->config && m_view->config->revision > after) {
-        answer["config"] = deltaAfter(after);
+    membership::load_summaries_set load;
+    for (const json::value &summary : *summaries) {
+        if (summary.is_string()) {
+            load.summaries.emplace_back(summary.get_string());
+        }
     }
-    answer["view"] = host::viewToJson(*m_view, now);
+    handle(load);
+}
+
+json::array view_host::peerLoads(time_point now) const
+{
     json::array loads;
     for (const auto &[peer, load] : m_loads) {
         if (now - load.at > loadKept) {
@@ -294,7 +292,32 @@
         const auto age = std::chrono::duration_cast<milliseconds>(now - load.at).count();
         loads.push_back(json::object{ { "peer", peer.str() }, { "age_ms", age }, { "items", std::move(items) } });
     }
-    answer["summaries"] = std::move(loads);
+    return loads;
+}
+
+// The entry asks often; what it knows already is not sent again.
+std::string view_host::answerView(const std::string &parameters)
+{
+    const json::object asked = json_access::objectFromText(parameters);
+    const time_point now = m_clock.now();
+    m_askedAt = now;
+    takeSummaries(asked);
+    json::object answer;
+    const std::int64_t after = json_access::numberOr(asked, "after_revision", 0);
+    if (m_view->config && m_view->config->revision > after) {
+        answer["config"] = deltaAfter(after);
+    }
+    const auto incarnation = static_cast<std::int64_t>(m_settings.core.incarnation);
+    const bool isKnown = json_access::numberOr(asked, "view_incarnation", -1) == incarnation
+        && json_access::numberOr(asked, "view_version", -1) == m_viewVersion;
+    answer["view_incarnation"] = incarnation;
+    answer["view_version"] = m_viewVersion;
+    if (isKnown) {
+        answer["confirmed_ms"] = std::chrono::ceil<milliseconds>(now - m_view->confirmedAt).count();
+    } else {
+        answer["view"] = host::viewToJson(*m_view, now);
+    }
+    answer["summaries"] = peerLoads(now);
     return json::serialize(answer);
 }
 
--- a/src/programs/view/view_host.h
+++ b/src/programs/view/view_host.h
@@ -11,6 +11,9 @@
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+
 #include <array>
 #include <map>
 #include <memory>
@@ -67,6 +70,8 @@
 
     std::string answerView(const std::string &parameters);
     std::string answerDelta(const std::string &parameters);
+    void takeSummaries(const boost::json::object &asked);
+    boost::json::array peerLoads(time_point now) const;
     std::string deltaAfter(std::int64_t revision);
     std::string metrics() const;
     endpoint addressOf(const backend_server_id &backend) const;
@@ -84,6 +89,7 @@
     boost::asio::steady_timer m_timer;
     boost::asio::steady_timer m_orderTimer;
     std::shared_ptr<const membership::fleet_view> m_view;
+    std::int64_t m_viewVersion = 0; ///< Grows when the view differs in more than its confirmation.
     std::map<instance_id, peer_load> m_loads;
     std::string m_delta; ///< Answer to the delta request in progress.
     time_point m_askedAt{}; ///< When the entry asked last.
