--- a/src/membership/backend_assignments.h
+++ b/src/membership/backend_assignments.h
@@ -17,6 +17,12 @@
 public:
     using map = std::map<backend_server_id, backend_assignment>;
 
+    backend_assignments() = default;
+    ~backend_assignments() = default;
+    // No move: an object that was moved from would hold no map.
+    backend_assignments(const backend_assignments &) = default;
+    backend_assignments &operator=(const backend_assignments &) = default;
+
     map::const_iterator begin() const
     {
         return m_map->begin();
--- a/src/membership/internal/view_builder.cpp
+++ b/src/membership/internal/view_builder.cpp
@@ -82,12 +82,13 @@
     const owner_candidates old = std::exchange(candidates, ownerCandidates(inputs.members, *inputs.config));
     const std::set<data_centre_id> unchanged
         = before != nullptr && before->config == inputs.config ? unchangedIn(old, candidates) : std::set<data_centre_id>();
+    backend_assignments::map &backends = view.backends.edit();
     for (const auto &[id, server] : inputs.config->backendServers) {
         const std::vector<instance_id> &choice = candidatesIn(candidates, server.dataCentre);
         backend_assignment assignment;
         assignment.owner = unchanged.contains(server.dataCentre) ? before->backends.at(id).owner : ownerOf(id, choice);
         assignment.acceptsNewWork = acceptsNewWork(server, inputs);
-        view.backends.emplace_hint(view.backends.end(), id, assignment);
+        backends.emplace_hint(backends.end(), id, assignment);
     }
     return view;
 }
