--- /dev/null
+++ b/src/node/tests/fleet_actions.cpp
@@ -0,0 +1,126 @@
+#include "node/tests/fleet.h"
+
+namespace mustardtrail::node::testing
+{
+
+using namespace std::chrono_literals;
+
+void fleet::act(size_t, const request::relay_output &action)
+{
+    m_trace.requests.at(action.request).delivered += action.text;
+}
+
+void fleet::act(size_t, const request::complete_request &action)
+{
+    ++m_counts["completed"];
+    m_trace.requests.at(action.request).finals.push_back({ m_time.now(), std::nullopt });
+}
+
+void fleet::act(size_t, const request::fail_request &action)
+{
+    ++m_counts[action.failure.outcome == verdict::not_run ? "refused" : "failed"];
+    m_trace.requests.at(action.request).finals.push_back({ m_time.now(), action.failure });
+}
+
+void fleet::act(size_t node, const open_backend &action)
+{
+    m_connections[{ action.attempt, action.connection }] = node;
+    m_time.after(1ms, [this, node, action] {
+        sendToBackend(node, action);
+    });
+}
+
+// The host's last look at the clock, between the decision and the first byte.
+void fleet::sendToBackend(size_t node, const open_backend &action)
+{
+    if (!m_hosts[node].alive || !m_connections.contains({ action.attempt, action.connection })) {
+        return;
+    }
+    if (isPaused(node) || !m_hosts[node].waiting.empty()) {
+        m_time.at(std::max(m_hosts[node].pausedUntil, m_time.now() + 1ms), [this, node, action] {
+            sendToBackend(node, action);
+        });
+        return;
+    }
+    if (m_time.now() >= action.notAfter) {
+        m_connections.erase({ action.attempt, action.connection });
+        handleNow(node, backend_reported{ action.attempt, request::connection_lost{ action.connection } });
+        return;
+    }
+    handleNow(node, backend_reported{ action.attempt, request::request_sent{ action.connection } });
+    m_time.after(1ms, [this, node, action] {
+        m_backends.at(action.backend)->arrive(action, replyTo(node, action.attempt, action.connection), viewsAgree());
+    });
+}
+
+fake_backend::to_owner fleet::replyTo(size_t node, const attempt_id &attempt, int connection)
+{
+    return [this, node, attempt, connection](const request::backend_event &event) {
+        m_time.after(1ms, [this, node, attempt, connection, event] {
+            if (!m_connections.contains({ attempt, connection })) {
+                return;
+            }
+            if (std::holds_alternative<request::connection_lost>(event)) {
+                m_connections.erase({ attempt, connection });
+            }
+            deliver(node, backend_reported{ attempt, event });
+        });
+    };
+}
+
+void fleet::act(size_t node, const resume_backend &action)
+{
+    m_connections[{ action.attempt, action.connection }] = node;
+    m_time.after(2ms, [this, node, action] {
+        if (m_hosts[node].alive && m_connections.contains({ action.attempt, action.connection })) {
+            const auto reply = replyTo(node, action.attempt, action.connection);
+            m_backends.at(action.backend)->resume(action.attempt, action.connection, action.from, reply);
+        }
+    });
+}
+
+void fleet::act(size_t node, const cancel_backend &action)
+{
+    std::erase_if(m_connections, [&](const auto &entry) {
+        return entry.first.first == action.attempt && entry.second == node;
+    });
+    m_time.after(1ms, [this, node, action] {
+        if (action.isEngine) {
+            m_backends.at(action.backend)->cancel(action.attempt);
+        } else {
+            m_backends.at(action.backend)->disconnect(action.attempt);
+        }
+        deliverSoon(node, backend_reported{ action.attempt, request::cancel_acknowledged{} });
+    });
+}
+
+void fleet::act(size_t node, const read_engine &action)
+{
+    m_time.after(1ms, [this, node, action] {
+        engine_read read;
+        read.backend = action.backend;
+        read.holdings = group::engine_holdings{ m_backends.at(action.backend)->report(), {} };
+        read.listsGroups = action.withGroups;
+        deliverSoon(node, read);
+    });
+}
+
+void fleet::act(size_t node, const call_engine &action)
+{
+    std::visit(
+        [&](const auto &call) {
+            group::engine_replied reply;
+            reply.key = call.call.key;
+            reply.backend = call.call.backend;
+            reply.sequence = call.call.sequence;
+            reply.failure = error{ error_code::backend_refused, verdict::not_run, "groups are not served", {} };
+            deliverSoon(node, reply);
+        },
+        action.call);
+}
+
+void fleet::act(size_t, const release_group &)
+{
+}
+
+} // namespace mustardtrail::node::testing
