A group's answer goes on after what an earlier attempt delivered

Left: programs/entry/backend_link.cpp useGroup() replaces the body, so a remote owner's completion loses mt_forced_prefix; not mended here.

--- a/src/node/internal/origin_side.cpp
+++ b/src/node/internal/origin_side.cpp
@@ -193,7 +193,7 @@
 void origin_side::carryOut(const request::start_attempt &action, time_point now, entry_actions &out)
 {
     if (needsGroup(action.work)) {
-        m_groupRequests[action.work.attempt] = action.work.request;
+        m_groupRequests[action.work.attempt] = { action.work.request, action.deliveredTokens, action.deliveredText };
         group::start_group start;
         start.work = action.work;
         start.expectedPrefill = timeFor(action.work.promptTokens, slowestPrefillTokensPerSecond);
@@ -317,8 +317,8 @@
 {
     // The group is named after its attempt; the prompt is found by the request.
     const auto request = m_groupRequests.find(attempt_id(action.call.key.group.str()));
-    out.push_back(
-        call_engine{ action, backendAddress(action.call.backend), request == m_groupRequests.end() ? request_id() : request->second });
+    out.push_back(call_engine{
+        action, backendAddress(action.call.backend), request == m_groupRequests.end() ? request_id() : request->second.request });
 }
 
 void origin_side::carryOut(const group::reserve_at_owner &action, time_point now, entry_actions &out)
@@ -362,7 +362,14 @@
 void origin_side::carryOut(const group::start_completion &action, time_point now, entry_actions &out)
 {
     const group::engine_group_id name = group::engineGroupOf(action.call.key);
-    hop_attempt attempt{ action.work, m_options.self, {}, 0, "", group_target{ name, action.call.backend, action.digest } };
+    const auto found = m_groupRequests.find(action.work.attempt);
+    const group_request started = found == m_groupRequests.end() ? group_request{} : found->second;
+    hop_attempt attempt{ action.work,
+        m_options.self,
+        {},
+        started.deliveredTokens,
+        started.deliveredText,
+        group_target{ name, action.call.backend, action.digest } };
     attempt.work.attempt = attempt_id(name.str());
     m_groupRuns[attempt.work.attempt] = { action.work.attempt, action.work.request, action.call.key, false };
     handOver(attempt, action.owner, now, out);
--- a/src/node/internal/origin_side.h
+++ b/src/node/internal/origin_side.h
@@ -42,6 +42,11 @@
     boost::json::object dump(time_point now) const;
 
 private:
+    struct group_request {
+        request_id request;
+        token_count deliveredTokens = 0; ///< By earlier attempts; the answer goes on after them.
+        std::string deliveredText;
+    };
     struct group_run {
         attempt_id attempt; ///< As request_core knows it.
         request_id request;
@@ -86,7 +91,7 @@
     group::group_coordinator m_groups;
     peer_calls m_calls;
     std::map<instance_id, placement::owner_summary> m_summaries;
-    std::map<attempt_id, request_id> m_groupRequests; ///< Attempts that run as a group.
+    std::map<attempt_id, group_request> m_groupRequests; ///< Attempts that run as a group.
     std::map<attempt_id, group_run> m_groupRuns; ///< By the attempt id at the owner.
     std::set<attempt_id> m_hops; ///< Attempts at other instances.
     entry_actions *m_out = nullptr; ///< Where hooks of peer answers put their actions.
--- a/src/node/tests/fake_backend.cpp
+++ b/src/node/tests/fake_backend.cpp
@@ -151,6 +151,18 @@
     }
 }
 
+void fake_backend::breakConnection()
+{
+    for (auto &[attempt, stream] : m_streams) {
+        if (stream.reply) {
+            const to_owner reply = stream.reply;
+            const int connection = stream.connection;
+            disconnect(attempt);
+            return reply(request::connection_lost{ connection });
+        }
+    }
+}
+
 void fake_backend::cancel(const attempt_id &attempt)
 {
     m_streams.erase(attempt);
@@ -161,6 +173,7 @@
     const auto lost = std::move(m_streams);
     m_streams.clear();
     ++m_incarnation;
+    m_groups.clear();
     m_highestFencingNumber = 0;
     m_warmAt = m_time.now() + warmUp;
     m_coldReportedAt.reset();
@@ -193,12 +206,20 @@
     return report;
 }
 
+std::uint64_t fake_backend::highestFencingNumber() const
+{
+    return m_highestFencingNumber;
+}
+
 token_count fake_backend::heldTokens() const
 {
     token_count held = 0;
     for (const auto &[attempt, stream] : m_streams) {
         held += stream.tokens;
     }
+    for (const auto &[group, kept] : m_groups) {
+        held += kept.leaseEnd > m_time.now() ? kept.tokens : 0;
+    }
     return held;
 }
 
--- a/src/node/tests/fake_backend.h
+++ b/src/node/tests/fake_backend.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "config/backend_server.h"
+#include "group/engine_holdings.h"
+#include "group/group_events.h"
 #include "node/entry_actions.h"
 #include "node/tests/timeline.h"
 #include "node/tests/trace.h"
@@ -38,10 +40,17 @@
     /// The connection broke: an engine keeps the stream until it is resumed or cancelled.
     void disconnect(const attempt_id &attempt);
     void cancel(const attempt_id &attempt);
+    /// Breaks one connection in the middle of its answer.
+    void breakConnection();
+    /// One call of a group; the memory is kept until it is released or its lease ends.
+    group::engine_replied serve(const call_engine &call);
+    void release(const group::engine_group_id &group);
+    std::vector<group::reported_group> groups();
     /// Loses all streams; cold until it has been up for a while.
     void restart();
     void setMood(backend_mood mood);
     placement::engine_report report();
+    std::uint64_t highestFencingNumber() const;
     token_count heldTokens() const;
     const config::backend_server &server() const;
 
@@ -57,6 +66,12 @@
         to_owner reply; ///< Empty while nobody is connected: the stream keeps its memory.
     };
 
+    struct held_group {
+        token_count tokens = 0;
+        time_point leaseEnd{};
+    };
+
+    void hold(const group::engine_group_id &group, token_count tokens, std::chrono::milliseconds lease);
     void run(const open_backend &request, to_owner reply);
     void makePiece(const attempt_id &attempt, std::uint64_t incarnation);
     void send(const attempt_id &attempt);
@@ -71,6 +86,7 @@
     time_point m_warmAt{};
     std::optional<time_point> m_coldReportedAt;
     std::map<attempt_id, stream> m_streams;
+    std::map<group::engine_group_id, held_group> m_groups;
 };
 
 } // namespace mustardtrail::node::testing
--- a/src/node/tests/fleet.cpp
+++ b/src/node/tests/fleet.cpp
@@ -11,7 +11,7 @@
 namespace
 {
 
-constexpr std::chrono::milliseconds settleTime = 30s; ///< Above the grace of memory that nobody claims.
+constexpr std::chrono::milliseconds settleTime = 45s; ///< Above the grace of memory that nobody claims.
 constexpr std::uint64_t seedStride = 64;
 constexpr std::chrono::milliseconds longestTravel = 40ms;
 
@@ -45,6 +45,7 @@
     starting.leaving = false;
     starting.pausedUntil = {};
     starting.ownedSince.clear();
+    starting.fencingNumbers.clear();
     starting.lastContact.clear();
     ++starting.self.incarnation;
 }
--- a/src/node/tests/fleet.h
+++ b/src/node/tests/fleet.h
@@ -61,6 +61,7 @@
         time_point wake{};
         std::deque<entry_event> waiting; ///< Events of a pause.
         std::map<backend_server_id, time_point> ownedSince;
+        std::map<backend_server_id, std::uint64_t> fencingNumbers;
         std::map<instance_id, time_point> lastContact;
     };
     struct hop {
@@ -90,6 +91,7 @@
     void feedView(size_t node);
     std::shared_ptr<membership::fleet_view> viewOf(size_t node);
     void assign(size_t node, membership::fleet_view &view);
+    std::uint64_t fencingNumberOf(host &owner, const backend_server_id &backend, time_point since);
     bool viewsAgree() const;
 
     void act(size_t node, const request::relay_output &action);
--- a/src/node/tests/fleet_actions.cpp
+++ b/src/node/tests/fleet_actions.cpp
@@ -99,7 +99,7 @@
     m_time.after(1ms, [this, node, action] {
         engine_read read;
         read.backend = action.backend;
-        read.holdings = group::engine_holdings{ m_backends.at(action.backend)->report(), {} };
+        read.holdings = group::engine_holdings{ m_backends.at(action.backend)->report(), m_backends.at(action.backend)->groups() };
         read.listsGroups = action.withGroups;
         deliverSoon(node, read);
     });
@@ -107,20 +107,20 @@
 
 void fleet::act(size_t node, const call_engine &action)
 {
-    std::visit(
-        [&](const auto &call) {
-            group::engine_replied reply;
-            reply.key = call.call.key;
-            reply.backend = call.call.backend;
-            reply.sequence = call.call.sequence;
-            reply.failure = error{ error_code::backend_refused, verdict::not_run, "groups are not served", {} };
-            deliverSoon(node, reply);
+    const backend_server_id backend = std::visit(
+        [](const auto &call) {
+            return call.call.backend;
         },
         action.call);
+    ++m_counts["group calls"];
+    m_time.after(5ms, [this, node, backend, action] {
+        deliverSoon(node, m_backends.at(backend)->serve(action));
+    });
 }
 
-void fleet::act(size_t, const release_group &)
+void fleet::act(size_t, const release_group &action)
 {
+    m_backends.at(action.backend)->release(action.group);
 }
 
 } // namespace mustardtrail::node::testing
--- a/src/node/tests/fleet_config.cpp
+++ b/src/node/tests/fleet_config.cpp
@@ -41,6 +41,7 @@
     config->models.insert(model_id("pay"));
     config->classes.emplace(class_id("lookup"), config::work_class{ class_id("lookup"), 800ms, 1500ms, true });
     config->classes.emplace(class_id("review"), config::work_class{ class_id("review"), 3000ms, 5000ms, true });
+    config->classes.emplace(class_id("history"), config::work_class{ class_id("history"), 15s, 20s, true });
     config->classes.emplace(class_id("deposit"), config::work_class{ class_id("deposit"), 800ms, 1500ms, false });
     for (const char *id : { "dc1", "dc2" }) {
         config->dataCentres.emplace(data_centre_id(id), config::data_centre{ data_centre_id(id), "r1", true });
--- a/src/node/tests/fleet_views.cpp
+++ b/src/node/tests/fleet_views.cpp
@@ -84,14 +84,26 @@
             const bool isFirstView = m_time.now() == time_point(10s);
             const auto since = to.ownedSince.try_emplace(id, isFirstView ? time_point(1s) : m_time.now()).first->second;
             assignment.ownedSince = since;
-            assignment.fencingNumber = static_cast<std::uint64_t>(since.time_since_epoch() / 1ms);
+            assignment.fencingNumber = fencingNumberOf(to, id, since);
         } else {
+            to.fencingNumbers.erase(id);
             to.ownedSince.erase(id);
         }
         view.backends.emplace(id, assignment);
     }
 }
 
+// An owner that meets a higher number at its engine, of an owner that was wrong or has left, takes a new one.
+std::uint64_t fleet::fencingNumberOf(host &owner, const backend_server_id &backend, time_point since)
+{
+    std::uint64_t &number = owner.fencingNumbers[backend];
+    number = std::max(number, static_cast<std::uint64_t>(since.time_since_epoch() / 1ms));
+    if (m_backends.at(backend)->highestFencingNumber() > number) {
+        number = static_cast<std::uint64_t>(m_time.now().time_since_epoch() / 1ms);
+    }
+    return number;
+}
+
 bool fleet::viewsAgree() const
 {
     return m_time.now() >= m_disturbedUntil;
--- a/src/node/tests/schedule.cpp
+++ b/src/node/tests/schedule.cpp
@@ -10,6 +10,7 @@
 
 constexpr int steps = 60;
 constexpr unsigned longestStep = 120;
+constexpr token_count beyondOneEngine = 60'000;
 constexpr std::uint64_t faultSalt = 0x9e3779b9;
 
 request::caller_request makeRequest(unsigned number)
@@ -72,10 +73,10 @@
 {
     request::caller_request made = makeRequest(++m_requests);
     const auto draw = m_random.below(10);
-    made.workClass = class_id(draw < 5 ? "lookup" : draw < 7 ? "review" : "deposit");
+    made.workClass = class_id(draw < 5 ? "lookup" : draw < 6 ? "review" : draw < 7 ? "history" : "deposit");
     if (draw < 7) {
         made.model = model_id("pay");
-        made.promptTokens = draw < 5 ? 1000 : 20'000;
+        made.promptTokens = draw < 5 ? 1000 : draw < 6 ? 20'000 : beyondOneEngine;
         made.maxNewTokens = 16;
     } else {
         made.service = service_id("counter");
@@ -108,7 +109,7 @@
     const size_t other = (node + 1) % m_fleet.size();
     static const char *const backends[] = { "g1", "g2", "g3", "g4", "g5", "s1", "s2" };
     fake_backend &backend = m_fleet.backend(backends[m_random.below(std::size(backends))]);
-    switch (m_random.below(8)) {
+    switch (m_random.below(9)) {
     case 0:
         return m_fleet.kill(node);
     case 1:
@@ -127,6 +128,9 @@
             m_fleet.stop(node);
         }
         return;
+    case 7:
+        m_fleet.note("break " + backend.server().id.str());
+        return backend.breakConnection();
     default:
         const auto mood = static_cast<backend_mood>(m_random.below(5));
         m_fleet.note("mood " + backend.server().id.str() + " " + std::to_string(static_cast<int>(mood)));
