--- a/src/node/internal/owner_side.cpp
+++ b/src/node/internal/owner_side.cpp
@@ -109,7 +109,8 @@
     owned_attempt &owned = m_attempts[attempt.work.attempt];
     owned.hop = attempt;
     owned.isLocal = isLocal;
-    const bool mayRun = owns(target.backend) && m_view->isConfirmed(now) && m_reservations.holds(target.backend, target.group);
+    const bool mayRun = owns(target.backend) && m_view->backends.at(target.backend).acceptsNewWork && m_view->isConfirmed(now)
+        && m_reservations.holds(target.backend, target.group);
     if (!mayRun) {
         const error failure{ error_code::not_owner, verdict::not_run, "backend=" + target.backend.str(), {} };
         carryOut(placement::refuse_attempt{ attempt.work.attempt, failure }, now, out);
