--- a/src/placement/internal/backend_state.cpp
+++ b/src/placement/internal/backend_state.cpp
@@ -59,7 +59,8 @@
 
 int backend_state::freeSlots(time_point now) const
 {
-    return std::max(0, limit(now) - outstanding());
+    // The prefill of a segment and the completion of a group are requests at the engine like any other.
+    return std::max(0, limit(now) - outstanding() - m_memory.heldGroups());
 }
 
 bool backend_state::hasSlotFor(const work_item &work, time_point now) const
--- a/src/placement/internal/memory_ledger.cpp
+++ b/src/placement/internal/memory_ledger.cpp
@@ -62,6 +62,16 @@
     m_holds.erase(found);
 }
 
+bool memory_ledger::holds(const std::string &group) const
+{
+    return m_holds.contains(group);
+}
+
+int memory_ledger::heldGroups() const
+{
+    return static_cast<int>(m_holds.size());
+}
+
 void memory_ledger::expire(time_point now)
 {
     std::erase_if(m_holds, [&](const auto &entry) {
@@ -91,7 +101,8 @@
     token_count streamTokens = 0;
     for (const reported_stream &stream : report.streams) {
         streamTokens += stream.heldTokens;
-        if (m_own.contains(stream.attempt)) {
+        // The completion of a group carries the group's name and is counted with its hold.
+        if (m_own.contains(stream.attempt) || m_holds.contains(stream.attempt.str())) {
             continue;
         }
         if (m_ended.contains(stream.attempt)) {
--- a/src/placement/internal/owner_scheduler_impl.cpp
+++ b/src/placement/internal/owner_scheduler_impl.cpp
@@ -234,7 +234,11 @@
     if (found == m_backends.end() || !mayDispatch(now) || !found->second->takesNewWork()) {
         return false;
     }
-    return found->second->memory().hold(group, tokens, until, now);
+    memory_ledger &memory = found->second->memory();
+    if (!memory.holds(group) && found->second->freeSlots(now) == 0) {
+        return false;
+    }
+    return memory.hold(group, tokens, until, now);
 }
 
 void owner_scheduler::implementation::releaseMemory(const std::string &group, time_point now)
--- a/src/placement/memory_ledger.h
+++ b/src/placement/memory_ledger.h
@@ -24,6 +24,9 @@
     /// False, and nothing changed, when the tokens do not fit.
     bool hold(const std::string &group, token_count tokens, time_point until, time_point now);
     void release(const std::string &group);
+    bool holds(const std::string &group) const;
+    /// Groups that hold memory; each keeps one request at a time on the engine.
+    int heldGroups() const;
     /// Forgets holds that have ended by themselves.
     void expire(time_point now);
     /// End of the hold that ends first; time_point::max() without one.
