--- a/src/proof/bench/open_streams_bench.cpp
+++ b/src/proof/bench/open_streams_bench.cpp
@@ -68,8 +68,9 @@
         std::this_thread::sleep_for(samplePause);
     }
     load.wait();
-    std::printf("| asked for | most requests in the dump | before, KiB | most resident, KiB | a stream, KiB | whole answers | failed or refused |\n"
-                "| --- | --- | --- | --- | --- | --- | --- |\n| %d | %lld | %ld | %ld | %.1f | %d | %d |\n",
+    std::printf(
+        "| asked for | most requests in the dump | before, KiB | most resident, KiB | a stream, KiB | whole answers | failed or refused |\n"
+        "| --- | --- | --- | --- | --- | --- | --- |\n| %d | %lld | %ld | %ld | %.1f | %d | %d |\n",
         streams,
         static_cast<long long>(open),
         before,
