--- a/src/proof/fleet/managed_process.cpp
+++ b/src/proof/fleet/managed_process.cpp
@@ -1,15 +1,35 @@
 #include "proof/fleet/managed_process.h"
 
 #include <boost/process/child.hpp>
+#include <boost/process/extend.hpp>
 #include <boost/process/io.hpp>
 
+#include <sys/prctl.h>
+
+#include <chrono>
 #include <csignal>
+#include <thread>
 
 namespace mustardtrail::proof
 {
 
 namespace process = boost::process;
 
+namespace
+{
+
+constexpr std::chrono::milliseconds waitPause{ 10 };
+
+/// Ends the child with its parent: a test that fails leaves without running destructors.
+struct end_with_parent : process::extend::handler {
+    template<typename executor> void on_exec_setup(executor &) const // NOLINT(readability-identifier-naming)
+    {
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    }
+};
+
+} // namespace
+
 struct managed_process::child_state {
     process::child child;
 };
@@ -17,8 +37,12 @@
 managed_process::managed_process(const std::string &program, const std::string &settingsFile, const std::string &logFile)
     : m_child(std::make_unique<child_state>())
 {
-    m_child->child = process::child(
-        program, "--settings", settingsFile, (process::std_out & process::std_err) > logFile, process::std_in < process::null);
+    m_child->child = process::child(program,
+        "--settings",
+        settingsFile,
+        (process::std_out & process::std_err) > logFile,
+        process::std_in < process::null,
+        end_with_parent());
 }
 
 managed_process::managed_process(managed_process &&) noexcept = default;
@@ -44,11 +68,15 @@
     m_child->child.wait(ignored);
 }
 
+// The library's own wait with a limit can miss the end of a child when several end together.
 int managed_process::wait(int seconds)
 {
-    std::error_code failure;
-    if (!m_child->child.wait_for(std::chrono::seconds(seconds), failure) || failure) {
-        return -1;
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(seconds);
+    while (isRunning()) {
+        if (std::chrono::steady_clock::now() >= end) {
+            return -1;
+        }
+        std::this_thread::sleep_for(waitPause);
     }
     return m_child->child.exit_code();
 }
