Large files split, twins joined, metrics of limits, queues and slowdown; a slow caller is given up

owner_side, origin_side and entry_host each in two files by their jobs; the two visitors, the three unsigned readers and the three mains of the stand-ins are one each. /metrics now gives limits, running, free memory, queues, retries and whether a long prompt ran alongside. New process test: a caller that does not read is given up after the progress limit and its memory freed (passes first; the limit was there, untested).

--- a/src/base/internal/json_access.cpp
+++ b/src/base/internal/json_access.cpp
@@ -23,6 +23,17 @@
     return value != nullptr && value->is_int64() ? value->get_int64() : fallback;
 }
 
+std::uint64_t unsignedOr(const json::object &object, std::string_view key, std::uint64_t fallback)
+{
+    const json::value *value = object.if_contains(view(key));
+    if (value == nullptr || !value->is_number()) {
+        return fallback;
+    }
+    json::error_code failure;
+    const auto number = value->to_number<std::uint64_t>(failure);
+    return failure ? fallback : number;
+}
+
 double realOr(const json::object &object, std::string_view key, double fallback)
 {
     const json::value *value = object.if_contains(view(key));
--- a/src/base/json_access.h
+++ b/src/base/json_access.h
@@ -12,6 +12,8 @@
 {
 
 std::int64_t numberOr(const boost::json::object &object, std::string_view key, std::int64_t fallback);
+/// Any number that is a whole one from 0 to 2^64 - 1.
+std::uint64_t unsignedOr(const boost::json::object &object, std::string_view key, std::uint64_t fallback);
 double realOr(const boost::json::object &object, std::string_view key, double fallback);
 bool boolOr(const boost::json::object &object, std::string_view key, bool fallback);
 std::string textOr(const boost::json::object &object, std::string_view key, std::string_view fallback = {});
--- a/src/host/internal/view_codec.cpp
+++ b/src/host/internal/view_codec.cpp
@@ -64,16 +64,6 @@
         { "fencing", assignment.fencingNumber } };
 }
 
-std::uint64_t fencingOf(const json::object &message)
-{
-    const json::value *value = message.if_contains("fencing");
-    if (value == nullptr || !value->is_number()) {
-        return 0;
-    }
-    json::error_code failure;
-    return value->to_number<std::uint64_t>(failure);
-}
-
 } // namespace
 
 bool sameContent(const membership::fleet_view &left, const membership::fleet_view &right)
@@ -131,7 +121,7 @@
         assignment.owner = instance_id(json_access::textOr(*item, "owner"));
         assignment.acceptsNewWork = json_access::boolOr(*item, "accepts", false);
         assignment.ownedSince = receivedAt - milliseconds(json_access::numberOr(*item, "owned_ms", 0));
-        assignment.fencingNumber = fencingOf(*item);
+        assignment.fencingNumber = json_access::unsignedOr(*item, "fencing", 0);
         view.backends.emplace(backend_server_id(json_access::textOr(*item, "id")), assignment);
     }
     return view;
--- a/src/node/internal/owner_side.h
+++ b/src/node/internal/owner_side.h
@@ -5,6 +5,7 @@
 #include "node/entry_actions.h"
 #include "node/entry_events.h"
 #include "node/entry_options.h"
+#include "node/internal/attempt_event.h"
 #include "placement/owner_scheduler.h"
 #include "request/backend_attempt.h"
 
@@ -18,11 +19,6 @@
 namespace mustardtrail::node
 {
 
-/// Event of an attempt on its way to the origin.
-using attempt_event = std::variant<request::attempt_accepted, request::attempt_output, request::attempt_finished, request::attempt_failed>;
-
-attempt_id attemptOf(const attempt_event &event);
-
 /// Work of this instance as owner of backend servers: admission, connections, load reports, memory.
 class owner_side
 {
--- a/src/programs/entry/admin_routes.cpp
+++ b/src/programs/entry/admin_routes.cpp
@@ -16,9 +16,9 @@
 constexpr int statusNotFound = 404;
 constexpr int statusUnavailable = 503;
 
-asio::awaitable<std::string> dumpOnStrand(entry_host &host)
+asio::awaitable<boost::json::object> dumpOnStrand(entry_host &host)
 {
-    co_return boost::json::serialize(host.dump());
+    co_return host.dump();
 }
 
 http::response_message plainAnswer(int status, std::string body, const char *type)
@@ -50,6 +50,8 @@
     if (path == "/metrics") {
         const auto view = m_host.view();
         const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(m_host.clock().now() - view->confirmedAt);
+        const boost::json::object dump = co_await asio::co_spawn(m_host.strand(), dumpOnStrand(m_host), asio::use_awaitable);
+        m_metrics.setState(dump);
         m_metrics.setConfiguration(view->config ? view->config->revision : 0, age);
         co_await exchange.respond(plainAnswer(statusOk, m_metrics.text(), "text/plain; version=0.0.4"));
     } else if (path == "/healthz") {
@@ -58,8 +60,8 @@
         const bool ready = isReady();
         co_await exchange.respond(plainAnswer(ready ? statusOk : statusUnavailable, ready ? "ready\n" : "not_ready\n", "text/plain"));
     } else if (path == "/dump") {
-        std::string dump = co_await asio::co_spawn(m_host.strand(), dumpOnStrand(m_host), asio::use_awaitable);
-        co_await exchange.respond(plainAnswer(statusOk, std::move(dump), "application/json"));
+        const boost::json::object dump = co_await asio::co_spawn(m_host.strand(), dumpOnStrand(m_host), asio::use_awaitable);
+        co_await exchange.respond(plainAnswer(statusOk, boost::json::serialize(dump), "application/json"));
     } else {
         co_await exchange.respond(plainAnswer(statusNotFound, "not_found\n", "text/plain"));
     }
--- a/src/programs/entry/backend_link.cpp
+++ b/src/programs/entry/backend_link.cpp
@@ -57,13 +57,14 @@
 }
 
 // The engines of the group hold the prompt already.
-void useGroup(http::request_message &message, const node::group_target &group, token_count maxNewTokens)
+void useGroup(http::request_message &message, const node::group_target &group, const node::open_backend &action)
 {
     message.target = "/v1/completions";
     message.headers.add("Mustardtrail-Group", group.group.str());
     message.headers.add("Mustardtrail-Digest", group.digest);
-    const std::string body = R"({"model":"-","prompt":"","max_tokens":)" + std::to_string(maxNewTokens) + "}";
+    const std::string body = R"({"model":"-","prompt":"","max_tokens":)" + std::to_string(action.maxNewTokens) + "}";
     message.body = std::make_shared<const std::string>(body);
+    message.bodySkip = message.bodyPrefix.empty() ? 0 : 1; // The spliced prefix brings its own opening brace.
 }
 
 http::request_message serviceRequest(const payload &content)
@@ -108,7 +109,7 @@
     const auto self = shared_from_this();
     http::request_message message = action.isEngine ? engineRequest(action, *content) : serviceRequest(*content);
     if (action.group) {
-        useGroup(message, *action.group, action.maxNewTokens);
+        useGroup(message, *action.group, action);
     }
     http::call_limits limits;
     limits.firstByte = longestSilence;
--- a/src/programs/entry/caller_routes.cpp
+++ b/src/programs/entry/caller_routes.cpp
@@ -5,6 +5,7 @@
 #include "base/hash.h"
 #include "config/message_catalogue.h"
 #include "host/log.h"
+#include "placement/length_class.h"
 #include "programs/entry/service_head.h"
 
 #include <boost/asio/post.hpp>
@@ -78,6 +79,7 @@
     bool stream = false;
     bool includeUsage = false;
     bool sawOutput = false;
+    bool longAlongside = false; ///< Another caller's long prompt ran when this request came.
     token_count newTokens = 0;
     std::string text; ///< Of an answer that is not streamed.
 };
@@ -209,8 +211,12 @@
     content->kind = kind;
     content->body = exchange.request().body;
     content->bodyObjectStart = fields->bodyObjectStart;
+    const bool isLong = fields->promptTokens > placement::longPromptLimit;
+    answer.longAlongside = m_longRunning.load() > 0;
+    m_longRunning += isLong ? 1 : 0;
     start(exchange, answer, content);
     co_await writeCompletion(exchange, answer);
+    m_longRunning -= isLong ? 1 : 0;
 }
 
 asio::awaitable<void> caller_routes::serveService(http::exchange &exchange)
@@ -272,7 +278,8 @@
 {
     if (!answer.sawOutput) {
         answer.sawOutput = true;
-        m_metrics.firstToken(answer.request.promptTokens, knownClass(answer.request.workClass), m_host.clock().now() - answer.arrival);
+        m_metrics.firstToken(
+            answer.request.promptTokens, knownClass(answer.request.workClass), answer.longAlongside, m_host.clock().now() - answer.arrival);
     }
     answer.newTokens += piece.tokens;
     if (!answer.stream) {
--- a/src/programs/entry/caller_routes.h
+++ b/src/programs/entry/caller_routes.h
@@ -39,6 +39,7 @@
     entry_metrics &m_metrics;
     std::uint64_t m_incarnation;
     std::atomic<std::uint64_t> m_nextRequest{ 1 };
+    std::atomic<int> m_longRunning{ 0 }; ///< Long prompts between their start and their end here.
 };
 
 /// Answer to a request that could not be read, in the callers' error shape.
--- a/src/programs/entry/engine_report_reader.cpp
+++ b/src/programs/entry/engine_report_reader.cpp
@@ -11,22 +11,6 @@
 namespace json = boost::json;
 using std::chrono::milliseconds;
 
-namespace
-{
-
-std::uint64_t unsignedOr(const json::object &object, std::string_view key)
-{
-    const json::value *value = object.if_contains(json::string_view(key.data(), key.size()));
-    if (value == nullptr || !value->is_number()) {
-        return 0;
-    }
-    json::error_code failure;
-    const auto number = value->to_number<std::uint64_t>(failure);
-    return failure ? 0 : number;
-}
-
-} // namespace
-
 result<placement::engine_report> engineReportFrom(const backend_server_id &backend, std::string_view text, time_point receivedAt)
 {
     const json::object message = json_access::objectFromText(text);
@@ -35,7 +19,7 @@
     }
     placement::engine_report report;
     report.backend = backend;
-    report.incarnation = unsignedOr(message, "incarnation");
+    report.incarnation = json_access::unsignedOr(message, "incarnation", 0);
     report.takenAt = receivedAt - milliseconds(std::max<std::int64_t>(0, json_access::numberOr(message, "age_ms", 0)));
     report.warm = json_access::boolOr(message, "warm", false);
     report.runningRequests = static_cast<int>(json_access::numberOr(message, "running", 0));
@@ -44,13 +28,13 @@
     report.usedTokens = json_access::numberOr(message, "used_tokens", 0);
     report.prefillTokensPerSecond = json_access::realOr(message, "prefill_tokens_per_second", 0);
     report.decodeTokensPerSecond = json_access::realOr(message, "decode_tokens_per_second", 0);
-    report.highestFencingNumber = unsignedOr(message, "highest_fencing");
+    report.highestFencingNumber = json_access::unsignedOr(message, "highest_fencing", 0);
     if (const json::array *streams = json_access::arrayAt(message, "streams")) {
         for (const json::value &value : *streams) {
             if (const json::object *stream = value.if_object()) {
                 report.streams.push_back({ attempt_id(json_access::textOr(*stream, "attempt")),
                     json_access::numberOr(*stream, "held_tokens", 0),
-                    unsignedOr(*stream, "fencing") });
+                    json_access::unsignedOr(*stream, "fencing", 0) });
             }
         }
     }
@@ -68,7 +52,7 @@
             continue;
         }
         placement::cache_event event;
-        event.sequence = unsignedOr(*item, "seq");
+        event.sequence = json_access::unsignedOr(*item, "seq", 0);
         event.kind
             = json_access::textOr(*item, "kind") == "stored" ? placement::cache_event_kind::stored : placement::cache_event_kind::evicted;
         const std::string prefix = json_access::textOr(*item, "prefix");
--- a/src/programs/entry/entry_metrics.cpp
+++ b/src/programs/entry/entry_metrics.cpp
@@ -1,5 +1,8 @@
 #include "programs/entry/entry_metrics.h"
 
+#include "base/json_access.h"
+
+#include <boost/json/array.hpp>
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
@@ -11,6 +14,8 @@
 namespace mustardtrail::entry
 {
 
+namespace json = boost::json;
+
 namespace
 {
 
@@ -66,6 +71,12 @@
                                                             .Name("mustardtrail_attempts_total")
                                                             .Help("Attempts sent to backend servers, and hops to other instances")
                                                             .Register(registry);
+    prometheus::Family<prometheus::Gauge> &backends = prometheus::BuildGauge()
+                                                          .Name("mustardtrail_backend_server")
+                                                          .Help("Limit, running requests and free KV memory of owned backend servers")
+                                                          .Register(registry);
+    prometheus::Family<prometheus::Gauge> &queues
+        = prometheus::BuildGauge().Name("mustardtrail_queued_entries").Help("Entries of an owner's queue, by pool").Register(registry);
     prometheus::Family<prometheus::Gauge> &gauges
         = prometheus::BuildGauge().Name("mustardtrail_state").Help("State of the instance, by quantity").Register(registry);
 };
@@ -77,9 +88,12 @@
 
 entry_metrics::~entry_metrics() = default;
 
-void entry_metrics::firstToken(token_count promptTokens, const std::string &workClass, std::chrono::nanoseconds took)
+void entry_metrics::firstToken(token_count promptTokens, const std::string &workClass, bool longAlongside, std::chrono::nanoseconds took)
 {
-    m_families->firstToken.Add({ { "prompt", lengthLabel(promptTokens) }, { "class", workClass } }, secondBuckets).Observe(seconds(took));
+    m_families->firstToken
+        .Add({ { "prompt", lengthLabel(promptTokens) }, { "class", workClass }, { "long_alongside", longAlongside ? "yes" : "no" } },
+            secondBuckets)
+        .Observe(seconds(took));
 }
 
 void entry_metrics::finished(const std::string &workClass, const std::string &dataCentre, std::chrono::nanoseconds took)
@@ -113,17 +127,46 @@
     m_families->gauges.Add({ { "quantity", "view_age_seconds" } }).Set(seconds(viewAge));
 }
 
-void entry_metrics::setLoad(size_t runningRequests, size_t connections, size_t bodyBytes)
+void entry_metrics::setState(const json::object &dump)
 {
-    m_families->gauges.Add({ { "quantity", "running_requests" } }).Set(static_cast<double>(runningRequests));
-    m_families->gauges.Add({ { "quantity", "connections" } }).Set(static_cast<double>(connections));
-    m_families->gauges.Add({ { "quantity", "body_bytes" } }).Set(static_cast<double>(bodyBytes));
+    const auto gauge = [this](const char *quantity, double value) {
+        m_families->gauges.Add({ { "quantity", quantity } }).Set(value);
+    };
+    gauge("running_requests", static_cast<double>(json_access::numberOr(dump, "running_requests", 0)));
+    const json::object *origin = json_access::objectAt(dump, "origin");
+    const json::object *requests = origin != nullptr ? json_access::objectAt(*origin, "requests") : nullptr;
+    const json::object *counters = requests != nullptr ? json_access::objectAt(*requests, "counters") : nullptr;
+    for (const char *name : { "admitted", "refused", "completed", "failed", "attempts", "retries", "continuations" }) {
+        gauge(name, counters != nullptr ? static_cast<double>(json_access::unsignedOr(*counters, name, 0)) : 0);
+    }
+    const json::object *owner = json_access::objectAt(dump, "owner");
+    const json::object *placement = owner != nullptr ? json_access::objectAt(*owner, "placement") : nullptr;
+    if (placement != nullptr) {
+        setPlacement(*placement);
+    }
 }
 
-void entry_metrics::setOwner(int backends, int queued)
+void entry_metrics::setPlacement(const json::object &placement)
 {
-    m_families->gauges.Add({ { "quantity", "owned_backend_servers" } }).Set(backends);
-    m_families->gauges.Add({ { "quantity", "queued_attempts" } }).Set(queued);
+    const json::array none;
+    const json::array *backends = json_access::arrayAt(placement, "backend_servers");
+    for (const json::value &value : backends != nullptr ? *backends : none) {
+        const json::object *backend = value.if_object();
+        for (const char *name : { "limit", "running", "free_tokens" }) {
+            if (backend != nullptr) {
+                m_families->backends.Add({ { "backend_server", json_access::textOr(*backend, "id") }, { "quantity", name } })
+                    .Set(static_cast<double>(json_access::numberOr(*backend, name, 0)));
+            }
+        }
+    }
+    const json::array *pools = json_access::arrayAt(placement, "pools");
+    for (const json::value &value : pools != nullptr ? *pools : none) {
+        const json::object *pool = value.if_object();
+        const json::array *queue = pool != nullptr ? json_access::arrayAt(*pool, "queue") : nullptr;
+        if (queue != nullptr) {
+            m_families->queues.Add({ { "pool", json_access::textOr(*pool, "name") } }).Set(static_cast<double>(queue->size()));
+        }
+    }
 }
 
 std::string entry_metrics::text() const
--- a/src/programs/entry/entry_metrics.h
+++ b/src/programs/entry/entry_metrics.h
@@ -4,6 +4,8 @@
 #include "base/error.h"
 #include "base/units.h"
 
+#include <boost/json/object.hpp>
+
 #include <memory>
 #include <string>
 
@@ -19,19 +21,22 @@
     entry_metrics(const entry_metrics &) = delete;
     entry_metrics &operator=(const entry_metrics &) = delete;
 
-    /// First token of an answer; labelled by the length class of the prompt and the class of work.
-    void firstToken(token_count promptTokens, const std::string &workClass, std::chrono::nanoseconds took);
+    /// First token of an answer; labelled by the length of the prompt, the class of work and whether a long prompt ran
+    /// here at the same time: the quotient of the two is the slowdown of short requests.
+    void firstToken(token_count promptTokens, const std::string &workClass, bool longAlongside, std::chrono::nanoseconds took);
     void finished(const std::string &workClass, const std::string &dataCentre, std::chrono::nanoseconds took);
     void failed(const std::string &workClass, const std::string &dataCentre, const error &failure);
     void forwarded();
     void attempt();
     void setConfiguration(std::int64_t revision, std::chrono::milliseconds viewAge);
-    void setLoad(size_t runningRequests, size_t connections, size_t bodyBytes);
-    void setOwner(int backends, int queued);
+    /// Totals, limits and queues out of the state dump of the node.
+    void setState(const boost::json::object &dump);
 
     std::string text() const;
 
 private:
+    void setPlacement(const boost::json::object &placement);
+
     struct families;
     std::unique_ptr<families> m_families;
 };
--- a/src/programs/view/engine_orders.cpp
+++ b/src/programs/view/engine_orders.cpp
@@ -16,17 +16,6 @@
 constexpr int statusOk = 200;
 constexpr int statusConflict = 409;
 
-std::uint64_t unsignedOr(const json::object &object, std::string_view key)
-{
-    const json::value *value = object.if_contains(json::string_view(key.data(), key.size()));
-    if (value == nullptr || !value->is_number()) {
-        return 0;
-    }
-    json::error_code failure;
-    const auto number = value->to_number<std::uint64_t>(failure);
-    return failure ? 0 : number;
-}
-
 } // namespace
 
 result<orders::engine_state> engineStateFrom(const result<std::string> &body)
@@ -40,9 +29,9 @@
         return tl::unexpected(error{ error_code::backend_answer_invalid, verdict::ran, "field=models", {} });
     }
     orders::engine_state state;
-    state.incarnation = unsignedOr(message, "incarnation");
+    state.incarnation = json_access::unsignedOr(message, "incarnation", 0);
     state.role = json_access::textOr(message, "role");
-    state.highestFencingNumber = unsignedOr(message, "highest_fencing");
+    state.highestFencingNumber = json_access::unsignedOr(message, "highest_fencing", 0);
     for (const json::value &value : *models) {
         if (const json::object *model = value.if_object()) {
             state.models.insert({ model_id(json_access::textOr(*model, "model")), json_access::textOr(*model, "version") });
--- a/src/proof/fleet/fleet_options.h
+++ b/src/proof/fleet/fleet_options.h
@@ -20,6 +20,7 @@
     int warmAfter = 2;
     std::string liveLag = "300ms";
     std::string balancerLag = "300ms";
+    std::string progressLimit = "10s"; ///< Longest gap of a caller that reads or writes.
     bool keepLogs = false; ///< Keep the folder with settings and logs.
 };
 
--- a/src/proof/fleet/process_fleet.cpp
+++ b/src/proof/fleet/process_fleet.cpp
@@ -165,7 +165,7 @@
         instance.id + "-entry",
         common + "[entry]\ncallers = " + toString(instance.callers) + "\npeers = " + toString(instance.peers)
             + "\nadmin = " + toString(instance.admin) + "\nview = " + toString(instance.view) + "\nbalancer_lag = " + m_options.balancerLag
-            + "\ndefault_class = lookup\n");
+            + "\ndefault_class = lookup\n[limits]\nprogress = " + m_options.progressLimit + "\n");
 }
 
 void process_fleet::publish(const std::string &key, const std::string &value)
--- a/src/standin/common/standin_program.cpp
+++ b/src/standin/common/standin_program.cpp
@@ -1,5 +1,7 @@
 #include "standin/common/standin_program.h"
 
+#include "standin/common/standin_host.h"
+
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
@@ -32,6 +34,9 @@
     std::exit(exitSettings);
 }
 
+namespace
+{
+
 void listenOrExit(http::server &server, const endpoint &address)
 {
     const auto bound = server.listen(address);
@@ -41,4 +46,16 @@
     }
 }
 
+} // namespace
+
+void serveUntilSignal(
+    boost::asio::io_context &context, const endpoint &listen, http::handler serve, const endpoint &control, http::handler serveControl)
+{
+    http::server server(context.get_executor(), {}, std::move(serve), refusedRequest);
+    http::server controlServer(context.get_executor(), {}, std::move(serveControl), refusedRequest);
+    listenOrExit(server, listen);
+    listenOrExit(controlServer, control);
+    runUntilSignal(context);
+}
+
 } // namespace mustardtrail::standin
--- a/src/standin/engine/main.cpp
+++ b/src/standin/engine/main.cpp
@@ -56,23 +56,13 @@
     const auto startedAt = std::chrono::system_clock::now().time_since_epoch();
     const auto incarnation = static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(startedAt).count());
     engine_routes routes(context, optionsFrom(values), incarnation);
-    http::server server(
-        context.get_executor(),
-        {},
-        [&](http::exchange &exchange) {
-            return routes.serve(exchange);
-        },
-        refusedRequest);
-    http::server control(
-        context.get_executor(),
-        {},
-        [&](http::exchange &exchange) {
-            return routes.serveControl(exchange);
-        },
-        refusedRequest);
-    listenOrExit(server, values.address("engine.listen"));
-    listenOrExit(control, values.address("engine.control"));
     boost::asio::co_spawn(context, routes.run(), boost::asio::detached);
-    runUntilSignal(context);
+    const auto serve = [&](http::exchange &exchange) {
+        return routes.serve(exchange);
+    };
+    const auto serveControl = [&](http::exchange &exchange) {
+        return routes.serveControl(exchange);
+    };
+    serveUntilSignal(context, values.address("engine.listen"), serve, values.address("engine.control"), serveControl);
     return 0;
 }
--- a/src/standin/platform/main.cpp
+++ b/src/standin/platform/main.cpp
@@ -142,22 +142,12 @@
     const auto values = readProgramSettings(argc, argv, "Stand-in for the platform.", rules);
     asio::io_context context(1);
     platform_routes routes(values);
-    http::server server(
-        context.get_executor(),
-        {},
-        [&](http::exchange &exchange) {
-            return routes.serve(exchange);
-        },
-        refusedRequest);
-    http::server control(
-        context.get_executor(),
-        {},
-        [&](http::exchange &exchange) {
-            return routes.serveControl(exchange);
-        },
-        refusedRequest);
-    listenOrExit(server, values.address("platform.listen"));
-    listenOrExit(control, values.address("platform.control"));
-    runUntilSignal(context);
+    const auto serve = [&](http::exchange &exchange) {
+        return routes.serve(exchange);
+    };
+    const auto serveControl = [&](http::exchange &exchange) {
+        return routes.serveControl(exchange);
+    };
+    serveUntilSignal(context, values.address("platform.listen"), serve, values.address("platform.control"), serveControl);
     return 0;
 }
--- a/src/standin/service/main.cpp
+++ b/src/standin/service/main.cpp
@@ -106,22 +106,12 @@
     const auto values = readProgramSettings(argc, argv, "Stand-in for a plain service.", rules);
     asio::io_context context(1);
     service_routes routes;
-    http::server server(
-        context.get_executor(),
-        {},
-        [&](http::exchange &exchange) {
-            return routes.serve(exchange);
-        },
-        refusedRequest);
-    http::server control(
-        context.get_executor(),
-        {},
-        [&](http::exchange &exchange) {
-            return routes.serveControl(exchange);
-        },
-        refusedRequest);
-    listenOrExit(server, values.address("service.listen"));
-    listenOrExit(control, values.address("service.control"));
-    runUntilSignal(context);
+    const auto serve = [&](http::exchange &exchange) {
+        return routes.serve(exchange);
+    };
+    const auto serveControl = [&](http::exchange &exchange) {
+        return routes.serveControl(exchange);
+    };
+    serveUntilSignal(context, values.address("service.listen"), serve, values.address("service.control"), serveControl);
     return 0;
 }
