--- a/src/programs/entry/entry_host.cpp
+++ b/src/programs/entry/entry_host.cpp
@@ -33,7 +33,6 @@
 namespace
 {
 
-constexpr milliseconds viewTimeout{ 500 };
 constexpr size_t eventOverheadBytes = 64; ///< Counted for each event that waits for a reader.
 
 } // namespace
