--- a/cmake/MustardtrailTargets.cmake
+++ b/cmake/MustardtrailTargets.cmake
@@ -24,8 +24,8 @@
         target_compile_options(mt_options INTERFACE -Wno-tsan)
         target_compile_definitions(mt_options INTERFACE MT_THREAD_SANITIZER)
     endif()
-    # g++ 12 reports false positives of these two from library headers under sanitizers.
-    target_compile_options(mt_options INTERFACE -Wno-maybe-uninitialized -Wno-stringop-overflow)
+    # g++ 12 reports false positives of these from library headers under sanitizers.
+    target_compile_options(mt_options INTERFACE -Wno-maybe-uninitialized -Wno-stringop-overflow -Wno-mismatched-new-delete)
 endif()
 
 # Test programs whose code runs on several threads; the sanitizer builds make only these.
