A metrics scrape no longer writes out the view; an indirection without a job is gone

The state of the node without the view is a function of its own now; the dump adds to it. caller_routes::nextEvent only passed on to the channel's next().

--- a/src/programs/entry/admin_routes.cpp
+++ b/src/programs/entry/admin_routes.cpp
@@ -16,6 +16,11 @@
 constexpr int statusNotFound = 404;
 constexpr int statusUnavailable = 503;
 
+asio::awaitable<boost::json::object> nodeStateOnStrand(entry_host &host)
+{
+    co_return host.nodeState();
+}
+
 asio::awaitable<boost::json::object> dumpOnStrand(entry_host &host)
 {
     co_return host.dump();
@@ -50,8 +55,8 @@
     if (path == "/metrics") {
         const auto view = m_host.view();
         const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(m_host.clock().now() - view->confirmedAt);
-        const boost::json::object dump = co_await asio::co_spawn(m_host.strand(), dumpOnStrand(m_host), asio::use_awaitable);
-        m_metrics.setState(dump);
+        const boost::json::object state = co_await asio::co_spawn(m_host.strand(), nodeStateOnStrand(m_host), asio::use_awaitable);
+        m_metrics.setState(state);
         m_metrics.setConfiguration(view->config ? view->config->revision : 0, age);
         co_await exchange.respond(plainAnswer(statusOk, m_metrics.text(), "text/plain; version=0.0.4"));
     } else if (path == "/healthz") {
--- a/src/programs/entry/caller_routes.cpp
+++ b/src/programs/entry/caller_routes.cpp
@@ -248,15 +248,10 @@
     co_await writeService(exchange, answer);
 }
 
-asio::awaitable<caller_event> caller_routes::nextEvent(running_answer &answer)
-{
-    co_return co_await answer.channel->next();
-}
-
 asio::awaitable<void> caller_routes::writeCompletion(http::exchange &exchange, running_answer &answer)
 {
     while (true) {
-        const caller_event event = co_await nextEvent(answer);
+        const caller_event event = co_await answer.channel->next();
         if (const auto *piece = std::get_if<request::relay_output>(&event)) {
             if (!co_await relay(exchange, answer, *piece)) {
                 asio::post(m_host.strand(), [this, id = answer.request.id] {
@@ -361,7 +356,7 @@
 {
     http::response_message message;
     while (true) {
-        const caller_event event = co_await nextEvent(answer);
+        const caller_event event = co_await answer.channel->next();
         if (const auto *piece = std::get_if<request::relay_output>(&event)) {
             if (!answer.sawOutput) {
                 answer.sawOutput = true;
--- a/src/programs/entry/caller_routes.h
+++ b/src/programs/entry/caller_routes.h
@@ -24,7 +24,6 @@
     boost::asio::awaitable<void> serveModels(http::exchange &exchange);
     boost::asio::awaitable<void> writeCompletion(http::exchange &exchange, running_answer &answer);
     boost::asio::awaitable<void> writeService(http::exchange &exchange, running_answer &answer);
-    boost::asio::awaitable<caller_event> nextEvent(running_answer &answer);
     boost::asio::awaitable<bool> relay(http::exchange &exchange, running_answer &answer, const request::relay_output &piece);
     boost::asio::awaitable<void> finish(http::exchange &exchange, running_answer &answer, const std::string &reason);
     boost::asio::awaitable<void> refuse(http::exchange &exchange, running_answer &answer, const error &failure);
--- a/src/programs/entry/entry_host.cpp
+++ b/src/programs/entry/entry_host.cpp
@@ -401,17 +401,22 @@
     m_summaries = host::encodeSummary(action.summary);
 }
 
-json::object entry_host::dump() const
+json::object entry_host::nodeState() const
 {
     json::object dump = m_node.dump(m_clock.now());
-    const auto view = m_view.load();
     dump["instance"] = m_settings.node.self.str();
     dump["data_centre"] = m_settings.dataCentre.str();
     dump["stopping"] = m_stopping.load();
     dump["view_answers"] = m_viewIsOwn.load();
     dump["revision"] = m_config.revision();
     dump["running_requests"] = m_node.runningRequests();
-    dump["view"] = host::viewToJson(*view, m_clock.now());
+    return dump;
+}
+
+json::object entry_host::dump() const
+{
+    json::object dump = nodeState();
+    dump["view"] = host::viewToJson(*m_view.load(), m_clock.now());
     return dump;
 }
 
--- a/src/programs/entry/entry_host.h
+++ b/src/programs/entry/entry_host.h
@@ -50,6 +50,8 @@
     std::shared_ptr<const membership::fleet_view> view() const;
     bool isStopping() const;
     size_t runningRequests() const;
+    /// State of the node without the view of the fleet, whose size grows with the fleet.
+    boost::json::object nodeState() const;
     boost::json::object dump() const;
     const entry_settings &settings() const;
     const monotonic_clock &clock() const;
