--- a/src/host/internal/rpc_call.cpp
+++ b/src/host/internal/rpc_call.cpp
@@ -1,5 +1,6 @@
 #include "host/rpc_call.h"
 
+#include "http/status.h"
 #include "rpc/rpc_message.h"
 
 #include <boost/json/parse.hpp>
@@ -14,7 +15,6 @@
 {
 
 constexpr size_t largestAnswerBytes = 64 * 1024 * 1024;
-constexpr int statusOk = 200;
 
 error peerError(error failure)
 {
@@ -25,7 +25,7 @@
 result<json::value> valueOf(const http::response_message &answer)
 {
     const rpc::rpc_response response = rpc::readResponse(answer.body);
-    if (answer.status != statusOk || !response.ok) {
+    if (answer.status != http::statusOk || !response.ok) {
         return tl::unexpected(error{ error_code::peer_message_invalid, verdict::ran, response.problem, {} });
     }
     json::error_code failure;
--- a/src/http/response_message.h
+++ b/src/http/response_message.h
@@ -3,6 +3,7 @@
 #include "http/header_list.h"
 
 #include <string>
+#include <string_view>
 
 namespace mustardtrail::http
 {
@@ -14,4 +15,7 @@
     std::string body;
 };
 
+/// Answer with a whole body of the given media type.
+response_message wholeAnswer(int status, std::string body, std::string_view mediaType);
+
 } // namespace mustardtrail::http
--- a/src/programs/ctl/read_dump.cpp
+++ b/src/programs/ctl/read_dump.cpp
@@ -1,6 +1,7 @@
 #include "programs/ctl/read_dump.h"
 
 #include "http/client.h"
+#include "http/status.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -14,7 +15,6 @@
 
 constexpr std::chrono::milliseconds limit{ 3'000 };
 constexpr size_t largestDumpBytes = 256 * 1024 * 1024;
-constexpr int statusOk = 200;
 
 boost::asio::awaitable<void> ask(http::client &client, endpoint to, std::optional<std::string> &body)
 {
@@ -26,7 +26,7 @@
     limits.progress = limit;
     limits.bodyBytes = largestDumpBytes;
     const auto answer = co_await client.call(to, std::move(message), limits);
-    if (answer && answer->status == statusOk) {
+    if (answer && answer->status == http::statusOk) {
         body = answer->body;
     }
 }
--- a/src/programs/entry/admin_routes.cpp
+++ b/src/programs/entry/admin_routes.cpp
@@ -1,5 +1,7 @@
 #include "programs/entry/admin_routes.h"
 
+#include "http/status.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json/serialize.hpp>
@@ -12,10 +14,6 @@
 namespace
 {
 
-constexpr int statusOk = 200;
-constexpr int statusNotFound = 404;
-constexpr int statusUnavailable = 503;
-
 asio::awaitable<boost::json::object> nodeStateOnStrand(entry_host &host)
 {
     co_return host.nodeState();
@@ -26,15 +24,6 @@
     co_return host.dump();
 }
 
-http::response_message plainAnswer(int status, std::string body, const char *type)
-{
-    http::response_message message;
-    message.status = status;
-    message.headers.add("Content-Type", type);
-    message.body = std::move(body);
-    return message;
-}
-
 } // namespace
 
 admin_routes::admin_routes(entry_host &host, entry_metrics &metrics)
@@ -58,17 +47,18 @@
         const boost::json::object state = co_await asio::co_spawn(m_host.strand(), nodeStateOnStrand(m_host), asio::use_awaitable);
         m_metrics.setState(state);
         m_metrics.setConfiguration(view->config ? view->config->revision : 0, age);
-        co_await exchange.respond(plainAnswer(statusOk, m_metrics.text(), "text/plain; version=0.0.4"));
+        co_await exchange.respond(http::wholeAnswer(http::statusOk, m_metrics.text(), "text/plain; version=0.0.4"));
     } else if (path == "/healthz") {
-        co_await exchange.respond(plainAnswer(statusOk, "ok\n", "text/plain"));
+        co_await exchange.respond(http::wholeAnswer(http::statusOk, "ok\n", "text/plain"));
     } else if (path == "/readyz") {
         const bool ready = isReady();
-        co_await exchange.respond(plainAnswer(ready ? statusOk : statusUnavailable, ready ? "ready\n" : "not_ready\n", "text/plain"));
+        co_await exchange.respond(
+            http::wholeAnswer(ready ? http::statusOk : http::statusUnavailable, ready ? "ready\n" : "not_ready\n", "text/plain"));
     } else if (path == "/dump") {
         const boost::json::object dump = co_await asio::co_spawn(m_host.strand(), dumpOnStrand(m_host), asio::use_awaitable);
-        co_await exchange.respond(plainAnswer(statusOk, boost::json::serialize(dump), "application/json"));
+        co_await exchange.respond(http::wholeAnswer(http::statusOk, boost::json::serialize(dump), "application/json"));
     } else {
-        co_await exchange.respond(plainAnswer(statusNotFound, "not_found\n", "text/plain"));
+        co_await exchange.respond(http::wholeAnswer(http::statusNotFound, "not_found\n", "text/plain"));
     }
 }
 
--- a/src/programs/entry/backend_link.cpp
+++ b/src/programs/entry/backend_link.cpp
@@ -3,6 +3,7 @@
 #include "api/engine_event.h"
 #include "api/event_parser.h"
 #include "base/json_access.h"
+#include "http/status.h"
 #include "programs/entry/entry_host.h"
 #include "programs/entry/hop_message.h"
 #include "programs/entry/service_head.h"
@@ -20,8 +21,6 @@
 {
 
 constexpr size_t refusalBytes = 64 * 1024;
-constexpr int statusOk = 200;
-constexpr int statusUnavailable = 503;
 constexpr std::chrono::milliseconds longestSilence{ 3'600'000 }; // The node's own time-outs come first.
 
 std::string hexOf(std::uint64_t number)
@@ -150,7 +149,7 @@
     if (isClosed()) {
         co_return;
     }
-    const bool isRefusal = isEngine ? stream->status() != statusOk : stream->status() == statusUnavailable;
+    const bool isRefusal = isEngine ? stream->status() != http::statusOk : stream->status() == http::statusUnavailable;
     if (isRefusal) {
         co_await readRefusal(*stream);
     } else if (isEngine) {
--- a/src/programs/entry/caller_routes.cpp
+++ b/src/programs/entry/caller_routes.cpp
@@ -5,6 +5,7 @@
 #include "base/hash.h"
 #include "config/message_catalogue.h"
 #include "host/log.h"
+#include "http/status.h"
 #include "placement/length_class.h"
 #include "programs/entry/service_head.h"
 
@@ -94,11 +95,8 @@
 http::response_message badRequestAnswer(int status, int code, std::string_view detail)
 {
     const error failure{ static_cast<error_code>(code), verdict::not_run, std::string(detail), {} };
-    http::response_message answer;
-    answer.status = status;
-    answer.headers.add("Content-Type", "application/json");
+    http::response_message answer = http::wholeAnswer(status, api::errorBody(failure, messageOf(failure)), "application/json");
     answer.headers.add("Mustardtrail-Verdict", std::string(toString(verdict::not_run)));
-    answer.body = api::errorBody(failure, messageOf(failure));
     return answer;
 }
 
@@ -130,10 +128,8 @@
                 json::object{ { "id", model.str() }, { "object", "model" }, { "created", 0 }, { "owned_by", "mustardtrail" } });
         }
     }
-    http::response_message answer;
-    answer.headers.add("Content-Type", "application/json");
-    answer.body = json::serialize(json::object{ { "object", "list" }, { "data", std::move(models) } });
-    co_await exchange.respond(std::move(answer));
+    const json::object list{ { "object", "list" }, { "data", std::move(models) } };
+    co_await exchange.respond(http::wholeAnswer(http::statusOk, json::serialize(list), "application/json"));
 }
 
 result<request::caller_request> caller_routes::readHead(const http::request_message &message)
--- a/src/programs/entry/engine_calls.cpp
+++ b/src/programs/entry/engine_calls.cpp
@@ -2,6 +2,7 @@
 
 #include "api/completion_fields.h"
 #include "base/json_access.h"
+#include "http/status.h"
 #include "programs/entry/engine_report_reader.h"
 
 #include <boost/json/serialize.hpp>
@@ -17,8 +18,6 @@
 
 constexpr milliseconds readTimeout{ 1'000 };
 constexpr milliseconds cancelTimeout{ 1'000 };
-constexpr int statusOk = 200;
-constexpr int statusNotFound = 404;
 
 http::request_message getRequest(std::string target)
 {
@@ -179,7 +178,7 @@
     const auto answer = co_await client.call(action.to, std::move(prepared.message), limits);
     if (!answer) {
         replied.failure = answer.error();
-    } else if (answer->status != statusOk) {
+    } else if (answer->status != http::statusOk) {
         replied.failure = refusedBy(*answer, replied.backend);
     } else {
         const json::object message = json_access::objectFromText(answer->body);
@@ -196,7 +195,7 @@
     auto message = postRequest("/cancel", body);
     const auto limits = limitsUntil(cancelTimeout, action.notAfter, clock);
     const auto answer = co_await client.call(action.to, std::move(message), limits);
-    co_return answer && (answer->status == statusOk || answer->status == statusNotFound);
+    co_return answer && (answer->status == http::statusOk || answer->status == http::statusNotFound);
 }
 
 boost::asio::awaitable<void> releaseAtEngine(http::client &client, node::release_group action, const monotonic_clock &clock)
--- a/src/programs/entry/hop_link.cpp
+++ b/src/programs/entry/hop_link.cpp
@@ -2,6 +2,7 @@
 
 #include "api/engine_event.h"
 #include "api/event_parser.h"
+#include "http/status.h"
 #include "programs/entry/entry_host.h"
 #include "programs/entry/hop_message.h"
 
@@ -15,7 +16,6 @@
 
 constexpr std::chrono::milliseconds connectLimit{ 300 };
 constexpr std::chrono::milliseconds longestSilence{ 3'600'000 }; // The request's deadline comes first.
-constexpr int statusOk = 200;
 
 } // namespace
 
@@ -56,7 +56,7 @@
 boost::asio::awaitable<void> hop_link::read(std::shared_ptr<http::response_stream> stream)
 {
     use(stream);
-    if (stream->status() != statusOk) {
+    if (stream->status() != http::statusOk) {
         fail(error{ error_code::peer_message_invalid, verdict::not_run, "status=" + std::to_string(stream->status()), {} });
         co_return;
     }
--- a/src/programs/entry/peer_routes.cpp
+++ b/src/programs/entry/peer_routes.cpp
@@ -1,5 +1,6 @@
 #include "programs/entry/peer_routes.h"
 
+#include "http/status.h"
 #include "programs/entry/caller_routes.h"
 #include "programs/entry/hop_message.h"
 
@@ -15,9 +16,6 @@
 namespace
 {
 
-constexpr int statusBadRequest = 400;
-constexpr int statusNotFound = 404;
-
 http::header_list eventHeaders()
 {
     http::header_list headers;
@@ -25,14 +23,6 @@
     return headers;
 }
 
-http::response_message jsonText(std::string text)
-{
-    http::response_message message;
-    message.headers.add("Content-Type", "application/json");
-    message.body = std::move(text);
-    return message;
-}
-
 bool isLast(const hop_event &event)
 {
     return std::holds_alternative<request::attempt_finished>(event) || std::holds_alternative<request::attempt_failed>(event);
@@ -58,14 +48,14 @@
     } else if (path == "/rpc" && exchange.request().method == "POST") {
         co_await serveRpc(exchange);
     } else {
-        co_await exchange.respond(badRequestAnswer(statusNotFound, static_cast<int>(error_code::request_unknown_path), path));
+        co_await exchange.respond(badRequestAnswer(http::statusNotFound, static_cast<int>(error_code::request_unknown_path), path));
     }
 }
 
 asio::awaitable<void> peer_routes::serveRpc(http::exchange &exchange)
 {
     std::string answer = co_await asio::co_spawn(m_host.strand(), rpcOnStrand(m_host, exchange.request().body), asio::use_awaitable);
-    co_await exchange.respond(jsonText(std::move(answer)));
+    co_await exchange.respond(http::wholeAnswer(http::statusOk, std::move(answer), "application/json"));
 }
 
 asio::awaitable<void> peer_routes::serveHop(http::exchange &exchange)
@@ -73,7 +63,7 @@
     auto contents = hopContents(exchange.request(), m_host.clock().now());
     if (!contents) {
         const auto code = static_cast<int>(contents.error().code);
-        co_await exchange.respond(badRequestAnswer(statusBadRequest, code, contents.error().detail));
+        co_await exchange.respond(badRequestAnswer(http::statusBadRequest, code, contents.error().detail));
         co_return;
     }
     const attempt_id attempt = contents->attempt.work.attempt;
--- a/src/programs/entry/service_head.cpp
+++ b/src/programs/entry/service_head.cpp
@@ -1,5 +1,7 @@
 #include "programs/entry/service_head.h"
 
+#include "http/status.h"
+
 #include <charconv>
 
 namespace mustardtrail::entry
@@ -7,7 +9,6 @@
 
 namespace
 {
-constexpr int statusBadGateway = 502;
 }
 
 std::string serviceHeadText(int status, const http::header_list &headers)
@@ -18,7 +19,7 @@
 http::response_message serviceHeadFrom(std::string_view text)
 {
     http::response_message message;
-    message.status = statusBadGateway;
+    message.status = http::statusBadGateway;
     const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), message.status);
     if (failure == std::errc{} && end != text.data() + text.size()) {
         message.headers.add("Content-Type", std::string(end + 1, text.data() + text.size()));
--- a/src/programs/load/answer_check.cpp
+++ b/src/programs/load/answer_check.cpp
@@ -2,6 +2,7 @@
 
 #include "api/completion_fields.h"
 #include "base/json_access.h"
+#include "http/status.h"
 #include "standin/engine/answer_text.h"
 
 #include <boost/json/array.hpp>
@@ -12,7 +13,6 @@
 namespace
 {
 
-constexpr int statusOk = 200;
 constexpr const char *endMark = "[DONE]";
 
 std::string codeIn(const boost::json::object &message)
@@ -72,7 +72,7 @@
     if (answer.status == 0) {
         return failedWith(outcome, "no_answer");
     }
-    if (answer.status != statusOk) {
+    if (answer.status != http::statusOk) {
         outcome.code = codeIn(json_access::objectFromText(answer.errorBody));
         outcome.kind = outcome.verdict == "not_run" && !outcome.code.empty() ? outcome_kind::refused : outcome_kind::failed;
         return outcome;
--- a/src/programs/view/engine_orders.cpp
+++ b/src/programs/view/engine_orders.cpp
@@ -1,6 +1,7 @@
 #include "programs/view/engine_orders.h"
 
 #include "base/json_access.h"
+#include "http/status.h"
 
 #include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
@@ -10,14 +11,6 @@
 
 namespace json = boost::json;
 
-namespace
-{
-
-constexpr int statusOk = 200;
-constexpr int statusConflict = 409;
-
-} // namespace
-
 result<orders::engine_state> engineStateFrom(const result<std::string> &body)
 {
     if (!body) {
@@ -61,10 +54,10 @@
     if (!answer) {
         return tl::unexpected(answer.error());
     }
-    if (answer->status == statusOk) {
+    if (answer->status == http::statusOk) {
         return {};
     }
-    const error_code code = answer->status == statusConflict ? error_code::order_fenced_off : error_code::backend_refused;
+    const error_code code = answer->status == http::statusConflict ? error_code::order_fenced_off : error_code::backend_refused;
     return tl::unexpected(error{ code, verdict::not_run, "status=" + std::to_string(answer->status), {} });
 }
 
--- a/src/programs/view/view_host.cpp
+++ b/src/programs/view/view_host.cpp
@@ -4,6 +4,7 @@
 #include "host/log.h"
 #include "host/rpc_call.h"
 #include "host/view_codec.h"
+#include "http/status.h"
 #include "programs/view/engine_orders.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -27,8 +28,6 @@
 constexpr std::chrono::seconds wallClockInterval{ 5 };
 constexpr milliseconds entryGoneAfter{ 1'500 };
 constexpr std::chrono::seconds loadKept{ 10 }; ///< Older summaries of a peer are not passed to the entry.
-constexpr int statusOk = 200;
-constexpr int statusNotFound = 404;
 constexpr size_t datagramOverheadBytes = 28; ///< IP and UDP headers.
 
 error platformError(std::string detail)
@@ -41,7 +40,7 @@
     if (!answer) {
         return tl::unexpected(answer.error());
     }
-    if (answer->status != statusOk) {
+    if (answer->status != http::statusOk) {
         return tl::unexpected(platformError("status=" + std::to_string(answer->status)));
     }
     return answer->body;
@@ -57,15 +56,6 @@
     return limits;
 }
 
-http::response_message plainAnswer(int status, std::string body, const char *type)
-{
-    http::response_message message;
-    message.status = status;
-    message.headers.add("Content-Type", type);
-    message.body = std::move(body);
-    return message;
-}
-
 } // namespace
 
 view_host::view_host(asio::io_context &context, view_program_settings settings)
@@ -423,17 +413,17 @@
     const http::request_message &request = exchange.request();
     const std::string path(request.path());
     if (path == "/rpc" && request.method == "POST") {
-        co_await exchange.respond(plainAnswer(statusOk, m_rpc.handle(*request.body), "application/json"));
+        co_await exchange.respond(http::wholeAnswer(http::statusOk, m_rpc.handle(*request.body), "application/json"));
     } else if (path == "/dump") {
         json::object dump = m_core.dump(m_clock.now());
         dump["orders"] = m_orders.dump(m_clock.now());
-        co_await exchange.respond(plainAnswer(statusOk, json::serialize(dump), "application/json"));
+        co_await exchange.respond(http::wholeAnswer(http::statusOk, json::serialize(dump), "application/json"));
     } else if (path == "/metrics") {
-        co_await exchange.respond(plainAnswer(statusOk, metrics(), "text/plain; version=0.0.4"));
+        co_await exchange.respond(http::wholeAnswer(http::statusOk, metrics(), "text/plain; version=0.0.4"));
     } else if (path == "/healthz" || path == "/readyz") {
-        co_await exchange.respond(plainAnswer(statusOk, "ok\n", "text/plain"));
+        co_await exchange.respond(http::wholeAnswer(http::statusOk, "ok\n", "text/plain"));
     } else {
-        co_await exchange.respond(plainAnswer(statusNotFound, "not_found\n", "text/plain"));
+        co_await exchange.respond(http::wholeAnswer(http::statusNotFound, "not_found\n", "text/plain"));
     }
 }
 
--- a/src/standin/common/standin_host.cpp
+++ b/src/standin/common/standin_host.cpp
@@ -12,11 +12,7 @@
 
 http::response_message jsonAnswer(int status, const boost::json::object &body)
 {
-    http::response_message answer;
-    answer.status = status;
-    answer.headers.add("Content-Type", "application/json");
-    answer.body = boost::json::serialize(body);
-    return answer;
+    return http::wholeAnswer(status, boost::json::serialize(body), "application/json");
 }
 
 boost::json::object jsonBody(const http::request_message &request)
