--check-settings works as documented: flags may be written with hyphens

Seen failing: program_settings/everyProgramChecksItsSettingsAndEnds, 'Unknown command line flag check-settings' for all five programs; passes after. parseCommandLine stands once and serves the programs, mustardtrail-load, the demo and the process bench.

--- a/src/host/internal/program_settings.cpp
+++ b/src/host/internal/program_settings.cpp
@@ -1,9 +1,9 @@
 #include "host/program_settings.h"
 
+#include "host/command_line.h"
 #include "host/log.h"
 
 #include <absl/flags/flag.h>
-#include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
 
 #include <cstdio>
@@ -35,7 +35,7 @@
     int argc, char **argv, const std::string &usage, const std::vector<settings::setting_rule> &rules)
 {
     absl::SetProgramUsageMessage(usageText(usage, rules));
-    absl::ParseCommandLine(argc, argv);
+    parseCommandLine(argc, argv);
     const std::string fileName = absl::GetFlag(FLAGS_settings);
     if (fileName.empty()) {
         std::fprintf(stderr, "%s\n", "--settings FILE is missing; see --help");
--- a/src/programs/load/main.cpp
+++ b/src/programs/load/main.cpp
@@ -1,9 +1,9 @@
+#include "host/command_line.h"
 #include "programs/load/load_plan.h"
 #include "programs/load/load_run.h"
 #include "programs/load/report.h"
 
 #include <absl/flags/flag.h>
-#include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
 
 #include <cstdio>
@@ -78,7 +78,7 @@
 {
     absl::SetProgramUsageMessage("Sends open-loop load to entry instances and prints the three measures of the users. Exit codes: 0 every "
                                  "answer was whole and right, 1 command line, 4 not.");
-    absl::ParseCommandLine(argc, argv);
+    host::parseCommandLine(argc, argv);
     const auto options = optionsFromFlags();
     if (!options) {
         std::fprintf(stderr, "%s\n", options.error().detail.c_str());
--- a/src/proof/bench/main.cpp
+++ b/src/proof/bench/main.cpp
@@ -1,7 +1,7 @@
+#include "host/command_line.h"
 #include "proof/bench/benches.h"
 
 #include <absl/flags/flag.h>
-#include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
 
 #include <cstdio>
@@ -39,7 +39,7 @@
 int main(int argc, char **argv)
 {
     absl::SetProgramUsageMessage("Measures a small fleet of real processes on the loopback address.");
-    absl::ParseCommandLine(argc, argv);
+    mustardtrail::host::parseCommandLine(argc, argv);
     const std::string binaries = absl::GetFlag(FLAGS_binaries);
     const std::string chosen = absl::GetFlag(FLAGS_bench);
     const bench benches[] = {
--- a/src/proof/demo/main.cpp
+++ b/src/proof/demo/main.cpp
@@ -1,8 +1,8 @@
+#include "host/command_line.h"
 #include "proof/fleet/expected_answer.h"
 #include "proof/fleet/process_fleet.h"
 
 #include <absl/flags/flag.h>
-#include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
 
 #include <csignal>
@@ -111,7 +111,7 @@
 int main(int argc, char **argv)
 {
     absl::SetProgramUsageMessage("Starts a small fleet, sends real requests through every entry instance, stops it by planned stop.");
-    absl::ParseCommandLine(argc, argv);
+    host::parseCommandLine(argc, argv);
     sigset_t signals;
     sigemptyset(&signals);
     sigaddset(&signals, SIGINT);
--- a/src/proof/fleet/managed_process.cpp
+++ b/src/proof/fleet/managed_process.cpp
@@ -1,5 +1,6 @@
 #include "proof/fleet/managed_process.h"
 
+#include <boost/process/args.hpp>
 #include <boost/process/child.hpp>
 #include <boost/process/extend.hpp>
 #include <boost/process/io.hpp>
@@ -35,11 +36,15 @@
 };
 
 managed_process::managed_process(const std::string &program, const std::string &settingsFile, const std::string &logFile)
+    : managed_process(program, std::vector<std::string>{ "--settings", settingsFile }, logFile)
+{
+}
+
+managed_process::managed_process(const std::string &program, const std::vector<std::string> &arguments, const std::string &logFile)
     : m_child(std::make_unique<child_state>())
 {
     m_child->child = process::child(program,
-        "--settings",
-        settingsFile,
+        process::args(arguments),
         (process::std_out & process::std_err) > logFile,
         process::std_in < process::null,
         end_with_parent());
--- a/src/proof/fleet/managed_process.h
+++ b/src/proof/fleet/managed_process.h
@@ -2,6 +2,7 @@
 
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace mustardtrail::proof
 {
@@ -11,6 +12,7 @@
 {
 public:
     managed_process(const std::string &program, const std::string &settingsFile, const std::string &logFile);
+    managed_process(const std::string &program, const std::vector<std::string> &arguments, const std::string &logFile);
     ~managed_process();
     managed_process(managed_process &&) noexcept;
 
