An entry borrows the view of another instance while its own is gone

Seen failing before: instance_faults/anEntryServesOnWhileItsViewIsGoneOrAsleep (no other view was asked within 20 s). After: passes, with all 8 of its suite, no fault under load through the instance whose view was killed.

--- a/src/programs/entry/entry_host.cpp
+++ b/src/programs/entry/entry_host.cpp
@@ -52,6 +52,7 @@
     , m_client(m_strand)
     , m_view(std::make_shared<membership::fleet_view>())
     , m_timer(m_strand)
+    , m_viewSource(m_settings.node.self, m_settings.dataCentre, m_settings.view)
     , m_rpc(std::make_unique<rpc_parts>())
 {
     for (const std::string_view name : { node::peer_method::claimKey,
@@ -408,6 +409,7 @@
     dump["data_centre"] = m_settings.dataCentre.str();
     dump["stopping"] = m_stopping.load();
     dump["view_answers"] = m_viewIsOwn.load();
+    dump["view_lender"] = m_viewLender ? m_viewLender->str() : "";
     dump["revision"] = m_config.revision();
     dump["running_requests"] = m_node.runningRequests();
     return dump;
--- a/src/programs/entry/entry_host.h
+++ b/src/programs/entry/entry_host.h
@@ -3,6 +3,7 @@
 #include "base/rcu_cell.h"
 #include "config/config_store.h"
 #include "http/client.h"
+#include "membership/view_source.h"
 #include "node/entry_node.h"
 #include "programs/entry/entry_metrics.h"
 #include "programs/entry/entry_settings.h"
@@ -84,9 +85,11 @@
     void armTimer();
     void forgetLink(const attempt_id &attempt, const std::shared_ptr<attempt_link> &link);
     boost::asio::awaitable<void> followView();
-    boost::asio::awaitable<bool> askView();
-    bool takeView(const boost::json::object &answer, time_point askedAt);
-    std::shared_ptr<const membership::fleet_view> viewFrom(const boost::json::object &answer, time_point askedAt);
+    boost::asio::awaitable<void> askView();
+    boost::json::object viewParameters(const membership::view_question &question) const;
+    bool takeView(const boost::json::object &answer, const membership::view_question &question, time_point askedAt);
+    std::shared_ptr<const membership::fleet_view> viewFrom(
+        const boost::json::object &answer, const membership::view_question &question, time_point askedAt);
     void takeSummaries(const boost::json::object &answer, time_point askedAt);
     std::shared_ptr<const payload> payloadOf(const attempt_id &attempt, const request_id &request) const;
     void endCaller(const request_id &request, caller_event event);
@@ -106,6 +109,8 @@
     std::unordered_map<attempt_id, request_id> m_attemptRequests; ///< Attempts that answer a caller of this instance.
     std::unordered_map<attempt_id, std::shared_ptr<attempt_link>> m_links;
     std::unordered_map<request_id, std::shared_ptr<const std::string>> m_prompts; ///< Prompt texts that segments are cut from.
+    membership::view_source m_viewSource;
+    std::optional<instance_id> m_viewLender; ///< Of the view in use; nothing: the view of this instance.
     std::int64_t m_viewIncarnation = -1; ///< Of the view process that sent the view in use.
     std::int64_t m_viewVersion = -1;
     std::vector<std::string> m_summaries; ///< Own load, encoded for the peers.
--- a/src/programs/entry/entry_host_view.cpp
+++ b/src/programs/entry/entry_host_view.cpp
@@ -35,29 +35,43 @@
     }
 }
 
-asio::awaitable<bool> entry_host::askView()
+asio::awaitable<void> entry_host::askView()
 {
+    const time_point askedAt = m_clock.now();
+    const membership::view_question question = m_viewSource.next(*m_view.load(), askedAt);
+    json::object parameters = viewParameters(question);
+    auto answer = co_await host::callRpc(m_client, question.to, "view_get", std::move(parameters), viewTimeout);
+    const bool isGood = answer && answer->is_object() && takeView(answer->get_object(), question, askedAt);
+    m_viewSource.noteAnswer(question, isGood, m_clock.now());
+    if (!question.lender) {
+        m_viewIsOwn = isGood;
+    }
+}
+
+// A view that is borrowed gets no load of this instance: it would pass it on as its own.
+json::object entry_host::viewParameters(const membership::view_question &question) const
+{
+    json::object parameters;
+    parameters["after_revision"] = m_config.revision();
+    if (question.lender == m_viewLender) {
+        parameters["view_incarnation"] = m_viewIncarnation;
+        parameters["view_version"] = m_viewVersion;
+    }
+    if (question.lender) {
+        parameters["borrow"] = true;
+        return parameters;
+    }
     json::array summaries;
     for (const std::string &summary : m_summaries) {
         summaries.emplace_back(summary);
     }
-    json::object parameters;
-    parameters["after_revision"] = m_config.revision();
-    parameters["view_incarnation"] = m_viewIncarnation;
-    parameters["view_version"] = m_viewVersion;
     parameters["summaries"] = std::move(summaries);
-    const time_point askedAt = m_clock.now();
-    auto answer = co_await host::callRpc(m_client, m_settings.view, "view_get", std::move(parameters), viewTimeout);
-    if (!answer || !answer->is_object()) {
-        m_viewIsOwn = false;
-        co_return false;
-    }
-    m_viewIsOwn = takeView(answer->get_object(), askedAt);
-    co_return m_viewIsOwn.load();
+    return parameters;
 }
 
 // An answer without a view says that the one in use holds, and when it was confirmed.
-std::shared_ptr<const membership::fleet_view> entry_host::viewFrom(const json::object &answer, time_point askedAt)
+std::shared_ptr<const membership::fleet_view> entry_host::viewFrom(
+    const json::object &answer, const membership::view_question &question, time_point askedAt)
 {
     const std::int64_t confirmedAge = json_access::numberOr(answer, "confirmed_ms", -1);
     if (confirmedAge >= 0) {
@@ -74,12 +88,16 @@
         return nullptr;
     }
     read->config = m_config.inForce();
+    if (const auto lender = m_viewSource.lenderOf(question, *m_view.load())) {
+        *read = m_viewSource.borrowed(*read, *lender);
+    }
+    m_viewLender = question.lender;
     m_viewIncarnation = json_access::numberOr(answer, "view_incarnation", -1);
     m_viewVersion = json_access::numberOr(answer, "view_version", -1);
     return std::make_shared<const membership::fleet_view>(std::move(*read));
 }
 
-bool entry_host::takeView(const json::object &answer, time_point askedAt)
+bool entry_host::takeView(const json::object &answer, const membership::view_question &question, time_point askedAt)
 {
     if (const std::string update = json_access::textOr(answer, "config"); !update.empty()) {
         const auto decoded = config::decodeUpdate(update);
@@ -88,7 +106,7 @@
         }
         m_config.apply(*decoded, config::update_source::peer, m_clock.now());
     }
-    const auto view = viewFrom(answer, askedAt);
+    const auto view = viewFrom(answer, question, askedAt);
     if (view == nullptr) {
         return false;
     }
--- a/src/programs/view/view_host.cpp
+++ b/src/programs/view/view_host.cpp
@@ -290,8 +290,11 @@
 {
     const json::object asked = json_access::objectFromText(parameters);
     const time_point now = m_clock.now();
-    m_askedAt = now;
-    takeSummaries(asked);
+    // An entry of another instance, whose own view is silent, borrows this one: it says nothing of this instance's entry.
+    if (!json_access::boolOr(asked, "borrow", false)) {
+        m_askedAt = now;
+        takeSummaries(asked);
+    }
     json::object answer;
     const std::int64_t after = json_access::numberOr(asked, "after_revision", 0);
     if (m_view->config && m_view->config->revision > after) {
--- a/src/proof/tests/instance_faults_test.cpp
+++ b/src/proof/tests/instance_faults_test.cpp
@@ -1,3 +1,4 @@
+#include "base/json_access.h"
 #include "proof/fleet/background_load.h"
 #include "proof/fleet/eventually.h"
 #include "proof/fleet/expected_answer.h"
@@ -64,6 +65,31 @@
     }));
 }
 
+Test(instance_faults, anEntryServesOnWhileItsViewIsGoneOrAsleep)
+{
+    const auto fleet = startedFleet();
+    cr_assert(serves(*fleet, 0));
+    fleet_instance &instance = fleet->instances[0];
+    instance.viewProcess->signal(SIGSTOP);
+    const auto borrowsAndServes = [&] {
+        return json_access::textOr(getJson(instance.admin, "/dump"), "view_lender") != "" && serves(*fleet, 0);
+    };
+    cr_assert(eventually(borrowsAndServes));
+    instance.viewProcess->signal(SIGCONT);
+    const auto servesByItself = [&] {
+        return json_access::textOr(getJson(instance.admin, "/dump"), "view_lender", "?") == "" && serves(*fleet, 0);
+    };
+    cr_assert(eventually(servesByItself));
+    instance.viewProcess->kill();
+    cr_assert(eventually(borrowsAndServes));
+    background_load load(*fleet, { 0 }, 4, 20);
+    cr_assert(eventually([&] {
+        return load.finished() > 100;
+    }));
+    load.stop();
+    expectNoFaults(load);
+}
+
 Test(instance_faults, anInstanceThatSleptServesAgainAndOverloadsNoColdEngine)
 {
     fleet_options options;
