--- a/src/programs/entry/main.cpp
+++ b/src/programs/entry/main.cpp
@@ -2,6 +2,7 @@
 #include "host/log.h"
 #include "host/program_settings.h"
 #include "programs/entry/admin_routes.h"
+#include "programs/entry/caller_error.h"
 #include "programs/entry/caller_routes.h"
 #include "programs/entry/peer_routes.h"
 #include "programs/entry/planned_stop.h"
--- a/src/programs/entry/peer_routes.cpp
+++ b/src/programs/entry/peer_routes.cpp
@@ -1,7 +1,7 @@
 #include "programs/entry/peer_routes.h"
 
 #include "http/status.h"
-#include "programs/entry/caller_routes.h"
+#include "programs/entry/caller_error.h"
 #include "programs/entry/hop_message.h"
 
 #include <boost/asio/co_spawn.hpp>
