--- a/src/proof/bench/benches.h
+++ b/src/proof/bench/benches.h
@@ -18,6 +18,8 @@
 bool benchChanges(const std::string &binaries, int runs);
 /// Requests lost in a planned stop of each entry in turn under load.
 bool benchPlannedStop(const std::string &binaries);
+/// Time to first token and refusals by prompt length while a data centre leaves and returns under load.
+bool benchLeaveAndReturn(const std::string &binaries);
 /// Processor share and control bytes of each view process at rest.
 bool benchViewAtRest(const std::string &binaries, int instances);
 
--- a/src/proof/bench/main.cpp
+++ b/src/proof/bench/main.cpp
@@ -10,7 +10,7 @@
 #include <cstdlib>
 
 ABSL_FLAG(std::string, binaries, "", "folder of the programs");
-ABSL_FLAG(std::string, bench, "all", "hop, throughput, streams, changes, stop, rest or all");
+ABSL_FLAG(std::string, bench, "all", "hop, throughput, streams, changes, stop, leave, rest or all");
 ABSL_FLAG(int, requests, 500, "requests by each route of hop");
 ABSL_FLAG(int, streams, 1'000, "open streams of streams");
 ABSL_FLAG(int, runs, 20, "runs of changes");
@@ -63,6 +63,10 @@
             [&] {
                 return benchPlannedStop(binaries);
             } },
+        { "leave",
+            [&] {
+                return benchLeaveAndReturn(binaries);
+            } },
         { "rest",
             [&] {
                 return benchViewAtRest(binaries, absl::GetFlag(FLAGS_instances));
