A home of keys gives them to the homes that follow one that died

Cause: a key was lost when both homes died at any time within the window of 10 minutes, as nothing was passed on after an unplanned death; an unmarked second deposit then ran again. After each view a home gives keys with a known outcome to homes that were not there at the claim (another instance, or another start of the same one). Ruled out: keys of running requests, as their 'not run' would not reach the new home.

--- a/src/node/internal/origin_side.cpp
+++ b/src/node/internal/origin_side.cpp
@@ -125,6 +125,7 @@
     m_view = std::move(view);
     m_router.onView(m_view, now);
     m_keys.onView(m_view);
+    sendKeys(m_keys.handOverToNewHomes(now), out);
     carryOut(m_core.onView(m_view, now), now, out);
     carryOut(m_groups.handle(group::view_changed{ m_view }, now), now, out);
 }
@@ -295,7 +296,12 @@
 
 void origin_side::handOverKeys(time_point now, entry_actions &out)
 {
-    for (const request::key_handover &handover : m_keys.handOver(now)) {
+    sendKeys(m_keys.handOver(now), out);
+}
+
+void origin_side::sendKeys(const std::vector<request::key_handover> &handovers, entry_actions &out)
+{
+    for (const request::key_handover &handover : handovers) {
         if (const auto to = addressOf(handover.home)) {
             out.push_back(call_peer{ 0, *to, std::string(peer_method::handOverKeys), request::toJson(handover), m_options.peerTimeout });
         }
--- a/src/node/internal/origin_side.h
+++ b/src/node/internal/origin_side.h
@@ -34,6 +34,7 @@
     result<boost::json::value> onKeyCall(const peer_call &call, time_point now);
     void beginStop(time_point now, entry_actions &out);
     /// Hands the keys held here to the instances that are their homes next.
+    void sendKeys(const std::vector<request::key_handover> &handovers, entry_actions &out);
     void handOverKeys(time_point now, entry_actions &out);
     void onTick(time_point now, entry_actions &out);
     std::optional<time_point> nextWake() const;
--- a/src/request/internal/key_home.cpp
+++ b/src/request/internal/key_home.cpp
@@ -52,6 +52,7 @@
     }
     m_longestTarget = longestTarget(*view->config);
     m_view = std::move(view);
+    noteStarts();
 }
 
 key_claim_reply key_home::claim(const key_claim &claim, time_point now)
@@ -76,6 +77,7 @@
     granted.fingerprint = claim.fingerprint;
     // The outcome may never arrive: then the window starts at the deadline of the request.
     granted.expires = now + claim.remaining + m_options.window;
+    granted.known = otherHomes({ claim.customer, claim.key });
     insert({ claim.customer, claim.key }, std::move(granted));
     return grant(claim, now);
 }
--- a/src/request/internal/key_home_handover.cpp
+++ b/src/request/internal/key_home_handover.cpp
@@ -1,12 +1,46 @@
 #include "request/key_home.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace mustardtrail::request
 {
 
 using std::chrono::milliseconds;
 
+namespace
+{
+
+/// Gathers keys into messages of bounded size for each home.
+class handover_messages
+{
+public:
+    void add(const instance_id &home, held_key key)
+    {
+        std::vector<held_key> &keys = m_byHome[home];
+        keys.push_back(std::move(key));
+        if (keys.size() == maxKeysPerHandover) {
+            m_messages.push_back({ home, std::exchange(keys, {}) });
+        }
+    }
+
+    std::vector<key_handover> take()
+    {
+        for (auto &[home, keys] : m_byHome) {
+            if (!keys.empty()) {
+                m_messages.push_back({ home, std::move(keys) });
+            }
+        }
+        return std::move(m_messages);
+    }
+
+private:
+    std::map<instance_id, std::vector<held_key>> m_byHome;
+    std::vector<key_handover> m_messages;
+};
+
+} // namespace
+
 std::vector<key_handover> key_home::handOver(time_point now) const
 {
     if (m_history.empty()) {
@@ -14,27 +48,74 @@
     }
     home_candidates others = m_history.back().candidates;
     std::erase(others.instances, m_self);
-    std::map<instance_id, std::vector<held_key>> byHome;
-    std::vector<key_handover> messages;
+    handover_messages messages;
     for (const auto &[key, held] : m_entries) {
         const milliseconds left = std::chrono::ceil<milliseconds>(held.expires - now);
         if (left <= milliseconds(0)) {
             continue;
         }
         for (const instance_id &home : homesAmong(others, key.first, key.second)) {
-            std::vector<held_key> &keys = byHome[home];
-            keys.push_back({ held.request, key.first, key.second, held.fingerprint, held.running, held.outcome, left });
-            if (keys.size() == maxKeysPerHandover) {
-                messages.push_back({ home, std::exchange(keys, {}) });
+            messages.add(home, { held.request, key.first, key.second, held.fingerprint, held.running, held.outcome, left });
+        }
+    }
+    return messages.take();
+}
+
+// A key whose request still runs waits for its outcome: a "not run" frees it, and goes to the homes that were claimed only.
+std::vector<key_handover> key_home::handOverToNewHomes(time_point now)
+{
+    dropExpired(now);
+    handover_messages messages;
+    for (auto key = m_unplaced.begin(); key != m_unplaced.end();) {
+        const auto held = m_entries.find(*key);
+        if (held != m_entries.end() && held->second.running) {
+            ++key;
+            continue;
+        }
+        if (held != m_entries.end()) {
+            const entry &known = held->second;
+            const milliseconds left = std::chrono::ceil<milliseconds>(known.expires - now);
+            std::vector<home_start> homes = otherHomes(*key);
+            for (const home_start &start : homes) {
+                if (std::find(known.known.begin(), known.known.end(), start) == known.known.end()) {
+                    messages.add(start.home, { known.request, key->first, key->second, known.fingerprint, false, known.outcome, left });
+                }
             }
+            held->second.known = std::move(homes);
         }
+        key = m_unplaced.erase(key);
     }
-    for (auto &[home, keys] : byHome) {
-        if (!keys.empty()) {
-            messages.push_back({ home, std::move(keys) });
+    return messages.take();
+}
+
+std::vector<key_home::home_start> key_home::otherHomes(const entry_key &key) const
+{
+    std::vector<home_start> others;
+    for (const instance_id &home : homesAmong(m_history.back().candidates, key.first, key.second)) {
+        const auto peer = m_view->peers.find(home);
+        if (peer != m_view->peers.end()) {
+            others.push_back({ home, peer->second.incarnation });
         }
     }
-    return messages;
+    return others;
+}
+
+void key_home::noteStarts()
+{
+    std::vector<home_start> starts;
+    for (const instance_id &candidate : m_history.back().candidates.instances) {
+        const auto peer = m_view->peers.find(candidate);
+        if (peer != m_view->peers.end()) {
+            starts.push_back({ candidate, peer->second.incarnation });
+        }
+    }
+    if (starts == m_starts) {
+        return;
+    }
+    m_starts = std::move(starts);
+    for (const auto &[key, held] : m_entries) {
+        m_unplaced.insert(key);
+    }
 }
 
 void key_home::take(const key_handover &handover, time_point now)
@@ -51,10 +132,10 @@
             }
             continue;
         }
-        if (m_entries.size() >= m_options.maxEntries) {
+        if (m_entries.size() >= m_options.maxEntries || m_history.empty()) {
             return;
         }
-        insert(id, { key.request, key.fingerprint, key.running, key.outcome, now + std::min(key.left, longest) });
+        insert(id, { key.request, key.fingerprint, key.running, key.outcome, now + std::min(key.left, longest), otherHomes(id) });
     }
 }
 
--- a/src/request/key_home.h
+++ b/src/request/key_home.h
@@ -42,6 +42,9 @@
     key_claim_reply claim(const key_claim &claim, time_point now);
     void end(const key_outcome &outcome, time_point now);
 
+    /// The keys held here whose outcome is known, for the homes that came up since they were claimed: after a death the
+    /// successor learns them, and so does a home that was started anew. Called after each view.
+    std::vector<key_handover> handOverToNewHomes(time_point now);
     /// Planned stop: the keys held here, for the instances that are their homes without this one.
     std::vector<key_handover> handOver(time_point now) const;
     /// Takes keys over from a home that stops; what is known here already stays.
@@ -53,12 +56,21 @@
 private:
     using entry_key = std::pair<customer_id, std::string>;
 
+    /// One start of an instance.
+    struct home_start {
+        instance_id home;
+        std::uint64_t incarnation = 0;
+
+        bool operator==(const home_start &) const = default;
+    };
+
     struct entry {
         request_id request;
         std::uint64_t fingerprint = 0;
         bool running = true;
         verdict outcome = verdict::may_have_run;
         time_point expires{};
+        std::vector<home_start> known; ///< Other homes that have the key, or had it when it was claimed.
     };
 
     struct candidates_since {
@@ -69,7 +81,9 @@
     key_claim_reply refusal(const key_claim &claim, error_code code, std::chrono::milliseconds retryAfter) const;
     key_claim_reply answerHeld(const key_claim &claim, const entry &held, time_point now) const;
     key_claim_reply grant(const key_claim &claim, time_point now) const;
+    std::vector<home_start> otherHomes(const entry_key &key) const;
     bool isYoung(const key_claim &claim, time_point now) const;
+    void noteStarts();
     void insert(const entry_key &key, entry held);
     void erase(std::map<entry_key, entry>::iterator held);
     void setExpiry(const entry_key &key, entry &held, time_point expires);
@@ -82,6 +96,8 @@
     std::deque<candidates_since> m_history;
     std::map<entry_key, entry> m_entries;
     std::set<std::pair<time_point, entry_key>> m_expiries;
+    std::vector<home_start> m_starts; ///< Candidates as of the last view, without this instance.
+    std::set<entry_key> m_unplaced; ///< Their homes may have changed.
 };
 
 } // namespace mustardtrail::request
--- a/src/request/tests/golden_test.cpp
+++ b/src/request/tests/golden_test.cpp
@@ -39,5 +39,5 @@
         }
         ++sessions;
     }
-    mustardtrail::testing::expectEqual(sessions, 10);
+    mustardtrail::testing::expectEqual(sessions, 11);
 }
--- a/src/request/tests/key_home_test.cpp
+++ b/src/request/tests/key_home_test.cpp
@@ -120,3 +120,51 @@
     elsewhere.onView(makeView("e3", at(0)));
     expectEqual(toString(elsewhere.claim(claimOf("r1", keyOf(0)), at(1)).code), "MT-6004");
 }
+
+Test(key_home, aKeyWhoseOtherHomeDiedIsGivenToTheOneThatFollows)
+{
+    key_home home = makeHome();
+    home.claim(claimOf("r1", keyOf(0)), at(1));
+    home.end(outcomeOf("r1", keyOf(0), verdict::ran), at(2));
+    cr_assert(home.handOverToNewHomes(at(3)).empty());
+    home.onView(makeView("e1", at(100), { "e2" }));
+    cr_assert(home.handOverToNewHomes(at(100)).empty());
+    home.onView(makeView("e1", at(200)));
+    const std::vector<key_handover> messages = home.handOverToNewHomes(at(200));
+    expectEqual(messages.size(), 1U);
+    expectEqual(messages.front().home.str(), "e2");
+    key_home successor(smallOptions(), instance_id("e2"));
+    successor.onView(makeView("e2", at(200)));
+    successor.take(messages.front(), at(201));
+    cr_assert(successor.claim(claimOf("r2", keyOf(0)), at(202)).status == key_claim_status::duplicate);
+    home.onView(makeView("e1", at(300)));
+    cr_assert(home.handOverToNewHomes(at(300)).empty());
+}
+
+Test(key_home, aHomeThatWasStartedAnewIsGivenItsKeysAgain)
+{
+    key_home home = makeHome();
+    home.claim(claimOf("r1", keyOf(0)), at(1));
+    home.end(outcomeOf("r1", keyOf(0), verdict::may_have_run), at(2));
+    const auto restarted = makeView("e1", at(100));
+    restarted->peers.at(instance_id("e2")).incarnation = 7;
+    home.onView(restarted);
+    expectEqual(home.handOverToNewHomes(at(100)).size(), 1U);
+}
+
+Test(key_home, aKeyThatStillRunsIsGivenOnOnlyWithItsOutcome)
+{
+    key_home home = makeHome();
+    home.claim(claimOf("r1", keyOf(0)), at(1));
+    home.claim(claimOf("r2", keyOf(1)), at(1));
+    const auto restarted = makeView("e1", at(100));
+    restarted->peers.at(instance_id("e2")).incarnation = 7;
+    home.onView(restarted);
+    cr_assert(home.handOverToNewHomes(at(100)).empty());
+    home.end(outcomeOf("r1", keyOf(0), verdict::ran), at(150));
+    home.end(outcomeOf("r2", keyOf(1), verdict::not_run), at(150));
+    const std::vector<key_handover> messages = home.handOverToNewHomes(at(200));
+    expectEqual(messages.size(), 1U);
+    expectEqual(messages.front().keys.size(), 1U);
+    expectEqual(messages.front().keys.front().request.str(), "r1");
+}
--- a/src/request/tests/session.cpp
+++ b/src/request/tests/session.cpp
@@ -147,6 +147,16 @@
     started.home = std::make_unique<key_home>(key_home_options{}, instance_id(name));
     started.home->onView(makeView(name, now));
     m_nodes[name] = std::move(started);
+    ++m_starts[name];
+}
+
+void session::passKeys(const std::string &name, const std::vector<key_handover> &handovers, time_point now)
+{
+    for (const key_handover &handover : handovers) {
+        const boost::json::value message = toJson(handover);
+        m_out << "  " << name << ": key_handover " << boost::json::serialize(message) << '\n';
+        m_nodes.at(handover.home.str()).home->take(keyHandoverFromJson(message).value(), now);
+    }
 }
 
 void session::runNode(const std::string &name, const std::string &command, std::istringstream &line, time_point now)
@@ -163,15 +173,16 @@
         for (std::string id; line >> id;) {
             dead.push_back(id);
         }
-        target.home->onView(makeView(name, now, dead));
-        return write(name, target.core->onView(makeView(name, now, dead), now));
+        const auto view = makeView(name, now, dead);
+        for (auto &[id, peer] : view->peers) {
+            peer.incarnation = m_starts.at(id.str());
+        }
+        target.home->onView(view);
+        passKeys(name, target.home->handOverToNewHomes(now), now);
+        return write(name, target.core->onView(view, now));
     }
     if (command == "stop") {
-        for (const key_handover &handover : target.home->handOver(now)) {
-            const boost::json::value message = toJson(handover);
-            m_out << "  " << name << ": key_handover " << boost::json::serialize(message) << '\n';
-            m_nodes.at(handover.home.str()).home->take(keyHandoverFromJson(message).value(), now);
-        }
+        passKeys(name, target.home->handOver(now), now);
         return target.core->beginStop(now);
     }
     if (command == "restart") {
--- a/src/request/tests/session.h
+++ b/src/request/tests/session.h
@@ -38,12 +38,14 @@
     void runNode(const std::string &name, const std::string &command, std::istringstream &line, time_point now);
     void runAttempt(const std::string &name, const std::string &command, std::istringstream &line, time_point now);
     void start(const std::string &name, time_point now);
+    void passKeys(const std::string &name, const std::vector<key_handover> &handovers, time_point now);
     void deliver(time_point now);
     void fillRequest(const std::string &name, std::istringstream &line, time_point now);
     void write(const std::string &name, const request_core::actions &actions);
     void write(const backend_actions &actions);
 
     std::map<std::string, node> m_nodes;
+    std::map<std::string, std::uint64_t> m_starts; ///< How often each instance was started.
     std::map<std::string, backend_attempt> m_attempts;
     std::deque<key_message> m_keyMessages;
     std::ostringstream m_out;
--- a/src/request/tests/simulation.cpp
+++ b/src/request/tests/simulation.cpp
@@ -173,6 +173,7 @@
         const auto view = makeView(name, m_now, dead);
         if (m_nodes.at(name).alive) {
             m_nodes.at(name).home->onView(view);
+            handOverKeys(name);
             runCore(name, [&](request_core &core) {
                 return core.onView(view, m_now);
             });
@@ -185,6 +186,18 @@
     }
 }
 
+void simulation::handOverKeys(const std::string &name)
+{
+    for (const key_handover &handover : m_nodes.at(name).home->handOverToNewHomes(m_now)) {
+        const std::string to = handover.home.str();
+        after(delay(20), [this, name, to, handover] {
+            if (m_nodes.at(to).alive && isReachable(name, to)) {
+                m_nodes.at(to).home->take(handover, m_now);
+            }
+        });
+    }
+}
+
 void simulation::runCore(const std::string &name, const std::function<request_core::actions(request_core &)> &step)
 {
     node &target = m_nodes.at(name);
--- a/src/request/tests/simulation.h
+++ b/src/request/tests/simulation.h
@@ -59,6 +59,7 @@
     void startNode(const std::string &name);
     void killNode(const std::string &name);
     void refreshViews();
+    void handOverKeys(const std::string &name);
     void addTotals(const std::string &name);
     void runCore(const std::string &name, const std::function<request_core::actions(request_core &)> &step);
     void sendEvent(const std::string &from, const std::string &to, const request_event &event);
