Retry-After no longer counts the margin of the wait

Cause: the predicted wait of a medium or long prompt counts six or seven times for admission, and the time to come back was the whole of what it was over. The wait grows shorter by the margin for each second that passes, so the time is now what it is over divided by the margin, or by how much the prompt is too late without any wait, whichever is longer. Golden deadline_refusal: 1657 to 276 ms (407 before claims); seen failing before it was regenerated.

--- a/src/placement/internal/owner_scheduler_impl.cpp
+++ b/src/placement/internal/owner_scheduler_impl.cpp
@@ -24,13 +24,13 @@
     return { code, verdict::not_run, std::move(detail), retryAfter };
 }
 
-error tooLate(std::chrono::nanoseconds predicted, std::chrono::nanoseconds left)
+error tooLate(std::chrono::nanoseconds predicted, std::chrono::nanoseconds left, std::chrono::nanoseconds back)
 {
-    const auto over = std::chrono::duration_cast<std::chrono::milliseconds>(predicted - left);
+    const auto backMs = std::chrono::duration_cast<std::chrono::milliseconds>(back);
     const auto predictedMs = std::chrono::duration_cast<std::chrono::milliseconds>(predicted);
     const auto leftMs = std::chrono::duration_cast<std::chrono::milliseconds>(left);
     std::string detail = "predicted=" + std::to_string(predictedMs.count()) + "ms left=" + std::to_string(leftMs.count()) + "ms";
-    return refusal(error_code::target_unreachable, std::move(detail), std::max(leastRetryAfter, over));
+    return refusal(error_code::target_unreachable, std::move(detail), std::max(leastRetryAfter, backMs));
 }
 
 } // namespace
@@ -102,11 +102,13 @@
         return refusal(error_code::queue_full, "queued=" + std::to_string(pool.queue().size()), leastRetryAfter);
     }
     // The wait of a long prompt hangs on what comes in after it, so it has to fit several times over.
-    const auto wait = pool.queueWait(item.work, item.priority, load, now) * waitMargin(item.work);
+    const int margin = waitMargin(item.work);
+    const auto wait = pool.queueWait(item.work, item.priority, load, now) * margin;
     const auto predicted = load.bestPrediction + wait;
     const auto left = item.work.firstTokenDeadline - now;
     if (predicted > left) {
-        return tooLate(predicted, left);
+        // The wait counts several times, and grows shorter by that much for each second that passes.
+        return tooLate(predicted, left, std::max((predicted - left) / margin, load.bestPrediction - left));
     }
     return std::nullopt;
 }
