A switch cuts links between real processes for tests of partitions

The HTTP client and the datagram socket of the view can be cut off from a set of endpoints, silently. Allowed only by testing.allow_cuts at a loopback address. Relay processes were weighed and ruled out: an instance tells all peers one address, so a relay cannot tell which peer connects (docs/design/cuts.md).

--- a/src/host/internal/program_settings.cpp
+++ b/src/host/internal/program_settings.cpp
@@ -61,6 +61,7 @@
         { .key = "instance.id", .kind = setting_kind::text, .required = true },
         { .key = "instance.data_centre", .kind = setting_kind::text, .required = true },
         { .key = "log.level", .kind = setting_kind::choice, .fallback = "info", .choices = { "debug", "info", "warning" } },
+        { .key = "testing.allow_cuts", .kind = setting_kind::choice, .fallback = "no", .choices = { "no", "yes" } },
     };
 }
 
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -2,6 +2,7 @@
 
 #include "base/endpoint.h"
 #include "base/error.h"
+#include "http/cuts.h"
 #include "http/request_message.h"
 #include "http/response_message.h"
 
@@ -11,10 +12,13 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <set>
 
 namespace mustardtrail::http
 {
 
+class cut_links;
+
 /// Time limits of one call.
 struct call_limits {
     std::chrono::milliseconds connect{ 1'000 };
@@ -45,7 +49,7 @@
 class client
 {
 public:
-    explicit client(boost::asio::any_io_executor executor);
+    explicit client(boost::asio::any_io_executor executor, cuts allowed = cuts::forbidden);
     ~client();
     client(const client &) = delete;
     client &operator=(const client &) = delete;
@@ -53,11 +57,17 @@
     boost::asio::awaitable<result<response_message>> call(endpoint to, request_message message, call_limits limits);
     boost::asio::awaitable<result<std::unique_ptr<response_stream>>> open(endpoint to, request_message message, call_limits limits);
 
+    /// For tests of partitions: until the next call nothing is sent to these endpoints and nothing read from them,
+    /// and no connection to them is seen to close. False, without effect, when cuts are forbidden.
+    bool cutOff(std::set<endpoint> endpoints);
+    bool isCutOff(const endpoint &peer) const;
+
     class connection_pool;
 
 private:
     boost::asio::any_io_executor m_executor;
     std::shared_ptr<connection_pool> m_pool;
+    std::shared_ptr<cut_links> m_cuts; ///< Null when cuts are forbidden.
 };
 
 } // namespace mustardtrail::http
--- a/src/http/internal/client.cpp
+++ b/src/http/internal/client.cpp
@@ -47,6 +47,10 @@
     bool first = true;
     while (first || !rest.empty()) {
         const std::string_view piece = rest.substr(0, writePieceBytes);
+        if (connection.isCut()) {
+            connection.held->keepForLater((first ? head : std::string()) + std::string(rest));
+            co_return result<void>{};
+        }
         const std::array<asio::const_buffer, 2> buffers{ first ? asio::buffer(head) : asio::const_buffer(),
             asio::buffer(piece.data(), piece.size()) };
         connection.stream.expires_after(limits.progress);
@@ -63,13 +67,20 @@
 }
 
 asio::awaitable<result<std::unique_ptr<client_connection>>> connect(
-    asio::any_io_executor executor, endpoint to, std::chrono::milliseconds limit)
+    asio::any_io_executor executor, endpoint to, std::chrono::milliseconds limit, std::shared_ptr<cut_links> cuts)
 {
+    const auto end = std::chrono::steady_clock::now() + limit;
+    if (cuts && cuts->contains(to)) {
+        const bool isWhole = co_await cuts->waitUntilWhole(to, end);
+        if (!isWhole) {
+            co_return tl::unexpected(callError(error_code::backend_connect_failed, verdict::not_run, to, "timeout"));
+        }
+    }
     auto connection = std::make_unique<client_connection>(executor);
     boost::system::error_code failure;
     const asio::ip::tcp::endpoint remote(asio::ip::make_address(to.address, failure), to.port);
     if (!failure) {
-        connection->stream.expires_after(limit);
+        connection->stream.expires_at(end);
         co_await connection->stream.async_connect(remote, asio::redirect_error(asio::use_awaitable, failure));
     }
     if (failure) {
@@ -77,25 +88,67 @@
     }
     boost::system::error_code ignored;
     connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+    if (cuts) {
+        connection->held = std::make_unique<held_socket>(to, connection->stream.socket().native_handle());
+        connection->cuts = std::move(cuts);
+    }
     co_return connection;
 }
 
+/// Waits for the header of the answer. What was written during a cut is sent when the link is whole.
+asio::awaitable<boost::system::error_code> readHeader(
+    client_connection &connection, endpoint to, client_stream::parser &source, std::chrono::milliseconds limit)
+{
+    const auto end = std::chrono::steady_clock::now() + limit;
+    if (connection.isCut()) {
+        const bool isWhole = co_await connection.cuts->waitUntilWhole(to, end);
+        if (!isWhole) {
+            co_return beast::error::timeout;
+        }
+        connection.held->sendKept();
+    }
+    connection.stream.expires_at(end);
+    boost::system::error_code failure;
+    co_await beast::http::async_read_header(
+        connection.stream, connection.buffer, source, asio::redirect_error(asio::use_awaitable, failure));
+    if (connection.isCut()) {
+        const bool isWhole = co_await connection.cuts->waitUntilWhole(to, end);
+        failure = isWhole ? failure : beast::error::timeout;
+    }
+    co_return failure;
+}
+
 } // namespace
 
-client::client(asio::any_io_executor executor)
+client::client(asio::any_io_executor executor, cuts allowed)
     : m_executor(std::move(executor))
     , m_pool(std::make_shared<connection_pool>())
+    , m_cuts(allowed == cuts::allowed ? std::make_shared<cut_links>() : nullptr)
 {
 }
 
 client::~client() = default;
 
+bool client::cutOff(std::set<endpoint> endpoints)
+{
+    if (!m_cuts) {
+        return false;
+    }
+    m_cuts->replace(std::move(endpoints));
+    return true;
+}
+
+bool client::isCutOff(const endpoint &peer) const
+{
+    return m_cuts && m_cuts->contains(peer);
+}
+
 asio::awaitable<result<std::unique_ptr<response_stream>>> client::open(endpoint to, request_message message, call_limits limits)
 {
     const auto pool = m_pool;
     std::unique_ptr<client_connection> connection = limits.freshConnection ? nullptr : pool->take(to);
     if (!connection) {
-        auto connected = co_await connect(m_executor, to, limits.connect);
+        auto connected = co_await connect(m_executor, to, limits.connect, m_cuts);
         if (!connected) {
             co_return tl::unexpected(connected.error());
         }
@@ -111,10 +164,7 @@
     }
     auto source = std::make_unique<client_stream::parser>();
     source->body_limit(boost::none);
-    connection->stream.expires_after(limits.firstByte);
-    boost::system::error_code failure;
-    co_await beast::http::async_read_header(
-        connection->stream, connection->buffer, *source, asio::redirect_error(asio::use_awaitable, failure));
+    const boost::system::error_code failure = co_await readHeader(*connection, to, *source, limits.firstByte);
     if (failure) {
         const error_code code = failure == beast::error::timeout ? error_code::backend_timeout : error_code::backend_connection_lost;
         co_return tl::unexpected(callError(code, verdict::may_have_run, to, failure.message()));
--- a/src/http/internal/client_stream.cpp
+++ b/src/http/internal/client_stream.cpp
@@ -68,13 +68,19 @@
         auto &body = m_source->get().body();
         body.data = piece.data();
         body.size = piece.size();
-        m_connection->stream.expires_after(m_progress);
+        const auto end = std::chrono::steady_clock::now() + m_progress;
+        m_connection->stream.expires_at(end);
         boost::system::error_code failure;
         co_await beast::http::async_read_some(
             m_connection->stream, m_connection->buffer, *m_source, asio::redirect_error(asio::use_awaitable, failure));
         if (failure == beast::http::error::need_buffer) {
             failure = {};
         }
+        if (m_connection && m_connection->isCut()) {
+            const auto links = m_connection->cuts;
+            const bool isWhole = co_await links->waitUntilWhole(m_to, end, &m_isClosed);
+            failure = isWhole ? failure : beast::error::timeout;
+        }
         if (!m_connection || failure) {
             m_connection.reset();
             co_return tl::unexpected(lost(m_to, failure.message()));
@@ -95,8 +101,12 @@
 // The connection object stays until the read in progress has ended.
 void client_stream::close()
 {
+    m_isClosed = true;
     if (m_connection) {
         m_connection->stream.cancel();
+        if (m_connection->isCut()) {
+            return;
+        }
         boost::system::error_code ignored;
         m_connection->stream.socket().shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
     }
--- a/src/http/internal/client_stream.h
+++ b/src/http/internal/client_stream.h
@@ -35,6 +35,7 @@
     std::unique_ptr<parser> m_source;
     std::chrono::milliseconds m_progress;
     header_list m_headers;
+    bool m_isClosed = false;
 };
 
 } // namespace mustardtrail::http
--- a/src/http/internal/connection_pool.h
+++ b/src/http/internal/connection_pool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "http/client.h"
+#include "http/internal/cut_links.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -17,9 +18,25 @@
         : stream(executor)
     {
     }
+    ~client_connection()
+    {
+        if (isCut()) {
+            cuts->keepUntilWhole(std::move(held));
+        }
+    }
+    client_connection(const client_connection &) = delete;
+    client_connection &operator=(const client_connection &) = delete;
+
+    bool isCut() const
+    {
+        return held && cuts->contains(held->peer());
+    }
+
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer;
     bool reused = false;
+    std::shared_ptr<cut_links> cuts; ///< Null when cuts are forbidden.
+    std::unique_ptr<held_socket> held; ///< Null when cuts are forbidden.
 };
 
 /// Idle connections by endpoint, all of one executor.
--- /dev/null
+++ b/src/http/tests/cut_test.cpp
@@ -0,0 +1,138 @@
+#include "http/tests/http_harness.h"
+
+#include "testing/expect.h"
+
+#include <atomic>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_future.hpp>
+
+#include <future>
+
+using namespace mustardtrail;
+using namespace mustardtrail::http;
+using mustardtrail::testing::expectEqual;
+
+namespace
+{
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+/// A client that can be cut off, on a thread of its own.
+class cuttable_client
+{
+public:
+    explicit cuttable_client(cuts allowed)
+        : m_work(m_context.get_executor())
+        , m_client(m_context.get_executor(), allowed)
+        , m_thread([this] {
+            m_context.run();
+        })
+    {
+    }
+
+    ~cuttable_client()
+    {
+        m_context.stop();
+        m_thread.join();
+    }
+
+    std::future<result<response_message>> call(const endpoint &to, call_limits limits)
+    {
+        return asio::co_spawn(m_context, m_client.call(to, request_message(), std::move(limits)), asio::use_future);
+    }
+
+    bool cutOff(std::set<endpoint> endpoints)
+    {
+        std::promise<bool> done;
+        asio::post(m_context, [&] {
+            done.set_value(m_client.cutOff(endpoints));
+        });
+        return done.get_future().get();
+    }
+
+private:
+    asio::io_context m_context;
+    asio::executor_work_guard<asio::io_context::executor_type> m_work;
+    client m_client;
+    std::thread m_thread;
+};
+
+asio::awaitable<void> countAndAnswer(std::atomic<int> &served, exchange &incoming)
+{
+    ++served;
+    co_await incoming.respond(wholeAnswer(200, "answer", "text/plain"));
+}
+
+call_limits shortLimits()
+{
+    call_limits limits;
+    limits.connect = limits.firstByte = limits.progress = milliseconds(50);
+    return limits;
+}
+
+} // namespace
+
+Test(cuts, areRefusedUnlessAllowed)
+{
+    std::atomic<int> served{ 0 };
+    http::testing::http_harness server({}, [&](exchange &incoming) {
+        return countAndAnswer(served, incoming);
+    });
+    cuttable_client caller(cuts::forbidden);
+    cr_assert_not(caller.cutOff({ server.address() }));
+    cr_assert(caller.call(server.address(), {}).get().has_value());
+}
+
+Test(cuts, aNewConnectionIsNotMadeAndTheCallIsNotRun)
+{
+    std::atomic<int> served{ 0 };
+    http::testing::http_harness server({}, [&](exchange &incoming) {
+        return countAndAnswer(served, incoming);
+    });
+    cuttable_client caller(cuts::allowed);
+    cr_assert(caller.cutOff({ server.address() }));
+    const auto cut = caller.call(server.address(), shortLimits()).get();
+    cr_assert_not(cut.has_value());
+    cr_assert(cut.error().outcome == verdict::not_run);
+    cr_assert(caller.cutOff({}));
+    cr_assert(caller.call(server.address(), {}).get().has_value());
+    expectEqual(served.load(), 1);
+}
+
+Test(cuts, aRequestOnAnOpenConnectionMayHaveRunAndArrivesWhenTheLinkIsWhole)
+{
+    std::atomic<int> served{ 0 };
+    http::testing::http_harness server({}, [&](exchange &incoming) {
+        return countAndAnswer(served, incoming);
+    });
+    cuttable_client caller(cuts::allowed);
+    cr_assert(caller.call(server.address(), {}).get().has_value());
+    cr_assert(caller.cutOff({ server.address() }));
+    const auto cut = caller.call(server.address(), shortLimits()).get();
+    cr_assert_not(cut.has_value());
+    cr_assert(cut.error().outcome == verdict::may_have_run);
+    expectEqual(served.load(), 1);
+    cr_assert(caller.cutOff({}));
+    while (served.load() < 2) {
+        std::this_thread::sleep_for(milliseconds(1));
+    }
+}
+
+Test(cuts, anAnswerThatComesDuringACutIsReadAfterIt)
+{
+    std::atomic<int> served{ 0 };
+    http::testing::http_harness server({}, [&](exchange &incoming) {
+        return countAndAnswer(served, incoming);
+    });
+    cuttable_client caller(cuts::allowed);
+    cr_assert(caller.call(server.address(), {}).get().has_value());
+    cr_assert(caller.cutOff({ server.address() }));
+    auto waiting = caller.call(server.address(), {});
+    cr_assert(waiting.wait_for(milliseconds(100)) == std::future_status::timeout);
+    cr_assert(caller.cutOff({}));
+    const auto answer = waiting.get();
+    cr_assert(answer.has_value());
+    expectEqual(answer->body, "answer");
+}
--- a/src/programs/entry/admin_routes.cpp
+++ b/src/programs/entry/admin_routes.cpp
@@ -1,5 +1,6 @@
 #include "programs/entry/admin_routes.h"
 
+#include "host/cut_control.h"
 #include "http/status.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -24,6 +25,11 @@
     co_return host.dump();
 }
 
+asio::awaitable<http::response_message> cutOffOnStrand(entry_host &host, std::string body)
+{
+    co_return mustardtrail::host::cutOff(host.httpClient(), body);
+}
+
 } // namespace
 
 admin_routes::admin_routes(entry_host &host, entry_metrics &metrics)
@@ -57,6 +63,10 @@
     } else if (path == "/dump") {
         const boost::json::object dump = co_await asio::co_spawn(m_host.strand(), dumpOnStrand(m_host), asio::use_awaitable);
         co_await exchange.respond(http::wholeAnswer(http::statusOk, boost::json::serialize(dump), "application/json"));
+    } else if (path == host::cutPath && exchange.request().method == "POST") {
+        const std::string body = *exchange.request().body;
+        http::response_message answer = co_await asio::co_spawn(m_host.strand(), cutOffOnStrand(m_host, body), asio::use_awaitable);
+        co_await exchange.respond(std::move(answer));
     } else {
         co_await exchange.respond(http::wholeAnswer(http::statusNotFound, "not_found\n", "text/plain"));
     }
--- a/src/programs/entry/entry_host.cpp
+++ b/src/programs/entry/entry_host.cpp
@@ -49,7 +49,7 @@
     , m_settings(std::move(settings))
     , m_metrics(metrics)
     , m_node(m_settings.node)
-    , m_client(m_strand)
+    , m_client(m_strand, m_settings.cuts)
     , m_view(std::make_shared<membership::fleet_view>())
     , m_timer(m_strand)
     , m_rpc(std::make_unique<rpc_parts>())
--- a/src/programs/entry/main.cpp
+++ b/src/programs/entry/main.cpp
@@ -1,4 +1,5 @@
 #include "base/rcu_cell.h"
+#include "host/cut_control.h"
 #include "host/log.h"
 #include "host/program_settings.h"
 #include "programs/entry/admin_routes.h"
@@ -40,8 +41,9 @@
 {
     const auto values
         = host::readProgramSettings(argc, argv, "Serves callers: admission, placement, dispatch, streams, retries.", entryRules());
-    const entry_settings settings = entrySettingsFrom(values);
+    entry_settings settings = entrySettingsFrom(values);
     host::openProgramLog(values, "mustardtrail-entry");
+    settings.cuts = host::cutsFrom(values, settings.admin);
     boost::asio::io_context context(settings.threads);
     entry_metrics metrics;
     entry_host host(context, settings, metrics);
--- a/src/programs/view/main.cpp
+++ b/src/programs/view/main.cpp
@@ -1,3 +1,4 @@
+#include "host/cut_control.h"
 #include "host/log.h"
 #include "host/program_settings.h"
 #include "http/server.h"
@@ -63,8 +64,9 @@
 {
     const auto values
         = host::readProgramSettings(argc, argv, "Follows configuration, live list and peers; owns engines; sends orders.", viewRules());
-    const view_program_settings settings = viewSettingsFrom(values);
+    view_program_settings settings = viewSettingsFrom(values);
     host::openProgramLog(values, "mustardtrail-view");
+    settings.cuts = host::cutsFrom(values, settings.listen);
     asio::io_context context(1);
     view_host host(context, settings);
     http::server server(
--- a/src/programs/view/view_host.cpp
+++ b/src/programs/view/view_host.cpp
@@ -1,6 +1,7 @@
 #include "programs/view/view_host.h"
 
 #include "base/json_access.h"
+#include "host/cut_control.h"
 #include "host/log.h"
 #include "host/rpc_call.h"
 #include "host/view_codec.h"
@@ -63,7 +64,7 @@
     , m_settings(std::move(settings))
     , m_core(m_settings.core)
     , m_orders({}, random_source(m_settings.core.seed))
-    , m_client(context.get_executor())
+    , m_client(context.get_executor(), m_settings.cuts)
     , m_socket(context)
     , m_timer(context)
     , m_orderTimer(context)
@@ -138,13 +139,22 @@
             return;
         }
         if (!failure) {
-            m_bytesReceived += count + datagramOverheadBytes;
-            handle(membership::datagram_received{ { m_from.address().to_string(), m_from.port() }, std::string(m_datagram.data(), count) });
+            takeDatagram(count);
         }
         receive();
     });
 }
 
+void view_host::takeDatagram(size_t count)
+{
+    const endpoint from{ m_from.address().to_string(), m_from.port() };
+    if (m_client.isCutOff(from)) {
+        return;
+    }
+    m_bytesReceived += count + datagramOverheadBytes;
+    handle(membership::datagram_received{ from, std::string(m_datagram.data(), count) });
+}
+
 asio::awaitable<void> view_host::readWallClock()
 {
     asio::steady_timer pause(m_context);
@@ -158,6 +168,9 @@
 
 void view_host::carryOut(const membership::send_datagram &action)
 {
+    if (m_client.isCutOff(action.to)) {
+        return;
+    }
     boost::system::error_code ignored;
     const asio::ip::udp::endpoint to(asio::ip::make_address(action.to.address, ignored), action.to.port);
     m_bytesSent += action.bytes.size() + datagramOverheadBytes;
@@ -420,6 +433,8 @@
         co_await exchange.respond(http::wholeAnswer(http::statusOk, json::serialize(dump), "application/json"));
     } else if (path == "/metrics") {
         co_await exchange.respond(http::wholeAnswer(http::statusOk, metrics(), "text/plain; version=0.0.4"));
+    } else if (path == host::cutPath && request.method == "POST") {
+        co_await exchange.respond(host::cutOff(m_client, *request.body));
     } else if (path == "/healthz" || path == "/readyz") {
         co_await exchange.respond(http::wholeAnswer(http::statusOk, "ok\n", "text/plain"));
     } else {
--- a/src/programs/view/view_host.h
+++ b/src/programs/view/view_host.h
@@ -66,6 +66,7 @@
     boost::asio::awaitable<void> fetchFromPeer(membership::fetch_delta action);
     boost::asio::awaitable<void> readWallClock();
     void receive();
+    void takeDatagram(size_t count);
     void armTimer();
 
     std::string answerView(const std::string &parameters);
