A node that the live list calls leaving takes itself for leaving

Cause: the table kept the list's word about peers only. Peers gave the node's backend servers to others while the node kept owning them. Now it owns nothing, is not ready, and comes back when it is listed as live.

--- a/src/membership/internal/member_listing.cpp
+++ b/src/membership/internal/member_listing.cpp
@@ -45,12 +45,13 @@
 void member_table::setListState(const instance_id &id, listing_state state)
 {
     const auto found = m_members.find(id);
-    if (found == m_members.end()) {
+    if (found == m_members.end() && id != m_self.member.id) {
         return;
     }
+    bool &listLeaving = found == m_members.end() ? m_selfListLeaving : found->second.listLeaving;
     const bool leaving = state == listing_state::leaving;
-    if (found->second.listLeaving != leaving) {
-        found->second.listLeaving = leaving;
+    if (listLeaving != leaving) {
+        listLeaving = leaving;
         ++m_changes;
     }
 }
--- a/src/membership/internal/member_table.cpp
+++ b/src/membership/internal/member_table.cpp
@@ -241,6 +241,11 @@
     ++m_changes;
 }
 
+bool member_table::isSelfLeaving() const
+{
+    return m_selfListLeaving || m_self.member.state == peer_state::leaving;
+}
+
 bool member_table::takeDeclaredDead()
 {
     return std::exchange(m_declaredDead, false);
--- a/src/membership/internal/member_table.h
+++ b/src/membership/internal/member_table.h
@@ -38,6 +38,8 @@
     void list(const std::vector<live_list_entry> &entries, time_point now);
     void setListState(const instance_id &id, listing_state state);
     void leave();
+    /// Planned stop, or the list calls this node leaving.
+    bool isSelfLeaving() const;
 
     /// Set when this node heard that it was declared dead; cleared by the call.
     bool takeDeclaredDead();
@@ -66,6 +68,7 @@
     news_queue<member_news> m_news;
     std::uint64_t m_changes = 0;
     bool m_declaredDead = false;
+    bool m_selfListLeaving = false; ///< The list calls this node leaving.
     bool m_mayExpire = false; ///< Some member is not alive, or a grave is kept.
 };
 
--- a/src/membership/internal/view_builder.cpp
+++ b/src/membership/internal/view_builder.cpp
@@ -63,7 +63,7 @@
             add(known.news.member);
         }
     }
-    if (members.self().member.state != peer_state::leaving) {
+    if (!members.isSelfLeaving()) {
         add(members.self().member);
     }
     return candidates;
@@ -75,7 +75,7 @@
     view.config = inputs.config;
     view.self = inputs.members.self().member.id;
     view.selfDataCentre = inputs.members.self().member.dataCentre;
-    view.selfLeaving = inputs.members.self().member.state == peer_state::leaving;
+    view.selfLeaving = inputs.members.isSelfLeaving();
     for (const auto &[id, known] : inputs.members.members()) {
         view.peers.emplace_hint(view.peers.end(), id, shown(known));
     }
--- a/src/membership/internal/view_dump.cpp
+++ b/src/membership/internal/view_dump.cpp
@@ -113,7 +113,7 @@
     out["instance"] = m_settings.self.str();
     out["data_centre"] = m_settings.dataCentre.str();
     out["incarnation"] = m_settings.incarnation;
-    out["leaving"] = m_members.self().member.state == peer_state::leaving;
+    out["leaving"] = m_members.isSelfLeaving();
     out["isolated"] = m_confirmation.isIsolated();
     out["refreshing"] = m_confirmation.isRefreshing();
     out["confirmed"] = m_view != nullptr && m_view->isConfirmed(now);
--- a/src/membership/tests/view_core_test.cpp
+++ b/src/membership/tests/view_core_test.cpp
@@ -115,6 +115,31 @@
         seconds(10)));
 }
 
+Test(view_core, listedAsLeavingOwnsNothingUntilListedAsLiveAgain)
+{
+    fake_fleet fleet({ .nodes = 3, .serversPerDataCentre = 12 });
+    fleet.run(seconds(5));
+    const auto ownsNothing = [&](int index) {
+        const auto &backends = fleet.view(index)->backends;
+        return std::none_of(backends.begin(), backends.end(), [](const auto &entry) {
+            return entry.second.owner == instance_id("e2");
+        });
+    };
+    cr_assert_not(ownsNothing(1));
+    fleet.platform.entries["e2"].state = listing_state::leaving;
+    cr_assert(fleet.runUntil(
+        [&] {
+            return fleet.view(1)->selfLeaving && everyone(fleet, ownsNothing);
+        },
+        seconds(3)));
+    fleet.platform.entries["e2"].state = listing_state::live;
+    cr_assert(fleet.runUntil(
+        [&] {
+            return !fleet.view(1)->selfLeaving && !ownsNothing(0) && !ownsNothing(1) && !ownsNothing(2);
+        },
+        seconds(3)));
+}
+
 Test(view_core, pausedProcessConfirmsOnlyAfterARefresh)
 {
     fake_fleet fleet({ .nodes = 3 });
--- a/src/programs/entry/admin_routes.cpp
+++ b/src/programs/entry/admin_routes.cpp
@@ -41,7 +41,7 @@
 bool admin_routes::isReady() const
 {
     const auto view = m_host.view();
-    return !m_host.isStopping() && view->config != nullptr && view->config->revision > 0;
+    return !m_host.isStopping() && !view->selfLeaving && view->config != nullptr && view->config->revision > 0;
 }
 
 asio::awaitable<void> admin_routes::serve(http::exchange &exchange)
