--- a/src/proof/bench/main.cpp
+++ b/src/proof/bench/main.cpp
@@ -14,7 +14,7 @@
 ABSL_FLAG(int, requests, 500, "requests by each route of hop");
 ABSL_FLAG(int, streams, 1'000, "open streams of streams");
 ABSL_FLAG(int, runs, 20, "runs of changes");
-ABSL_FLAG(int, instances, 3, "entry instances of rest, each in a data centre of its own; at most 9");
+ABSL_FLAG(int, instances, 3, "entry instances of rest, each in a data centre of its own; at most 30");
 
 using namespace mustardtrail::proof;
 
