node: answers to forwarded attempts carry the owner's load

At the target an origin hears a given owner by gossip every few seconds at most, so that it chooses by loads that are old. The first and the last event of a forwarded attempt now bring the load of the attempt's pool, a refusal too; pieces of the answer bring none. The origin merges the pools of an owner, as an answer names one only.

--- a/src/node/entry_actions.h
+++ b/src/node/entry_actions.h
@@ -69,6 +69,8 @@
 struct reply_on_hop {
     attempt_id attempt;
     std::variant<request::attempt_accepted, request::attempt_output, request::attempt_finished, request::attempt_failed> event;
+    /// Load of this owner in the attempt's pool, with the first and the last event. Goes to the origin before the event.
+    std::optional<placement::owner_summary> load{};
 };
 
 /// JSON-RPC call to another instance. Answered by peer_answered.
--- a/src/node/internal/attempt_event.cpp
+++ b/src/node/internal/attempt_event.cpp
@@ -12,6 +12,11 @@
         event);
 }
 
+bool isLast(const attempt_event &event)
+{
+    return std::holds_alternative<request::attempt_finished>(event) || std::holds_alternative<request::attempt_failed>(event);
+}
+
 attempt_event renamed(attempt_event event, const attempt_id &id)
 {
     std::visit(
--- a/src/node/internal/origin_side.cpp
+++ b/src/node/internal/origin_side.cpp
@@ -98,7 +98,7 @@
         return configured;
     }
     token_count largest = 0;
-    for (const placement::pool_summary &pool : summary->second.pools) {
+    for (const auto &[key, pool] : summary->second) {
         largest = std::max(largest, pool.freeTokens);
     }
     return std::min(configured, largest);
@@ -132,7 +132,10 @@
 void origin_side::onSummary(const placement::owner_summary &summary, time_point now)
 {
     m_router.onSummary(summary, now);
-    m_summaries[summary.owner] = summary;
+    auto &known = m_summaries[summary.owner];
+    for (const placement::pool_summary &pool : summary.pools) {
+        known.insert_or_assign(pool.pool, pool);
+    }
 }
 
 void origin_side::onRequest(const request::request_event &event, time_point now, entry_actions &out)
--- a/src/node/internal/origin_side.h
+++ b/src/node/internal/origin_side.h
@@ -90,7 +90,7 @@
     request::key_home m_keys;
     group::group_coordinator m_groups;
     peer_calls m_calls;
-    std::map<instance_id, placement::owner_summary> m_summaries;
+    std::map<instance_id, std::map<placement::pool_key, placement::pool_summary>> m_summaries; ///< Latest of each pool.
     std::map<attempt_id, group_request> m_groupRequests; ///< Attempts that run as a group.
     std::map<attempt_id, group_run> m_groupRuns; ///< By the attempt id at the owner.
     std::set<attempt_id> m_hops; ///< Attempts at other instances.
--- a/src/node/internal/owner_side.cpp
+++ b/src/node/internal/owner_side.cpp
@@ -148,11 +148,11 @@
         return;
     }
     const bool isLocal = found->second.isLocal;
-    m_attempts.erase(found);
     const request::attempt_failed failed{ action.attempt, action.failure, {} };
     if (!isLocal) {
-        out.push_back(reply_on_hop{ action.attempt, failed });
+        reply(found->second, failed, now, out);
     }
+    m_attempts.erase(found);
     m_toOrigin(failed, isLocal, now);
 }
 
@@ -216,6 +216,30 @@
     settle(attempt);
 }
 
+placement::owner_summary owner_side::loadFor(const placement::work_item &work, time_point now) const
+{
+    placement::owner_summary load = m_scheduler.summary(now);
+    std::erase_if(load.pools, [key = placement::poolKeyOf(work)](const placement::pool_summary &pool) {
+        return pool.pool != key;
+    });
+    return load;
+}
+
+// Origins meet an owner of a large fleet seldom by gossip, but often by its answers.
+void owner_side::reply(owned_attempt &owned, const attempt_event &event, time_point now, entry_actions &out)
+{
+    reply_on_hop message = std::visit(
+        [](const auto &item) {
+            return reply_on_hop{ item.attempt, item };
+        },
+        event);
+    if (!owned.saidLoad || isLast(event)) {
+        owned.saidLoad = true;
+        message.load = loadFor(owned.hop.work, now);
+    }
+    out.push_back(std::move(message));
+}
+
 // Placement counts what runs; the origin gets the event as it is.
 void owner_side::noteEvent(owned_attempt &owned, const attempt_event &event, time_point now, entry_actions &out)
 {
@@ -244,11 +268,7 @@
                },
         event);
     if (!isLocal) {
-        out.push_back(std::visit(
-            [&](const auto &item) {
-                return reply_on_hop{ attempt, item };
-            },
-            event));
+        reply(owned, event, now, out);
     }
     m_toOrigin(event, isLocal, now);
     carryOut(actions, now, out);
--- a/src/node/internal/owner_side.h
+++ b/src/node/internal/owner_side.h
@@ -55,6 +55,7 @@
         hop_attempt hop;
         bool isLocal = false;
         bool sawOutput = false;
+        bool saidLoad = false; ///< The origin got the load of the pool with an event of this attempt.
         placement::dispatch_attempt dispatch;
         std::unique_ptr<request::backend_attempt> machine; ///< Null while queued.
         std::optional<time_point> wake; ///< Entry in m_wakes.
@@ -76,6 +77,8 @@
 
     void startMachine(owned_attempt &owned, time_point now, entry_actions &out);
     void admitGroup(const hop_attempt &attempt, bool isLocal, time_point now, entry_actions &out);
+    placement::owner_summary loadFor(const placement::work_item &work, time_point now) const;
+    void reply(owned_attempt &owned, const attempt_event &event, time_point now, entry_actions &out);
     void noteEvent(owned_attempt &owned, const attempt_event &event, time_point now, entry_actions &out);
     void settle(const attempt_id &attempt);
     void forget(const attempt_id &attempt);
--- a/src/node/tests/fleet_peers.cpp
+++ b/src/node/tests/fleet_peers.cpp
@@ -87,10 +87,13 @@
     through.last = std::max(through.last, due);
     const int copies = mangles() ? 2 : 1;
     for (int copy = 0; copy < copies; ++copy) {
-        m_time.at(due + copy * 3ms, [this, origin, event, attempt = action.attempt, isLast] {
+        m_time.at(due + copy * 3ms, [this, origin, event, attempt = action.attempt, isLast, load = action.load] {
             if (!m_hops.contains(attempt)) {
                 return;
             }
+            if (load) {
+                deliver(origin, summary_received{ *load });
+            }
             if (isLast) {
                 m_hops.erase(attempt);
             }
