host, entry: load of an owner in 29 bytes a pool, and on the hop

A pool travels as a number of 30 bits, which the reader finds in its configuration, and six varints of five bits a character; before as JSON text of 40 to 60 bytes with the name. On a hop the load is an event of its own before the first and the last event of the attempt; its time counts from the arrival of the request, which both instances know, so that a slow reader of the answer does not make an old load look new.

--- a/src/host/internal/summary_codec.cpp
+++ b/src/host/internal/summary_codec.cpp
@@ -1,45 +1,137 @@
 #include "host/summary_codec.h"
 
-#include <boost/json/array.hpp>
-#include <boost/json/parse.hpp>
-#include <boost/json/serialize.hpp>
+#include <algorithm>
+#include <string_view>
 
 namespace mustardtrail::host
 {
 
-namespace json = boost::json;
 using std::chrono::milliseconds;
 
 namespace
 {
 
-constexpr size_t fieldCount = 8;
+constexpr std::string_view digits = "0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz-_";
+constexpr unsigned bitsOfNumberDigit = 6;
+constexpr unsigned digitsOfNumber = 5;
+constexpr unsigned bitsOfVarintDigit = 5;
+constexpr std::uint64_t moreFollows = 1U << bitsOfVarintDigit;
+constexpr std::uint64_t varintMask = moreFollows - 1;
+constexpr unsigned bitsOfVarint = 20;
+constexpr std::uint64_t largestVarint = (std::uint64_t(1) << bitsOfVarint) - 1;
+constexpr token_count tokenUnit = 64;
+constexpr token_count rateUnit = 16;
+constexpr std::uint64_t unreachableMark = largestVarint;
 
-std::optional<placement::pool_summary> poolFrom(const std::string &text)
+void putNumber(std::string &text, std::uint32_t number)
 {
-    json::error_code failure;
-    const json::value value = json::parse(text, failure);
-    const json::array *fields = failure ? nullptr : value.if_array();
-    if (fields == nullptr || fields->size() != fieldCount || !(*fields)[1].is_string()) {
-        return std::nullopt;
+    for (unsigned index = 0; index < digitsOfNumber; ++index) {
+        text += digits[(number >> (bitsOfNumberDigit * index)) % digits.size()];
+    }
+}
+
+void putVarint(std::string &text, std::int64_t signedValue)
+{
+    std::uint64_t value = std::min(static_cast<std::uint64_t>(std::max<std::int64_t>(0, signedValue)), largestVarint);
+    while (value > varintMask) {
+        text += digits[(value & varintMask) | moreFollows];
+        value >>= bitsOfVarintDigit;
+    }
+    text += digits[value];
+}
+
+void putTime(std::string &text, milliseconds time)
+{
+    const auto limit = static_cast<std::int64_t>(unreachableMark);
+    putVarint(text, time >= placement::summaryUnreachable ? limit : std::min(time.count(), limit - 1));
+}
+
+class text_reader
+{
+public:
+    explicit text_reader(std::string_view text)
+        : m_text(text)
+    {
     }
-    for (size_t index = 0; index < fieldCount; ++index) {
-        if (index != 1 && !(*fields)[index].is_int64()) {
-            return std::nullopt;
+
+    std::uint32_t number()
+    {
+        std::uint32_t value = 0;
+        for (unsigned index = 0; index < digitsOfNumber; ++index) {
+            value |= static_cast<std::uint32_t>(digit()) << (bitsOfNumberDigit * index);
+        }
+        return value;
+    }
+
+    std::int64_t varint()
+    {
+        std::uint64_t value = 0;
+        unsigned shift = 0;
+        std::uint64_t part = moreFollows;
+        while ((part & moreFollows) != 0 && !m_broken) {
+            part = digit();
+            value |= (part & varintMask) << shift;
+            shift += bitsOfVarintDigit;
+            m_broken = m_broken || (shift >= bitsOfVarint && (part & moreFollows) != 0);
         }
+        return static_cast<std::int64_t>(value);
     }
-    const auto number = [&](size_t index) {
-        return (*fields)[index].get_int64();
-    };
+
+    milliseconds time()
+    {
+        const std::int64_t value = varint();
+        return value == static_cast<std::int64_t>(unreachableMark) ? placement::summaryUnreachable : milliseconds(value);
+    }
+
+    bool isWhole() const
+    {
+        return !m_broken && m_text.empty();
+    }
+
+private:
+    std::uint64_t digit()
+    {
+        const size_t value = m_text.empty() ? std::string_view::npos : digits.find(m_text.front());
+        if (value == std::string_view::npos) {
+            m_broken = true;
+            return 0;
+        }
+        m_text.remove_prefix(1);
+        return value;
+    }
+
+    std::string_view m_text;
+    bool m_broken = false;
+};
+
+std::string textOf(const placement::pool_summary &pool)
+{
+    std::string text;
+    putNumber(text, poolNumber(pool.pool));
+    putVarint(text, pool.freeTokens / tokenUnit);
+    putVarint(text, pool.queuedPrefillTokens / tokenUnit);
+    putVarint(text, pool.prefillTokensPerSecond / rateUnit);
+    putVarint(text, pool.freeRequests);
+    putTime(text, pool.shortFirstToken);
+    putTime(text, pool.longFirstToken);
+    return text;
+}
+
+std::optional<placement::pool_summary> poolFrom(std::string_view text, const pool_directory &pools)
+{
+    text_reader reader(text);
+    const placement::pool_key *key = pools.find(reader.number());
     placement::pool_summary pool;
-    pool.pool.kind = number(0) == 0 ? placement::pool_kind::model : placement::pool_kind::service;
-    pool.pool.name = std::string((*fields)[1].get_string());
-    pool.freeTokens = number(2);
-    pool.queuedPrefillTokens = number(3);
-    pool.prefillTokensPerSecond = number(4);
-    pool.freeRequests = static_cast<int>(number(5));
-    pool.shortFirstToken = milliseconds(number(6));
-    pool.longFirstToken = milliseconds(number(7));
+    pool.freeTokens = reader.varint() * tokenUnit;
+    pool.queuedPrefillTokens = reader.varint() * tokenUnit;
+    pool.prefillTokensPerSecond = reader.varint() * rateUnit;
+    pool.freeRequests = static_cast<int>(reader.varint());
+    pool.shortFirstToken = reader.time();
+    pool.longFirstToken = reader.time();
+    if (key == nullptr || !reader.isWhole()) {
+        return std::nullopt;
+    }
+    pool.pool = *key;
     return pool;
 }
 
@@ -49,26 +141,19 @@
 {
     std::vector<std::string> texts;
     for (const placement::pool_summary &pool : summary.pools) {
-        json::array fields{ pool.pool.kind == placement::pool_kind::model ? 0 : 1,
-            pool.pool.name,
-            pool.freeTokens,
-            pool.queuedPrefillTokens,
-            pool.prefillTokensPerSecond,
-            pool.freeRequests,
-            pool.shortFirstToken.count(),
-            pool.longFirstToken.count() };
-        texts.push_back(json::serialize(fields));
+        texts.push_back(textOf(pool));
     }
     return texts;
 }
 
-placement::owner_summary decodeSummary(const instance_id &owner, const std::vector<std::string> &texts, time_point takenAt)
+placement::owner_summary decodeSummary(
+    const instance_id &owner, const std::vector<std::string> &texts, const pool_directory &pools, time_point takenAt)
 {
     placement::owner_summary summary;
     summary.owner = owner;
     summary.takenAt = takenAt;
     for (const std::string &text : texts) {
-        if (const auto pool = poolFrom(text)) {
+        if (const auto pool = poolFrom(text, pools)) {
             summary.pools.push_back(*pool);
         }
     }
--- a/src/programs/entry/entry_host.cpp
+++ b/src/programs/entry/entry_host.cpp
@@ -92,6 +92,11 @@
     return m_client;
 }
 
+const host::pool_directory &entry_host::pools() const
+{
+    return m_pools;
+}
+
 std::shared_ptr<const membership::fleet_view> entry_host::view() const
 {
     return m_view.load();
@@ -338,7 +343,7 @@
         return;
     }
     const auto *output = std::get_if<request::attempt_output>(&action.event);
-    found->second.channel->push(action.event, (output != nullptr ? output->text.size() : 0) + eventOverheadBytes);
+    found->second.channel->push(action, (output != nullptr ? output->text.size() : 0) + eventOverheadBytes);
     const bool isLast
         = std::holds_alternative<request::attempt_finished>(action.event) || std::holds_alternative<request::attempt_failed>(action.event);
     if (isLast) {
--- a/src/programs/entry/entry_host.h
+++ b/src/programs/entry/entry_host.h
@@ -2,6 +2,7 @@
 
 #include "base/rcu_cell.h"
 #include "config/config_store.h"
+#include "host/pool_directory.h"
 #include "http/client.h"
 #include "node/entry_node.h"
 #include "programs/entry/entry_metrics.h"
@@ -59,6 +60,7 @@
     /// Bytes that wait for the reader of an attempt's answer, a caller or a hop.
     size_t waitingBytes(const attempt_id &attempt) const;
     http::client &httpClient();
+    const host::pool_directory &pools() const;
 
 private:
     friend class attempt_link;
@@ -108,6 +110,7 @@
     std::unordered_map<request_id, std::shared_ptr<const std::string>> m_prompts; ///< Prompt texts that segments are cut from.
     std::int64_t m_viewIncarnation = -1; ///< Of the view process that sent the view in use.
     std::int64_t m_viewVersion = -1;
+    host::pool_directory m_pools;
     std::vector<std::string> m_summaries; ///< Own load, encoded for the peers.
     std::unique_ptr<rpc_parts> m_rpc;
     std::atomic<bool> m_stopping{ false };
--- a/src/programs/entry/entry_host_view.cpp
+++ b/src/programs/entry/entry_host_view.cpp
@@ -93,6 +93,7 @@
         return false;
     }
     m_view.store(view);
+    m_pools.setConfiguration(view->config);
     handle(node::view_received{ view });
     takeSummaries(answer, askedAt);
     return true;
@@ -112,7 +113,7 @@
             texts.emplace_back(item.is_string() ? std::string(item.get_string()) : std::string());
         }
         const time_point takenAt = askedAt - milliseconds(json_access::numberOr(*peer, "age_ms", 0));
-        handle(node::summary_received{ host::decodeSummary(instance_id(json_access::textOr(*peer, "peer")), texts, takenAt) });
+        handle(node::summary_received{ host::decodeSummary(instance_id(json_access::textOr(*peer, "peer")), texts, m_pools, takenAt) });
     }
 }
 
--- a/src/programs/entry/hop_link.cpp
+++ b/src/programs/entry/hop_link.cpp
@@ -36,6 +36,7 @@
 boost::asio::awaitable<void> hop_link::run(node::forward_attempt action, std::shared_ptr<const payload> content)
 {
     const auto self = shared_from_this();
+    m_arrival = action.attempt.work.arrival;
     http::call_limits limits;
     limits.connect = connectLimit;
     limits.firstByte = longestSilence;
@@ -78,6 +79,10 @@
 
 bool hop_link::reportEvent(const std::string &data)
 {
+    if (const auto load = readHopLoad(data, m_host.pools(), m_arrival, m_host.clock().now())) {
+        m_host.handle(node::summary_received{ *load });
+        return !isClosed();
+    }
     const auto event = api::readEngineEvent(data);
     if (!event) {
         return false;
--- a/src/programs/entry/hop_link.h
+++ b/src/programs/entry/hop_link.h
@@ -24,6 +24,7 @@
 
     entry_host &m_host;
     attempt_id m_attempt;
+    time_point m_arrival{}; ///< Of the request at this instance.
     bool m_ended = false;
 };
 
--- a/src/programs/entry/hop_message.cpp
+++ b/src/programs/entry/hop_message.cpp
@@ -2,10 +2,13 @@
 
 #include "api/engine_event.h"
 #include "base/json_access.h"
+#include "host/summary_codec.h"
 
+#include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
 #include <boost/json/string.hpp>
 
+#include <algorithm>
 #include <charconv>
 
 namespace mustardtrail::entry
@@ -20,6 +23,7 @@
 constexpr const char *kindHeader = "Mustardtrail-Kind";
 constexpr const char *bodyStartHeader = "Mustardtrail-Body-Start";
 constexpr const char *chatKind = "chat";
+constexpr std::string_view loadStart = R"({"load":)";
 
 void addIfGiven(http::header_list &headers, const char *name, const std::string &value)
 {
@@ -28,6 +32,17 @@
     }
 }
 
+std::string loadText(const placement::owner_summary &load, time_point arrival)
+{
+    boost::json::array pools;
+    for (std::string &text : host::encodeSummary(load)) {
+        pools.emplace_back(std::move(text));
+    }
+    const auto after = std::chrono::ceil<std::chrono::milliseconds>(load.takenAt - arrival);
+    const boost::json::object message{ { "owner", load.owner.str() }, { "after_ms", after.count() }, { "pools", std::move(pools) } };
+    return "data: " + std::string(loadStart) + boost::json::serialize(message) + "}\n\n";
+}
+
 } // namespace
 
 void spliceDelivered(http::request_message &message, const std::string &delivered, size_t objectStart)
@@ -77,31 +92,46 @@
     return hop_contents{ *attempt, content };
 }
 
-std::string hopEventText(const hop_event &event)
+std::string hopReplyText(const node::reply_on_hop &reply, time_point arrival)
 {
+    const auto &event = reply.event;
     api::engine_event written;
-    attempt_id attempt;
     if (const auto *accepted = std::get_if<request::attempt_accepted>(&event)) {
-        attempt = accepted->attempt;
         written.type = api::engine_event::kind::accepted;
         written.text = accepted->backend.str();
     } else if (const auto *output = std::get_if<request::attempt_output>(&event)) {
-        attempt = output->attempt;
         written.sequence = output->sequence;
         written.text = output->text;
         written.tokens = output->tokens;
     } else if (const auto *finished = std::get_if<request::attempt_finished>(&event)) {
-        attempt = finished->attempt;
         written.type = api::engine_event::kind::finished;
         written.sequence = finished->chunks;
         written.finishReason = finished->finishReason.empty() ? "stop" : finished->finishReason;
     } else if (const auto *failed = std::get_if<request::attempt_failed>(&event)) {
-        attempt = failed->attempt;
         written.type = api::engine_event::kind::failed;
         written.failure = failed->failure;
         written.text = failed->backend.str();
     }
-    return api::writeEngineEvent(written, attempt.str());
+    const std::string load = reply.load ? loadText(*reply.load, arrival) : std::string();
+    return load + api::writeEngineEvent(written, reply.attempt.str());
+}
+
+std::optional<placement::owner_summary> readHopLoad(
+    std::string_view data, const host::pool_directory &pools, time_point arrival, time_point now)
+{
+    if (!data.starts_with(loadStart)) {
+        return std::nullopt;
+    }
+    const boost::json::object message = json_access::objectFromText(std::string(data));
+    const boost::json::object *load = json_access::objectAt(message, "load");
+    const boost::json::array *items = load != nullptr ? json_access::arrayAt(*load, "pools") : nullptr;
+    std::vector<std::string> texts;
+    for (const boost::json::value &item : items != nullptr ? *items : boost::json::array()) {
+        texts.emplace_back(item.is_string() ? std::string(item.get_string()) : std::string());
+    }
+    const std::chrono::milliseconds after(load != nullptr ? json_access::numberOr(*load, "after_ms", 0) : 0);
+    const instance_id owner(load != nullptr ? json_access::textOr(*load, "owner") : std::string());
+    return host::decodeSummary(owner, texts, pools, std::min(now, arrival + after));
 }
 
 } // namespace mustardtrail::entry
--- a/src/programs/entry/hop_message.h
+++ b/src/programs/entry/hop_message.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "base/error.h"
+#include "host/pool_directory.h"
 #include "http/request_message.h"
 #include "node/entry_actions.h"
 #include "programs/entry/payload.h"
 #include "programs/entry/sessions.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace mustardtrail::entry
@@ -29,7 +31,12 @@
 /// Reads what hopRequest wrote.
 result<hop_contents> hopContents(const http::request_message &message, time_point now);
 
-/// Event of an attempt as server-sent event.
-std::string hopEventText(const hop_event &event);
+/// Event of an attempt as server-sent event, after one with the owner's load when there is one.
+/// The load's time travels as counted from the arrival of the request, which both instances know.
+std::string hopReplyText(const node::reply_on_hop &reply, time_point arrival);
+
+/// Reads the data of the event with the load; nothing when it is another event. The time is never after now.
+std::optional<placement::owner_summary> readHopLoad(
+    std::string_view data, const host::pool_directory &pools, time_point arrival, time_point now);
 
 } // namespace mustardtrail::entry
--- a/src/programs/entry/peer_routes.cpp
+++ b/src/programs/entry/peer_routes.cpp
@@ -23,9 +23,9 @@
     return headers;
 }
 
-bool isLast(const hop_event &event)
+bool isLast(const node::reply_on_hop &reply)
 {
-    return std::holds_alternative<request::attempt_finished>(event) || std::holds_alternative<request::attempt_failed>(event);
+    return std::holds_alternative<request::attempt_finished>(reply.event) || std::holds_alternative<request::attempt_failed>(reply.event);
 }
 
 asio::awaitable<std::string> rpcOnStrand(entry_host &host, std::shared_ptr<const std::string> text)
@@ -67,6 +67,7 @@
         co_return;
     }
     const attempt_id attempt = contents->attempt.work.attempt;
+    const time_point arrival = contents->attempt.work.arrival;
     const auto channel = std::make_shared<hop_channel>(exchange.executor());
     const auto leave = [this, attempt] {
         asio::post(m_host.strand(), [this, attempt] {
@@ -82,12 +83,12 @@
         co_return;
     }
     while (true) {
-        const hop_event event = co_await channel->next();
-        if (!co_await exchange.write(hopEventText(event))) {
+        const node::reply_on_hop reply = co_await channel->next();
+        if (!co_await exchange.write(hopReplyText(reply, arrival))) {
             leave();
             co_return;
         }
-        if (isLast(event)) {
+        if (isLast(reply)) {
             co_await exchange.finishStream();
             co_return;
         }
--- a/src/programs/entry/sessions.h
+++ b/src/programs/entry/sessions.h
@@ -14,8 +14,7 @@
 using caller_channel = event_channel<caller_event>;
 
 /// What the writer to an origin has to do next.
-using hop_event = std::variant<request::attempt_accepted, request::attempt_output, request::attempt_finished, request::attempt_failed>;
-using hop_channel = event_channel<hop_event>;
+using hop_channel = event_channel<node::reply_on_hop>;
 
 /// A caller's request while it runs.
 struct caller_session {
