membership: load summaries once a second to each peer of the data centre

They went with every datagram, also to other data centres, where an instance of a large fleet is heard too seldom for its load to be of use; origins there have it from the answers to what they forward.

--- a/src/membership/bench/membership_bench.cpp
+++ b/src/membership/bench/membership_bench.cpp
@@ -1,5 +1,6 @@
 // Slopes of the view over the size of the fleet, on a fake clock: one line of key=value pairs per run.
-// Usage: membership_bench steady NODES DATA_CENTRES SERVERS_PER_DATA_CENTRE SECONDS
+// Usage: membership_bench steady NODES DATA_CENTRES SERVERS_PER_DATA_CENTRE SECONDS [BYTES_PER_MODEL]
+//        With BYTES_PER_MODEL every node has load summaries of eight models of that size.
 //        membership_bench change NODES DATA_CENTRES SEEDS
 //        membership_bench outage NODES DATA_CENTRES SEEDS
 //        membership_bench leaving NODES DATA_CENTRES SEEDS
@@ -29,6 +30,7 @@
 {
 
 constexpr seconds warmUp{ 30 };
+constexpr size_t modelsInUse = 8;
 constexpr milliseconds longestWait{ 20000 };
 
 nanoseconds threadTime()
@@ -46,7 +48,18 @@
     });
 }
 
-void steady(int nodes, int dataCentres, int servers, seconds length)
+void setLoads(fake_fleet &fleet, int bytesPerModel)
+{
+    if (bytesPerModel == 0) {
+        return;
+    }
+    const std::vector<std::string> loads(modelsInUse, std::string(static_cast<size_t>(bytesPerModel), 'x'));
+    for (int index = 0; index < fleet.size(); ++index) {
+        fleet.deliver(index, load_summaries_set{ loads });
+    }
+}
+
+void steady(int nodes, int dataCentres, int servers, seconds length, int bytesPerModel)
 {
     const size_t heapBefore = mallinfo2().uordblks;
     fake_fleet fleet({ .nodes = nodes, .dataCentres = dataCentres, .serversPerDataCentre = servers });
@@ -61,6 +74,7 @@
     const size_t heap = mallinfo2().uordblks - heapBefore;
     spent = nanoseconds(0);
     const std::uint64_t readsBefore = totalReads(fleet);
+    setLoads(fleet, bytesPerModel);
     for (int index = 0; index < nodes; ++index) {
         fleet.at(index).bytes = 0;
         fleet.at(index).datagrams = 0;
@@ -75,11 +89,12 @@
         datagrams += fleet.at(index).datagrams;
     }
     const double nodeSeconds = static_cast<double>(nodes) * static_cast<double>(length.count());
-    std::printf("steady nodes=%d data_centres=%d servers=%d bytes_per_s=%.0f most_bytes_per_s=%.0f datagrams_per_s=%.1f "
+    std::printf("steady nodes=%d data_centres=%d servers=%d bytes_per_model=%d bytes_per_s=%.0f most_bytes_per_s=%.0f datagrams_per_s=%.1f "
                 "cpu_share=%.4f%% config_reads_per_s=%.2f heap_per_node_kb=%zu\n",
         nodes,
         dataCentres,
         servers * dataCentres,
+        bytesPerModel,
         static_cast<double>(bytes) / nodeSeconds,
         static_cast<double>(most) / static_cast<double>(length.count()),
         static_cast<double>(datagrams) / nodeSeconds,
@@ -243,8 +258,9 @@
     }
     const std::string mode = argv[1];
     const fake_fleet_settings settings{ .nodes = std::atoi(argv[2]), .dataCentres = std::atoi(argv[3]) };
-    if (mode == "steady" && argc == 6) {
-        steady(settings.nodes, settings.dataCentres, std::atoi(argv[4]), seconds(std::atoi(argv[5])));
+    if (mode == "steady" && (argc == 6 || argc == 7)) {
+        const int bytesPerModel = argc == 7 ? std::atoi(argv[6]) : 0;
+        steady(settings.nodes, settings.dataCentres, std::atoi(argv[4]), seconds(std::atoi(argv[5])), bytesPerModel);
     } else if (mode == "cut") {
         cut(settings);
     } else if (argc < 5) {
--- a/src/membership/internal/view_logic.h
+++ b/src/membership/internal/view_logic.h
@@ -3,6 +3,7 @@
 #include "membership/internal/config_follower.h"
 #include "membership/internal/failure_detector.h"
 #include "membership/internal/list_follower.h"
+#include "membership/internal/load_schedule.h"
 #include "membership/internal/view_builder.h"
 #include "membership/internal/view_confirmation.h"
 #include "membership/view_core.h"
@@ -58,6 +59,7 @@
     bool isStale(time_point now) const;
     void takeMessage(const peer_message &message, const endpoint &from, time_point now);
     void send(std::vector<outgoing_message> messages, time_point now);
+    bool takesLoads(const instance_id &receiver, time_point now);
     void complete(outgoing_message &out, time_point now);
     void add(std::vector<view_action> actions);
     void log(std::string line);
@@ -77,6 +79,7 @@
     view_confirmation m_confirmation;
     ownership_record m_ownership;
     std::vector<std::string> m_loads;
+    load_schedule m_loadSchedule;
 
     std::vector<view_action> m_out;
     std::optional<time_point> m_startedAt;
--- a/src/membership/internal/view_sending.cpp
+++ b/src/membership/internal/view_sending.cpp
@@ -35,6 +35,14 @@
     }
 }
 
+// Origins of other data centres learn the load from the answers to what they forward.
+bool view_logic::takesLoads(const instance_id &receiver, time_point now)
+{
+    const member *known = m_loads.empty() ? nullptr : m_members.find(receiver);
+    const bool isLocal = known != nullptr && known->news.member.dataCentre == m_settings.dataCentre;
+    return isLocal && m_loadSchedule.take(receiver, now);
+}
+
 // Only a probe tells the sender's addresses: whoever acks was told them before, or they are in the list.
 void view_logic::complete(outgoing_message &out, time_point now)
 {
@@ -48,7 +56,9 @@
     message.configAge = m_config.age(now);
     message.listAge = m_list.duty().age(now);
     message.logicalTime = m_clock.current();
-    message.ownerLoads = m_loads;
+    if (takesLoads(out.receiver, now)) {
+        message.ownerLoads = m_loads;
+    }
     message.members = m_members.takeNews(out.receiver, m_settings.detector.newsPerDatagram, !m_confirmation.isIsolated());
     message.listings
         = m_list.takeNews(listingsPerDatagram, newsRepeats(m_settings.detector.listingRepeatFactor, m_members.members().size() + 1));
--- a/src/membership/tests/view_core_test.cpp
+++ b/src/membership/tests/view_core_test.cpp
@@ -272,3 +272,23 @@
     cr_assert_not(received.contains(2));
     cr_assert(fleet.stateAt(0, 2) == peer_state::dead || fleet.stateAt(0, 2) == peer_state::suspect);
 }
+
+Test(view_core, loadSummariesGoToEachPeerOfTheDataCentreOnceASecondAtMost)
+{
+    fake_fleet fleet({ .nodes = 6, .dataCentres = 2 });
+    std::map<std::pair<instance_id, int>, std::vector<time_point>> received;
+    fleet.onAction = [&](int index, const view_action &action) {
+        if (const auto *loads = std::get_if<load_summaries_received>(&action)) {
+            received[{ loads->peer, index }].push_back(fleet.now());
+        }
+    };
+    fleet.run(seconds(2));
+    const instance_id sender = fleet.at(0).settings.self;
+    fleet.deliver(0, load_summaries_set{ { "load" } });
+    fleet.run(seconds(20));
+    for (int index = 1; index < fleet.size(); ++index) {
+        const std::vector<time_point> &times = received[{ sender, index }];
+        const bool isLocal = fleet.dataCentreOf(index) == fleet.dataCentreOf(0);
+        cr_assert(isLocal ? times.size() >= 8 && times.size() <= 20 : times.empty());
+    }
+}
