node: a group that runs when a drain begins finishes in its engines

Its completion and its renewals were refused once the engine took no new work, though the segments were prefilled there: the prompt went on elsewhere only when it is repeatable. The owner grants a first reservation only while the engine takes new work, so one that is held belongs to a group that runs there; a new group and a new generation are refused.

Seen failing first: group_drain/groupThatRanBeforeADrainFinishesInItsEngines, and with renewals refused drainedEngineRenewsItsGroupsAndTakesNoOther. Trial with every reservation granted after a drain: the latter fails; the schedules do not notice it, as origins plan no group on a drained engine.

--- a/src/node/internal/owner_side.cpp
+++ b/src/node/internal/owner_side.cpp
@@ -90,15 +90,15 @@
     carryOut(m_scheduler.admit(attempt.work, attempt.excluded, now), now, out);
 }
 
-// The memory of a group is reserved, so its completion passes by the queue; only its owner sends it.
+// The memory of a group is reserved, so its completion passes by the queue; only its owner sends it. A reservation is
+// only granted while the engine takes new work, so a group that holds one runs there already and finishes after a drain.
 void owner_side::admitGroup(const hop_attempt &attempt, bool isLocal, time_point now, entry_actions &out)
 {
     const group_target &target = *attempt.group;
     owned_attempt &owned = m_attempts[attempt.work.attempt];
     owned.hop = attempt;
     owned.isLocal = isLocal;
-    const bool mayRun = owns(target.backend) && m_view->backends.at(target.backend).acceptsNewWork && m_view->isConfirmed(now)
-        && m_reservations.holds(target.backend, target.group);
+    const bool mayRun = owns(target.backend) && m_view->isConfirmed(now) && m_reservations.holds(target.backend, target.group);
     if (!mayRun) {
         const error failure{ error_code::not_owner, verdict::not_run, "backend=" + target.backend.str(), {} };
         carryOut(placement::refuse_attempt{ attempt.work.attempt, failure }, now, out);
--- a/src/node/internal/owner_side_engines.cpp
+++ b/src/node/internal/owner_side_engines.cpp
@@ -61,7 +61,8 @@
         return tl::unexpected(error{ error_code::not_owner, verdict::not_run, "backend=" + backend.str(), {} });
     }
     const auto &assignment = m_view->backends.at(backend);
-    if (!m_view->isConfirmed(m_now) || !assignment.acceptsNewWork) {
+    const bool mayGrant = assignment.acceptsNewWork || m_reservations.holds(backend, group::engineGroupOf(key));
+    if (!m_view->isConfirmed(m_now) || !mayGrant) {
         return tl::unexpected(
             error{ error_code::view_not_confirmed, verdict::not_run, "backend=" + backend.str(), std::chrono::seconds(1) });
     }
@@ -74,7 +75,8 @@
 {
     m_now = now;
     group::reserve_reply reply = m_reservations.reserve(request, now);
-    if (reply.failure) {
+    if (reply.failure || !m_view->backends.at(request.backend).acceptsNewWork) {
+        // Placement counts no memory of an engine that takes no new work; what was granted before is only renewed.
         return reply;
     }
     const std::string name = group::engineGroupOf(request.key).str();
--- a/src/node/tests/fake_backend.h
+++ b/src/node/tests/fake_backend.h
@@ -69,8 +69,10 @@
     struct held_group {
         token_count tokens = 0;
         time_point leaseEnd{};
+        std::optional<time_point> prefilledAt;
     };
 
+    time_point beginOf(const open_backend &request) const;
     void hold(const group::engine_group_id &group, token_count tokens, std::chrono::milliseconds lease);
     void run(const open_backend &request, to_owner reply);
     void makePiece(const attempt_id &attempt, std::uint64_t incarnation);
--- a/src/node/tests/fake_engine_groups.cpp
+++ b/src/node/tests/fake_engine_groups.cpp
@@ -29,6 +29,7 @@
         hold(group::engineGroupOf(reserve->call.key), reserve->tokens, reserve->lease);
     } else if (const auto *prefill = std::get_if<group::kv_prefill>(&call.call)) {
         hold(group::engineGroupOf(prefill->call.key), prefill->tokens, prefill->lease);
+        m_groups.at(group::engineGroupOf(prefill->call.key)).prefilledAt = m_time.now();
         reply.digest = prefill->previousDigest + "d" + std::to_string(prefill->index);
     } else if (const auto *publish = std::get_if<group::kv_export>(&call.call)) {
         reply.ticket = "ticket-" + publish->call.key.group.str();
@@ -46,6 +47,13 @@
     return reply;
 }
 
+time_point fake_backend::beginOf(const open_backend &request) const
+{
+    const auto held = request.group ? m_groups.find(request.group->group) : m_groups.end();
+    const bool isHeld = held != m_groups.end() && held->second.leaseEnd > m_time.now();
+    return isHeld ? held->second.prefilledAt.value_or(m_time.now()) : m_time.now();
+}
+
 void fake_backend::release(const group::engine_group_id &group)
 {
     m_groups.erase(group);
--- a/src/node/tests/fleet_config.cpp
+++ b/src/node/tests/fleet_config.cpp
@@ -68,4 +68,27 @@
     return peers;
 }
 
+std::shared_ptr<membership::fleet_view> makeOwnerView(const char *self, time_point confirmedAt)
+{
+    auto view = std::make_shared<membership::fleet_view>();
+    view->config = makeFleetConfig();
+    view->self = instance_id(self);
+    view->selfDataCentre = data_centre_id("dc1");
+    view->confirmedAt = confirmedAt;
+    for (membership::peer &peer : makeFleetPeers()) {
+        peer.state = membership::peer_state::alive;
+        if (peer.id != view->self) {
+            view->peers.emplace(peer.id, peer);
+        }
+    }
+    for (const auto &[id, server] : view->config->backendServers) {
+        membership::backend_assignment assignment;
+        assignment.owner = instance_id("e2");
+        assignment.acceptsNewWork = true;
+        assignment.ownedSince = time_point(1s);
+        view->backends.emplace(id, assignment);
+    }
+    return view;
+}
+
 } // namespace mustardtrail::node::testing
--- a/src/node/tests/trace.h
+++ b/src/node/tests/trace.h
@@ -37,6 +37,7 @@
     backend_server_id backend;
     data_centre_id dataCentre;
     bool started = true; ///< False: refused, or dropped before it ran.
+    time_point began{}; ///< When its prompt was prefilled here for a group; else when it reached the backend server.
 };
 
 /// What happened in one schedule; written by the fleet, read by the checker.
