entry: a group's continuation through another owner keeps the delivered text

useGroup put a body of its own in place of the one that came over the hop, and the text that the caller has already travelled in that body: the engine began anew. The hop of a group now carries only this text, no longer the whole prompt, which the engines hold; the owner reads it from there and writes it into the body of the completion. Making the request to an engine is a file of its own.

--- a/src/programs/entry/backend_link.cpp
+++ b/src/programs/entry/backend_link.cpp
@@ -4,15 +4,11 @@
 #include "api/event_parser.h"
 #include "base/json_access.h"
 #include "http/status.h"
+#include "programs/entry/engine_request.h"
 #include "programs/entry/entry_host.h"
-#include "programs/entry/hop_message.h"
 #include "programs/entry/service_head.h"
 
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/json/serialize.hpp>
-#include <boost/json/string.hpp>
-
-#include <charconv>
 
 namespace mustardtrail::entry
 {
@@ -23,45 +19,6 @@
 constexpr size_t refusalBytes = 64 * 1024;
 constexpr std::chrono::milliseconds longestSilence{ 3'600'000 }; // The node's own time-outs come first.
 
-std::string hexOf(std::uint64_t number)
-{
-    char text[17];
-    const auto end = std::to_chars(text, text + 16, number, 16).ptr;
-    return std::string(text, end);
-}
-
-http::request_message engineRequest(const node::open_backend &action, const payload &content)
-{
-    http::request_message message;
-    message.method = content.method;
-    message.target = content.target;
-    message.body = content.body;
-    message.headers.add("Content-Type", "application/json");
-    message.headers.add("Mustardtrail-Attempt", action.attempt.str());
-    message.headers.add("Mustardtrail-Priority", std::to_string(action.priority));
-    message.headers.add("Mustardtrail-Fencing", std::to_string(action.fencingNumber));
-    message.headers.add("Mustardtrail-Stream", "1");
-    message.headers.add("Mustardtrail-Prefix", hexOf(action.prefixHash));
-    if (action.deliveredTokens > 0) {
-        message.headers.add("Mustardtrail-Delivered", std::to_string(action.deliveredTokens));
-    }
-    if (!action.deliveredText.empty() && content.bodyObjectStart > 0) {
-        spliceDelivered(message, action.deliveredText, content.bodyObjectStart);
-    }
-    return message;
-}
-
-// The engines of the group hold the prompt already.
-void useGroup(http::request_message &message, const node::group_target &group, const node::open_backend &action)
-{
-    message.target = "/v1/completions";
-    message.headers.add("Mustardtrail-Group", group.group.str());
-    message.headers.add("Mustardtrail-Digest", group.digest);
-    const std::string body = R"({"model":"-","prompt":"","max_tokens":)" + std::to_string(action.maxNewTokens) + "}";
-    message.body = std::make_shared<const std::string>(body);
-    message.bodySkip = message.bodyPrefix.empty() ? 0 : 1; // The spliced prefix brings its own opening brace.
-}
-
 http::request_message serviceRequest(const payload &content)
 {
     http::request_message message;
@@ -103,9 +60,6 @@
 {
     const auto self = shared_from_this();
     http::request_message message = action.isEngine ? engineRequest(action, *content) : serviceRequest(*content);
-    if (action.group) {
-        useGroup(message, *action.group, action);
-    }
     http::call_limits limits;
     limits.firstByte = longestSilence;
     limits.progress = longestSilence;
--- a/src/programs/entry/hop_message.cpp
+++ b/src/programs/entry/hop_message.cpp
@@ -22,6 +22,7 @@
 constexpr const char *methodHeader = "Mustardtrail-Method";
 constexpr const char *kindHeader = "Mustardtrail-Kind";
 constexpr const char *bodyStartHeader = "Mustardtrail-Body-Start";
+constexpr const char *deliveredMember = "mt_forced_prefix";
 constexpr const char *chatKind = "chat";
 constexpr std::string_view loadStart = R"({"load":)";
 
@@ -32,6 +33,11 @@
     }
 }
 
+std::string groupBody(const std::string &delivered)
+{
+    return boost::json::serialize(boost::json::object{ { deliveredMember, delivered } });
+}
+
 std::string loadText(const placement::owner_summary &load, time_point arrival)
 {
     boost::json::array pools;
@@ -48,7 +54,7 @@
 void spliceDelivered(http::request_message &message, const std::string &delivered, size_t objectStart)
 {
     message.bodySkip = objectStart;
-    message.bodyPrefix = "{\"mt_forced_prefix\":" + boost::json::serialize(boost::json::string(delivered)) + ",";
+    message.bodyPrefix = "{\"" + std::string(deliveredMember) + "\":" + boost::json::serialize(boost::json::string(delivered)) + ",";
 }
 
 http::request_message hopRequest(const node::forward_attempt &action, const payload &content, time_point now)
@@ -63,7 +69,11 @@
     message.headers.add(kindHeader, content.kind == api::completion_kind::chat ? chatKind : "text");
     addIfGiven(message.headers, "Content-Type", content.contentType);
     addIfGiven(message.headers, "Idempotency-Key", content.idempotencyKey);
-    if (!action.attempt.deliveredText.empty() && content.bodyObjectStart > 0) {
+    if (action.attempt.group) {
+        // The engines hold the prompt; only what the caller has already goes along.
+        message.body = std::make_shared<const std::string>(groupBody(action.attempt.deliveredText));
+        message.headers.add(bodyStartHeader, "0");
+    } else if (!action.attempt.deliveredText.empty() && content.bodyObjectStart > 0) {
         spliceDelivered(message, action.attempt.deliveredText, content.bodyObjectStart);
     } else {
         message.headers.add(bodyStartHeader, std::to_string(content.bodyObjectStart));
@@ -73,10 +83,13 @@
 
 result<hop_contents> hopContents(const http::request_message &message, time_point now)
 {
-    const auto attempt = node::hopAttemptFromJson(json_access::objectFromText(message.headers.find(attemptHeader)), now);
+    auto attempt = node::hopAttemptFromJson(json_access::objectFromText(message.headers.find(attemptHeader)), now);
     if (!attempt) {
         return tl::unexpected(attempt.error());
     }
+    if (attempt->group && message.body != nullptr) {
+        attempt->deliveredText = json_access::textOr(json_access::objectFromText(*message.body), deliveredMember);
+    }
     const auto content = std::make_shared<payload>();
     content->method = message.headers.find(methodHeader);
     content->target = message.headers.find(targetHeader);
