--- a/src/node/internal/owner_side.cpp
+++ b/src/node/internal/owner_side.cpp
@@ -90,15 +90,15 @@
     carryOut(m_scheduler.admit(attempt.work, attempt.excluded, now), now, out);
 }
 
-// The memory of a group is reserved, so its completion passes by the queue; only its owner sends it.
+// The memory of a group is reserved, so its completion passes by the queue; only its owner sends it. A reservation is
+// only granted while the engine takes new work, so a group that holds one runs there already and finishes after a drain.
 void owner_side::admitGroup(const hop_attempt &attempt, bool isLocal, time_point now, entry_actions &out)
 {
     const group_target &target = *attempt.group;
     owned_attempt &owned = m_attempts[attempt.work.attempt];
     owned.hop = attempt;
     owned.isLocal = isLocal;
-    const bool mayRun = owns(target.backend) && m_view->backends.at(target.backend).acceptsNewWork && m_view->isConfirmed(now)
-        && m_reservations.holds(target.backend, target.group);
+    const bool mayRun = owns(target.backend) && m_view->isConfirmed(now) && m_reservations.holds(target.backend, target.group);
     if (!mayRun) {
         const error failure{ error_code::not_owner, verdict::not_run, "backend=" + target.backend.str(), {} };
         carryOut(placement::refuse_attempt{ attempt.work.attempt, failure }, now, out);
@@ -148,11 +148,11 @@
         return;
     }
     const bool isLocal = found->second.isLocal;
-    m_attempts.erase(found);
     const request::attempt_failed failed{ action.attempt, action.failure, {} };
     if (!isLocal) {
-        out.push_back(reply_on_hop{ action.attempt, failed });
+        reply(found->second, failed, now, out);
     }
+    m_attempts.erase(found);
     m_toOrigin(failed, isLocal, now);
 }
 
@@ -216,6 +216,30 @@
     settle(attempt);
 }
 
+placement::owner_summary owner_side::loadFor(const placement::work_item &work, time_point now) const
+{
+    placement::owner_summary load = m_scheduler.summary(now);
+    std::erase_if(load.pools, [key = placement::poolKeyOf(work)](const placement::pool_summary &pool) {
+        return pool.pool != key;
+    });
+    return load;
+}
+
+// Origins meet an owner of a large fleet seldom by gossip, but often by its answers.
+void owner_side::reply(owned_attempt &owned, const attempt_event &event, time_point now, entry_actions &out)
+{
+    reply_on_hop message = std::visit(
+        [](const auto &item) {
+            return reply_on_hop{ item.attempt, item };
+        },
+        event);
+    if (!owned.saidLoad || isLast(event)) {
+        owned.saidLoad = true;
+        message.load = loadFor(owned.hop.work, now);
+    }
+    out.push_back(std::move(message));
+}
+
 // Placement counts what runs; the origin gets the event as it is.
 void owner_side::noteEvent(owned_attempt &owned, const attempt_event &event, time_point now, entry_actions &out)
 {
@@ -244,11 +268,7 @@
                },
         event);
     if (!isLocal) {
-        out.push_back(std::visit(
-            [&](const auto &item) {
-                return reply_on_hop{ attempt, item };
-            },
-            event));
+        reply(owned, event, now, out);
     }
     m_toOrigin(event, isLocal, now);
     carryOut(actions, now, out);
--- a/src/programs/entry/entry_host_view.cpp
+++ b/src/programs/entry/entry_host_view.cpp
@@ -111,6 +111,7 @@
         return false;
     }
     m_view.store(view);
+    m_pools.setConfiguration(view->config);
     handle(node::view_received{ view });
     takeSummaries(answer, askedAt);
     return true;
@@ -130,7 +131,7 @@
             texts.emplace_back(item.is_string() ? std::string(item.get_string()) : std::string());
         }
         const time_point takenAt = askedAt - milliseconds(json_access::numberOr(*peer, "age_ms", 0));
-        handle(node::summary_received{ host::decodeSummary(instance_id(json_access::textOr(*peer, "peer")), texts, takenAt) });
+        handle(node::summary_received{ host::decodeSummary(instance_id(json_access::textOr(*peer, "peer")), texts, m_pools, takenAt) });
     }
 }
 
