--- a/src/node/tests/checker.cpp
+++ b/src/node/tests/checker.cpp
@@ -72,6 +72,9 @@
     for (const std::string &overload : trace.overloads) {
         out.push_back("overload: " + overload);
     }
+    for (const std::string &send : trace.staleSends) {
+        out.push_back("lease: " + send);
+    }
     for (const auto &[backend, tokens] : trace.heldAtEnd) {
         if (tokens != 0) {
             out.push_back("memory: " + backend + " holds " + std::to_string(tokens));
--- a/src/node/tests/fake_backend.cpp
+++ b/src/node/tests/fake_backend.cpp
@@ -187,6 +187,12 @@
     }
 }
 
+void fake_backend::chill()
+{
+    m_warmAt = m_time.now() + warmUp;
+    m_coldReportedAt.reset();
+}
+
 placement::engine_report fake_backend::report()
 {
     placement::engine_report report;
--- a/src/node/tests/fake_backend.h
+++ b/src/node/tests/fake_backend.h
@@ -48,6 +48,8 @@
     std::vector<group::reported_group> groups();
     /// Loses all streams; cold until it has been up for a while.
     void restart();
+    /// Loses its caches and goes on: the same incarnation, cold in its reports for a while.
+    void chill();
     void setMood(backend_mood mood);
     placement::engine_report report();
     std::uint64_t highestFencingNumber() const;
--- a/src/node/tests/fleet.cpp
+++ b/src/node/tests/fleet.cpp
@@ -47,6 +47,8 @@
     starting.ownedSince.clear();
     starting.fencingNumbers.clear();
     starting.lastContact.clear();
+    starting.config = m_config;
+    starting.viewConfig = m_config;
     ++starting.self.incarnation;
 }
 
@@ -132,7 +134,12 @@
 void fleet::handleNow(size_t node, const entry_event &event)
 {
     if (const auto *arrived = std::get_if<request::caller_request>(&event)) {
-        m_trace.requests.at(arrived->id).deadline = m_time.now() + m_config->classes.at(arrived->workClass).totalTarget;
+        const config::work_class &workClass = m_hosts[node].viewConfig->classes.at(arrived->workClass);
+        m_trace.requests.at(arrived->id).deadline = m_time.now() + workClass.totalTarget;
+    }
+    if (const auto *received = std::get_if<view_received>(&event)) {
+        m_hosts[node].viewConfirmedAt = received->view->confirmedAt;
+        m_hosts[node].viewConfig = received->view->config;
     }
     const entry_actions actions = m_hosts[node].node->handle(event, m_time.now());
     for (const entry_action &action : actions) {
--- a/src/node/tests/fleet.h
+++ b/src/node/tests/fleet.h
@@ -7,6 +7,7 @@
 #include "node/tests/trace.h"
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -42,7 +43,13 @@
     /// The instance gets no view for a while.
     void withholdViews(size_t node, std::chrono::milliseconds duration);
     void drain(const data_centre_id &dataCentre, bool inService);
+    /// Publishes a change that reaches each instance at another time, maybe twice, and maybe after later ones.
+    void change(const std::function<void(config::configuration &)> &edit);
     void setMangling(unsigned percent);
+    /// From now on pieces of attempts that were given up arrive late instead of never.
+    void letLatePiecesPass();
+    /// From now on what is ready to be sent goes out after a pause before the node has seen the time.
+    void letSendsGoFirst();
     fake_backend &backend(const std::string &id);
 
     /// Ends the schedule: faults are over, and what runs has the time to finish.
@@ -60,6 +67,9 @@
         bool leaving = false;
         time_point pausedUntil{};
         time_point viewsFrom{};
+        time_point viewConfirmedAt{};
+        std::shared_ptr<const config::configuration> config; ///< As the instance's view program holds it.
+        std::shared_ptr<const config::configuration> viewConfig; ///< Of the last view that the node got.
         time_point wake{};
         std::deque<entry_event> waiting; ///< Events of a pause.
         std::map<backend_server_id, time_point> ownedSince;
@@ -77,7 +87,9 @@
     };
     using connection_key = std::pair<attempt_id, int>;
 
+    void offer(size_t node, const std::shared_ptr<const config::configuration> &config);
     void deliver(size_t node, const entry_event &event);
+    void deliverLate(size_t node, std::uint64_t incarnation, const entry_event &event);
     void deliverSoon(size_t node, const entry_event &event);
     void handleNow(size_t node, const entry_event &event);
     void scheduleWake(size_t node);
@@ -134,6 +146,8 @@
     std::uint64_t m_lastCall = 0;
     bool m_recording = false;
     unsigned m_manglePercent = 0;
+    bool m_latePieces = false;
+    bool m_sendsFirst = false;
     time_point m_disturbedUntil{};
 };
 
--- a/src/node/tests/fleet_actions.cpp
+++ b/src/node/tests/fleet_actions.cpp
@@ -5,6 +5,13 @@
 
 using namespace std::chrono_literals;
 
+namespace
+{
+
+constexpr std::uint64_t longestLate = 100; // Milliseconds.
+
+} // namespace
+
 void fleet::act(size_t, const request::relay_output &action)
 {
     m_trace.requests.at(action.request).delivered += action.text;
@@ -25,6 +32,9 @@
 void fleet::act(size_t node, const open_backend &action)
 {
     m_connections[{ action.attempt, action.connection }] = node;
+    if (m_time.now() >= action.notAfter) {
+        m_trace.staleSends.push_back("opened " + action.request.str() + " to " + action.backend.str());
+    }
     m_time.after(1ms, [this, node, action] {
         sendToBackend(node, action);
     });
@@ -36,7 +46,7 @@
     if (!m_hosts[node].alive || !m_connections.contains({ action.attempt, action.connection })) {
         return;
     }
-    if (isPaused(node) || !m_hosts[node].waiting.empty()) {
+    if (isPaused(node) || (!m_sendsFirst && !m_hosts[node].waiting.empty())) {
         m_time.at(std::max(m_hosts[node].pausedUntil, m_time.now() + 1ms), [this, node, action] {
             sendToBackend(node, action);
         });
@@ -44,10 +54,13 @@
     }
     if (m_time.now() >= action.notAfter) {
         m_connections.erase({ action.attempt, action.connection });
-        handleNow(node, backend_reported{ action.attempt, request::connection_lost{ action.connection } });
+        deliver(node, backend_reported{ action.attempt, request::connection_lost{ action.connection } });
         return;
     }
-    handleNow(node, backend_reported{ action.attempt, request::request_sent{ action.connection } });
+    if (m_time.now() >= m_hosts[node].viewConfirmedAt + membership::viewLease) {
+        m_trace.staleSends.push_back("sent " + action.request.str() + " to " + action.backend.str());
+    }
+    deliver(node, backend_reported{ action.attempt, request::request_sent{ action.connection } });
     m_time.after(1ms, [this, node, action] {
         m_backends.at(action.backend)->arrive(action, replyTo(node, action.attempt, action.connection), viewsAgree());
     });
@@ -55,10 +68,11 @@
 
 fake_backend::to_owner fleet::replyTo(size_t node, const attempt_id &attempt, int connection)
 {
-    return [this, node, attempt, connection](const request::backend_event &event) {
-        m_time.after(1ms, [this, node, attempt, connection, event] {
+    const std::uint64_t incarnation = m_hosts[node].self.incarnation;
+    return [this, node, attempt, connection, incarnation](const request::backend_event &event) {
+        m_time.after(1ms, [this, node, attempt, connection, incarnation, event] {
             if (!m_connections.contains({ attempt, connection })) {
-                return;
+                return deliverLate(node, incarnation, backend_reported{ attempt, event });
             }
             if (std::holds_alternative<request::connection_lost>(event)) {
                 m_connections.erase({ attempt, connection });
@@ -68,6 +82,18 @@
     };
 }
 
+void fleet::deliverLate(size_t node, std::uint64_t incarnation, const entry_event &event)
+{
+    if (!m_latePieces) {
+        return;
+    }
+    m_time.after(std::chrono::milliseconds(1 + m_random.below(longestLate)), [this, node, incarnation, event] {
+        if (m_hosts[node].self.incarnation == incarnation) {
+            deliver(node, event);
+        }
+    });
+}
+
 void fleet::act(size_t node, const resume_backend &action)
 {
     m_connections[{ action.attempt, action.connection }] = node;
--- a/src/node/tests/fleet_faults.cpp
+++ b/src/node/tests/fleet_faults.cpp
@@ -12,6 +12,8 @@
 constexpr std::chrono::milliseconds reunion = 12s;
 /// When an empty instance takes the place of a killed one.
 constexpr std::chrono::milliseconds replacement = 4s;
+/// How long a change takes to an instance at most, in milliseconds.
+constexpr std::uint64_t longestSpread = 1500;
 
 } // namespace
 
@@ -68,7 +70,7 @@
             traced.deadline = std::max(traced.deadline, paused.pausedUntil);
         }
     }
-    m_time.at(paused.pausedUntil, [this, node] {
+    m_time.at(paused.pausedUntil + (m_sendsFirst ? 1ms : 0ms), [this, node] {
         resume(node);
     });
 }
@@ -111,6 +113,9 @@
     ++config->revision;
     config->dataCentres.at(dataCentre).inService = inService;
     m_config = config;
+    for (host &each : m_hosts) {
+        each.config = config;
+    }
     if (inService) {
         m_trace.drainedAt.erase(dataCentre);
     } else {
@@ -119,6 +124,41 @@
     m_disturbedUntil = std::max(m_disturbedUntil, m_time.now() + reunion);
 }
 
+void fleet::change(const std::function<void(config::configuration &)> &edit)
+{
+    auto changed = std::make_shared<config::configuration>(*m_config);
+    ++changed->revision;
+    edit(*changed);
+    m_config = changed;
+    note("change revision=" + std::to_string(changed->revision));
+    for (size_t node = 0; node < m_hosts.size(); ++node) {
+        const std::uint64_t copies = 1 + m_random.below(2);
+        for (std::uint64_t copy = 0; copy < copies; ++copy) {
+            m_time.after(std::chrono::milliseconds(1 + m_random.below(longestSpread)), [this, node, changed] {
+                offer(node, changed);
+            });
+        }
+    }
+}
+
+// As the store of the view program does.
+void fleet::offer(size_t node, const std::shared_ptr<const config::configuration> &config)
+{
+    if (config->revision > m_hosts[node].config->revision) {
+        m_hosts[node].config = config;
+    }
+}
+
+void fleet::letLatePiecesPass()
+{
+    m_latePieces = true;
+}
+
+void fleet::letSendsGoFirst()
+{
+    m_sendsFirst = true;
+}
+
 void fleet::setMangling(unsigned percent)
 {
     m_manglePercent = percent;
--- a/src/node/tests/fleet_views.cpp
+++ b/src/node/tests/fleet_views.cpp
@@ -42,7 +42,7 @@
 {
     host &to = m_hosts[node];
     auto view = std::make_shared<membership::fleet_view>();
-    view->config = m_config;
+    view->config = to.config;
     view->self = to.self.id;
     view->selfDataCentre = to.self.dataCentre;
     view->selfLeaving = to.leaving;
@@ -67,7 +67,7 @@
 void fleet::assign(size_t node, membership::fleet_view &view)
 {
     host &to = m_hosts[node];
-    for (const auto &[id, server] : m_config->backendServers) {
+    for (const auto &[id, server] : to.config->backendServers) {
         std::vector<instance_id> candidates;
         for (const auto &[peerId, peer] : view.peers) {
             if (peer.dataCentre == server.dataCentre && peer.state == membership::peer_state::alive) {
@@ -79,7 +79,7 @@
         }
         membership::backend_assignment assignment;
         assignment.owner = membership::ownerOf(id, candidates);
-        assignment.acceptsNewWork = server.inService && m_config->dataCentres.at(server.dataCentre).inService;
+        assignment.acceptsNewWork = server.inService && to.config->dataCentres.at(server.dataCentre).inService;
         if (assignment.owner == to.self.id) {
             const bool isFirstView = m_time.now() == time_point(10s);
             const auto since = to.ownedSince.try_emplace(id, isFirstView ? time_point(1s) : m_time.now()).first->second;
--- a/src/node/tests/trace.h
+++ b/src/node/tests/trace.h
@@ -45,6 +45,7 @@
     std::vector<traced_run> runs;
     std::map<data_centre_id, time_point> drainedAt; ///< Every confirmed view shows the drain from here on.
     std::vector<std::string> overloads; ///< Cold bounds that were passed.
+    std::vector<std::string> staleSends; ///< Sent on a view whose lease was over.
     std::map<std::string, token_count> heldAtEnd; ///< Engine memory in use after the session.
     std::vector<std::string> log; ///< Actions and faults in order, while recording.
 };
