--- a/src/orders/tests/guards_test.cpp
+++ b/src/orders/tests/guards_test.cpp
@@ -118,3 +118,13 @@
     cr_assert(world.readsOfOther > 0);
     testing::expectEqual(world.orders, 0);
 }
+
+Test(guards, aCopyInAnotherDataCentreIsNotAskedFor)
+{
+    guard_world world;
+    world.config.backendServers[first].models.clear();
+    world.config.backendServers[second].dataCentre = data_centre_id("dc2");
+    world.state.models = { { model_id("pay"), world.config.backendServers[first].modelVersion } };
+    world.run(longEnough);
+    testing::expectEqual(world.readsOfOther, 0);
+}
