--- a/src/proof/tests/transcripts_test.cpp
+++ b/src/proof/tests/transcripts_test.cpp
@@ -165,6 +165,7 @@
 {
     fleet_options options = oneEngineEach();
     options.warmAfter = 1'000'000;
+    options.decodeTokensPerSecond = 20; // Slow enough for the answers to overlap.
     const auto fleet = startedFleet(options);
     transcript session(*fleet);
     session.event("each of 3 engines is cold and bears 2 requests at once; 12 come at once");
