--- a/src/fuzz/view_target.cpp
+++ b/src/fuzz/view_target.cpp
@@ -27,15 +27,26 @@
     require(again && host::sameContent(*again, view) && again->confirmedAt == view.confirmedAt);
 }
 
+/// Knows one pool, the model "pay".
+host::pool_directory onePool()
+{
+    auto configuration = std::make_shared<config::configuration>();
+    configuration->models.insert(model_id("pay"));
+    host::pool_directory pools;
+    pools.setConfiguration(std::move(configuration));
+    return pools;
+}
+
 void readSummary(std::string_view bytes)
 {
+    static const host::pool_directory pools = onePool();
     const instance_id owner("e1");
-    const auto summary = host::decodeSummary(owner, { std::string(bytes) }, askedAt);
+    const auto summary = host::decodeSummary(owner, { std::string(bytes) }, pools, askedAt);
     for (const placement::pool_summary &pool : summary.pools) {
         require(pool.freeTokens >= 0 && pool.queuedPrefillTokens >= 0 && pool.prefillTokensPerSecond >= 0 && pool.freeRequests >= 0);
         require(pool.shortFirstToken.count() >= 0 && pool.longFirstToken.count() >= 0);
     }
-    require(host::decodeSummary(owner, host::encodeSummary(summary), askedAt).pools == summary.pools);
+    require(host::decodeSummary(owner, host::encodeSummary(summary), pools, askedAt).pools == summary.pools);
 }
 
 } // namespace
