node: an origin knows the load of its own engines

Summaries reached a router from other instances only, so that the instance's own engines counted as unknown: 10,000 prompt tokens a second. The own load is now taken at each choice.

--- a/src/node/internal/origin_side.cpp
+++ b/src/node/internal/origin_side.cpp
@@ -113,6 +113,8 @@
     if (needsGroup(work)) {
         return m_options.self;
     }
+    // Else the own engines would look slower than those of owners whose load came with an answer.
+    m_router.onSummary(m_owner.loadFor(work, now), now);
     const auto route = m_router.pick(work, { instances, backends }, now);
     if (!route) {
         return tl::unexpected(route.error());
--- a/src/node/internal/owner_side.h
+++ b/src/node/internal/owner_side.h
@@ -47,6 +47,8 @@
     /// Free KV memory of an engine that this instance owns, as last reported.
     std::optional<token_count> freeTokens(const backend_server_id &backend) const;
 
+    /// Load of this owner in the pool of the work.
+    placement::owner_summary loadFor(const placement::work_item &work, time_point now) const;
     size_t runningAttempts() const;
     boost::json::object dump(time_point now) const;
 
@@ -77,7 +79,6 @@
 
     void startMachine(owned_attempt &owned, time_point now, entry_actions &out);
     void admitGroup(const hop_attempt &attempt, bool isLocal, time_point now, entry_actions &out);
-    placement::owner_summary loadFor(const placement::work_item &work, time_point now) const;
     void reply(owned_attempt &owned, const attempt_event &event, time_point now, entry_actions &out);
     void noteEvent(owned_attempt &owned, const attempt_event &event, time_point now, entry_actions &out);
     void settle(const attempt_id &attempt);
--- a/src/node/tests/hop_load_test.cpp
+++ b/src/node/tests/hop_load_test.cpp
@@ -116,3 +116,17 @@
     origin->handle(summary_received{ *refused.at(0).load }, start);
     cr_assert(knowsLoadOfOwner(*origin));
 }
+
+Test(hop_load, originKnowsTheLoadOfItsOwnEngines)
+{
+    const auto node = makeNode("e2");
+    request::caller_request request;
+    request.id = request_id("r1");
+    request.customer = customer_id("c1");
+    request.workClass = class_id("review");
+    request.model = model_id("pay");
+    request.promptTokens = 1000;
+    request.maxNewTokens = 16;
+    node->handle(request, start);
+    cr_assert(knowsLoadOfOwner(*node));
+}
