--- a/src/proof/bench/changes_bench.cpp
+++ b/src/proof/bench/changes_bench.cpp
@@ -6,6 +6,7 @@
 
 #include <csignal>
 #include <cstdio>
+#include <functional>
 #include <thread>
 
 namespace mustardtrail::proof
@@ -27,12 +28,17 @@
     return json_access::numberOr(getJson(instance.admin, "/dump"), "revision", -1);
 }
 
+std::int64_t workAt(const fleet_backend &engine)
+{
+    return json_access::numberOr(control(engine.control, "{}"), "requests", 0);
+}
+
 std::int64_t workIn(const process_fleet &fleet, const std::string &dataCentre)
 {
     std::int64_t requests = 0;
     for (const fleet_backend &engine : fleet.engines) {
         if (engine.dataCentre == dataCentre) {
-            requests += json_access::numberOr(control(engine.control, "{}"), "requests", 0);
+            requests += workAt(engine);
         }
     }
     return requests;
@@ -53,15 +59,15 @@
     return wall::now() - start;
 }
 
-/// Time of the last new request at the engines of the data centre.
-std::chrono::nanoseconds lastNewWork(const process_fleet &fleet, const std::string &dataCentre)
+/// Time of the last change of a count of requests.
+std::chrono::nanoseconds lastNewWork(const std::function<std::int64_t()> &requests)
 {
     const auto start = wall::now();
     std::chrono::nanoseconds last{ 0 };
-    std::int64_t before = workIn(fleet, dataCentre);
+    std::int64_t before = requests();
     while (wall::now() - start < drainWatched) {
         std::this_thread::sleep_for(pollPause);
-        const std::int64_t now = workIn(fleet, dataCentre);
+        const std::int64_t now = requests();
         if (now != before) {
             last = wall::now() - start;
             before = now;
@@ -95,6 +101,22 @@
     return took;
 }
 
+/// The list calls an engine leaving, then live again; the time counts from the change of the list's content.
+std::chrono::nanoseconds leavingBackend(process_fleet &fleet, const fleet_backend &engine)
+{
+    fleet.listBackend(engine, "leaving");
+    const auto last = lastNewWork([&] {
+        return workAt(engine);
+    });
+    fleet.listBackend(engine, "live");
+    const std::int64_t before = workAt(engine);
+    const auto end = wall::now() + changeLimit;
+    while (workAt(engine) == before && wall::now() < end) {
+        std::this_thread::sleep_for(pollPause);
+    }
+    return last;
+}
+
 void printTimes(const char *what, const samples &times)
 {
     std::printf(
@@ -120,7 +142,9 @@
     for (int run = 0; run < runs; ++run) {
         const std::int64_t before = revisionOf(fleet.instances[0]);
         fleet.publishDataCentres({ { "dc1", false }, { "dc2", true }, { "dc3", true } });
-        drained.add(lastNewWork(fleet, "dc1"));
+        drained.add(lastNewWork([&] {
+            return workIn(fleet, "dc1");
+        }));
         const std::int64_t back = revisionOf(fleet.instances[0]);
         fleet.publishDataCentres({ { "dc1", true }, { "dc2", true }, { "dc3", true } });
         inForce.add(back > before ? untilInForce(fleet, back) : changeLimit);
@@ -129,11 +153,16 @@
     for (int run = 0; run < runs; ++run) {
         fromPeers.add(changeFromPeers(fleet, run));
     }
+    samples leaving;
+    for (int run = 0; run < runs; ++run) {
+        leaving.add(leavingBackend(fleet, fleet.engines.front()));
+    }
     load.stop();
     std::printf("| what | runs | p50, s | worst, s |\n| --- | --- | --- | --- |\n");
     printTimes("last new request in a drained data centre, after the change", drained);
     printTimes("change in force on all instances", inForce);
     printTimes("change in force on all, read by one data centre before the service went down", fromPeers);
+    printTimes(("last new request at a leaving engine, after the list changed, of which its lag is " + options.liveLag).c_str(), leaving);
     std::printf("requests meanwhile: %d whole, %d refused as not run, %zu failed; service at dc1's engines at the end: %lld requests\n",
         load.finished(),
         load.refusedNotRun(),
