A test that only the claim of a long prompt passes

The test before it passes with longClaimsBelow = 0 as well: there the admission of medium prompts by memory and their claims are enough. In this one medium prompts are sent at once and take each piece of memory that comes free; the long one is never sent without its claim (seen failing with longClaimsBelow = 0) and is sent in time with it.

--- a/src/placement/tests/owner_scheduler_test.cpp
+++ b/src/placement/tests/owner_scheduler_test.cpp
@@ -49,7 +49,7 @@
     }
 }
 
-/// Engine with memory for one long prompt or four medium ones; a medium prompt comes every three seconds.
+/// Engine with memory for one long prompt or four medium ones; medium prompts keep coming.
 struct crowded_engine {
     crowded_engine()
     {
@@ -58,7 +58,7 @@
         completeOneByOne(runner, 12, 1);
     }
 
-    /// Runs until the given time; a dispatched prompt gives its first token after 2 s and ends after 9 s.
+    /// Runs until the given time; a dispatched prompt gives its first token after firstAfter and ends after 9 s.
     void runUntil(int end)
     {
         for (; now < end; now += 500) {
@@ -66,9 +66,9 @@
             for (const std::string &line : std::exchange(due[now], {})) {
                 step(line);
             }
-            if (now % 3000 == 0) {
+            if (now % interval == 0) {
                 const std::string id = "m" + std::to_string(now);
-                const std::string answer = step("admit tokens=90000 target=10000 id=" + id);
+                const std::string answer = step("admit " + medium + " id=" + id);
                 refusedAtOnce += has(answer, "refuse " + id + " code=MT-4001") ? 1 : 0;
             }
             step("tick");
@@ -81,7 +81,7 @@
         std::istringstream words(out);
         for (std::string word; words >> word;) {
             if (word == "dispatch" && words >> word) {
-                due[now + 2000].push_back("first id=" + word);
+                due[now + firstAfter].push_back("first id=" + word);
                 due[now + 9000].push_back("finished id=" + word);
             }
         }
@@ -98,6 +98,9 @@
     std::map<int, std::vector<std::string>> due;
     std::string trace;
     int now = 500;
+    int firstAfter = 2000;
+    int interval = 3000; ///< Milliseconds between two medium prompts.
+    std::string medium = "tokens=90000 target=10000";
     int refusedAtOnce = 0;
 };
 
@@ -253,6 +256,19 @@
     cr_assert(engine.refusedAtOnce > 0);
 }
 
+Test(owner_scheduler, keepsMemoryForALongPromptThatOthersPassAgainAndAgain)
+{
+    crowded_engine engine;
+    engine.firstAfter = 500;
+    engine.interval = 1500;
+    engine.medium = "tokens=45000 target=30000";
+    engine.runUntil(12000);
+    cr_assert_not(has(engine.step("admit tokens=150000 target=60000 id=long"), "refuse"));
+    engine.runUntil(72000);
+    cr_assert(has(engine.trace, "dispatch long "));
+    cr_assert_not(has(engine.trace, "refuse long "));
+}
+
 Test(owner_scheduler, keepsNoMemoryForAQueuedPromptThatIsCancelled)
 {
     script_runner runner;
