Ask peers for the configuration before the first view is published

An instance that was killed and started again while the configuration service answered with an older revision never became ready, although its peers held the newer configuration.

Cause: the view process looked up the address of the peer to ask in the view that it had published. Without a configuration there is no published view, so the first fetch of a new node ended as "peer unknown" every time. The node then depended on the service alone. fetch_delta named the address of the peer's entry, which the view process did not use.

Rule: fetch_delta names the address of the peer's datagrams, where its view answers calls; the view process asks there. The fake fleet of the membership tests found the asked peer by its name, which hid the fault; it now finds it by the address.

Ruled out: the store (a refused revision 1 does not stand in the way of a higher one) and the stand-in, whose mode "older" answers the first published key only, which every node rightly refuses.

--- a/src/membership/internal/config_follower.cpp
+++ b/src/membership/internal/config_follower.cpp
@@ -36,8 +36,8 @@
         m_sources.erase(source.id);
         return;
     }
-    if (!source.requests.address.empty()) {
-        m_sources[source.id] = { source.requests, revision };
+    if (!source.heartbeats.address.empty()) {
+        m_sources[source.id] = { source.heartbeats, revision };
     }
 }
 
@@ -78,7 +78,7 @@
     });
     m_fetch = open_fetch{ best->first, now + m_settings.fetchTimeout };
     const std::int64_t after = m_fetchWhole ? 0 : m_store.revision();
-    out.push_back(fetch_delta{ best->first, best->second.requests, after, m_settings.fetchTimeout });
+    out.push_back(fetch_delta{ best->first, best->second.view, after, m_settings.fetchTimeout });
 }
 
 std::vector<view_action> config_follower::serviceFailed(std::string_view reason, time_point now)
--- a/src/membership/internal/config_follower.h
+++ b/src/membership/internal/config_follower.h
@@ -40,7 +40,7 @@
 
 private:
     struct source {
-        endpoint requests;
+        endpoint view;
         std::int64_t revision = 0;
     };
     struct open_fetch {
--- a/src/membership/tests/config_spread_test.cpp
+++ b/src/membership/tests/config_spread_test.cpp
@@ -92,6 +92,22 @@
         seconds(20)));
 }
 
+Test(config_spread, aNewNodeLearnsFromPeersWhateverTheServiceAnswers)
+{
+    using mode = fake_platform::mode;
+    for (const mode broken : { mode::down, mode::garbage, mode::older }) {
+        fake_fleet fleet({ .nodes = 3, .dataCentres = 3 });
+        fleet.run(seconds(5));
+        fleet.platform.configMode = broken;
+        fleet.restart(2);
+        cr_assert(fleet.runUntil(
+            [&] {
+                return fleet.isConfirmed(2) && allAtRevision(fleet);
+            },
+            seconds(10)));
+    }
+}
+
 Test(config_spread, restartWaveAsksPeersFirst)
 {
     fake_fleet fleet({ .nodes = 30, .dataCentres = 3 });
--- a/src/membership/tests/fake_fleet.cpp
+++ b/src/membership/tests/fake_fleet.cpp
@@ -245,13 +245,12 @@
     deliverLater(index, platformDelay, live_list_result{ platform.list() });
 }
 
+// Views answer at the address of their datagrams.
 void fake_fleet::answerFetch(int index, const fetch_delta &action)
 {
-    const auto target = std::find_if(m_nodes.begin(), m_nodes.end(), [&action](const node &candidate) {
-        return candidate.settings.self == action.peer;
-    });
-    const int peer = static_cast<int>(target - m_nodes.begin());
-    if (target == m_nodes.end() || (isCut && (isCut(index, peer) || isCut(peer, index)))) {
+    const auto target = m_byHeartbeats.find(toString(action.view));
+    const int peer = target == m_byHeartbeats.end() ? index : target->second;
+    if (target == m_byHeartbeats.end() || (isCut && (isCut(index, peer) || isCut(peer, index)))) {
         deliverLater(index, milliseconds(action.timeout), delta_received{ action.peer, tl::unexpected(unreachable()) });
         return;
     }
--- a/src/membership/tests/session_trace.cpp
+++ b/src/membership/tests/session_trace.cpp
@@ -102,7 +102,7 @@
     }
     void operator()(const fetch_delta &action)
     {
-        m_out << "fetch_delta peer=" << action.peer << " at=" << toString(action.requests) << " after=" << action.afterRevision;
+        m_out << "fetch_delta peer=" << action.peer << " at=" << toString(action.view) << " after=" << action.afterRevision;
     }
     void operator()(const answer_delta &action)
     {
--- a/src/membership/view_actions.h
+++ b/src/membership/view_actions.h
@@ -34,7 +34,7 @@
 /// Ask a peer for what changed after a revision. Answered by delta_received.
 struct fetch_delta {
     instance_id peer;
-    endpoint requests;
+    endpoint view; ///< Address of the peer's datagrams, where its view answers calls too.
     std::int64_t afterRevision = 0;
     std::chrono::milliseconds timeout{ 0 };
 };
--- a/src/programs/view/view_host.cpp
+++ b/src/programs/view/view_host.cpp
@@ -209,18 +209,11 @@
     asio::co_spawn(m_context, fetchFromPeer(action), asio::detached);
 }
 
-// Views answer at the address of their datagrams; the action names the requests' address of the instance.
 asio::awaitable<void> view_host::fetchFromPeer(membership::fetch_delta action)
 {
-    const auto peer = m_view->peers.find(action.peer);
-    if (peer == m_view->peers.end()) {
-        handle(membership::delta_received{ action.peer, tl::unexpected(platformError("peer unknown")) });
-        co_return;
-    }
     json::object parameters;
     parameters["after_revision"] = action.afterRevision;
-    const endpoint to = peer->second.heartbeats;
-    const auto answer = co_await host::callRpc(m_client, to, "config_delta", std::move(parameters), action.timeout);
+    const auto answer = co_await host::callRpc(m_client, action.view, "config_delta", std::move(parameters), action.timeout);
     result<std::string> body = tl::unexpected(platformError("no delta"));
     if (!answer) {
         body = tl::unexpected(answer.error());
