Router: what an owner said before it got servers refuses nothing

Cause: an owner's summary that says that no server takes work, or a wait from when it had fewer servers, was used for up to 5 s after the view gave the owner servers again. Peers' summaries are given to the router again with each view until newer ones come, so that it forgets the owner while it has no server did not help.

Now a summary taken before servers were added to the owner refuses nothing; it still counts for the choice, as an owner with one server more is not idle for it. A summary "takes no work" is void when it is from before that, and counts for 1 s otherwise; it makes the owner the last choice, but when all owners say so one of them is asked, as the view says otherwise. Servers taken away change nothing: the summary then says less than the true wait.

Ruled out: dropping the summary when the view changes. The one from before comes again with the next view.

--- a/src/placement/internal/owner_load.cpp
+++ b/src/placement/internal/owner_load.cpp
@@ -11,6 +11,8 @@
 using seconds_double = std::chrono::duration<double>;
 
 constexpr std::chrono::seconds summaryStaleAfter{ 5 };
+/// The view lists a server that takes work, so an owner that says that it has none is asked again soon.
+constexpr std::chrono::seconds takesNoWorkStaleAfter{ 1 };
 /// Own sends count this long when no summary comes to settle them.
 constexpr std::chrono::seconds sentMemory{ 5 };
 /// Other origins see the same summary and choose alike, so each own send stands for some of theirs.
@@ -40,9 +42,35 @@
     m_sent.push_back({ now, priority, work.promptTokens, work.promptTokens + work.maxNewTokens });
 }
 
+void owner_load::onServersAdded(time_point now)
+{
+    m_serversAddedAt = now;
+}
+
 bool owner_load::isKnown(time_point now) const
 {
-    return m_takenAt && now - *m_takenAt <= summaryStaleAfter;
+    if (!m_takenAt) {
+        return false;
+    }
+    if (takesNoWork()) {
+        return isCurrent() && now - *m_takenAt <= takesNoWorkStaleAfter;
+    }
+    return now - *m_takenAt <= summaryStaleAfter;
+}
+
+bool owner_load::mayRefuse(time_point now) const
+{
+    return isKnown(now) && isCurrent();
+}
+
+bool owner_load::isCurrent() const
+{
+    return m_takenAt && (!m_serversAddedAt || *m_takenAt >= *m_serversAddedAt);
+}
+
+bool owner_load::takesNoWork() const
+{
+    return m_summary.shortFirstToken >= summaryUnreachable;
 }
 
 std::chrono::nanoseconds owner_load::predictBySummary(token_count promptTokens, time_point now) const
--- a/src/placement/internal/router.cpp
+++ b/src/placement/internal/router.cpp
@@ -12,9 +12,9 @@
 
 router::~router() = default;
 
-void router::onView(std::shared_ptr<const membership::fleet_view> view, time_point)
+void router::onView(std::shared_ptr<const membership::fleet_view> view, time_point now)
 {
-    m_impl->onView(std::move(view));
+    m_impl->onView(std::move(view), now);
 }
 
 void router::onSummary(const owner_summary &summary, time_point)
--- a/src/placement/internal/router_impl.cpp
+++ b/src/placement/internal/router_impl.cpp
@@ -87,7 +87,9 @@
         return refusal(error_code::no_backend_server, "reason=all_failed_before pool=" + key.name, leastRetryAfter);
     }
     const auto left = work.firstTokenDeadline - now;
-    if (chosen.allKnown && chosen.soonest > left) {
+    // Owners that all say, unlike the view, that they take no work are asked: their answer is newer than the summary.
+    const bool anyTakesWork = chosen.soonest < summaryUnreachable;
+    if (chosen.allKnown && anyTakesWork && chosen.soonest > left) {
         return tooLate(chosen.soonest, left);
     }
     const std::chrono::duration<double, std::nano> bound = affinityLoadBound * chosen.bestCost + affinitySlack;
@@ -117,7 +119,7 @@
         if (!owner.load.hasMemoryFor(work, now)) {
             cost += noMemoryCost;
         }
-        chosen.allKnown = chosen.allKnown && owner.load.isKnown(now);
+        chosen.allKnown = chosen.allKnown && owner.load.mayRefuse(now);
         chosen.soonest = std::min(chosen.soonest, owner.load.predictBySummary(work.promptTokens, now));
         // A cached prefix is looked for in the nearest data centre only.
         if (chosen.preferred == nullptr || owner.distance < chosen.preferred->distance) {
--- a/src/placement/internal/router_impl.h
+++ b/src/placement/internal/router_impl.h
@@ -17,7 +17,7 @@
 public:
     explicit implementation(placement_options options);
 
-    void onView(std::shared_ptr<const membership::fleet_view> view);
+    void onView(std::shared_ptr<const membership::fleet_view> view, time_point now);
     void onSummary(const owner_summary &summary);
     result<route> pick(const work_item &work, const route_exclusions &excluded, time_point now);
     boost::json::value dump(time_point now) const;
@@ -47,6 +47,8 @@
     };
 
     std::map<pool_key, pool_owners> buildPools() const;
+    static void keepLoads(pool_owners &pool, pool_owners &old, time_point now);
+    static bool hasServersAdded(const owner_entry &owner, const owner_entry &old);
     void addBackend(pool_owners &pool, const config::backend_server &server, const membership::backend_assignment &assignment) const;
     bool takesForwardedWork(const instance_id &owner) const;
     std::chrono::nanoseconds distanceTo(const data_centre_id &dataCentre) const;
--- a/src/placement/internal/router_view.cpp
+++ b/src/placement/internal/router_view.cpp
@@ -23,7 +23,7 @@
 
 } // namespace
 
-void router::implementation::onView(std::shared_ptr<const membership::fleet_view> view)
+void router::implementation::onView(std::shared_ptr<const membership::fleet_view> view, time_point now)
 {
     const bool unchanged = m_view != nullptr && view != nullptr && sameFleet(*m_view, *view);
     m_view = std::move(view);
@@ -32,23 +32,38 @@
     }
     std::map<pool_key, pool_owners> pools = buildPools();
     for (auto &[key, pool] : pools) {
-        const auto old = m_pools.find(key);
+        keepLoads(pool, m_pools[key], now);
         std::vector<std::string_view> names;
-        for (owner_entry &owner : pool.owners) {
+        for (const owner_entry &owner : pool.owners) {
             names.push_back(owner.instance.str());
-            if (old == m_pools.end()) {
-                continue;
-            }
-            const auto known = old->second.index.find(owner.instance);
-            if (known != old->second.index.end()) {
-                owner.load = std::move(old->second.owners[known->second].load);
-            }
         }
         pool.ring.assign(names);
     }
     m_pools = std::move(pools);
 }
 
+void router::implementation::keepLoads(pool_owners &pool, pool_owners &old, time_point now)
+{
+    for (owner_entry &owner : pool.owners) {
+        const auto known = old.index.find(owner.instance);
+        if (known == old.index.end()) {
+            owner.load.onServersAdded(now);
+            continue;
+        }
+        owner_entry &before = old.owners[known->second];
+        owner.load = std::move(before.load);
+        if (hasServersAdded(owner, before)) {
+            owner.load.onServersAdded(now);
+        }
+    }
+}
+
+// Both lists are in the order of the configuration.
+bool router::implementation::hasServersAdded(const owner_entry &owner, const owner_entry &old)
+{
+    return !std::includes(old.backends.begin(), old.backends.end(), owner.backends.begin(), owner.backends.end());
+}
+
 std::map<pool_key, router::implementation::pool_owners> router::implementation::buildPools() const
 {
     std::map<pool_key, pool_owners> pools;
--- a/src/placement/tests/router_test.cpp
+++ b/src/placement/tests/router_test.cpp
@@ -141,6 +141,68 @@
     cr_assert(origin.pick(makeWork("a"), {}, start).has_value());
 }
 
+Test(router, sendsAtOnceToAnOwnerThatTakesWorkAgain)
+{
+    router origin;
+    const auto serving = makeView();
+    origin.onView(serving, start);
+    for (const char *owner : { "e0", "e1" }) {
+        origin.onSummary(makeSummary(owner, milliseconds(1500)), start);
+    }
+    auto drained = std::make_shared<membership::fleet_view>(*serving);
+    drained->backends.edit().at(backend_server_id("g2")).acceptsNewWork = false;
+    origin.onView(drained, start + milliseconds(100));
+    origin.onView(serving, start + milliseconds(300));
+    // Peers' summaries are given to the router again and again until newer ones come.
+    origin.onSummary(makeSummary("e2", summaryUnreachable, start + milliseconds(200)), start + milliseconds(400));
+    const auto answer = origin.pick(makeWork("a"), {}, start + milliseconds(400));
+    cr_assert(answer.has_value());
+    testing::expectEqual(answer->target, instance_id("e2"));
+}
+
+Test(router, refusesNothingByWhatAnOwnerSaidBeforeItGotMoreServers)
+{
+    router origin;
+    const auto larger = makeView();
+    larger->backends.edit().at(backend_server_id("g1")).owner = instance_id("e0");
+    larger->backends.edit().at(backend_server_id("g2")).owner = instance_id("e0");
+    auto smaller = std::make_shared<membership::fleet_view>(*larger);
+    smaller->backends.edit().at(backend_server_id("g2")).acceptsNewWork = false;
+    origin.onView(smaller, start);
+    origin.onSummary(makeSummary("e0", milliseconds(1500)), start);
+    cr_assert_not(origin.pick(makeWork("a"), {}, start + milliseconds(100)).has_value());
+    origin.onView(larger, start + milliseconds(200));
+    cr_assert(origin.pick(makeWork("b"), {}, start + milliseconds(200)).has_value());
+    origin.onSummary(makeSummary("e0", milliseconds(1500), start + milliseconds(300)), start + milliseconds(300));
+    cr_assert_not(origin.pick(makeWork("c"), {}, start + milliseconds(300)).has_value());
+    origin.onView(smaller, start + milliseconds(400));
+    cr_assert_not(origin.pick(makeWork("d"), {}, start + milliseconds(400)).has_value());
+}
+
+Test(router, asksOwnersThatSayUnlikeTheViewThatTheyTakeNoWork)
+{
+    router origin;
+    origin.onView(makeView(), start);
+    for (const char *owner : { "e0", "e1", "e2" }) {
+        origin.onSummary(makeSummary(owner, summaryUnreachable, start + milliseconds(100)), start);
+    }
+    cr_assert(origin.pick(makeWork("a"), {}, start + milliseconds(200)).has_value());
+}
+
+Test(router, avoidsAnOwnerThatSaysItTakesNoWorkForASecondOnly)
+{
+    router origin;
+    origin.onView(makeView(), start);
+    origin.onSummary(makeSummary("e0", summaryUnreachable), start);
+    origin.onSummary(makeSummary("e1", milliseconds(900)), start);
+    origin.onSummary(makeSummary("e2", milliseconds(900)), start);
+    work_item work = makeWork("a");
+    work.firstTokenDeadline = start + milliseconds(5000);
+    cr_assert(origin.pick(work, {}, start + milliseconds(1000))->target != instance_id("e0"));
+    work.attempt = attempt_id("b");
+    testing::expectEqual(origin.pick(work, {}, start + milliseconds(1001))->target, instance_id("e0"));
+}
+
 Test(router, tellsWhyNoBackendIsLeft)
 {
     router origin;
