Transcript of a leaving server: the first call after the return is recorded

The test waited up to 20 s for an answer 200 through another instance before it went on, as old summaries could still refuse. The router no longer refuses by them, so the wait is gone: the first call once every entry shows that the server takes new work must get 200.

Since summaries go between data centres with answers only, this transcript no longer meets the fault; the router tests do.

--- a/src/proof/tests/transcripts_test.cpp
+++ b/src/proof/tests/transcripts_test.cpp
@@ -288,10 +288,6 @@
     session.event("s1 is listed as live");
     listBackend(*fleet, fleet->services[0], "live");
     waitNewWork(*fleet, "s1", true);
-    // Summaries that owners sent before the return may still refuse.
-    cr_assert(eventually([&] {
-        return fleet->service(fleet->instances[1], "status", "status", "").status == 200;
-    }));
     session.service(1, "status", "status");
     session.expectGolden("leaving.txt");
 }
