An interrupted request whose every server failed it once asks again while there is time

Ruled out: forgetting the exclusions of requests that have not run; those are refused at once, with the time to come back.

--- a/src/request/internal/request_core.cpp
+++ b/src/request/internal/request_core.cpp
@@ -213,12 +213,16 @@
     }
 }
 
+time_point request_core::endOf(const running_request &request) const
+{
+    const bool hasFirstTokenTarget
+        = !request.delivered && m_options.enforceFirstToken && request.repeatable && request.spec.service.empty();
+    return hasFirstTokenTarget ? std::min(request.deadline, request.firstTokenDeadline) : request.deadline;
+}
+
 time_point request_core::wakeOf(const running_request &request) const
 {
-    time_point wake = request.deadline;
-    if (!request.delivered && m_options.enforceFirstToken && request.repeatable && request.spec.service.empty()) {
-        wake = std::min(wake, request.firstTokenDeadline);
-    }
+    const time_point wake = endOf(request);
     switch (request.state) {
     case request_state::claiming:
         return std::min(wake, request.claimDeadline);
--- a/src/request/internal/request_core_attempts.cpp
+++ b/src/request/internal/request_core_attempts.cpp
@@ -15,7 +15,8 @@
     const placement::work_item work = workOf(request, now);
     const result<instance_id> target = chooseInstance(request, work, now);
     if (!target) {
-        return fail(request, target.error(), out);
+        --request.attempts;
+        return mayAskAgain(request, target.error(), now) ? askAgain(request, now) : fail(request, target.error(), out);
     }
     ++m_counters.attempts;
     if (request.attempts == 1) {
@@ -41,6 +42,29 @@
     out.push_back(std::move(start));
 }
 
+// An interrupted request was admitted: that every server which lives failed it once, or could not be reached, does not end
+// it while there is time. One that has not run is refused at once, with the time to come back.
+bool request_core::mayAskAgain(const running_request &request, const error &failure, time_point now) const
+{
+    const bool wasInterrupted = request.worst != verdict::not_run && request.repeatable;
+    const bool hasExcluded = !request.excludedBackends.empty() || !request.excludedInstances.empty();
+    const bool hasTime = now + m_options.askAgainAfter + m_options.minAttemptTime < endOf(request);
+    return failure.code == error_code::no_backend_server && wasInterrupted && hasExcluded && hasTime;
+}
+
+void request_core::askAgain(running_request &request, time_point now)
+{
+    request.excludedBackends.clear();
+    request.excludedInstances.clear();
+    request.failures.clear();
+    if (request.delivered) {
+        excludeOtherVersions(request);
+    }
+    request.state = request_state::waiting;
+    request.retryAt = now + m_options.askAgainAfter;
+    schedule(request);
+}
+
 placement::work_item request_core::workOf(const running_request &request, time_point now) const
 {
     placement::work_item work;
--- a/src/request/internal/request_core_retries.cpp
+++ b/src/request/internal/request_core_retries.cpp
@@ -83,7 +83,7 @@
         return failure;
     }
     const std::string cause = "cause=" + toString(failure.code);
-    if (now + wait + m_options.minAttemptTime >= wakeOf(request)) {
+    if (now + wait + m_options.minAttemptTime >= endOf(request)) {
         return error{ error_code::deadline_exceeded, failure.outcome, cause, failure.retryAfter };
     }
     if (!m_budget.trySpend()) {
--- a/src/request/request_core.h
+++ b/src/request/request_core.h
@@ -75,6 +75,8 @@
     void reportOutcome(const running_request &request, verdict outcome, actions &out) const;
 
     void startAttempt(running_request &request, time_point now, actions &out);
+    bool mayAskAgain(const running_request &request, const error &failure, time_point now) const;
+    void askAgain(running_request &request, time_point now);
     result<instance_id> chooseInstance(running_request &request, const placement::work_item &work, time_point now);
     placement::work_item workOf(const running_request &request, time_point now) const;
     std::vector<instance_id> avoidedInstances(const running_request &request) const;
@@ -97,6 +99,8 @@
     running_request *findLive(const attempt_id &attempt);
     void runDue(time_point now, actions &out);
     void onDue(running_request &request, time_point now, actions &out);
+    /// When the request fails unless it got its first token, or its whole answer.
+    time_point endOf(const running_request &request) const;
     time_point wakeOf(const running_request &request) const;
     void schedule(running_request &request);
 
--- a/src/request/tests/request_core_test.cpp
+++ b/src/request/tests/request_core_test.cpp
@@ -88,6 +88,36 @@
     expectEqual(verdictOf(actions), "not_run");
 }
 
+Test(request_core, anInterruptedRequestThatEveryServerFailedOnceAsksAgainWhileThereIsTime)
+{
+    request_core_options options;
+    options.askAgainAfter = milliseconds(100);
+    const auto core = makeCore("e1", options);
+    core->handle(makeLookup("r1"), at(0));
+    core->handle(makeFailure("r1.1", error_code::backend_connection_lost, verdict::may_have_run, "g1"), at(10));
+    core->handle(makeFailure("r1.2", error_code::backend_connection_lost, verdict::may_have_run, "g2"), at(20));
+    core->onTick(at(40));
+    const auto waits = core->handle(makeFailure("r1.3", error_code::peer_connection_lost, verdict::may_have_run, "g3"), at(50));
+    expectEqual(count<fail_request>(waits), 0U);
+    core->onTick(at(70));
+    const auto again = core->onTick(at(170));
+    expectEqual(count<start_attempt>(again), 1U);
+    cr_assert(only<start_attempt>(again).excluded.empty());
+}
+
+Test(request_core, aRequestThatHasNotRunIsRefusedAtOnceWhenEveryServerRefusedIt)
+{
+    const auto core = makeCore("e1");
+    core->handle(makeLookup("r1"), at(0));
+    core->handle(makeFailure("r1.1", error_code::backend_refused, verdict::not_run, "g1"), at(10));
+    core->handle(makeFailure("r1.2", error_code::backend_refused, verdict::not_run, "g2"), at(20));
+    core->onTick(at(40));
+    core->handle(makeFailure("r1.3", error_code::peer_connection_lost, verdict::not_run, "g3"), at(50));
+    const auto refused = core->onTick(at(70));
+    expectEqual(codeOf(refused), "MT-4003");
+    expectEqual(verdictOf(refused), "not_run");
+}
+
 Test(request_core, holdsABoundedCountOfPiecesAhead)
 {
     request_core_options options;
