--- a/src/proof/tests/operating_pages_test.cpp
+++ b/src/proof/tests/operating_pages_test.cpp
@@ -32,7 +32,7 @@
 
 /// Commands by their line; one that is missing here fails the test.
 const std::map<std::string, expected_run> knownCommands{
-    { "mustardtrail-entry --settings entry.ini --check_settings", { 0, {} } },
+    { "mustardtrail-entry --settings entry.ini --check-settings", { 0, {} } },
     { "mustardtrail-ctl dump IP:PORT", { 0, { "state value", "entry instance data centre state", "backend server owner new work" } } },
     { "mustardtrail-ctl --json dump IP:PORT", { 0, {} } },
     { "mustardtrail-ctl codes", { 0, { "code message what to do" } } },
@@ -177,10 +177,10 @@
         words.push_back(more);
         return runProgram(words, settings.path());
     };
-    expectEqual(run(command, "--check_settings").exit, 0);
+    expectEqual(run(command, "--check-settings").exit, 0);
     expectEqual(run(command, "--unknown").exit, 1);
     settings.write("entry.ini", "nowhere");
-    const program_run refused = run(command, "--check_settings");
+    const program_run refused = run(command, "--check-settings");
     expectEqual(refused.exit, 2);
     for (const char *part : { "code=MT-1", "file=", "line=", "key=entry.callers", "given=", "allowed=" }) {
         cr_assert(refused.err.find(part) != std::string::npos, "%s in %s", part, refused.err.c_str());
