--- a/src/base/error.h
+++ b/src/base/error.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include <tl/expected.hpp>
 
@@ -22,4 +23,10 @@
 
 template<typename value> using result = tl::expected<value, error>;
 
+/// A message of another instance whose field cannot be read; it caused nothing to run.
+inline tl::unexpected<error> invalidPeerField(std::string_view field)
+{
+    return tl::unexpected(error{ error_code::peer_message_invalid, verdict::not_run, "field=" + std::string(field), {} });
+}
+
 } // namespace mustardtrail
--- a/src/config/tests/golden_file.h
+++ b/src/config/tests/golden_file.h
@@ -1,11 +1,14 @@
 #pragma once
 
-#include <string>
+#include "testing/golden_file.h"
 
 namespace mustardtrail::config
 {
 
-/// Fails the test unless the text is what the golden file holds. With MT_REGENERATE_GOLDEN=1 the file is written instead.
-void expectGolden(const std::string &name, const std::string &text);
+/// Compares with tests/golden/NAME of this module.
+inline void expectGolden(const std::string &name, const std::string &text)
+{
+    testing::expectGolden(std::string(MT_CONFIG_TEST_DIR) + "/golden/" + name, text);
+}
 
 } // namespace mustardtrail::config
--- a/src/config/tests/sample_configuration.cpp
+++ b/src/config/tests/sample_configuration.cpp
@@ -2,10 +2,7 @@
 
 #include "config/internal/concat.h"
 
-#include "testing/criterion.h"
-
-#include <fstream>
-#include <sstream>
+#include "testing/golden_file.h"
 
 namespace mustardtrail::config
 {
@@ -76,10 +73,7 @@
 
 std::string readTestFile(const std::string &name)
 {
-    std::ifstream file(std::string(MT_CONFIG_TEST_DIR) + "/" + name, std::ios::binary);
-    std::ostringstream text;
-    text << file.rdbuf();
-    return text.str();
+    return testing::readFile(std::string(MT_CONFIG_TEST_DIR) + "/" + name);
 }
 
 } // namespace mustardtrail::config
--- a/src/group/tests/support/golden_session.cpp
+++ b/src/group/tests/support/golden_session.cpp
@@ -1,9 +1,7 @@
 #include "group/tests/support/golden_session.h"
 
-#include "testing/expect.h"
+#include "testing/golden_file.h"
 
-#include <cstdlib>
-#include <fstream>
 #include <sstream>
 
 namespace mustardtrail::group::testing
@@ -45,11 +43,10 @@
 
 void replayGolden(const std::string &path, const session_runner &run)
 {
-    std::ifstream file(path);
-    std::string golden;
+    std::istringstream golden(mustardtrail::testing::readFile(path));
     std::string script;
     std::vector<session_input> inputs;
-    for (std::string line; std::getline(file, line); golden += line + "\n") {
+    for (std::string line; std::getline(golden, line);) {
         if (line.starts_with('#') || line.starts_with('>')) {
             script += line + "\n";
         }
@@ -58,13 +55,7 @@
         }
     }
     cr_assert(!inputs.empty(), "no input in %s", path.c_str());
-    const std::string trace = script + run(inputs);
-    const char *regenerate = std::getenv("MT_REGENERATE_GOLDEN");
-    if (regenerate != nullptr && std::string(regenerate) == "1") {
-        std::ofstream(path) << trace;
-        return;
-    }
-    mustardtrail::testing::expectEqual(trace, golden);
+    mustardtrail::testing::expectGolden(path, script + run(inputs));
 }
 
 } // namespace mustardtrail::group::testing
--- a/src/host/internal/rpc_call.cpp
+++ b/src/host/internal/rpc_call.cpp
@@ -46,10 +46,7 @@
     message.target = "/rpc";
     message.headers.add("Content-Type", "application/json");
     message.body = std::make_shared<const std::string>(rpc::makeRequest(method, json::serialize(parameters)));
-    http::call_limits limits;
-    limits.connect = timeout;
-    limits.firstByte = timeout;
-    limits.progress = timeout;
+    http::call_limits limits = http::call_limits::within(timeout);
     limits.bodyBytes = largestAnswerBytes;
     const auto answer = co_await client.call(to, std::move(message), limits);
     if (!answer) {
--- a/src/host/internal/view_codec.cpp
+++ b/src/host/internal/view_codec.cpp
@@ -20,11 +20,6 @@
     return std::chrono::ceil<milliseconds>(now - when).count();
 }
 
-tl::unexpected<error> invalid(std::string_view field)
-{
-    return tl::unexpected(error{ error_code::peer_message_invalid, verdict::not_run, "field=" + std::string(field), {} });
-}
-
 json::object peerToJson(const membership::peer &peer)
 {
     return { { "id", peer.id.str() },
@@ -52,7 +47,7 @@
 {
     const json::object *message = value.if_object();
     if (message == nullptr) {
-        return invalid("peers");
+        return invalidPeerField("peers");
     }
     membership::peer peer;
     peer.id = instance_id(json_access::textOr(*message, "id"));
@@ -61,10 +56,10 @@
     const auto heartbeats = endpointFromString(json_access::textOr(*message, "heartbeats"));
     const std::int64_t state = json_access::numberOr(*message, "state", -1);
     if (peer.id.empty() || !requests || !heartbeats || state < 0 || state > static_cast<std::int64_t>(membership::peer_state::dead)) {
-        return invalid("peers");
+        return invalidPeerField("peers");
     }
     if (!isUnsigned(*message, "incarnation")) {
-        return invalid("incarnation");
+        return invalidPeerField("incarnation");
     }
     peer.requests = *requests;
     peer.heartbeats = *heartbeats;
@@ -120,7 +115,7 @@
     const json::array *peers = json_access::arrayAt(message, "peers");
     const json::array *backends = json_access::arrayAt(message, "backends");
     if (view.self.empty() || !confirmedAge || peers == nullptr || backends == nullptr) {
-        return invalid("view");
+        return invalidPeerField("view");
     }
     view.confirmedAt = askedAt - *confirmedAge;
     for (const json::value &value : *peers) {
@@ -135,7 +130,7 @@
         const backend_server_id backend(item != nullptr ? json_access::textOr(*item, "id") : std::string());
         const auto ownedAge = item != nullptr ? ageFrom(*item, "owned_ms") : std::nullopt;
         if (backend.empty() || !ownedAge || !isUnsigned(*item, "fencing")) {
-            return invalid("backends");
+            return invalidPeerField("backends");
         }
         membership::backend_assignment assignment;
         assignment.owner = instance_id(json_access::textOr(*item, "owner"));
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -28,6 +28,9 @@
     bool freshConnection = false; ///< Never reuse one: a reset then cannot come from an idle close.
     /// Asked just before the first byte is sent; an error ends the call as not run.
     std::function<std::optional<error>()> beforeSend;
+
+    /// The same limit for connecting, for the first byte and for each gap.
+    static call_limits within(std::chrono::milliseconds limit);
 };
 
 /// Answer that is read piece by piece. Destroying it early closes the connection.
--- a/src/http/internal/client.cpp
+++ b/src/http/internal/client.cpp
@@ -120,6 +120,15 @@
 
 } // namespace
 
+call_limits call_limits::within(std::chrono::milliseconds limit)
+{
+    call_limits limits;
+    limits.connect = limit;
+    limits.firstByte = limit;
+    limits.progress = limit;
+    return limits;
+}
+
 client::client(asio::any_io_executor executor, cuts allowed)
     : m_executor(std::move(executor))
     , m_pool(std::make_shared<connection_pool>())
--- a/src/membership/tests/golden_session_test.cpp
+++ b/src/membership/tests/golden_session_test.cpp
@@ -1,12 +1,9 @@
 #include "tests/fake_fleet.h"
 #include "tests/session_trace.h"
 
-#include "testing/criterion.h"
+#include "testing/golden_file.h"
 
-#include <algorithm>
-#include <cstdlib>
-#include <fstream>
-#include <sstream>
+#include <utility>
 
 using namespace mustardtrail;
 using namespace mustardtrail::membership;
@@ -45,15 +42,7 @@
     /// Compares byte for byte; MT_REGENERATE_GOLDEN=1 writes the file instead.
     void finish() const
     {
-        const std::string path = joined({ MT_MEMBERSHIP_GOLDEN_DIR, "/", m_name, ".txt" });
-        if (std::getenv("MT_REGENERATE_GOLDEN") != nullptr) {
-            std::ofstream(path, std::ios::binary) << m_trace;
-            return;
-        }
-        std::ifstream file(path, std::ios::binary);
-        std::ostringstream expected;
-        expected << file.rdbuf();
-        cr_assert(m_trace == expected.str(), "%s: first difference in line %zu", m_name.c_str(), firstDifference(expected.str()));
+        mustardtrail::testing::expectGolden(joined({ MT_MEMBERSHIP_GOLDEN_DIR, "/", m_name, ".txt" }), m_trace);
     }
 
 private:
@@ -63,15 +52,6 @@
         m_trace += line.empty() ? "" : "\n";
     }
 
-    size_t firstDifference(const std::string &expected) const
-    {
-        size_t line = 1;
-        for (size_t at = 0; at < std::min(expected.size(), m_trace.size()) && expected[at] == m_trace[at]; ++at) {
-            line += expected[at] == '\n' ? 1 : 0;
-        }
-        return line;
-    }
-
     std::string m_name;
     std::string m_event;
     std::string m_trace;
--- a/src/node/internal/hop_attempt.cpp
+++ b/src/node/internal/hop_attempt.cpp
@@ -40,11 +40,6 @@
     return number;
 }
 
-tl::unexpected<error> invalid(std::string_view field)
-{
-    return tl::unexpected(error{ error_code::peer_message_invalid, verdict::not_run, "field=" + std::string(field), {} });
-}
-
 bool isLeftTime(const json::object &message, std::string_view key)
 {
     const std::int64_t left = json_access::numberOr(message, key, longestLeft + 1);
@@ -58,7 +53,7 @@
     target.backend = backend_server_id(json_access::textOr(message, "backend"));
     target.digest = json_access::textOr(message, "digest");
     if (target.group.empty() || target.backend.empty() || target.digest.empty()) {
-        return invalid("group");
+        return invalidPeerField("group");
     }
     return target;
 }
@@ -112,18 +107,18 @@
     attempt.origin = instance_id(json_access::textOr(message, "origin"));
     attempt.deliveredTokens = json_access::numberOr(message, "delivered_tokens", -1);
     if (work.attempt.empty() || work.request.empty() || attempt.origin.empty() || work.model.empty() == work.service.empty()) {
-        return invalid("attempt");
+        return invalidPeerField("attempt");
     }
     if (work.promptTokens < 0 || work.maxNewTokens < 0 || attempt.deliveredTokens < 0) {
-        return invalid("tokens");
+        return invalidPeerField("tokens");
     }
     const auto prefix = numberOfHex(json_access::textOr(message, "prefix"));
     if (!prefix) {
-        return invalid("prefix");
+        return invalidPeerField("prefix");
     }
     work.prefixHash = *prefix;
     if (!isLeftTime(message, "age_ms") || !isLeftTime(message, "first_token_left_ms") || !isLeftTime(message, "left_ms")) {
-        return invalid("left_ms");
+        return invalidPeerField("left_ms");
     }
     work.arrival = now - milliseconds(json_access::numberOr(message, "age_ms", 0));
     work.firstTokenDeadline = now + milliseconds(json_access::numberOr(message, "first_token_left_ms", 0));
@@ -131,7 +126,7 @@
     if (const json::array *excluded = json_access::arrayAt(message, "excluded")) {
         for (const json::value &backend : *excluded) {
             if (!backend.is_string()) {
-                return invalid("excluded");
+                return invalidPeerField("excluded");
             }
             attempt.excluded.emplace_back(std::string(backend.get_string()));
         }
--- a/src/node/internal/owner_side.cpp
+++ b/src/node/internal/owner_side.cpp
@@ -218,11 +218,7 @@
 
 placement::owner_summary owner_side::loadFor(const placement::work_item &work, time_point now) const
 {
-    placement::owner_summary load = m_scheduler.summary(now);
-    std::erase_if(load.pools, [key = placement::poolKeyOf(work)](const placement::pool_summary &pool) {
-        return pool.pool != key;
-    });
-    return load;
+    return m_scheduler.summary(placement::poolKeyOf(work), now);
 }
 
 // Origins meet an owner of a large fleet seldom by gossip, but often by its answers.
--- a/src/node/tests/golden_test.cpp
+++ b/src/node/tests/golden_test.cpp
@@ -1,11 +1,7 @@
 #include "node/tests/fleet.h"
 
 #include "testing/expect.h"
-
-#include <cstdlib>
-#include <filesystem>
-#include <fstream>
-#include <iterator>
+#include "testing/golden_file.h"
 
 using namespace mustardtrail;
 using namespace mustardtrail::node::testing;
@@ -16,12 +12,6 @@
 
 constexpr std::uint64_t seed = 1;
 
-std::string readFile(const std::filesystem::path &path)
-{
-    std::ifstream in(path, std::ios::binary);
-    return std::string(std::istreambuf_iterator<char>(in), {});
-}
-
 request::caller_request makeRequest(const char *id, const char *workClass, token_count promptTokens)
 {
     request::caller_request made;
@@ -55,13 +45,7 @@
     for (const std::string &line : session.trace().log) {
         actual += line + "\n";
     }
-    const std::filesystem::path path = std::filesystem::path(MT_NODE_GOLDEN) / (std::string(name) + ".txt");
-    const char *regenerate = std::getenv("MT_REGENERATE_GOLDEN");
-    if (regenerate != nullptr && std::string(regenerate) == "1") {
-        std::ofstream(path, std::ios::binary) << actual;
-    } else {
-        testing::expectEqual(actual, readFile(path));
-    }
+    testing::expectGolden(std::filesystem::path(MT_NODE_GOLDEN) / (std::string(name) + ".txt"), actual);
     session.finish();
     for (const std::string &violation : violations(session.trace())) {
         testing::expectEqual(violation, std::string());
--- a/src/placement/internal/owner_scheduler.cpp
+++ b/src/placement/internal/owner_scheduler.cpp
@@ -101,6 +101,11 @@
     return m_impl->summary(now);
 }
 
+owner_summary owner_scheduler::summary(const pool_key &pool, time_point now) const
+{
+    return m_impl->summary(pool, now);
+}
+
 boost::json::value owner_scheduler::dump(time_point now) const
 {
     return m_impl->dump(now);
--- a/src/placement/internal/owner_scheduler_impl.h
+++ b/src/placement/internal/owner_scheduler_impl.h
@@ -28,6 +28,7 @@
     bool holdMemory(const std::string &group, const backend_server_id &backend, token_count tokens, time_point until, time_point now);
     void releaseMemory(const std::string &group, time_point now);
     owner_summary summary(time_point now);
+    owner_summary summary(const pool_key &key, time_point now);
     boost::json::value dump(time_point now);
 
     owner_action_list takeActions();
@@ -46,6 +47,7 @@
     void dropHopeless(pool_state &pool, time_point now);
     void forgetDrained();
     backend_state *backendOf(const attempt_id &attempt);
+    owner_summary emptySummary(time_point now) const;
     pool_summary summaryOf(const pool_key &key, pool_state &pool, time_point now);
     boost::json::value dumpBackend(backend_state &backend, time_point now);
     boost::json::value dumpQueue(pool_state &pool, time_point now);
--- a/src/placement/internal/owner_scheduler_reports.cpp
+++ b/src/placement/internal/owner_scheduler_reports.cpp
@@ -33,14 +33,17 @@
 
 } // namespace
 
-owner_summary owner_scheduler::implementation::summary(time_point now)
+owner_summary owner_scheduler::implementation::emptySummary(time_point now) const
 {
     owner_summary result;
     result.takenAt = now;
-    if (m_view == nullptr) {
-        return result;
-    }
-    result.owner = m_view->self;
+    result.owner = m_view != nullptr ? m_view->self : instance_id();
+    return result;
+}
+
+owner_summary owner_scheduler::implementation::summary(time_point now)
+{
+    owner_summary result = emptySummary(now);
     for (auto &[key, pool] : m_pools) {
         if (!pool.members().empty()) {
             result.pools.push_back(summaryOf(key, pool, now));
@@ -49,6 +52,16 @@
     return result;
 }
 
+owner_summary owner_scheduler::implementation::summary(const pool_key &key, time_point now)
+{
+    owner_summary result = emptySummary(now);
+    const auto pool = m_pools.find(key);
+    if (pool != m_pools.end() && !pool->second.members().empty()) {
+        result.pools.push_back(summaryOf(key, pool->second, now));
+    }
+    return result;
+}
+
 pool_summary owner_scheduler::implementation::summaryOf(const pool_key &key, pool_state &pool, time_point now)
 {
     pool_summary result;
--- a/src/placement/owner_scheduler.h
+++ b/src/placement/owner_scheduler.h
@@ -52,6 +52,8 @@
     owner_action_list releaseMemory(const std::string &group, time_point now);
 
     owner_summary summary(time_point now) const;
+    /// The same for one pool; no pool when this instance owns nothing of it.
+    owner_summary summary(const pool_key &pool, time_point now) const;
     boost::json::value dump(time_point now) const;
 
 private:
--- a/src/placement/tests/golden_test.cpp
+++ b/src/placement/tests/golden_test.cpp
@@ -1,9 +1,8 @@
 #include "placement/tests/script_runner.h"
 
 #include "testing/expect.h"
+#include "testing/golden_file.h"
 
-#include <cstdlib>
-#include <fstream>
 #include <sstream>
 
 using namespace mustardtrail;
@@ -15,15 +14,6 @@
 /// Lines with this mark are inputs; those with # are comments; the others are what the inputs gave.
 constexpr char inputMark = '>';
 
-std::string readFile(const std::string &path)
-{
-    std::ifstream in(path);
-    cr_assert(in.good(), "%s", path.c_str());
-    std::ostringstream text;
-    text << in.rdbuf();
-    return text.str();
-}
-
 std::string replay(const std::string &session)
 {
     script_runner runner;
@@ -42,13 +32,7 @@
 void compareSession(const char *name)
 {
     const std::string path = std::string(MT_PLACEMENT_TESTS_DIR) + "/golden/" + name + ".txt";
-    const std::string session = readFile(path);
-    const std::string trace = replay(session);
-    if (std::getenv("MT_REGENERATE_GOLDEN") != nullptr) {
-        std::ofstream(path) << trace;
-        return;
-    }
-    testing::expectEqual(trace, session);
+    testing::expectGolden(path, replay(testing::readFile(path)));
 }
 
 } // namespace
--- a/src/programs/ctl/read_dump.cpp
+++ b/src/programs/ctl/read_dump.cpp
@@ -20,10 +20,7 @@
 {
     http::request_message message;
     message.target = "/dump";
-    http::call_limits limits;
-    limits.connect = limit;
-    limits.firstByte = limit;
-    limits.progress = limit;
+    http::call_limits limits = http::call_limits::within(limit);
     limits.bodyBytes = largestDumpBytes;
     const auto answer = co_await client.call(to, std::move(message), limits);
     if (answer && answer->status == http::statusOk) {
--- a/src/programs/ctl/tests/operating_page_test.cpp
+++ b/src/programs/ctl/tests/operating_page_test.cpp
@@ -1,10 +1,8 @@
 #include "programs/ctl/tests/example_files.h"
 
-#include <cstdlib>
-#include <fstream>
 #include <sstream>
 
-#include "testing/expect.h"
+#include "testing/golden_file.h"
 
 using namespace mustardtrail;
 using namespace mustardtrail::ctl;
@@ -60,10 +58,5 @@
     int commands = 0;
     const std::string expected = withOutputs(text, commands);
     cr_assert(commands >= 6);
-    const char *regenerate = std::getenv("MT_REGENERATE_GOLDEN");
-    if (regenerate != nullptr && std::string(regenerate) == "1") {
-        std::ofstream(std::string(MT_OPERATING_DIR) + "/" + page, std::ios::binary) << expected;
-        return;
-    }
-    testing::expectEqual(text, expected);
+    testing::expectGolden(std::string(MT_OPERATING_DIR) + "/" + page, expected);
 }
--- a/src/programs/entry/engine_calls.cpp
+++ b/src/programs/entry/engine_calls.cpp
@@ -36,19 +36,10 @@
     return message;
 }
 
-http::call_limits limitsOf(milliseconds timeout)
-{
-    http::call_limits limits;
-    limits.connect = timeout;
-    limits.firstByte = timeout;
-    limits.progress = timeout;
-    return limits;
-}
-
 /// Limits of a call that may be sent only below `notAfter`; zero: always.
 http::call_limits limitsUntil(milliseconds timeout, time_point notAfter, const monotonic_clock &clock)
 {
-    http::call_limits limits = limitsOf(timeout);
+    http::call_limits limits = http::call_limits::within(timeout);
     limits.beforeSend = [notAfter, &clock]() -> std::optional<error> {
         if (notAfter != time_point{} && clock.now() >= notAfter) {
             return error{ error_code::view_not_confirmed, verdict::not_run, "", {} };
@@ -127,7 +118,7 @@
 boost::asio::awaitable<node::engine_read> readEngine(http::client &client, node::read_engine action, const monotonic_clock &clock)
 {
     node::engine_read read{ action.backend, tl::unexpected(error{}), {}, false };
-    const auto load = co_await client.call(action.to, getRequest("/load"), limitsOf(readTimeout));
+    const auto load = co_await client.call(action.to, getRequest("/load"), http::call_limits::within(readTimeout));
     if (!load) {
         read.holdings = tl::unexpected(load.error());
         co_return read;
@@ -141,13 +132,13 @@
     holdings.report = *report;
     if (action.withEvents) {
         const std::string target = "/events?from=" + std::to_string(action.eventsFrom);
-        const auto events = co_await client.call(action.to, getRequest(target), limitsOf(readTimeout));
+        const auto events = co_await client.call(action.to, getRequest(target), http::call_limits::within(readTimeout));
         if (events) {
             read.cacheEvents = cacheEventsFrom(events->body);
         }
     }
     if (action.withGroups) {
-        const auto groups = co_await client.call(action.to, getRequest("/kv"), limitsOf(readTimeout));
+        const auto groups = co_await client.call(action.to, getRequest("/kv"), http::call_limits::within(readTimeout));
         read.listsGroups = groups.has_value();
         if (groups) {
             holdings.groups = groupsFrom(groups->body);
--- a/src/programs/entry/hop_message.cpp
+++ b/src/programs/entry/hop_message.cpp
@@ -27,11 +27,6 @@
 constexpr const char *chatKind = "chat";
 constexpr std::string_view loadStart = R"({"load":)";
 
-tl::unexpected<error> invalid(std::string_view field)
-{
-    return tl::unexpected(error{ error_code::peer_message_invalid, verdict::not_run, "field=" + std::string(field), {} });
-}
-
 /// Offset in the body; nothing for what is no number or lies behind the end. Absent: 0.
 std::optional<size_t> bodyStartFrom(std::string_view text, size_t bodySize)
 {
@@ -116,11 +111,11 @@
     content->kind = message.headers.find(kindHeader) == chatKind ? api::completion_kind::chat : api::completion_kind::text;
     content->body = message.body;
     if (content->method.empty() || !content->target.starts_with('/')) {
-        return invalid("target");
+        return invalidPeerField("target");
     }
     const auto start = bodyStartFrom(message.headers.find(bodyStartHeader), content->body ? content->body->size() : 0);
     if (!start) {
-        return invalid("body_start");
+        return invalidPeerField("body_start");
     }
     content->bodyObjectStart = *start;
     return hop_contents{ *attempt, content };
--- a/src/programs/view/view_host.cpp
+++ b/src/programs/view/view_host.cpp
@@ -49,10 +49,7 @@
 
 http::call_limits limitsOf(milliseconds timeout)
 {
-    http::call_limits limits;
-    limits.connect = timeout;
-    limits.firstByte = timeout;
-    limits.progress = timeout;
+    http::call_limits limits = http::call_limits::within(timeout);
     limits.bodyBytes = 64 * 1024 * 1024;
     return limits;
 }
--- a/src/proof/fleet/blocking_caller.cpp
+++ b/src/proof/fleet/blocking_caller.cpp
@@ -29,10 +29,7 @@
 asio::awaitable<void> run(http::client &client, endpoint to, http::request_message message, milliseconds limit, caller_answer &answer)
 {
     const auto start = wall::now();
-    http::call_limits limits;
-    limits.connect = limit;
-    limits.firstByte = limit;
-    limits.progress = limit;
+    http::call_limits limits = http::call_limits::within(limit);
     limits.freshConnection = true;
     auto opened = co_await client.open(to, std::move(message), limits);
     if (!opened) {
--- a/src/proof/tests/cut_links_test.cpp
+++ b/src/proof/tests/cut_links_test.cpp
@@ -17,7 +17,6 @@
 namespace
 {
 
-constexpr size_t shortPrompt = 4'000; // Bytes.
 constexpr std::chrono::seconds healLimit{ 40 };
 constexpr size_t threadsOfLoad = 2;
 
@@ -28,24 +27,11 @@
     return options;
 }
 
-void expectNoFaults(const background_load &load)
-{
-    for (const std::string &fault : load.faults()) {
-        expectEqual(fault, "");
-    }
-}
-
 std::string verdictOf(const caller_answer &answer)
 {
     return std::string(answer.headers.find("Mustardtrail-Verdict"));
 }
 
-bool serves(process_fleet &fleet, size_t instance)
-{
-    const caller_answer answer = fleet.complete(fleet.instances[instance], "lookup", shortPrompt, 5);
-    return answer.status == 200 && answer.isWhole && answerText(answer) == expectedAnswer(shortPrompt, 5);
-}
-
 std::int64_t revisionAt(const process_fleet &fleet, size_t instance)
 {
     return json_access::numberOr(getJson(fleet.instances[instance].admin, "/dump"), "revision", -1);
--- a/src/proof/tests/engine_faults_test.cpp
+++ b/src/proof/tests/engine_faults_test.cpp
@@ -14,7 +14,6 @@
 namespace
 {
 
-constexpr size_t shortPrompt = 4'000; // Bytes.
 constexpr size_t longPrompt = 1'800'000; // Bytes; 450,000 tokens on engines of 200,000.
 constexpr int tokens = 60;
 
@@ -73,9 +72,7 @@
         return load.finished() > before + 30;
     }));
     load.stop();
-    for (const std::string &fault : load.faults()) {
-        expectEqual(fault, "");
-    }
+    expectNoFaults(load);
 }
 
 Test(engine_faults, memoryIsFreeAfterTheCallerLeaves)
--- a/src/proof/tests/instance_faults_test.cpp
+++ b/src/proof/tests/instance_faults_test.cpp
@@ -15,21 +15,6 @@
 namespace
 {
 
-constexpr size_t shortPrompt = 4'000; // Bytes.
-
-void expectNoFaults(const background_load &load)
-{
-    for (const std::string &fault : load.faults()) {
-        expectEqual(fault, "");
-    }
-}
-
-bool serves(process_fleet &fleet, size_t instance)
-{
-    const caller_answer answer = fleet.complete(fleet.instances[instance], "lookup", shortPrompt, 5);
-    return answer.status == 200 && answerText(answer) == expectedAnswer(shortPrompt, 5);
-}
-
 } // namespace
 
 Test(instance_faults, aPlannedStopOfEachInstanceInTurnCutsOffNoRequest)
--- a/src/proof/tests/leaving_backend_test.cpp
+++ b/src/proof/tests/leaving_backend_test.cpp
@@ -19,7 +19,6 @@
 namespace
 {
 
-constexpr size_t shortPrompt = 4'000; // Bytes.
 constexpr int longAnswer = 150; // Tokens.
 
 /// True when every view says whether the backend server gets new work.
@@ -80,7 +79,5 @@
         return counterOf(leaving.control, "requests") > last;
     }));
     load.stop();
-    for (const std::string &fault : load.faults()) {
-        expectEqual(fault, "");
-    }
+    expectNoFaults(load);
 }
--- a/src/proof/tests/operating_program_run.cpp
+++ b/src/proof/tests/operating_program_run.cpp
@@ -1,5 +1,7 @@
 #include "proof/tests/operating_program_run.h"
 
+#include "testing/golden_file.h"
+
 #include <boost/process/args.hpp>
 #include <boost/process/child.hpp>
 #include <boost/process/io.hpp>
@@ -8,8 +10,6 @@
 #include <unistd.h>
 
 #include <filesystem>
-#include <fstream>
-#include <iterator>
 #include <sstream>
 
 namespace mustardtrail::proof
@@ -17,17 +17,6 @@
 
 namespace process = boost::process;
 
-namespace
-{
-
-std::string textOf(const std::filesystem::path &path)
-{
-    std::ifstream file(path, std::ios::binary);
-    return { std::istreambuf_iterator<char>(file), {} };
-}
-
-} // namespace
-
 std::vector<std::string> wordsOf(const std::string &line)
 {
     std::istringstream stream(line);
@@ -50,7 +39,7 @@
         process::std_err > err.string(),
         process::std_in < process::null);
     child.wait();
-    program_run run{ child.exit_code(), textOf(out), textOf(err) };
+    program_run run{ child.exit_code(), testing::readFile(out), testing::readFile(err) };
     std::filesystem::remove(out);
     std::filesystem::remove(err);
     return run;
--- a/src/proof/tests/test_fleet.cpp
+++ b/src/proof/tests/test_fleet.cpp
@@ -1,6 +1,7 @@
 #include "proof/tests/test_fleet.h"
 
 #include "base/json_access.h"
+#include "proof/fleet/expected_answer.h"
 
 #include "testing/expect.h"
 
@@ -19,6 +20,19 @@
     return fleet;
 }
 
+void expectNoFaults(const background_load &load)
+{
+    for (const std::string &fault : load.faults()) {
+        testing::expectEqual(fault, "");
+    }
+}
+
+bool serves(process_fleet &fleet, size_t instance)
+{
+    const caller_answer answer = fleet.complete(fleet.instances[instance], "lookup", shortPrompt, 5);
+    return answer.status == 200 && answer.isWhole && answerText(answer) == expectedAnswer(shortPrompt, 5);
+}
+
 std::int64_t counterOf(const endpoint &controlPort, const std::string &name)
 {
     return json_access::numberOr(control(controlPort, "{}"), name, -1);
--- a/src/proof/tests/test_fleet.h
+++ b/src/proof/tests/test_fleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "proof/fleet/background_load.h"
 #include "proof/fleet/process_fleet.h"
 
 namespace mustardtrail::proof
@@ -8,6 +9,15 @@
 /// Fleet of the test programs' folder, started and ready; fails the test otherwise.
 std::unique_ptr<process_fleet> startedFleet(fleet_options options = {});
 
+/// Bytes of a prompt of 1,000 tokens.
+constexpr size_t shortPrompt = 4'000;
+
+/// Fails the test unless every answer of the load was whole and right, or refused as not run.
+void expectNoFaults(const background_load &load);
+
+/// True when a lookup through the instance gives its whole answer.
+bool serves(process_fleet &fleet, size_t instance);
+
 /// Counter of a stand-in's control port.
 std::int64_t counterOf(const endpoint &controlPort, const std::string &name);
 
--- a/src/proof/tests/transcript.cpp
+++ b/src/proof/tests/transcript.cpp
@@ -3,14 +3,10 @@
 #include "proof/fleet/expected_answer.h"
 #include "proof/tests/transcript_text.h"
 
-#include "testing/expect.h"
+#include "testing/golden_file.h"
 
 #include <boost/json/serialize.hpp>
 
-#include <cstdlib>
-#include <fstream>
-#include <iterator>
-
 namespace mustardtrail::proof
 {
 
@@ -99,13 +95,7 @@
 
 void transcript::expectGolden(const std::string &name) const
 {
-    const std::string path = std::string(MT_PROOF_TESTS) + "/golden/" + name;
-    if (std::getenv("MT_REGENERATE_GOLDEN") != nullptr) {
-        std::ofstream(path, std::ios::binary) << m_text;
-        return;
-    }
-    std::ifstream file(path, std::ios::binary);
-    testing::expectEqual(m_text, std::string(std::istreambuf_iterator<char>(file), {}));
+    testing::expectGolden(std::string(MT_PROOF_TESTS) + "/golden/" + name, m_text);
 }
 
 } // namespace mustardtrail::proof
--- a/src/proof/tests/transcripts_test.cpp
+++ b/src/proof/tests/transcripts_test.cpp
@@ -16,7 +16,6 @@
 namespace
 {
 
-constexpr size_t shortPrompt = 4'000; // Bytes.
 constexpr size_t longPrompt = 1'800'000; // Bytes; 450,000 tokens on engines of 200,000.
 constexpr size_t promptBeyondFleet = 3'600'000; // Bytes.
 constexpr int fewTokens = 5;
--- a/src/request/internal/key_home_handover.cpp
+++ b/src/request/internal/key_home_handover.cpp
@@ -50,12 +50,11 @@
     std::erase(others.instances, m_self);
     handover_messages messages;
     for (const auto &[key, held] : m_entries) {
-        const milliseconds left = std::chrono::ceil<milliseconds>(held.expires - now);
-        if (left <= milliseconds(0)) {
+        if (held.expires <= now) {
             continue;
         }
         for (const instance_id &home : homesAmong(others, key.first, key.second)) {
-            messages.add(home, { held.request, key.first, key.second, held.fingerprint, held.running, held.outcome, left });
+            messages.add(home, heldKey(key, held, now));
         }
     }
     return messages.take();
@@ -74,11 +73,10 @@
         }
         if (held != m_entries.end()) {
             const entry &known = held->second;
-            const milliseconds left = std::chrono::ceil<milliseconds>(known.expires - now);
             std::vector<home_start> homes = otherHomes(*key);
             for (const home_start &start : homes) {
                 if (std::find(known.known.begin(), known.known.end(), start) == known.known.end()) {
-                    messages.add(start.home, { known.request, key->first, key->second, known.fingerprint, false, known.outcome, left });
+                    messages.add(start.home, heldKey(*key, known, now));
                 }
             }
             held->second.known = std::move(homes);
@@ -88,6 +86,12 @@
     return messages.take();
 }
 
+held_key key_home::heldKey(const entry_key &key, const entry &held, time_point now)
+{
+    const milliseconds left = std::chrono::ceil<milliseconds>(held.expires - now);
+    return { held.request, key.first, key.second, held.fingerprint, held.running, held.outcome, left };
+}
+
 std::vector<key_home::home_start> key_home::otherHomes(const entry_key &key) const
 {
     std::vector<home_start> others;
--- a/src/request/key_home.h
+++ b/src/request/key_home.h
@@ -81,6 +81,7 @@
     key_claim_reply refusal(const key_claim &claim, error_code code, std::chrono::milliseconds retryAfter) const;
     key_claim_reply answerHeld(const key_claim &claim, const entry &held, time_point now) const;
     key_claim_reply grant(const key_claim &claim, time_point now) const;
+    static held_key heldKey(const entry_key &key, const entry &held, time_point now);
     std::vector<home_start> otherHomes(const entry_key &key) const;
     bool isYoung(const key_claim &claim, time_point now) const;
     void noteStarts();
--- a/src/standin/engine/main.cpp
+++ b/src/standin/engine/main.cpp
@@ -58,12 +58,6 @@
     const auto incarnation = static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(startedAt).count());
     engine_routes routes(context, optionsFrom(values), incarnation);
     boost::asio::co_spawn(context, routes.run(), boost::asio::detached);
-    const auto serve = [&](http::exchange &exchange) {
-        return routes.serve(exchange);
-    };
-    const auto serveControl = [&](http::exchange &exchange) {
-        return routes.serveControl(exchange);
-    };
-    serveUntilSignal(context, values.address("engine.listen"), serve, values.address("engine.control"), serveControl);
+    serveUntilSignal(context, values.address("engine.listen"), values.address("engine.control"), routes);
     return 0;
 }
--- a/src/standin/platform/main.cpp
+++ b/src/standin/platform/main.cpp
@@ -143,12 +143,6 @@
     const auto values = host::readProgramSettings(argc, argv, "Stand-in for the platform.", rules);
     asio::io_context context(1);
     platform_routes routes(values);
-    const auto serve = [&](http::exchange &exchange) {
-        return routes.serve(exchange);
-    };
-    const auto serveControl = [&](http::exchange &exchange) {
-        return routes.serveControl(exchange);
-    };
-    serveUntilSignal(context, values.address("platform.listen"), serve, values.address("platform.control"), serveControl);
+    serveUntilSignal(context, values.address("platform.listen"), values.address("platform.control"), routes);
     return 0;
 }
--- a/src/standin/service/main.cpp
+++ b/src/standin/service/main.cpp
@@ -107,12 +107,6 @@
     const auto values = host::readProgramSettings(argc, argv, "Stand-in for a plain service.", rules);
     asio::io_context context(1);
     service_routes routes;
-    const auto serve = [&](http::exchange &exchange) {
-        return routes.serve(exchange);
-    };
-    const auto serveControl = [&](http::exchange &exchange) {
-        return routes.serveControl(exchange);
-    };
-    serveUntilSignal(context, values.address("service.listen"), serve, values.address("service.control"), serveControl);
+    serveUntilSignal(context, values.address("service.listen"), values.address("service.control"), routes);
     return 0;
 }
