--- /dev/null
+++ b/src/gateway/fleet_state.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "base/random_source.h"
+#include "gateway/config_freshness.h"
+#include "gateway/load_book.h"
+#include "gateway/peer_book.h"
+#include "gateway/placement_candidate.h"
+#include "gateway/published_change.h"
+#include "gateway/resend_budget.h"
+#include "gateway/route_table.h"
+#include "gateway/server_directory.h"
+#include "gateway/server_trust.h"
+
+#include <functional>
+#include <memory>
+#include <set>
+
+namespace mustardtrail::gateway
+{
+
+/// Limits of one deployment.
+struct fleet_limits {
+    resend_limits resend;
+    std::chrono::milliseconds configAge{ 0 }; ///< Requests with keys are refused when the configuration is not confirmed for this long.
+    double coldOver = 1.0; ///< Factor on the rate that a cold server bears.
+    double coldSlack = 0.0; ///< Requests a second on top of it.
+};
+
+/// Gets one line for each belief that changed: event name, subject, detail.
+using belief_log = std::function<void(std::string_view event, std::string_view subject, std::string_view detail)>;
+
+/// All that one instance believes of the fleet: configuration, backend servers, their load, the other instances.
+struct fleet_state {
+    fleet_state(peer_address self, const fleet_limits &fleetLimits, belief_log log);
+
+    /// One change of what the platform publishes. With a grace, servers that are taken off the list stay so long.
+    void apply(const published_change &change, time_point now, std::chrono::milliseconds grace);
+    /// A whole list: what it lacks is gone after the grace.
+    void applyWhole(const std::vector<published_change> &list, time_point now, std::chrono::milliseconds grace);
+    void expire(time_point now);
+
+    /// Servers of the service that may get a request, without the excluded ones.
+    std::vector<placement_candidate> candidates(
+        const service_id &service, const std::set<backend_server_id> &excluded, time_point now) const;
+    const server_directory::known_server *serverOf(server_key key) const;
+    /// Whether requests that need a key may be served.
+    bool mayServe(time_point now) const;
+
+    fleet_limits limits;
+    std::shared_ptr<const route_table> routes; ///< Null until the first configuration.
+    config_freshness freshness;
+    server_directory servers;
+    load_book loads;
+    server_trust trust;
+    resend_budget resends;
+    peer_book peers;
+
+private:
+    void applyConfig(const config_published &published);
+    void applyServer(const listed_server &server, time_point now);
+    bool isColdFull(const server_directory::known_server &server, const server_load &load, time_point now) const;
+
+    belief_log m_log;
+    std::map<server_key, backend_server_id> m_idByKey;
+};
+
+/// Key of a backend server in messages between instances.
+server_key keyOf(const backend_server_id &id);
+
+} // namespace mustardtrail::gateway
--- /dev/null
+++ b/src/gateway/internal/event_splitter.cpp
@@ -0,0 +1,74 @@
+#include "gateway/event_splitter.h"
+
+#include <charconv>
+
+namespace mustardtrail::gateway
+{
+
+namespace
+{
+
+std::optional<std::uint64_t> idIn(std::string_view event)
+{
+    constexpr std::string_view field = "id:";
+    std::optional<std::uint64_t> id;
+    while (!event.empty()) {
+        const size_t end = std::min(event.find('\n'), event.size());
+        std::string_view line = event.substr(0, end);
+        event.remove_prefix(std::min(end + 1, event.size()));
+        if (!line.starts_with(field)) {
+            continue;
+        }
+        line.remove_prefix(field.size());
+        line.remove_prefix(std::min(line.find_first_not_of(' '), line.size()));
+        std::uint64_t value = 0;
+        if (std::from_chars(line.data(), line.data() + line.size(), value).ec == std::errc()) {
+            id = value;
+        }
+    }
+    return id;
+}
+
+} // namespace
+
+void event_splitter::append(std::string_view bytes)
+{
+    m_pending += bytes;
+}
+
+std::optional<std::string> event_splitter::next()
+{
+    size_t end = m_pending.find("\n\n");
+    size_t length = 2;
+    const size_t wideEnd = m_pending.find("\r\n\r\n");
+    if (wideEnd < end) {
+        end = wideEnd;
+        length = 4;
+    }
+    if (end == std::string::npos) {
+        return std::nullopt;
+    }
+    std::string event = m_pending.substr(0, end + length);
+    m_pending.erase(0, end + length);
+    if (const auto id = idIn(event)) {
+        m_lastId = id;
+    }
+    return event;
+}
+
+std::optional<std::uint64_t> event_splitter::lastId() const
+{
+    return m_lastId;
+}
+
+bool event_splitter::hasRest() const
+{
+    return !m_pending.empty();
+}
+
+void event_splitter::dropRest()
+{
+    m_pending.clear();
+}
+
+} // namespace mustardtrail::gateway
--- /dev/null
+++ b/src/gateway/internal/fleet_state.cpp
@@ -0,0 +1,158 @@
+#include "gateway/fleet_state.h"
+
+#include "base/hash.h"
+
+namespace mustardtrail::gateway
+{
+
+namespace
+{
+
+std::string_view nameOf(server_directory::change change)
+{
+    switch (change) {
+    case server_directory::change::added:
+        return "server_added";
+    case server_directory::change::restarted:
+        return "server_restarted";
+    case server_directory::change::leaving:
+        return "server_leaving";
+    case server_directory::change::removed:
+        return "server_removed";
+    case server_directory::change::none:
+        break;
+    }
+    return "server_unchanged";
+}
+
+} // namespace
+
+server_key keyOf(const backend_server_id &id)
+{
+    return hash64(id.str());
+}
+
+fleet_state::fleet_state(peer_address self, const fleet_limits &fleetLimits, belief_log log)
+    : limits(fleetLimits)
+    , freshness(fleetLimits.configAge)
+    , resends(fleetLimits.resend)
+    , peers(self)
+    , m_log(std::move(log))
+{
+}
+
+void fleet_state::applyConfig(const config_published &published)
+{
+    const std::uint64_t version = published.config->version;
+    if (routes && version <= routes->version()) {
+        return;
+    }
+    routes = std::make_shared<const route_table>(*published.config);
+    m_log("config_in_force", std::to_string(version), "routes=" + std::to_string(published.config->routes.size()));
+}
+
+void fleet_state::applyServer(const listed_server &server, time_point now)
+{
+    m_idByKey[keyOf(server.id)] = server.id;
+    const auto change = servers.put(server, now);
+    if (change == server_directory::change::restarted) {
+        trust.succeeded(keyOf(server.id));
+    }
+    if (change != server_directory::change::none) {
+        m_log(nameOf(change), server.id.str(), "address=" + toString(server.address) + " service=" + server.service.str());
+    }
+}
+
+void fleet_state::apply(const published_change &change, time_point now, std::chrono::milliseconds grace)
+{
+    if (const auto *config = std::get_if<config_published>(&change)) {
+        applyConfig(*config);
+    } else if (const auto *listed = std::get_if<server_listed>(&change)) {
+        applyServer(listed->server, now);
+    } else if (const auto *unlisted = std::get_if<server_unlisted>(&change)) {
+        const auto outcome = servers.remove(unlisted->server, now, grace);
+        if (outcome != server_directory::change::none) {
+            m_log(nameOf(outcome), unlisted->server.str(), {});
+        }
+    } else if (const auto *dataCentre = std::get_if<data_centre_service>(&change)) {
+        servers.setOutOfService(dataCentre->dataCentre, dataCentre->isOut);
+        m_log(dataCentre->isOut ? "data_centre_out" : "data_centre_back", dataCentre->dataCentre.str(), {});
+    } else if (const auto *unreadable = std::get_if<unreadable_entry>(&change)) {
+        m_log("entry_unreadable", unreadable->key, unreadable->detail);
+    }
+}
+
+void fleet_state::applyWhole(const std::vector<published_change> &list, time_point now, std::chrono::milliseconds grace)
+{
+    std::vector<listed_server> listed;
+    std::set<data_centre_id> out;
+    for (const published_change &change : list) {
+        if (const auto *server = std::get_if<server_listed>(&change)) {
+            applyServer(server->server, now);
+            listed.push_back(server->server);
+        } else if (const auto *dataCentre = std::get_if<data_centre_service>(&change)) {
+            out.insert(dataCentre->dataCentre);
+        } else {
+            apply(change, now, grace);
+        }
+    }
+    servers.replaceAll(listed, now, grace);
+    servers.setAllOutOfService(std::move(out));
+}
+
+void fleet_state::expire(time_point now)
+{
+    for (const backend_server_id &id : servers.expire(now)) {
+        m_log("server_removed", id.str(), "reason=not_listed_again");
+    }
+    std::erase_if(m_idByKey, [this](const auto &entry) {
+        return !servers.find(entry.second);
+    });
+    loads.expire(now);
+    peers.expire(now);
+}
+
+bool fleet_state::isColdFull(const server_directory::known_server &server, const server_load &load, time_point now) const
+{
+    const service_profile *profile = routes ? routes->profileOf(server.entry.service) : nullptr;
+    if (!profile || profile->coldRequestsPerSecond <= 0.0 || now >= server.coldUntil) {
+        return false;
+    }
+    return load.sentLastSecond + 1.0 > profile->coldRequestsPerSecond;
+}
+
+std::vector<placement_candidate> fleet_state::candidates(
+    const service_id &service, const std::set<backend_server_id> &excluded, time_point now) const
+{
+    const auto allLoads = loads.loads(now);
+    std::vector<placement_candidate> found;
+    for (const server_directory::known_server *server : servers.usable(service)) {
+        if (excluded.contains(server->entry.id)) {
+            continue;
+        }
+        placement_candidate candidate;
+        candidate.key = keyOf(server->entry.id);
+        candidate.id = server->entry.id;
+        candidate.slots = server->entry.slots;
+        candidate.isSuspect = trust.isSuspect(candidate.key, now);
+        if (const auto load = allLoads.find(candidate.key); load != allLoads.end()) {
+            candidate.load = load->second;
+        }
+        candidate.isColdFull = isColdFull(*server, candidate.load, now);
+        found.push_back(std::move(candidate));
+    }
+    return found;
+}
+
+const server_directory::known_server *fleet_state::serverOf(server_key key) const
+{
+    const auto found = m_idByKey.find(key);
+    return found == m_idByKey.end() ? nullptr : servers.find(found->second);
+}
+
+bool fleet_state::mayServe(time_point now) const
+{
+    return routes && (!routes->needsKeys() || freshness.isFresh(now));
+}
+
+} // namespace mustardtrail::gateway
--- /dev/null
+++ b/src/gateway/internal/load_report.cpp
@@ -0,0 +1,87 @@
+#include "gateway/load_report.h"
+
+#include "load_report.pb.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace mustardtrail::gateway
+{
+
+namespace
+{
+
+constexpr std::uint32_t writingFlag = 1;
+constexpr std::uint32_t helperFlag = 2;
+constexpr std::uint32_t shortPausesFlag = 4;
+
+std::uint32_t clipped(std::int64_t value)
+{
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(value, 0, std::numeric_limits<std::uint32_t>::max()));
+}
+
+void write(const server_work &work, time_point now, wire::Work &target)
+{
+    target.set_request(work.request);
+    target.set_server(work.server);
+    target.set_read_us(clipped(work.readTime.count()));
+    target.set_memory_tokens(clipped(work.memoryTokens));
+    target.set_flags((work.isWriting ? writingFlag : 0) | (work.isHelper ? helperFlag : 0) | (work.hasShortPauses ? shortPausesFlag : 0));
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - work.sentAt);
+    target.set_sent_ms_ago(clipped(age.count()));
+}
+
+server_work read(const wire::Work &source, time_point now)
+{
+    server_work work;
+    work.request = source.request();
+    work.server = source.server();
+    work.readTime = std::chrono::microseconds(source.read_us());
+    work.memoryTokens = source.memory_tokens();
+    work.isWriting = (source.flags() & writingFlag) != 0;
+    work.isHelper = (source.flags() & helperFlag) != 0;
+    work.hasShortPauses = (source.flags() & shortPausesFlag) != 0;
+    work.sentAt = now - std::chrono::milliseconds(source.sent_ms_ago());
+    return work;
+}
+
+} // namespace
+
+std::string encodeLoadReport(const load_report &report, time_point now)
+{
+    wire::Report message;
+    message.set_sender(report.sender.str());
+    message.set_address(report.address);
+    message.set_incarnation(report.incarnation);
+    message.set_sequence(report.sequence);
+    message.set_leaving(report.isLeaving);
+    message.mutable_known()->Add(report.known.begin(), report.known.end());
+    for (const server_work &work : report.work) {
+        write(work, now, *message.add_work());
+    }
+    return message.SerializeAsString();
+}
+
+result<load_report> decodeLoadReport(const std::string &bytes, time_point now)
+{
+    wire::Report message;
+    if (!message.ParseFromString(bytes)) {
+        return invalidPeerField("the whole datagram");
+    }
+    if (message.sender().empty() || message.address() == 0) {
+        return invalidPeerField("sender");
+    }
+    load_report report;
+    report.sender = instance_id(message.sender());
+    report.address = message.address();
+    report.incarnation = message.incarnation();
+    report.sequence = message.sequence();
+    report.isLeaving = message.leaving();
+    report.known.assign(message.known().begin(), message.known().end());
+    for (const wire::Work &work : message.work()) {
+        report.work.push_back(read(work, now));
+    }
+    return report;
+}
+
+} // namespace mustardtrail::gateway
--- /dev/null
+++ b/src/gateway/internal/read_cost.cpp
@@ -0,0 +1,28 @@
+#include "gateway/read_cost.h"
+
+namespace mustardtrail::gateway
+{
+
+namespace
+{
+
+std::chrono::microseconds fromMs(double milliseconds)
+{
+    return std::chrono::microseconds(static_cast<std::int64_t>(milliseconds * 1'000.0));
+}
+
+} // namespace
+
+std::chrono::microseconds readTime(const engine_profile &engine, std::int64_t promptTokens)
+{
+    const double tokens = static_cast<double>(promptTokens);
+    const double millionPairs = tokens * tokens / 2.0 / 1e6;
+    return fromMs(tokens / engine.tokensReadPerMs + millionPairs * engine.pairsMsPerMillion);
+}
+
+std::chrono::microseconds passTime(const engine_profile &engine)
+{
+    return fromMs(engine.stepMs * engine.stepsPerPass);
+}
+
+} // namespace mustardtrail::gateway
--- /dev/null
+++ b/src/gateway/internal/resend_budget.cpp
@@ -0,0 +1,49 @@
+#include "gateway/resend_budget.h"
+
+#include <algorithm>
+
+namespace mustardtrail::gateway
+{
+
+namespace
+{
+
+constexpr double safety = 0.8; // Counting windows of the instances are not aligned with each other.
+
+} // namespace
+
+resend_budget::resend_budget(resend_limits limits)
+    : m_limits(limits)
+{
+}
+
+void resend_budget::forget(service_window &window, time_point now) const
+{
+    for (auto *times : { &window.requests, &window.resends }) {
+        while (!times->empty() && now - times->front() > m_limits.window) {
+            times->pop_front();
+        }
+    }
+}
+
+void resend_budget::countRequest(const service_id &service, time_point now)
+{
+    service_window &window = m_services[service];
+    forget(window, now);
+    window.requests.push_back(now);
+}
+
+bool resend_budget::tryTake(const service_id &service, time_point now, size_t instances)
+{
+    service_window &window = m_services[service];
+    forget(window, now);
+    const double share = m_limits.slack / static_cast<double>(std::max<size_t>(instances, 1));
+    const double allowed = safety * (m_limits.ratio * static_cast<double>(window.requests.size()) + share);
+    if (static_cast<double>(window.resends.size()) + 1.0 > allowed) {
+        return false;
+    }
+    window.resends.push_back(now);
+    return true;
+}
+
+} // namespace mustardtrail::gateway
--- /dev/null
+++ b/src/gateway/internal/route_table.cpp
@@ -0,0 +1,90 @@
+#include "gateway/route_table.h"
+
+#include <algorithm>
+
+namespace mustardtrail::gateway
+{
+
+namespace
+{
+
+std::string lowerCase(std::string_view text)
+{
+    std::string lower(text);
+    std::transform(lower.begin(), lower.end(), lower.begin(), [](unsigned char byte) {
+        return static_cast<char>(std::tolower(byte));
+    });
+    return lower;
+}
+
+} // namespace
+
+route_table::route_table(published_config config)
+    : m_config(std::move(config))
+{
+    for (const route &each : m_config.routes) {
+        m_byHost[lowerCase(each.host)].push_back(&each);
+    }
+    for (auto &[host, routes] : m_byHost) {
+        std::stable_sort(routes.begin(), routes.end(), [](const route *left, const route *right) {
+            return left->pathPrefix.size() > right->pathPrefix.size();
+        });
+    }
+}
+
+std::uint64_t route_table::version() const
+{
+    return m_config.version;
+}
+
+const route *route_table::find(std::string_view host, std::string_view path) const
+{
+    const auto found = m_byHost.find(lowerCase(host.substr(0, host.find(':'))));
+    if (found == m_byHost.end()) {
+        return nullptr;
+    }
+    for (const route *each : found->second) {
+        if (path.starts_with(each->pathPrefix)) {
+            return each;
+        }
+    }
+    return nullptr;
+}
+
+std::optional<customer_id> route_table::customerOf(std::string_view key) const
+{
+    const auto found = m_config.customerByKey.find(std::string(key));
+    if (found == m_config.customerByKey.end()) {
+        return std::nullopt;
+    }
+    return found->second;
+}
+
+bool route_table::needsKeys() const
+{
+    return m_config.needsKeys;
+}
+
+const service_profile *route_table::profileOf(const service_id &service) const
+{
+    const auto found = m_config.services.find(service);
+    return found == m_config.services.end() ? nullptr : &found->second;
+}
+
+const service_id &serviceAt(const route &from, double point)
+{
+    unsigned total = 0;
+    for (const service_share &share : from.services) {
+        total += share.weight;
+    }
+    double rest = point * total;
+    for (const service_share &share : from.services) {
+        rest -= share.weight;
+        if (rest < 0.0) {
+            return share.service;
+        }
+    }
+    return from.services.back().service;
+}
+
+} // namespace mustardtrail::gateway
--- /dev/null
+++ b/src/gateway/internal/server_directory.cpp
@@ -0,0 +1,109 @@
+#include "gateway/server_directory.h"
+
+namespace mustardtrail::gateway
+{
+
+server_directory::change server_directory::put(const listed_server &entry, time_point now)
+{
+    auto [at, isNew] = m_servers.try_emplace(entry.id);
+    known_server &server = at->second;
+    const bool restarted = !isNew && server.entry.startedAt != entry.startedAt;
+    const bool beganToLeave = entry.isLeaving && (isNew || !server.entry.isLeaving);
+    server.entry = entry;
+    server.coldUntil = now + entry.coldLeft;
+    server.missingSince.reset();
+    if (beganToLeave) {
+        return change::leaving;
+    }
+    if (isNew) {
+        return change::added;
+    }
+    return restarted ? change::restarted : change::none;
+}
+
+server_directory::change server_directory::remove(const backend_server_id &id, time_point now, std::chrono::milliseconds grace)
+{
+    const auto found = m_servers.find(id);
+    if (found == m_servers.end()) {
+        return change::none;
+    }
+    if (grace.count() > 0 && !found->second.entry.isLeaving) {
+        m_missingGrace = grace;
+        found->second.missingSince = found->second.missingSince.value_or(now);
+        return change::none;
+    }
+    m_servers.erase(found);
+    return change::removed;
+}
+
+void server_directory::replaceAll(const std::vector<listed_server> &entries, time_point now, std::chrono::milliseconds grace)
+{
+    m_missingGrace = grace;
+    std::set<backend_server_id> present;
+    for (const listed_server &entry : entries) {
+        put(entry, now);
+        present.insert(entry.id);
+    }
+    for (auto &[id, server] : m_servers) {
+        if (!present.contains(id) && !server.missingSince) {
+            server.missingSince = now;
+        }
+    }
+}
+
+std::vector<backend_server_id> server_directory::expire(time_point now)
+{
+    std::vector<backend_server_id> gone;
+    for (const auto &[id, server] : m_servers) {
+        if (server.missingSince && now - *server.missingSince >= m_missingGrace) {
+            gone.push_back(id);
+        }
+    }
+    for (const backend_server_id &id : gone) {
+        m_servers.erase(id);
+    }
+    return gone;
+}
+
+void server_directory::setOutOfService(const data_centre_id &dataCentre, bool isOut)
+{
+    if (isOut) {
+        m_outOfService.insert(dataCentre);
+    } else {
+        m_outOfService.erase(dataCentre);
+    }
+}
+
+void server_directory::setAllOutOfService(std::set<data_centre_id> dataCentres)
+{
+    m_outOfService = std::move(dataCentres);
+}
+
+std::vector<const server_directory::known_server *> server_directory::usable(const service_id &service) const
+{
+    std::vector<const known_server *> found;
+    for (const auto &[id, server] : m_servers) {
+        if (server.entry.service == service && mayTakeWork(server)) {
+            found.push_back(&server);
+        }
+    }
+    return found;
+}
+
+const server_directory::known_server *server_directory::find(const backend_server_id &id) const
+{
+    const auto found = m_servers.find(id);
+    return found == m_servers.end() ? nullptr : &found->second;
+}
+
+bool server_directory::mayTakeWork(const known_server &server) const
+{
+    return !server.entry.isLeaving && !m_outOfService.contains(server.entry.dataCentre);
+}
+
+size_t server_directory::size() const
+{
+    return m_servers.size();
+}
+
+} // namespace mustardtrail::gateway
--- /dev/null
+++ b/src/gateway/internal/service_choice.cpp
@@ -0,0 +1,31 @@
+#include "gateway/service_choice.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace mustardtrail::gateway
+{
+
+std::optional<server_key> chooseServer(const std::vector<placement_candidate> &candidates, double point)
+{
+    const auto rank = [](const placement_candidate &each) {
+        return std::tuple(each.isSuspect || each.isColdFull, each.load.requests >= each.slots, each.load.requests);
+    };
+    std::vector<const placement_candidate *> best;
+    for (const placement_candidate &each : candidates) {
+        if (!best.empty() && rank(each) > rank(*best.front())) {
+            continue;
+        }
+        if (!best.empty() && rank(each) < rank(*best.front())) {
+            best.clear();
+        }
+        best.push_back(&each);
+    }
+    if (best.empty()) {
+        return std::nullopt;
+    }
+    const auto at = static_cast<size_t>(point * static_cast<double>(best.size()));
+    return best[std::min(at, best.size() - 1)]->key;
+}
+
+} // namespace mustardtrail::gateway
--- /dev/null
+++ b/src/gateway/load_report.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "base/error.h"
+#include "base/ids.h"
+#include "gateway/server_work.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace mustardtrail::gateway
+{
+
+/// IPv4 address as a number; instances of one fleet listen on the same ports.
+using peer_address = std::uint32_t;
+
+/// What one instance tells the others: the whole of its work, so that a lost datagram needs no repair.
+struct load_report {
+    instance_id sender;
+    peer_address address = 0;
+    std::uint64_t incarnation = 0; ///< Drawn at the start of the process.
+    std::uint32_t sequence = 0;
+    bool isLeaving = false; ///< Stops soon; others forget it without a wait.
+    std::vector<peer_address> known; ///< Other instances that it heard lately.
+    std::vector<server_work> work;
+};
+
+std::string encodeLoadReport(const load_report &report, time_point now);
+result<load_report> decodeLoadReport(const std::string &bytes, time_point now);
+
+} // namespace mustardtrail::gateway
--- /dev/null
+++ b/src/gateway/peer_book.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "base/clock.h"
+#include "gateway/load_report.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace mustardtrail::gateway
+{
+
+/// Instances of the fleet that tell each other their work. An instance that is silent is still told for a while, as it
+/// may be cut off; it is forgotten after memory.
+class peer_book
+{
+public:
+    explicit peer_book(peer_address self);
+
+    /// Addresses from the settings; told until they are heard or forever.
+    void addSeeds(const std::vector<peer_address> &seeds);
+    /// False when the report is older than one already seen.
+    bool hear(const load_report &report, time_point now);
+    void expire(time_point now);
+
+    std::vector<peer_address> targets() const;
+    /// Those heard within the last few reports; passed on to others.
+    std::vector<peer_address> alive(time_point now) const;
+    /// Most instances ever known at one time, this one included. Shares of fleet-wide bounds are divided by it, so that
+    /// an instance that loses sight of the others does not take their part.
+    size_t largestFleet() const;
+
+    static constexpr std::chrono::milliseconds silence{ 3'000 }; ///< Several intervals between reports.
+    static constexpr std::chrono::milliseconds memory{ 60'000 }; ///< Longer than a cut of a data centre usually lasts.
+
+private:
+    struct peer {
+        std::uint64_t incarnation = 0;
+        std::uint32_t sequence = 0;
+        std::optional<time_point> heardAt;
+        time_point learntAt{};
+        bool isSeed = false;
+    };
+
+    peer_address m_self;
+    std::map<peer_address, peer> m_peers;
+    size_t m_largest = 1;
+};
+
+} // namespace mustardtrail::gateway
--- /dev/null
+++ b/src/gateway/prompt_work.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "base/clock.h"
+
+#include <cstdint>
+
+namespace mustardtrail::gateway
+{
+
+/// What the placement of one request at model engines depends on.
+struct prompt_work {
+    std::int64_t promptTokens = 0;
+    std::int64_t answerTokens = 0; ///< Longest answer.
+    std::chrono::milliseconds pauseTarget{ 0 };
+    time_point arrivedAt{};
+    time_point targetAt{}; ///< The first event is on time up to here.
+    time_point deadline{}; ///< Nothing is worth sending after this.
+};
+
+} // namespace mustardtrail::gateway
--- /dev/null
+++ b/src/gateway/published_change.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "gateway/listed_server.h"
+#include "gateway/published_config.h"
+
+#include <memory>
+#include <variant>
+
+namespace mustardtrail::gateway
+{
+
+struct config_published {
+    std::shared_ptr<const published_config> config;
+};
+
+struct server_listed {
+    listed_server server;
+};
+
+struct server_unlisted {
+    backend_server_id server;
+};
+
+struct data_centre_service {
+    data_centre_id dataCentre;
+    bool isOut = false; ///< Its backend servers get no new work.
+};
+
+/// An entry that cannot be used; kept for the log.
+struct unreadable_entry {
+    std::string key;
+    std::string detail;
+};
+
+/// One change of what the platform publishes.
+using published_change = std::variant<config_published, server_listed, server_unlisted, data_centre_service, unreadable_entry>;
+
+} // namespace mustardtrail::gateway
--- /dev/null
+++ b/src/gateway/read_cost.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "gateway/service_profile.h"
+
+#include <chrono>
+
+namespace mustardtrail::gateway
+{
+
+/// Time that one idle engine needs to read a prompt of so many tokens.
+std::chrono::microseconds readTime(const engine_profile &engine, std::int64_t promptTokens);
+
+/// One pass of an engine in which requests write, without any reading.
+std::chrono::microseconds passTime(const engine_profile &engine);
+
+} // namespace mustardtrail::gateway
--- /dev/null
+++ b/src/gateway/resend_budget.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/ids.h"
+
+#include <deque>
+#include <map>
+
+namespace mustardtrail::gateway
+{
+
+/// Bound on sends beyond the first of each request, over the whole fleet and for each service.
+struct resend_limits {
+    double ratio = 0.0; ///< Of the requests in the window.
+    std::chrono::milliseconds window{ 10'000 };
+    double slack = 0.0; ///< Sends that the fleet may always have in a window.
+};
+
+/// This instance's share of the bound: its own requests count whole, the slack is divided by the instances known. Keeps
+/// a fleet of failing servers from being loaded further by second sends, also when instances cannot hear each other.
+class resend_budget
+{
+public:
+    explicit resend_budget(resend_limits limits);
+
+    void countRequest(const service_id &service, time_point now);
+    /// Counts a second send if there is room for it.
+    bool tryTake(const service_id &service, time_point now, size_t instances);
+
+private:
+    struct service_window {
+        std::deque<time_point> requests;
+        std::deque<time_point> resends;
+    };
+
+    void forget(service_window &window, time_point now) const;
+
+    resend_limits m_limits;
+    std::map<service_id, service_window> m_services;
+};
+
+} // namespace mustardtrail::gateway
--- /dev/null
+++ b/src/gateway/server_work.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "base/clock.h"
+
+#include <cstdint>
+
+namespace mustardtrail::gateway
+{
+
+/// Identity of a backend server in messages between instances: hash of its id.
+using server_key = std::uint64_t;
+
+/// What one request does at one backend server, as its instance tells the others.
+struct server_work {
+    std::uint64_t request = 0; ///< Random number of the request's attempt.
+    server_key server = 0;
+    std::chrono::microseconds readTime{ 0 }; ///< To read this server's part of the prompt, or to do plain work.
+    std::int64_t memoryTokens = 0; ///< Prompt and longest answer that it keeps there.
+    bool isWriting = false; ///< The first token has come, so nothing is left to read.
+    bool isHelper = false; ///< Reads a part of the prompt and writes nothing.
+    bool hasShortPauses = false; ///< Its caller notices a pass longer than shortPause.
+    time_point sentAt{};
+};
+
+/// Streams with a pause target up to this are disturbed by long passes; between the quick and the long classes.
+inline constexpr std::chrono::milliseconds shortPause{ 400 };
+
+} // namespace mustardtrail::gateway
--- /dev/null
+++ b/src/gateway/store_follower.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "base/clock.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace mustardtrail::gateway
+{
+
+/// Next question to the platform's store.
+struct store_question {
+    enum class kind {
+        list, ///< One page of everything, behind `afterKey`.
+        changes, ///< What came after `afterRevision`; the store may wait until there is something.
+    };
+
+    kind what = kind::list;
+    std::string afterKey;
+    std::uint64_t afterRevision = 0;
+    std::chrono::milliseconds storeWait{ 0 };
+    std::chrono::milliseconds pauseBefore{ 0 };
+};
+
+/// Decides what to ask the store and when: a whole list once, then changes. Answers a store that is down, slow, turns
+/// this instance away or drops its history, and the price of a call (changes are taken up in batches).
+class store_follower
+{
+public:
+    store_question next() const;
+
+    /// A page arrived. True when the list is complete.
+    bool onPage(std::uint64_t storeRevision, bool hasMore, const std::string &lastKey);
+    /// Changes arrived, `count` of them. False when the store answered from an older state than was already seen.
+    bool onChanges(std::uint64_t storeRevision, size_t count);
+    /// The changes behind the known revision are gone, so the whole list is read again.
+    void onHistoryGone();
+    void onFailure(time_point now);
+
+    bool isReachable() const;
+    /// Entries may be missing only because the store was away: until a while after its return.
+    bool isSettling(time_point now) const;
+
+    static constexpr std::chrono::milliseconds batchPause{ 500 }; ///< A quarter of the shortest time that changes may take.
+    static constexpr std::chrono::milliseconds changesWait{ 1'000 }; ///< Keeps the configuration's age well below the limit for keys.
+    static constexpr std::chrono::milliseconds settling{ 2'500 }; ///< Servers write their entries again within 2 s.
+
+private:
+    bool m_hasList = false;
+    std::string m_afterKey;
+    std::uint64_t m_listRevision = 0; ///< Of the first page: later pages may be newer.
+    std::uint64_t m_revision = 0;
+    size_t m_lastCount = 0;
+    unsigned m_failures = 0;
+    std::optional<time_point> m_lastFailure;
+};
+
+} // namespace mustardtrail::gateway
--- a/src/host/program_settings.h
+++ b/src/host/program_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "host/exit_code.h"
 #include "settings/settings_reader.h"
 
 #include <vector>
@@ -7,14 +8,6 @@
 namespace mustardtrail::host
 {
 
-/// Exit codes of every program.
-enum exit_code : int {
-    exit_ok = 0,
-    exit_usage = 1, ///< Bad command line.
-    exit_settings = 2, ///< The settings file has problems; each is printed.
-    exit_listen = 3, ///< An address could not be bound.
-};
-
 /// Parses --settings FILE, --check-settings and --help; reads and checks the file.
 /// Ends the process on a problem, and after --check-settings.
 settings::settings_values readProgramSettings(
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -26,6 +26,9 @@
     std::chrono::milliseconds progress{ 10'000 }; ///< Longest gap between bytes, both ways.
     size_t bodyBytes = 8 * 1024 * 1024; ///< Of a whole answer.
     bool freshConnection = false; ///< Never reuse one: a reset then cannot come from an idle close.
+    std::chrono::milliseconds reuseIdle{ 60'000 }; ///< A kept connection is reused when it was idle for less.
+    /// Gets a function that closes the connection of this call, callable at any time on the client's executor.
+    std::function<void(std::function<void()>)> onConnection;
     /// Asked just before the first byte is sent; an error ends the call as not run.
     std::function<std::optional<error>()> beforeSend;
 
--- a/src/http/internal/client.cpp
+++ b/src/http/internal/client.cpp
@@ -19,6 +19,7 @@
 {
 
 constexpr size_t writePieceBytes = 256 * 1024;
+constexpr std::chrono::milliseconds earlyAnswerLimit{ 200 }; ///< An answer sent before a close has arrived or is lost.
 
 error callError(error_code code, verdict outcome, const endpoint &to, std::string_view detail)
 {
@@ -27,7 +28,10 @@
 
 std::string headerText(const endpoint &to, const request_message &message)
 {
-    std::string text = message.method + " " + message.target + " HTTP/1.1\r\nHost: " + toString(to) + "\r\n";
+    std::string text = message.method + " " + message.target + " HTTP/1.1\r\n";
+    if (message.headers.find("Host").empty()) {
+        text += "Host: " + toString(to) + "\r\n";
+    }
     for (const auto &[name, value] : message.headers.fields()) {
         text += name + ": " + value + "\r\n";
     }
@@ -95,6 +99,16 @@
     co_return connection;
 }
 
+/// Closes the connection from outside of the call.
+std::function<void()> closerOf(const client_connection &connection)
+{
+    return [self = connection.self] {
+        if (*self) {
+            (*self)->stream.close();
+        }
+    };
+}
+
 /// Waits for the header of the answer. What was written during a cut is sent when the link is whole.
 asio::awaitable<boost::system::error_code> readHeader(
     client_connection &connection, endpoint to, client_stream::parser &source, std::chrono::milliseconds limit)
@@ -155,7 +169,7 @@
 asio::awaitable<result<std::unique_ptr<response_stream>>> client::open(endpoint to, request_message message, call_limits limits)
 {
     const auto pool = m_pool;
-    std::unique_ptr<client_connection> connection = limits.freshConnection ? nullptr : pool->take(to);
+    std::unique_ptr<client_connection> connection = limits.freshConnection ? nullptr : pool->take(to, limits.reuseIdle);
     if (!connection) {
         auto connected = co_await connect(m_executor, to, limits.connect, m_cuts);
         if (!connected) {
@@ -168,17 +182,31 @@
             co_return tl::unexpected(*refusal);
         }
     }
-    if (const auto sent = co_await sendRequest(*connection, to, message, limits); !sent) {
+    if (limits.onConnection) {
+        limits.onConnection(closerOf(*connection));
+    }
+    const auto sent = co_await sendRequest(*connection, to, message, limits);
+    if (!sent && sent.error().outcome == verdict::not_run) {
         co_return tl::unexpected(sent.error());
     }
+    // A server that refuses a long body may answer and close before it has read all of it.
+    const std::chrono::milliseconds headerLimit = sent ? limits.firstByte : earlyAnswerLimit;
     auto source = std::make_unique<client_stream::parser>();
     source->body_limit(boost::none);
-    const boost::system::error_code failure = co_await readHeader(*connection, to, *source, limits.firstByte);
+    boost::system::error_code failure = co_await readHeader(*connection, to, *source, headerLimit);
+    while (!failure && source->get().result_int() < 200 && source->get().result_int() != 101) {
+        source = std::make_unique<client_stream::parser>();
+        source->body_limit(boost::none);
+        failure = co_await readHeader(*connection, to, *source, headerLimit);
+    }
+    if (failure && !sent) {
+        co_return tl::unexpected(sent.error());
+    }
     if (failure) {
         const error_code code = failure == beast::error::timeout ? error_code::backend_timeout : error_code::backend_connection_lost;
         co_return tl::unexpected(callError(code, verdict::may_have_run, to, failure.message()));
     }
-    co_return std::make_unique<client_stream>(pool, to, std::move(connection), std::move(source), limits.progress);
+    co_return std::make_unique<client_stream>(pool, to, std::move(connection), std::move(source), limits.progress, sent.has_value());
 }
 
 asio::awaitable<result<response_message>> client::call(endpoint to, request_message message, call_limits limits)
--- a/src/http/internal/client_stream.cpp
+++ b/src/http/internal/client_stream.cpp
@@ -4,6 +4,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include <charconv>
+
 namespace mustardtrail::http
 {
 
@@ -20,18 +22,37 @@
     return error{ error_code::backend_connection_lost, verdict::may_have_run, "peer=" + toString(to) + " " + std::string(what), {} };
 }
 
+// Half of what the server allows: the rest covers the way there and a late timer.
+std::chrono::milliseconds idleLimitOf(std::string_view keepAlive)
+{
+    constexpr std::chrono::milliseconds unstated{ 4'000 }; // Below the idle time-outs of common servers.
+    constexpr std::string_view field = "timeout=";
+    const size_t at = keepAlive.find(field);
+    if (at == std::string_view::npos) {
+        return unstated;
+    }
+    const std::string_view digits = keepAlive.substr(at + field.size());
+    int seconds = 0;
+    if (std::from_chars(digits.data(), digits.data() + digits.size(), seconds).ec != std::errc()) {
+        return unstated;
+    }
+    return std::chrono::milliseconds(500) * seconds;
+}
+
 } // namespace
 
 client_stream::client_stream(std::shared_ptr<client::connection_pool> pool,
     endpoint to,
     std::unique_ptr<client_connection> connection,
     std::unique_ptr<parser> source,
-    std::chrono::milliseconds progress)
+    std::chrono::milliseconds progress,
+    bool isReusable)
     : m_pool(std::move(pool))
     , m_to(std::move(to))
     , m_connection(std::move(connection))
     , m_source(std::move(source))
     , m_progress(progress)
+    , m_isReusable(isReusable)
 {
     for (const auto &field : m_source->get()) {
         const auto name = field.name_string();
@@ -54,8 +75,10 @@
 
 void client_stream::giveBack()
 {
-    if (m_connection && m_source->keep_alive()) {
+    // Bytes behind the answer belong to no request, so the connection cannot be trusted with another one.
+    if (m_connection && m_source->keep_alive() && m_connection->buffer.size() == 0 && m_isReusable) {
         m_connection->stream.expires_never();
+        m_connection->idleLimit = idleLimitOf(m_headers.find("Keep-Alive"));
         m_pool->put(m_to, std::move(m_connection));
     }
     m_connection.reset();
--- a/src/http/internal/client_stream.h
+++ b/src/http/internal/client_stream.h
@@ -18,7 +18,8 @@
         endpoint to,
         std::unique_ptr<client_connection> connection,
         std::unique_ptr<parser> source,
-        std::chrono::milliseconds progress);
+        std::chrono::milliseconds progress,
+        bool isReusable);
     ~client_stream() override;
 
     int status() const override;
@@ -34,6 +35,7 @@
     std::unique_ptr<client_connection> m_connection;
     std::unique_ptr<parser> m_source;
     std::chrono::milliseconds m_progress;
+    bool m_isReusable; ///< False when the request was not sent whole.
     header_list m_headers;
     bool m_isClosed = false;
 };
--- a/src/http/internal/connection.cpp
+++ b/src/http/internal/connection.cpp
@@ -2,6 +2,7 @@
 
 #include "http/internal/server_exchange.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -168,6 +169,15 @@
     co_await drain();
 }
 
+void connection::closeIfIdle()
+{
+    asio::post(m_stream.get_executor(), [self = shared_from_this()] {
+        if (self->m_isIdle) {
+            self->m_stream.cancel();
+        }
+    });
+}
+
 // Closing with unread bytes resets the connection, and the peer may lose the answer that it has not read yet.
 asio::awaitable<void> connection::drain()
 {
@@ -191,7 +201,7 @@
 asio::awaitable<bool> connection::refuse(int status, error_code code, std::string_view detail)
 {
     const response_message message = m_state->badRequest(status, static_cast<int>(code), detail);
-    server_exchange answer(m_stream, m_state->limits, request_message{}, false);
+    server_exchange answer(m_stream, m_state->limits, request_message{}, false, nullptr);
     co_await answer.respond(message);
     co_return false;
 }
@@ -206,7 +216,9 @@
     auto token = asio::redirect_error(asio::use_awaitable, failure);
     if (m_buffer.size() == 0) {
         m_stream.expires_after(limits.idle);
+        m_isIdle = true;
         const size_t count = co_await m_stream.async_read_some(m_buffer.prepare(4096), token);
+        m_isIdle = false;
         m_buffer.commit(count);
         if (failure) {
             co_return false;
@@ -247,7 +259,7 @@
     }
     deadline.expireAt(std::chrono::steady_clock::time_point::max());
     const bool keepAlive = source.get().keep_alive();
-    server_exchange answer(m_stream, limits, takeMessage(source), keepAlive);
+    server_exchange answer(m_stream, limits, takeMessage(source), keepAlive, &m_state->closing);
     co_await m_state->handle(answer);
     co_return answer.canReuse();
 }
--- a/src/http/internal/connection.h
+++ b/src/http/internal/connection.h
@@ -7,9 +7,14 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
+#include <mutex>
+#include <vector>
+
 namespace mustardtrail::http
 {
 
+class connection;
+
 struct server::shared_state {
     shared_state(server_limits serverLimits, handler serve, bad_request_answer answer)
         : limits(serverLimits)
@@ -25,6 +30,12 @@
     body_budget budget;
     std::atomic<size_t> openConnections{ 0 };
     std::atomic<bool> stopping{ false };
+    std::atomic<bool> closing{ false }; ///< Each answer closes its connection.
+    std::mutex mutex; ///< Guards connections; taken when one opens and once at the stop.
+    std::vector<std::weak_ptr<connection>> connections;
+
+    void remember(const std::shared_ptr<connection> &opened);
+    void closeIdle();
     std::shared_ptr<boost::asio::ip::tcp::acceptor> acceptor;
 };
 
@@ -38,6 +49,8 @@
     connection &operator=(const connection &) = delete;
 
     boost::asio::awaitable<void> run();
+    /// Ends the wait for the next request; a request that has begun to arrive is served.
+    void closeIfIdle();
 
 private:
     boost::asio::awaitable<bool> serveOne();
@@ -48,6 +61,7 @@
     std::shared_ptr<server::shared_state> m_state;
     boost::beast::tcp_stream m_stream;
     boost::beast::flat_buffer m_buffer;
+    bool m_isIdle = false;
 };
 
 } // namespace mustardtrail::http
--- a/src/http/internal/connection_pool.cpp
+++ b/src/http/internal/connection_pool.cpp
@@ -1,5 +1,6 @@
 #include "http/internal/connection_pool.h"
 
+#include <algorithm>
 #include <array>
 
 namespace mustardtrail::http
@@ -21,13 +22,15 @@
 
 } // namespace
 
-std::unique_ptr<client_connection> client::connection_pool::take(const endpoint &to)
+std::unique_ptr<client_connection> client::connection_pool::take(const endpoint &to, std::chrono::milliseconds idle)
 {
-    auto &idle = m_idle[to];
-    while (!idle.empty()) {
-        auto connection = std::move(idle.back());
-        idle.pop_back();
-        if (isUsable(*connection)) {
+    const auto now = std::chrono::steady_clock::now();
+    auto &kept = m_idle[to];
+    while (!kept.empty()) {
+        auto connection = std::move(kept.back());
+        kept.pop_back();
+        const auto idleFor = now - connection->idleSince;
+        if (idleFor < std::min(idle, connection->idleLimit) && isUsable(*connection)) {
             connection->reused = true;
             return connection;
         }
@@ -37,9 +40,10 @@
 
 void client::connection_pool::put(const endpoint &to, std::unique_ptr<client_connection> connection)
 {
-    auto &idle = m_idle[to];
-    if (idle.size() < idlePerEndpoint) {
-        idle.push_back(std::move(connection));
+    auto &kept = m_idle[to];
+    if (kept.size() < idlePerEndpoint) {
+        connection->idleSince = std::chrono::steady_clock::now();
+        kept.push_back(std::move(connection));
     }
 }
 
--- a/src/http/internal/connection_pool.h
+++ b/src/http/internal/connection_pool.h
@@ -20,6 +20,7 @@
     }
     ~client_connection()
     {
+        *self = nullptr;
         if (isCut()) {
             cuts->keepUntilWhole(std::move(held));
         }
@@ -35,6 +36,9 @@
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer;
     bool reused = false;
+    std::chrono::steady_clock::time_point idleSince{};
+    std::chrono::milliseconds idleLimit{ 60'000 }; ///< The server closes it after being idle this long.
+    std::shared_ptr<client_connection *> self = std::make_shared<client_connection *>(this); ///< Null when it is gone.
     std::shared_ptr<cut_links> cuts; ///< Null when cuts are forbidden.
     std::unique_ptr<held_socket> held; ///< Null when cuts are forbidden.
 };
@@ -43,8 +47,8 @@
 class client::connection_pool
 {
 public:
-    /// An idle connection that the server has not closed, or nothing.
-    std::unique_ptr<client_connection> take(const endpoint &to);
+    /// A connection that was idle for less than `idle` and that the server has not closed, or nothing.
+    std::unique_ptr<client_connection> take(const endpoint &to, std::chrono::milliseconds idle);
     void put(const endpoint &to, std::unique_ptr<client_connection> connection);
 
 private:
--- a/src/http/internal/server.cpp
+++ b/src/http/internal/server.cpp
@@ -37,12 +37,32 @@
         }
         const auto strand = socket.get_executor();
         const auto opened = std::make_shared<connection>(std::move(socket), state);
+        state->remember(opened);
         asio::co_spawn(strand, opened->run(), asio::detached);
     }
 }
 
 } // namespace
 
+void server::shared_state::remember(const std::shared_ptr<connection> &opened)
+{
+    const std::lock_guard lock(mutex);
+    std::erase_if(connections, [](const std::weak_ptr<connection> &each) {
+        return each.expired();
+    });
+    connections.push_back(opened);
+}
+
+void server::shared_state::closeIdle()
+{
+    const std::lock_guard lock(mutex);
+    for (const auto &each : connections) {
+        if (const auto open = each.lock()) {
+            open->closeIfIdle();
+        }
+    }
+}
+
 server::server(asio::any_io_executor executor, server_limits limits, handler handle, bad_request_answer badRequest)
     : m_state(std::make_shared<shared_state>(limits, std::move(handle), std::move(badRequest)))
 {
@@ -78,11 +98,18 @@
     return bound;
 }
 
+void server::announceClose()
+{
+    m_state->closing = true;
+}
+
 void server::stop()
 {
+    m_state->closing = true;
     if (m_state->stopping.exchange(true)) {
         return;
     }
+    m_state->closeIdle();
     asio::post(m_state->acceptor->get_executor(), [acceptor = m_state->acceptor] {
         boost::system::error_code ignored;
         acceptor->close(ignored);
--- a/src/http/internal/server_exchange.cpp
+++ b/src/http/internal/server_exchange.cpp
@@ -45,17 +45,19 @@
 template<typename message> void setHeaders(message &target, const header_list &headers)
 {
     for (const auto &[name, value] : headers.fields()) {
-        target.set(view(name), view(value));
+        target.insert(view(name), view(value));
     }
 }
 
 } // namespace
 
-server_exchange::server_exchange(beast::tcp_stream &stream, const server_limits &limits, request_message request, bool keepAlive)
+server_exchange::server_exchange(
+    beast::tcp_stream &stream, const server_limits &limits, request_message request, bool keepAlive, const std::atomic<bool> *closing)
     : m_stream(stream)
     , m_limits(limits)
     , m_request(std::move(request))
     , m_keepAlive(keepAlive)
+    , m_closing(closing)
 {
 }
 
@@ -72,14 +74,20 @@
     return m_request;
 }
 
+void server_exchange::begin()
+{
+    m_started = true;
+    m_keepAlive = m_keepAlive && !(m_closing && *m_closing);
+}
+
 asio::awaitable<bool> server_exchange::respond(response_message message)
 {
     beast::http::response<beast::http::string_body> response(static_cast<beast::http::status>(message.status), 11);
     setHeaders(response, message.headers);
+    begin();
     response.keep_alive(m_keepAlive);
     response.body() = std::move(message.body);
     response.prepare_payload();
-    m_started = true;
     m_stream.expires_after(m_limits.progress);
     boost::system::error_code failure;
     co_await beast::http::async_write(m_stream, response, asio::redirect_error(asio::use_awaitable, failure));
@@ -92,9 +100,9 @@
 {
     beast::http::response<beast::http::empty_body> response(static_cast<beast::http::status>(status), 11);
     setHeaders(response, headers);
+    begin();
     response.keep_alive(m_keepAlive);
     response.chunked(true);
-    m_started = true;
     m_stream.expires_after(m_limits.progress);
     boost::system::error_code failure;
     beast::http::response_serializer<beast::http::empty_body> serializer(response);
--- a/src/http/internal/server_exchange.h
+++ b/src/http/internal/server_exchange.h
@@ -6,6 +6,7 @@
 #include <boost/asio/cancellation_signal.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
+#include <atomic>
 #include <memory>
 
 namespace mustardtrail::http
@@ -15,7 +16,12 @@
 class server_exchange final : public exchange
 {
 public:
-    server_exchange(boost::beast::tcp_stream &stream, const server_limits &limits, request_message request, bool keepAlive);
+    /// `closing`, when given, tells while the answer begins whether the connection closes behind it.
+    server_exchange(boost::beast::tcp_stream &stream,
+        const server_limits &limits,
+        request_message request,
+        bool keepAlive,
+        const std::atomic<bool> *closing);
     ~server_exchange() override;
 
     const request_message &request() const override;
@@ -33,10 +39,13 @@
 private:
     struct gone_watch;
 
+    void begin();
+
     boost::beast::tcp_stream &m_stream;
     const server_limits &m_limits;
     request_message m_request;
     bool m_keepAlive;
+    const std::atomic<bool> *m_closing;
     bool m_started = false;
     bool m_finished = false;
     bool m_broken = false;
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -23,7 +23,9 @@
 
     /// Binds and starts to accept; port 0 takes any. Returns the bound endpoint.
     result<endpoint> listen(const endpoint &address);
-    /// Accepts no more connections and closes idle ones after their current request.
+    /// Each answer from now on closes its connection; new connections are still accepted.
+    void announceClose();
+    /// Accepts no more connections, closes idle ones, and the others after their current request.
     void stop();
 
     size_t openConnections() const;
--- /dev/null
+++ b/src/programs/gateway/decision_log.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/log_line.h"
+
+#include <cstdint>
+
+namespace mustardtrail::gateway
+{
+
+/// Log lines of one process, bounded: over the rate they are dropped, counted, and the count is logged.
+class decision_log
+{
+public:
+    explicit decision_log(const monotonic_clock &clock);
+
+    void write(const log_line &line);
+    std::uint64_t dropped() const;
+
+    static constexpr double linesPerSecond = 400.0; ///< Twice a busy instance's requests, each with a line at start and end.
+    static constexpr double burstLines = 400.0; ///< One second's worth.
+
+private:
+    const monotonic_clock &m_clock;
+    double m_room = burstLines;
+    time_point m_filledAt{};
+    std::uint64_t m_dropped = 0;
+    std::uint64_t m_toldDropped = 0;
+};
+
+} // namespace mustardtrail::gateway
--- /dev/null
+++ b/src/programs/gateway/gateway_context.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/random_source.h"
+#include "gateway/fleet_state.h"
+#include "http/client.h"
+#include "programs/gateway/decision_log.h"
+#include "programs/gateway/gateway_metrics.h"
+
+#include <functional>
+
+namespace mustardtrail::gateway
+{
+
+/// What the requests of one process share. Used on the one thread of its event loop.
+struct gateway_context {
+    fleet_state &state;
+    http::client &client;
+    const monotonic_clock &clock;
+    random_source &random;
+    decision_log &log;
+    gateway_metrics &metrics;
+    std::chrono::milliseconds stall; ///< After this an engine ends work that depends on a lost engine.
+    std::function<void()> workChanged; ///< Tells the other instances soon.
+    bool isStopping = false;
+};
+
+} // namespace mustardtrail::gateway
--- /dev/null
+++ b/src/programs/gateway/gateway_host.cpp
@@ -0,0 +1,204 @@
+#include "programs/gateway/gateway_host.h"
+
+#include "platform/answer_head.h"
+#include "programs/gateway/request_session.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <exception>
+#include <random>
+
+namespace mustardtrail::gateway
+{
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+constexpr milliseconds rotationPause{ 2'500 }; ///< The balancer asks each second and takes an instance out after two misses.
+constexpr milliseconds stopReserve{ 600 }; ///< Of the grace: the process has to end before it is killed.
+constexpr milliseconds stopCheck{ 20 };
+constexpr double configAgeShare = 0.8; ///< Of the time in which a key must be gone; the rest covers a request that runs.
+
+fleet_limits limitsFrom(const platform::instance_settings &settings)
+{
+    fleet_limits limits;
+    limits.resend = { settings.resendRatio, settings.resendWindow, settings.resendSlack };
+    limits.configAge = std::chrono::duration_cast<milliseconds>(settings.keyRevocation * configAgeShare);
+    limits.coldOver = settings.coldOver;
+    limits.coldSlack = settings.coldSlack;
+    return limits;
+}
+
+http::server_limits callerLimits(const platform::instance_settings &settings)
+{
+    constexpr std::int64_t bytesPerMegabyte = 1024 * 1024;
+    http::server_limits limits;
+    limits.bodiesBytes = static_cast<size_t>(std::max<std::int64_t>(settings.memoryMegabytes / 3, 32) * bytesPerMegabyte);
+    return limits;
+}
+
+http::response_message badRequest(int status, int, std::string_view detail)
+{
+    return platform::ownAnswer(status, std::string(detail), std::nullopt);
+}
+
+// A failure that ends a task of the process is a fault of the program; the platform starts it again.
+void rethrow(std::exception_ptr failure)
+{
+    if (failure) {
+        std::rethrow_exception(failure);
+    }
+}
+
+} // namespace
+
+gateway_host::gateway_host(asio::io_context &context, platform::instance_settings settings)
+    : m_context(context)
+    , m_settings(std::move(settings))
+    , m_random(std::random_device{}())
+    , m_log(m_clock)
+    , m_client(context.get_executor())
+    , m_state(peerAddressOf(m_settings.address),
+          limitsFrom(m_settings),
+          [this](std::string_view event, std::string_view subject, std::string_view detail) {
+              m_log.write(log_line(event).add("subject", subject).add("detail", detail));
+          })
+    , m_shared{ m_state,
+        m_client,
+        m_clock,
+        m_random,
+        m_log,
+        m_metrics,
+        m_settings.stall,
+        [this] {
+            m_peers.workChanged();
+        },
+        false }
+    , m_peers(context.get_executor(), m_shared, m_settings.instance, { m_settings.address, m_settings.peerPort })
+    , m_store(m_shared, m_settings.store)
+    , m_callers(
+          context.get_executor(),
+          callerLimits(m_settings),
+          [this](http::exchange &exchange) {
+              return serveCaller(exchange);
+          },
+          badRequest)
+    , m_readiness(
+          context.get_executor(),
+          {},
+          [this](http::exchange &exchange) {
+              return serveReadiness(exchange);
+          },
+          badRequest)
+    , m_metricsServer(
+          context.get_executor(),
+          {},
+          [this](http::exchange &exchange) {
+              return serveMetrics(exchange);
+          },
+          badRequest)
+{
+}
+
+void gateway_host::addSeeds(const std::vector<endpoint> &seeds)
+{
+    std::vector<peer_address> addresses;
+    for (const endpoint &seed : seeds) {
+        addresses.push_back(peerAddressOf(seed.address));
+    }
+    m_state.peers.addSeeds(addresses);
+}
+
+result<void> gateway_host::open()
+{
+    addSeeds(m_settings.seeds);
+    if (auto opened = m_peers.open(); !opened) {
+        return opened;
+    }
+    if (auto bound = m_readiness.listen(m_settings.readiness); !bound) {
+        return tl::unexpected(bound.error());
+    }
+    if (auto bound = m_metricsServer.listen({ m_settings.address, m_settings.metricsPort }); !bound) {
+        return tl::unexpected(bound.error());
+    }
+    if (auto bound = m_callers.listen(m_settings.callers); !bound) {
+        return tl::unexpected(bound.error());
+    }
+    return {};
+}
+
+void gateway_host::start()
+{
+    asio::co_spawn(m_context, m_store.run(), rethrow);
+    asio::co_spawn(m_context, m_peers.receive(), rethrow);
+    asio::co_spawn(m_context, m_peers.report(), rethrow);
+}
+
+void gateway_host::reload(const platform::instance_settings &settings)
+{
+    addSeeds(settings.seeds);
+    m_log.write(log_line("settings_reloaded").add("seeds", static_cast<std::int64_t>(settings.seeds.size())));
+}
+
+bool gateway_host::isReady() const
+{
+    return !m_shared.isStopping && m_state.mayServe(m_clock.now());
+}
+
+asio::awaitable<void> gateway_host::serveCaller(http::exchange &exchange)
+{
+    ++m_running;
+    {
+        request_session session(m_shared, exchange);
+        co_await session.run();
+    }
+    --m_running;
+}
+
+asio::awaitable<void> gateway_host::serveReadiness(http::exchange &exchange)
+{
+    const bool ready = isReady();
+    if (ready != m_wasReady) {
+        m_wasReady = ready;
+        m_log.write(log_line("readiness").add("ready", ready ? "yes" : "no").add("stopping", m_shared.isStopping ? "yes" : "no"));
+    }
+    auto answer = platform::ownAnswer(ready ? 200 : 503, ready ? "none" : "not_ready", std::nullopt);
+    co_await exchange.respond(std::move(answer));
+}
+
+asio::awaitable<void> gateway_host::serveMetrics(http::exchange &exchange)
+{
+    const auto confirmed = m_state.freshness.confirmedAt();
+    const auto age = confirmed ? std::chrono::duration_cast<milliseconds>(m_clock.now() - *confirmed) : milliseconds(-1);
+    m_metrics.setBeliefs(
+        m_state.routes ? m_state.routes->version() : 0, age, m_state.servers.size(), m_state.loads.peers(), m_log.dropped());
+    auto answer = http::wholeAnswer(200, m_metrics.text(), "text/plain; version=0.0.4");
+    co_await exchange.respond(std::move(answer));
+}
+
+asio::awaitable<void> gateway_host::stop()
+{
+    const time_point end = m_clock.now() + m_settings.stopGrace - stopReserve;
+    m_shared.isStopping = true;
+    m_callers.announceClose();
+    m_log.write(log_line("stop_begins").add("running", static_cast<std::int64_t>(m_running)));
+    asio::steady_timer timer(m_context);
+    boost::system::error_code ignored;
+    timer.expires_after(rotationPause);
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    m_callers.stop();
+    while (m_clock.now() < end && (m_running > 0 || m_callers.openConnections() > 0)) {
+        timer.expires_after(stopCheck);
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    m_peers.sendReport();
+    m_log.write(log_line("stopped").add("running", static_cast<std::int64_t>(m_running)));
+    m_context.stop();
+}
+
+} // namespace mustardtrail::gateway
--- /dev/null
+++ b/src/programs/gateway/gateway_host.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "http/server.h"
+#include "platform/instance_settings.h"
+#include "programs/gateway/peer_link.h"
+#include "programs/gateway/store_reader.h"
+
+#include <boost/asio/io_context.hpp>
+
+namespace mustardtrail::gateway
+{
+
+/// Composition root of mustardtrail-gateway: one instance in one process, on one event loop.
+class gateway_host
+{
+public:
+    gateway_host(boost::asio::io_context &context, platform::instance_settings settings);
+
+    /// Binds all addresses.
+    result<void> open();
+    void start();
+    /// Settings may name other seeds; all else needs a restart.
+    void reload(const platform::instance_settings &settings);
+    /// Answers what has begun, takes no new connections, then stops the event loop.
+    boost::asio::awaitable<void> stop();
+
+private:
+    boost::asio::awaitable<void> serveCaller(http::exchange &exchange);
+    boost::asio::awaitable<void> serveReadiness(http::exchange &exchange);
+    boost::asio::awaitable<void> serveMetrics(http::exchange &exchange);
+    bool isReady() const;
+    void addSeeds(const std::vector<endpoint> &seeds);
+
+    boost::asio::io_context &m_context;
+    platform::instance_settings m_settings;
+    system_monotonic_clock m_clock;
+    random_source m_random;
+    decision_log m_log;
+    gateway_metrics m_metrics;
+    http::client m_client;
+    fleet_state m_state;
+    gateway_context m_shared;
+    peer_link m_peers;
+    store_reader m_store;
+    http::server m_callers;
+    http::server m_readiness;
+    http::server m_metricsServer;
+    size_t m_running = 0; ///< Requests that have no final answer.
+    bool m_wasReady = false;
+};
+
+} // namespace mustardtrail::gateway
--- /dev/null
+++ b/src/programs/gateway/main.cpp
@@ -0,0 +1,136 @@
+#include "host/command_line.h"
+#include "host/exit_code.h"
+#include "host/log.h"
+#include "programs/gateway/gateway_host.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/usage.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+ABSL_FLAG(std::string, settings, "", "settings file of the platform; default: the file named by MUSTARDTRAIL_CONFIG");
+ABSL_FLAG(bool, check_settings, false, "read the settings, print what is wrong, and exit");
+ABSL_FLAG(std::string, log_level, "info", "debug, info or warning");
+
+using namespace mustardtrail;
+using namespace mustardtrail::gateway;
+namespace asio = boost::asio;
+
+namespace
+{
+
+std::string settingsPath()
+{
+    const std::string given = absl::GetFlag(FLAGS_settings);
+    const char *fromPlatform = std::getenv("MUSTARDTRAIL_CONFIG");
+    return !given.empty() ? given : fromPlatform ? fromPlatform : "";
+}
+
+result<platform::instance_settings> readSettings()
+{
+    std::ifstream file(settingsPath());
+    std::ostringstream text;
+    text << file.rdbuf();
+    if (!file) {
+        return tl::unexpected(error{ error_code::settings_unreadable, verdict::not_run, "file=" + settingsPath(), {} });
+    }
+    return platform::readInstanceSettings(text.str());
+}
+
+host::log_level chosenLevel()
+{
+    const std::string name = absl::GetFlag(FLAGS_log_level);
+    if (name == "debug") {
+        return host::log_level::debug;
+    }
+    return name == "warning" ? host::log_level::warning : host::log_level::info;
+}
+
+int fail(const error &problem, host::exit_code code)
+{
+    std::cerr << "mustardtrail-gateway: " << toString(problem.code) << ' ' << problem.detail << '\n';
+    return code;
+}
+
+class signal_watch
+{
+public:
+    signal_watch(asio::io_context &context, gateway_host &host)
+        : m_context(context)
+        , m_host(host)
+        , m_signals(context, SIGTERM, SIGINT, SIGHUP)
+    {
+        wait();
+    }
+
+private:
+    void wait()
+    {
+        m_signals.async_wait([this](boost::system::error_code failure, int signal) {
+            if (failure) {
+                return;
+            }
+            onSignal(signal);
+            wait();
+        });
+    }
+
+    void onSignal(int signal)
+    {
+        if (signal != SIGHUP) {
+            if (!m_isStopping) {
+                asio::co_spawn(m_context, m_host.stop(), asio::detached);
+            }
+            m_isStopping = true;
+            return;
+        }
+        const auto settings = readSettings();
+        if (settings) {
+            m_host.reload(*settings);
+        } else {
+            host::log(host::log_level::warning, log_line("settings_not_reloaded").add("detail", settings.error().detail));
+        }
+    }
+
+    asio::io_context &m_context;
+    gateway_host &m_host;
+    asio::signal_set m_signals;
+    bool m_isStopping = false;
+};
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    absl::SetProgramUsageMessage("Serves callers' requests of one instance on the users' platform.");
+    host::parseCommandLine(argc, argv);
+    const auto settings = readSettings();
+    if (!settings) {
+        return fail(settings.error(), host::exit_settings);
+    }
+    if (absl::GetFlag(FLAGS_check_settings)) {
+        std::cout << "settings are valid\n";
+        return host::exit_ok;
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    host::openLog(chosenLevel(), "mustardtrail-gateway");
+    asio::io_context context(1);
+    gateway_host host(context, *settings);
+    if (const auto opened = host.open(); !opened) {
+        return fail(opened.error(), host::exit_listen);
+    }
+    host.start();
+    const signal_watch signals(context, host);
+    host::log(
+        host::log_level::info, log_line("started").add("instance", settings->instance.str()).add("callers", toString(settings->callers)));
+    context.run();
+    return host::exit_ok;
+}
--- /dev/null
+++ b/src/programs/gateway/peer_link.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "programs/gateway/gateway_context.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <array>
+
+namespace mustardtrail::gateway
+{
+
+/// Datagrams between the instances: each tells the others the whole of its work soon after it changed.
+class peer_link
+{
+public:
+    peer_link(boost::asio::any_io_executor executor, gateway_context &context, instance_id self, endpoint address);
+
+    result<void> open();
+    boost::asio::awaitable<void> receive();
+    boost::asio::awaitable<void> report();
+    /// The work has changed: a report goes out within reportPause.
+    void workChanged();
+    void sendReport();
+
+    static constexpr std::chrono::milliseconds reportPause{ 5 }; ///< Joins the changes of one moment into one datagram.
+    static constexpr std::chrono::milliseconds reportInterval{ 500 }; ///< Without changes; repairs lost datagrams.
+
+private:
+    void onReport(const std::string &bytes);
+
+    gateway_context &m_context;
+    instance_id m_self;
+    endpoint m_address;
+    peer_address m_number;
+    std::uint64_t m_incarnation;
+    std::uint32_t m_sequence = 0;
+    boost::asio::ip::udp::socket m_socket;
+    boost::asio::steady_timer m_timer;
+    bool m_hasChange = false;
+};
+
+/// IPv4 number as an integer; 0 when the text is none.
+peer_address peerAddressOf(const std::string &ip);
+
+} // namespace mustardtrail::gateway
--- /dev/null
+++ b/src/programs/gateway/request_relay.cpp
@@ -0,0 +1,229 @@
+#include "programs/gateway/request_session.h"
+
+#include <algorithm>
+
+namespace mustardtrail::gateway
+{
+
+namespace asio = boost::asio;
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+constexpr milliseconds connectLimit{ 400 }; ///< Many times the way to any backend server.
+constexpr milliseconds recentReuse{ 1'000 }; ///< A server rarely closes a connection that was used this lately.
+constexpr milliseconds plainPatience{ 350 }; ///< Several times the usual work of a plain service.
+constexpr milliseconds passMargin{ 300 }; ///< Error of the prediction: a pass that was longer than known.
+constexpr size_t wholeAnswerBytes = 8 * 1024 * 1024;
+
+attempt_failure failureOf(const error &problem, bool hasStarted, std::optional<std::uint64_t> lastEvent)
+{
+    attempt_failure failure;
+    failure.outcome = problem.outcome;
+    failure.hasStarted = hasStarted;
+    failure.lastEvent = lastEvent;
+    return failure;
+}
+
+} // namespace
+
+http::call_limits request_session::limitsFor(const placement_decision &placed, time_point now)
+{
+    const auto left = std::max(duration_cast<milliseconds>(m_endAt - now), milliseconds(1));
+    http::call_limits limits;
+    limits.connect = std::min(connectLimit, left);
+    limits.progress = left;
+    limits.firstByte = left;
+    limits.bodyBytes = wholeAnswerBytes;
+    if (m_route->repeat == repetition::once) {
+        limits.reuseIdle = recentReuse;
+    } else if (m_runs + 1 < m_route->maxServers) {
+        const auto predicted = duration_cast<milliseconds>(placed.predictedFirst);
+        const auto patience = m_route->isStream ? 2 * predicted + m_context.stall + passMargin : plainPatience;
+        limits.firstByte = std::min(left, patience);
+    }
+    limits.onConnection = [this, alive = m_alive](std::function<void()> close) {
+        if (!*alive) {
+            return;
+        }
+        m_closeConnection = std::move(close);
+        if (m_isGone || m_isOver) {
+            m_closeConnection();
+        }
+    };
+    return limits;
+}
+
+http::request_message request_session::messageFor(const placement_decision &placed, time_point now) const
+{
+    platform::forward_terms terms;
+    terms.customer = m_customer;
+    terms.timeLeft = std::max(duration_cast<milliseconds>(m_endAt - now), milliseconds(1));
+    for (const placed_part &part : placed.parts) {
+        const auto *server = m_context.state.serverOf(part.server);
+        if (!server) {
+            continue;
+        }
+        if (&part == &placed.parts.front()) {
+            terms.expected = server->entry.id;
+        } else {
+            terms.helpers.push_back({ server->entry.address, {} });
+        }
+    }
+    if (m_lastEvent != m_head.lastEvent) {
+        terms.lastEvent = m_lastEvent;
+    }
+    return platform::forwarded(m_exchange.request(), terms);
+}
+
+void request_session::registerWork(const placement_decision &placed, time_point now)
+{
+    m_workId = m_context.random.below(~std::uint64_t{ 0 });
+    for (const placed_part &part : placed.parts) {
+        server_work work;
+        work.request = m_workId;
+        work.server = part.server;
+        work.readTime = part.readTime;
+        work.memoryTokens = part.memoryTokens;
+        work.isHelper = &part != &placed.parts.front();
+        work.hasShortPauses = m_route->isStream && m_route->pauseTarget <= shortPause;
+        work.sentAt = now;
+        m_context.state.loads.add(work);
+    }
+    m_context.workChanged();
+}
+
+asio::awaitable<std::optional<attempt_failure>> request_session::send(const placement_decision &placed)
+{
+    const time_point now = m_context.clock.now();
+    const auto *server = m_context.state.serverOf(placed.parts.front().server);
+    if (!server) {
+        co_return attempt_failure{ verdict::not_run, false, false, m_lastEvent, m_exchange.hasStarted() };
+    }
+    const endpoint address = server->entry.address;
+    m_lastServer = server->entry.id.str();
+    m_faultyServer.clear();
+    ++m_sends;
+    if (m_sends == 1) {
+        m_context.metrics.waited(m_route->name, now - m_arrivedAt);
+    }
+    registerWork(placed, now);
+    m_context.log.write(log_line("request_sent")
+                            .add("request", m_head.attempt.str())
+                            .add("server", m_lastServer)
+                            .add("parts", static_cast<std::int64_t>(placed.parts.size()))
+                            .add("tokens", m_head.promptTokens.value_or(0))
+                            .add("predicted", duration_cast<milliseconds>(placed.predictedFirst))
+                            .add("why", placed.reason)
+                            .add("age", age(now)));
+    http::request_message message = messageFor(placed, now);
+    http::call_limits limits = limitsFor(placed, now);
+    auto answer = co_await m_context.client.open(address, std::move(message), std::move(limits));
+    if (!answer) {
+        m_arrivals += answer.error().outcome == verdict::not_run ? 0 : 1;
+        m_context.metrics.sendEnded(std::string(toString(answer.error().code)));
+        co_return failureOf(answer.error(), m_exchange.hasStarted(), m_lastEvent);
+    }
+    ++m_arrivals;
+    const auto head = platform::readAnswerHead((*answer)->status(), (*answer)->headers(), m_head.attempt);
+    if (head.isOther) {
+        m_context.metrics.sendEnded("other_request");
+        co_return attempt_failure{ verdict::may_have_run, false, false, m_lastEvent, m_exchange.hasStarted() };
+    }
+    if (head.isSuccess && m_route->isStream) {
+        m_context.state.trust.succeeded(placed.parts.front().server);
+        co_return co_await relayStream(**answer);
+    }
+    co_return co_await relayWhole(**answer, head);
+}
+
+asio::awaitable<std::optional<attempt_failure>> request_session::relayStream(http::response_stream &answer)
+{
+    if (!m_exchange.hasStarted()) {
+        auto headers = platform::passedOn(answer.headers());
+        const bool open = co_await m_exchange.startStream(answer.status(), std::move(headers));
+        m_isGone = m_isGone || !open;
+    }
+    while (!m_isGone) {
+        auto bytes = co_await answer.read();
+        if (!bytes) {
+            m_context.metrics.sendEnded("stream_lost");
+            co_return failureOf(bytes.error(), true, m_lastEvent);
+        }
+        if (bytes->empty()) {
+            break;
+        }
+        m_events.append(*bytes);
+        std::string whole;
+        while (auto event = m_events.next()) {
+            whole += *event;
+        }
+        if (whole.empty()) {
+            continue;
+        }
+        noteEvents(m_context.clock.now());
+        const bool open = co_await m_exchange.write(whole);
+        m_isGone = m_isGone || !open;
+        m_lastEvent = m_events.lastId() ? m_events.lastId() : m_lastEvent;
+    }
+    const bool isWhole = !m_isGone && !m_events.hasRest();
+    if (!isWhole) {
+        co_return attempt_failure{ verdict::ran, false, false, m_lastEvent, true };
+    }
+    m_context.metrics.sendEnded("served");
+    co_await m_exchange.finishStream();
+    co_return std::nullopt;
+}
+
+void request_session::noteEvents(time_point now)
+{
+    if (!m_firstEventAt) {
+        m_firstEventAt = now;
+        m_context.metrics.firstEvent(m_route->name, now - m_arrivedAt);
+    } else {
+        m_longestPause = std::max(m_longestPause, duration_cast<milliseconds>(now - m_lastEventAt));
+    }
+    m_lastEventAt = now;
+    if (m_context.state.loads.firstToken(m_workId)) {
+        m_context.workChanged();
+    }
+}
+
+asio::awaitable<std::optional<attempt_failure>> request_session::relayWhole(
+    http::response_stream &answer, const platform::answer_head &head)
+{
+    http::response_message message{ answer.status(), platform::passedOn(answer.headers()), {} };
+    while (true) {
+        auto bytes = co_await answer.read();
+        if (!bytes || message.body.size() > wholeAnswerBytes) {
+            m_context.metrics.sendEnded("answer_lost");
+            co_return attempt_failure{ head.outcome == verdict::not_run ? verdict::not_run : verdict::may_have_run,
+                head.isWrongServer,
+                false,
+                m_lastEvent,
+                m_exchange.hasStarted() };
+        }
+        if (bytes->empty()) {
+            break;
+        }
+        message.body += *bytes;
+    }
+    m_faultyServer = head.faultyServer;
+    if (head.isSuccess && !m_exchange.hasStarted()) {
+        m_context.metrics.sendEnded("served");
+        co_await m_exchange.respond(std::move(message));
+        co_return std::nullopt;
+    }
+    m_context.metrics.sendEnded("status_" + std::to_string(message.status));
+    attempt_failure failure{ head.outcome, head.isWrongServer, false, m_lastEvent, m_exchange.hasStarted() };
+    const bool isFailure = message.status >= 300;
+    if (head.outcome == verdict::ran && isFailure) {
+        failure.hasAnswer = true;
+        m_serverFailure = std::move(message);
+    }
+    co_return failure;
+}
+
+} // namespace mustardtrail::gateway
--- /dev/null
+++ b/src/programs/gateway/request_session.cpp
@@ -0,0 +1,307 @@
+#include "programs/gateway/request_session.h"
+
+#include "gateway/prompt_placement.h"
+#include "gateway/service_choice.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace mustardtrail::gateway
+{
+
+namespace asio = boost::asio;
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+constexpr milliseconds lookAgain{ 10 }; ///< While a request waits here; below a pass of an engine.
+constexpr milliseconds defaultTimeLeft{ 30'000 }; ///< Of a caller that does not say how long it waits.
+constexpr milliseconds noViewPause{ 500 }; ///< A started or cut off instance is usually back within this.
+constexpr unsigned mostSends = 6; ///< Refusals of servers cost little, but not nothing.
+
+} // namespace
+
+request_session::request_session(gateway_context &context, http::exchange &exchange)
+    : m_context(context)
+    , m_exchange(exchange)
+    , m_head(platform::readCallerHead(exchange.request()))
+    , m_routes(context.state.routes)
+    , m_arrivedAt(context.clock.now())
+    , m_pause(exchange.executor())
+    , m_deadline(exchange.executor())
+{
+}
+
+request_session::~request_session()
+{
+    *m_alive = false;
+}
+
+milliseconds request_session::age(time_point now) const
+{
+    return duration_cast<milliseconds>(now - m_arrivedAt);
+}
+
+std::optional<request_session::refusal> request_session::admit()
+{
+    const http::request_message &request = m_exchange.request();
+    if (!m_context.state.mayServe(m_arrivedAt)) {
+        return refusal{ 503, m_routes ? "config_not_confirmed" : "no_config", noViewPause };
+    }
+    m_route = m_routes->find(m_head.host, request.path());
+    if (!m_route) {
+        return refusal{ 404, "no_route", std::nullopt };
+    }
+    if (m_routes->needsKeys() && !m_route->isPublic) {
+        const auto customer = m_routes->customerOf(m_head.key);
+        if (!customer) {
+            return refusal{ 401, "unknown_key", std::nullopt };
+        }
+        m_customer = *customer;
+    }
+    milliseconds limit = m_head.timeLeft.value_or(defaultTimeLeft);
+    if (m_route->timeout.count() > 0) {
+        limit = std::min(limit, m_route->timeout);
+    }
+    m_endAt = m_arrivedAt + limit;
+    m_service = serviceAt(*m_route, m_context.random.unit());
+    m_lastEvent = m_head.lastEvent;
+    m_context.state.resends.countRequest(m_service, m_arrivedAt);
+    return std::nullopt;
+}
+
+asio::awaitable<void> request_session::run()
+{
+    if (const auto refused = admit()) {
+        co_await refuse(*refused);
+        co_return;
+    }
+    watchCaller();
+    watchDeadline();
+    while (true) {
+        const placement_decision placed = co_await place();
+        if (m_isGone) {
+            logEnd("caller_gone", 0, "waiting");
+            co_return;
+        }
+        if (placed.next != placement_decision::action::send) {
+            const attempt_failure none{ m_mayHaveRun ? verdict::may_have_run : verdict::not_run,
+                false,
+                m_serverFailure.has_value(),
+                m_lastEvent,
+                m_exchange.hasStarted() };
+            if (m_exchange.hasStarted() || m_mayHaveRun) {
+                const next_step last = m_exchange.hasStarted() ? next_step::break_off
+                    : m_serverFailure                          ? next_step::pass_on
+                                                               : next_step::fail;
+                co_await end(none, last);
+                co_return;
+            }
+            const refusal answer{ 503, std::string(placed.reason), placed.retryAfter };
+            co_await refuse(answer);
+            co_return;
+        }
+        const auto failure = co_await send(placed);
+        m_context.state.loads.finish(m_workId);
+        m_context.workChanged();
+        m_closeConnection = nullptr;
+        if (!failure) {
+            logEnd("request_served", 200, m_lastServer);
+            co_return;
+        }
+        if (m_isGone) {
+            logEnd("caller_gone", 0, m_lastServer);
+            co_return;
+        }
+        blame(placed, *failure);
+        const next_step step = stepAfter(*failure);
+        if (step != next_step::send_again) {
+            co_await end(*failure, step);
+            co_return;
+        }
+        m_events.dropRest();
+    }
+}
+
+placement_decision request_session::decide(time_point now)
+{
+    const auto candidates = m_context.state.candidates(m_service, m_excluded, now);
+    const service_profile *profile = m_routes->profileOf(m_service);
+    if (profile && profile->engine && m_head.promptTokens) {
+        prompt_work work;
+        work.promptTokens = *m_head.promptTokens;
+        work.answerTokens = m_head.answerTokens;
+        work.pauseTarget = m_route->pauseTarget;
+        work.arrivedAt = m_arrivedAt;
+        work.targetAt = m_arrivedAt + m_route->latencyTarget;
+        work.deadline = m_endAt;
+        return placePrompt(work, *profile->engine, candidates, now);
+    }
+    placement_decision decision;
+    const auto chosen = chooseServer(candidates, m_context.random.unit());
+    if (!chosen) {
+        decision.next = placement_decision::action::refuse;
+        decision.reason = "no_server";
+        decision.retryAfter = noViewPause;
+        return decision;
+    }
+    decision.next = placement_decision::action::send;
+    decision.parts.push_back({ *chosen, std::chrono::microseconds(0), 0 });
+    return decision;
+}
+
+asio::awaitable<placement_decision> request_session::place()
+{
+    while (true) {
+        const time_point now = m_context.clock.now();
+        placement_decision decision = decide(now);
+        const bool isLate = now >= m_endAt;
+        if (isLate) {
+            decision.next = placement_decision::action::refuse;
+            decision.reason = "deadline";
+        }
+        if (m_isGone || decision.next != placement_decision::action::wait) {
+            co_return decision;
+        }
+        m_pause.expires_after(lookAgain);
+        boost::system::error_code ignored;
+        co_await m_pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
+next_step request_session::stepAfter(const attempt_failure &failure)
+{
+    const time_point now = m_context.clock.now();
+    m_mayHaveRun = m_mayHaveRun || failure.outcome != verdict::not_run;
+    m_runs += failure.outcome != verdict::not_run ? 1 : 0;
+    retry_state state;
+    state.repeat = m_route->repeat;
+    state.mayHaveRun = m_mayHaveRun;
+    state.sends = m_runs;
+    state.maxServers = m_route->maxServers;
+    state.hasTime = now + milliseconds(20) < m_endAt && m_sends < mostSends;
+    state.hasOtherServer = !m_context.state.candidates(m_service, m_excluded, now).empty();
+    state.hasBudget = true;
+    if (afterFailure(failure, state) != next_step::send_again || m_arrivals == 0) {
+        return afterFailure(failure, state);
+    }
+    state.hasBudget = m_context.state.resends.tryTake(m_service, now, m_context.state.peers.largestFleet());
+    return afterFailure(failure, state);
+}
+
+void request_session::blame(const placement_decision &placed, const attempt_failure &failure)
+{
+    const time_point now = m_context.clock.now();
+    const auto *primary = m_context.state.serverOf(placed.parts.front().server);
+    m_context.log.write(log_line("send_failed")
+                            .add("request", m_head.attempt.str())
+                            .add("server", m_lastServer)
+                            .add("verdict", toString(failure.outcome))
+                            .add("faulty", m_faultyServer)
+                            .add("age", age(now)));
+    bool helperFailed = false;
+    for (const placed_part &part : placed.parts) {
+        const auto *server = m_context.state.serverOf(part.server);
+        const bool isNamed = server && (server->entry.id.str() == m_faultyServer || toString(server->entry.address) == m_faultyServer);
+        if (isNamed) {
+            m_context.state.trust.failed(part.server, now);
+            helperFailed = part.server != placed.parts.front().server;
+        }
+    }
+    if (helperFailed || !primary) {
+        return;
+    }
+    m_excluded.insert(primary->entry.id);
+    if (failure.outcome != verdict::not_run && !failure.hasAnswer) {
+        m_context.state.trust.failed(placed.parts.front().server, now);
+    }
+}
+
+asio::awaitable<void> request_session::end(const attempt_failure &failure, next_step step)
+{
+    if (step == next_step::break_off) {
+        logEnd("stream_broken", 0, m_lastServer);
+        co_return;
+    }
+    if (step == next_step::pass_on && m_serverFailure) {
+        logEnd("failure_passed_on", m_serverFailure->status, m_lastServer);
+        co_await m_exchange.respond(*m_serverFailure);
+        co_return;
+    }
+    if (step == next_step::refuse && failure.outcome == verdict::not_run) {
+        const refusal answer{ 503, "servers_refused", milliseconds(200 + m_context.random.below(400)) };
+        co_await refuse(answer);
+        co_return;
+    }
+    refusal answer{ 502, "may_have_run", std::nullopt };
+    if (m_isOver) {
+        answer.status = 504;
+        answer.reason = "timeout";
+    }
+    co_await refuse(answer);
+}
+
+asio::awaitable<void> request_session::refuse(const refusal &answer)
+{
+    m_context.metrics.refused(answer.reason);
+    logEnd("request_refused", answer.status, answer.reason);
+    auto retryAfter = answer.retryAfter;
+    if (retryAfter && m_route) {
+        const auto left = duration_cast<milliseconds>(m_endAt - m_context.clock.now());
+        retryAfter = std::clamp(*retryAfter, milliseconds(0), std::max(left / 3, milliseconds(0)));
+    }
+    auto message = platform::ownAnswer(answer.status, answer.reason, retryAfter);
+    co_await m_exchange.respond(std::move(message));
+}
+
+void request_session::watchCaller()
+{
+    m_exchange.onGone([this] {
+        m_isGone = true;
+        interrupt();
+    });
+}
+
+void request_session::watchDeadline()
+{
+    m_deadline.expires_at(m_endAt);
+    m_deadline.async_wait([this, alive = m_alive](boost::system::error_code failure) {
+        if (failure || !*alive) {
+            return;
+        }
+        m_isOver = true;
+        interrupt();
+    });
+}
+
+void request_session::interrupt()
+{
+    m_pause.cancel();
+    if (m_closeConnection) {
+        m_closeConnection();
+    }
+}
+
+void request_session::logEnd(std::string_view event, int status, std::string_view reason)
+{
+    const time_point now = m_context.clock.now();
+    const std::string routeName = m_route ? m_route->name : "none";
+    m_context.metrics.answered(routeName, status, now - m_arrivedAt);
+    const auto first = m_firstEventAt ? duration_cast<milliseconds>(*m_firstEventAt - m_arrivedAt) : milliseconds(-1);
+    m_context.log.write(log_line(event)
+                            .add("request", m_head.attempt.str())
+                            .add("route", routeName)
+                            .add("first", first)
+                            .add("pause", m_longestPause)
+                            .add("status", status)
+                            .add("detail", reason)
+                            .add("config", static_cast<std::int64_t>(m_routes ? m_routes->version() : 0))
+                            .add("sends", m_sends)
+                            .add("age", age(now)));
+}
+
+} // namespace mustardtrail::gateway
--- /dev/null
+++ b/src/programs/gateway/request_session.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "gateway/attempt_outcome.h"
+#include "gateway/event_splitter.h"
+#include "gateway/placement_decision.h"
+#include "gateway/retry_rule.h"
+#include "http/exchange.h"
+#include "platform/answer_head.h"
+#include "platform/caller_head.h"
+#include "programs/gateway/gateway_context.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <set>
+
+namespace mustardtrail::gateway
+{
+
+/// One request of a caller, from its head to its final answer. Carries out what the decisions of `gateway` say.
+class request_session
+{
+public:
+    request_session(gateway_context &context, http::exchange &exchange);
+    ~request_session();
+    request_session(const request_session &) = delete;
+    request_session &operator=(const request_session &) = delete;
+
+    boost::asio::awaitable<void> run();
+
+private:
+    struct refusal {
+        int status = 0;
+        std::string reason;
+        std::optional<std::chrono::milliseconds> retryAfter;
+    };
+
+    /// Finds route and customer; a refusal when the request is not served at all.
+    std::optional<refusal> admit();
+    /// Where to send next; waits while that serves the request better.
+    boost::asio::awaitable<placement_decision> place();
+    placement_decision decide(time_point now);
+    /// Nothing when the caller has the whole answer.
+    boost::asio::awaitable<std::optional<attempt_failure>> send(const placement_decision &placed);
+    boost::asio::awaitable<std::optional<attempt_failure>> relayStream(http::response_stream &answer);
+    boost::asio::awaitable<std::optional<attempt_failure>> relayWhole(http::response_stream &answer, const platform::answer_head &head);
+    boost::asio::awaitable<void> end(const attempt_failure &failure, next_step step);
+    boost::asio::awaitable<void> refuse(const refusal &answer);
+    next_step stepAfter(const attempt_failure &failure);
+
+    void watchCaller();
+    void watchDeadline();
+    void interrupt();
+    http::call_limits limitsFor(const placement_decision &placed, time_point now);
+    http::request_message messageFor(const placement_decision &placed, time_point now) const;
+    void noteEvents(time_point now);
+    void registerWork(const placement_decision &placed, time_point now);
+    void blame(const placement_decision &placed, const attempt_failure &failure);
+    void logEnd(std::string_view event, int status, std::string_view reason);
+    std::chrono::milliseconds age(time_point now) const;
+
+    gateway_context &m_context;
+    http::exchange &m_exchange;
+    platform::caller_head m_head;
+    std::shared_ptr<const route_table> m_routes;
+    const route *m_route = nullptr;
+    service_id m_service;
+    customer_id m_customer;
+    time_point m_arrivedAt{};
+    time_point m_endAt{};
+    boost::asio::steady_timer m_pause;
+    boost::asio::steady_timer m_deadline;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+    std::function<void()> m_closeConnection;
+    bool m_isGone = false;
+    bool m_isOver = false; ///< The deadline has passed.
+    bool m_mayHaveRun = false;
+    unsigned m_runs = 0; ///< Sends that may have run.
+    unsigned m_arrivals = 0; ///< Sends that reached a server.
+    unsigned m_sends = 0;
+    std::uint64_t m_workId = 0;
+    std::set<backend_server_id> m_excluded;
+    std::string m_lastServer;
+    std::string m_faultyServer;
+    event_splitter m_events;
+    std::optional<std::uint64_t> m_lastEvent; ///< Last event that the caller has.
+    std::optional<time_point> m_firstEventAt;
+    time_point m_lastEventAt{};
+    std::chrono::milliseconds m_longestPause{ 0 }; ///< Between two events.
+    std::optional<http::response_message> m_serverFailure; ///< A server's own failure, which may be passed on.
+};
+
+} // namespace mustardtrail::gateway
