--- a/src/gateway/internal/load_book.cpp
+++ b/src/gateway/internal/load_book.cpp
@@ -9,6 +9,8 @@
 {
 
 constexpr std::chrono::seconds rateWindow{ 1 };
+// What was read is seen with the first token, which comes at the end of a pass.
+constexpr std::chrono::milliseconds passTolerance{ 250 };
 
 // A server reads in order of arrival, so its queue is a single line of parts.
 void addReading(server_load &load, std::vector<const server_work *> &work, time_point now)
@@ -19,8 +21,8 @@
     time_point end{};
     for (const server_work *each : work) {
         end = std::max(end, each->sentAt) + each->readTime;
-        if (end < now) {
-            load.overdue = std::max(load.overdue, std::chrono::duration_cast<std::chrono::microseconds>(now - end));
+        if (end + passTolerance < now) {
+            load.overdue = std::max(load.overdue, std::chrono::duration_cast<std::chrono::microseconds>(now - end - passTolerance));
         }
     }
     if (end > now) {
@@ -76,6 +78,7 @@
     const auto count = [&](const server_work &work) {
         server_load &load = loads[work.server];
         load.memoryTokens += work.memoryTokens;
+        load.contextTokens += work.contextTokens;
         load.requests += work.isHelper ? 0 : 1;
         load.writers += work.isWriting && !work.isHelper ? 1 : 0;
         load.shortWriters += work.hasShortPauses && !work.isHelper ? 1 : 0;
--- a/src/gateway/internal/load_report.cpp
+++ b/src/gateway/internal/load_report.cpp
@@ -26,6 +26,7 @@
     target.set_server(work.server);
     target.set_read_us(clipped(work.readTime.count()));
     target.set_memory_tokens(clipped(work.memoryTokens));
+    target.set_context_tokens(clipped(work.contextTokens));
     target.set_flags((work.isWriting ? writingFlag : 0) | (work.isHelper ? helperFlag : 0) | (work.hasShortPauses ? shortPausesFlag : 0));
     const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - work.sentAt);
     target.set_sent_ms_ago(clipped(age.count()));
@@ -38,6 +39,7 @@
     work.server = source.server();
     work.readTime = std::chrono::microseconds(source.read_us());
     work.memoryTokens = source.memory_tokens();
+    work.contextTokens = source.context_tokens();
     work.isWriting = (source.flags() & writingFlag) != 0;
     work.isHelper = (source.flags() & helperFlag) != 0;
     work.hasShortPauses = (source.flags() & shortPausesFlag) != 0;
--- a/src/gateway/internal/prompt_placement.cpp
+++ b/src/gateway/internal/prompt_placement.cpp
@@ -3,6 +3,8 @@
 #include "gateway/read_cost.h"
 
 #include <algorithm>
+#include <optional>
+#include <tuple>
 
 namespace mustardtrail::gateway
 {
@@ -15,27 +17,30 @@
 
 constexpr microseconds partTarget{ 60'000 }; ///< One part; shorter parts cost more at the engines than they gain.
 constexpr size_t mostParts = 17; ///< The answering engine and the 16 helpers that a request may name.
-constexpr microseconds readPerPass{ 150'000 }; ///< Keeps a pass with its writers below the 250 ms pause of quick streams.
-constexpr microseconds readPerLongPass{ 450'000 }; ///< The same for engines whose writers allow 600 ms and more.
+constexpr microseconds shortPass{ 210'000 }; ///< Whole pass, for quick streams: their 250 ms less network and error.
+constexpr microseconds longPass{ 500'000 }; ///< The same for engines whose writers all allow 600 ms and more.
 constexpr milliseconds sendMargin{ 100 }; ///< Network, and the pass that runs when the request arrives.
 constexpr milliseconds roundTrip{ 4 }; ///< Between this instance and a backend server.
+constexpr unsigned freeSlots = 3; ///< Left on an engine that quick streams are gathered on, for those that others send now.
+constexpr milliseconds noServerPause{ 500 }; ///< A replaced server is listed within about a heartbeat.
+constexpr milliseconds noRoomPause{ 500 }; ///< About the time in which one of many streams ends.
 
-struct rated_candidate {
-    const placement_candidate *candidate;
-    microseconds pending;
-};
+using candidates_view = std::vector<const placement_candidate *>;
 
-std::vector<rated_candidate> rate(const std::vector<placement_candidate> &candidates)
+microseconds pendingAt(const placement_candidate &candidate)
 {
-    std::vector<rated_candidate> rated;
-    for (const placement_candidate &each : candidates) {
-        rated.push_back({ &each, each.load.pendingRead + each.load.overdue });
-    }
-    std::stable_sort(rated.begin(), rated.end(), [](const rated_candidate &left, const rated_candidate &right) {
-        return std::tuple(left.candidate->isSuspect, left.pending, left.candidate->load.requests)
-            < std::tuple(right.candidate->isSuspect, right.pending, right.candidate->load.requests);
-    });
-    return rated;
+    return candidate.load.pendingRead + candidate.load.overdue;
+}
+
+microseconds passWith(const placement_candidate &candidate, microseconds part, const engine_profile &engine)
+{
+    return pendingAt(candidate) + part + passTime(engine, candidate.load);
+}
+
+bool wouldDisturb(const placement_candidate &candidate, microseconds part, const engine_profile &engine)
+{
+    const microseconds limit = candidate.load.shortWriters > 0 ? shortPass : longPass;
+    return pendingAt(candidate).count() > 0 && passWith(candidate, part, engine) > limit;
 }
 
 bool canAnswer(const placement_candidate &candidate, std::int64_t tokens, const engine_profile &engine)
@@ -44,29 +49,62 @@
         && candidate.load.memoryTokens + tokens <= engine.memoryTokens;
 }
 
-microseconds passLimit(const placement_candidate &candidate)
+candidates_view byPending(const std::vector<placement_candidate> &candidates)
 {
-    return candidate.load.shortWriters > 0 ? readPerPass : readPerLongPass;
+    candidates_view ordered;
+    for (const placement_candidate &each : candidates) {
+        ordered.push_back(&each);
+    }
+    std::stable_sort(ordered.begin(), ordered.end(), [](const placement_candidate *left, const placement_candidate *right) {
+        return std::tuple(left->isSuspect, pendingAt(*left), left->load.requests)
+            < std::tuple(right->isSuspect, pendingAt(*right), right->load.requests);
+    });
+    return ordered;
 }
 
-// The answering engine keeps the memory of the whole prompt, the helpers only read.
-std::vector<rated_candidate> choose(
-    const std::vector<rated_candidate> &rated, size_t parts, std::int64_t tokens, const engine_profile &engine)
+candidates_view withoutShortWriters(const candidates_view &ordered)
 {
-    std::vector<rated_candidate> chosen;
-    for (const rated_candidate &each : rated) {
-        if (chosen.empty() && canAnswer(*each.candidate, tokens, engine)) {
-            chosen.push_back(each);
+    candidates_view free;
+    for (const placement_candidate *each : ordered) {
+        if (each->load.shortWriters == 0 && !each->isSuspect) {
+            free.push_back(each);
         }
     }
-    if (chosen.empty()) {
-        return chosen;
+    return free;
+}
+
+// Quick streams are gathered on few engines, so that the others can read long prompts in long passes.
+const placement_candidate *gatheringEngine(
+    const candidates_view &ordered, std::int64_t tokens, microseconds part, const engine_profile &engine)
+{
+    const placement_candidate *best = nullptr;
+    for (const placement_candidate *each : ordered) {
+        const bool hasRoom = canAnswer(*each, tokens, engine) && each->load.requests + freeSlots < each->slots;
+        const bool isQuick = !each->isSuspect && passWith(*each, part, engine) <= shortPass;
+        if (hasRoom && isQuick && (!best || each->load.shortWriters > best->load.shortWriters)) {
+            best = each;
+        }
     }
-    for (const rated_candidate &each : rated) {
+    return best;
+}
+
+const placement_candidate *firstThatAnswers(const candidates_view &ordered, std::int64_t tokens, const engine_profile &engine)
+{
+    const auto found = std::find_if(ordered.begin(), ordered.end(), [&](const placement_candidate *each) {
+        return canAnswer(*each, tokens, engine);
+    });
+    return found == ordered.end() ? nullptr : *found;
+}
+
+// The answering engine keeps the memory of the whole prompt, the helpers only read.
+candidates_view withHelpers(const placement_candidate *answering, const candidates_view &helpers, size_t parts)
+{
+    candidates_view chosen{ answering };
+    for (const placement_candidate *each : helpers) {
         if (chosen.size() == parts) {
             break;
         }
-        if (each.candidate != chosen.front().candidate && !each.candidate->isSuspect && !each.candidate->isColdFull) {
+        if (each != answering && !each->isSuspect && !each->isColdFull) {
             chosen.push_back(each);
         }
     }
@@ -82,52 +120,102 @@
     return decision;
 }
 
-} // namespace
-
-placement_decision placePrompt(
-    const prompt_work &work, const engine_profile &engine, std::vector<placement_candidate> candidates, time_point now)
+/// One look, with what does not change between the ways that are compared.
+class placement_look
 {
-    constexpr milliseconds noServerPause{ 500 }; // A replaced server is listed within about a heartbeat.
-    if (candidates.empty()) {
-        return refuse("no_server", noServerPause);
+public:
+    placement_look(const prompt_work &work, const engine_profile &engine, time_point now)
+        : m_work(work)
+        , m_engine(engine)
+        , m_now(now)
+        , m_tokens(work.promptTokens + work.answerTokens)
+        , m_whole(readTime(engine, work.promptTokens))
+        , m_parts(std::clamp<size_t>(static_cast<size_t>((m_whole + partTarget - microseconds(1)) / partTarget), 1, mostParts))
+    {
     }
-    const std::int64_t tokens = work.promptTokens + work.answerTokens;
-    const microseconds whole = readTime(engine, work.promptTokens);
-    const auto wanted = static_cast<size_t>((whole + partTarget - microseconds(1)) / partTarget);
-    const size_t parts = std::clamp<size_t>(wanted, 1, mostParts);
-    const auto chosen = choose(rate(candidates), parts, tokens, engine);
 
-    placement_decision decision;
-    if (chosen.empty()) {
-        decision.reason = "no_memory_or_slot";
-        decision.predictedFirst = whole / static_cast<std::int64_t>(parts);
-        if (now + decision.predictedFirst + sendMargin > work.targetAt) {
-            return refuse(decision.reason, milliseconds(500));
+    /// Parts by the engines in the given order; nothing when none of them can answer.
+    std::optional<placement_decision> decide(const candidates_view &ordered, bool isQuick) const
+    {
+        const microseconds wantedPart = m_whole / static_cast<std::int64_t>(m_parts);
+        const placement_candidate *answering = isQuick ? gatheringEngine(ordered, m_tokens, wantedPart, m_engine) : nullptr;
+        answering = answering ? answering : firstThatAnswers(ordered, m_tokens, m_engine);
+        if (!answering) {
+            return std::nullopt;
         }
-        return decision;
+        return decisionFor(withHelpers(answering, ordered, m_parts));
     }
-    const microseconds part = whole / static_cast<std::int64_t>(chosen.size());
-    microseconds slowest{ 0 };
-    bool disturbs = false;
-    for (const rated_candidate &each : chosen) {
-        slowest = std::max(slowest, each.pending + part);
-        disturbs = disturbs || (each.pending.count() > 0 && each.pending + part > passLimit(*each.candidate));
+
+    bool isOnTime(const placement_decision &decision) const
+    {
+        return m_now + decision.predictedFirst + sendMargin < m_work.targetAt;
+    }
+
+    /// While no engine can answer.
+    placement_decision withoutRoom() const
+    {
+        placement_decision decision;
+        decision.reason = "no_memory_or_slot";
+        decision.predictedFirst = m_whole / static_cast<std::int64_t>(m_parts);
+        return isOnTime(decision) ? decision : refuse(decision.reason, noRoomPause);
     }
-    decision.predictedFirst = slowest + passTime(engine) + roundTrip;
-    const bool canWait = now + decision.predictedFirst + sendMargin < work.targetAt;
-    if (disturbs && canWait) {
-        decision.reason = "passes_full";
+
+private:
+    placement_decision decisionFor(const candidates_view &chosen) const
+    {
+        const microseconds part = m_whole / static_cast<std::int64_t>(chosen.size());
+        microseconds slowest{ 0 };
+        bool disturbs = false;
+        for (const placement_candidate *each : chosen) {
+            slowest = std::max(slowest, pendingAt(*each) + part);
+            disturbs = disturbs || wouldDisturb(*each, part, m_engine);
+        }
+        placement_decision decision;
+        decision.predictedFirst = slowest + passTime(m_engine, chosen.front()->load) + roundTrip;
+        const bool canWait = isOnTime(decision);
+        decision.reason = disturbs ? "passes_full" : "fits";
+        if (disturbs && canWait) {
+            return decision;
+        }
+        if (m_now + decision.predictedFirst > m_work.deadline) {
+            return refuse("deadline", std::chrono::duration_cast<milliseconds>(slowest));
+        }
+        decision.next = placement_decision::action::send;
+        for (const placement_candidate *each : chosen) {
+            const bool answers = decision.parts.empty();
+            const std::int64_t context = answers ? m_tokens / static_cast<std::int64_t>(chosen.size()) : 0;
+            decision.parts.push_back({ each->key, part, context, answers ? m_tokens : 0 });
+        }
         return decision;
     }
-    if (now + decision.predictedFirst > work.deadline) {
-        return refuse("deadline", std::chrono::duration_cast<milliseconds>(slowest));
+
+    const prompt_work &m_work;
+    const engine_profile &m_engine;
+    time_point m_now;
+    std::int64_t m_tokens;
+    microseconds m_whole; ///< Reading time of the prompt at one engine.
+    size_t m_parts;
+};
+
+} // namespace
+
+placement_decision placePrompt(
+    const prompt_work &work, const engine_profile &engine, const std::vector<placement_candidate> &candidates, time_point now)
+{
+    if (candidates.empty()) {
+        return refuse("no_server", noServerPause);
     }
-    decision.next = placement_decision::action::send;
-    decision.reason = canWait ? "fits" : "due";
-    for (const rated_candidate &each : chosen) {
-        decision.parts.push_back({ each.candidate->key, part, decision.parts.empty() ? tokens : 0 });
+    const placement_look look(work, engine, now);
+    const candidates_view all = byPending(candidates);
+    const bool isQuick = work.pauseTarget <= shortPause;
+    if (!isQuick) {
+        const auto apart = look.decide(withoutShortWriters(all), false);
+        if (apart && look.isOnTime(*apart)) {
+            return *apart;
+        }
     }
-    return decision;
+    const auto decision = look.decide(all, isQuick);
+    return decision ? *decision : look.withoutRoom();
 }
 
 } // namespace mustardtrail::gateway
--- a/src/gateway/internal/read_cost.cpp
+++ b/src/gateway/internal/read_cost.cpp
@@ -20,9 +20,11 @@
     return fromMs(tokens / engine.tokensReadPerMs + millionPairs * engine.pairsMsPerMillion);
 }
 
-std::chrono::microseconds passTime(const engine_profile &engine)
+std::chrono::microseconds passTime(const engine_profile &engine, const server_load &load)
 {
-    return fromMs(engine.stepMs * engine.stepsPerPass);
+    const double context = static_cast<double>(load.contextTokens) / 1'000.0;
+    const double step = engine.stepMs + engine.stepMsPerWriter * load.writers + engine.stepMsPerContext * context;
+    return fromMs(step * engine.stepsPerPass);
 }
 
 } // namespace mustardtrail::gateway
--- a/src/gateway/load_book.h
+++ b/src/gateway/load_book.h
@@ -14,6 +14,7 @@
     std::chrono::microseconds pendingRead{ 0 }; ///< Until it has read what it was given.
     std::chrono::microseconds overdue{ 0 }; ///< By how much its oldest unread work is late.
     std::int64_t memoryTokens = 0;
+    std::int64_t contextTokens = 0; ///< What its writers look back on, now or soon.
     unsigned requests = 0; ///< Without the parts that it reads for others.
     unsigned writers = 0;
     unsigned shortWriters = 0; ///< Writers that notice long passes, and readers that soon will be.
--- a/src/gateway/placement_decision.h
+++ b/src/gateway/placement_decision.h
@@ -12,6 +12,7 @@
 struct placed_part {
     server_key server = 0;
     std::chrono::microseconds readTime{ 0 };
+    std::int64_t contextTokens = 0; ///< That a step of the answer looks back on here.
     std::int64_t memoryTokens = 0; ///< For a helper above 0 only with a reservation there.
 };
 
--- a/src/gateway/read_cost.h
+++ b/src/gateway/read_cost.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/load_book.h"
 #include "gateway/service_profile.h"
 
 #include <chrono>
@@ -11,6 +12,6 @@
 std::chrono::microseconds readTime(const engine_profile &engine, std::int64_t promptTokens);
 
 /// One pass of an engine in which requests write, without any reading.
-std::chrono::microseconds passTime(const engine_profile &engine);
+std::chrono::microseconds passTime(const engine_profile &engine, const server_load &load);
 
 } // namespace mustardtrail::gateway
--- a/src/gateway/server_work.h
+++ b/src/gateway/server_work.h
@@ -16,6 +16,7 @@
     server_key server = 0;
     std::chrono::microseconds readTime{ 0 }; ///< To read this server's part of the prompt, or to do plain work.
     std::int64_t memoryTokens = 0; ///< Prompt and longest answer that it keeps there.
+    std::int64_t contextTokens = 0; ///< What a step of its answer looks back on here.
     bool isWriting = false; ///< The first token has come, so nothing is left to read.
     bool isHelper = false; ///< Reads a part of the prompt and writes nothing.
     bool hasShortPauses = false; ///< Its caller notices a pass longer than shortPause.
--- a/src/gateway/service_profile.h
+++ b/src/gateway/service_profile.h
@@ -15,6 +15,8 @@
     double tokensReadPerMs = 1.0;
     double pairsMsPerMillion = 0.0; ///< Time for a million pairs of a token and an earlier one, in ms.
     double stepMs = 1.0; ///< One token step without load, in ms.
+    double stepMsPerWriter = 0.0; ///< More for each request that writes.
+    double stepMsPerContext = 0.0; ///< More for each 1,000 tokens that the writers look back on.
     unsigned stepsPerPass = 1; ///< Token steps of a pass in which a request writes.
 };
 
--- a/src/programs/gateway/request_relay.cpp
+++ b/src/programs/gateway/request_relay.cpp
@@ -87,6 +87,7 @@
         work.server = part.server;
         work.readTime = part.readTime;
         work.memoryTokens = part.memoryTokens;
+        work.contextTokens = part.contextTokens;
         work.isHelper = &part != &placed.parts.front();
         work.hasShortPauses = m_route->isStream && m_route->pauseTarget <= shortPause;
         work.sentAt = now;
--- a/src/programs/gateway/request_session.cpp
+++ b/src/programs/gateway/request_session.cpp
@@ -150,7 +150,7 @@
         return decision;
     }
     decision.next = placement_decision::action::send;
-    decision.parts.push_back({ *chosen, std::chrono::microseconds(0), 0 });
+    decision.parts.push_back({ *chosen, std::chrono::microseconds(0), 0, 0 });
     return decision;
 }
 
