--- a/src/gateway/internal/load_book.cpp
+++ b/src/gateway/internal/load_book.cpp
@@ -21,7 +21,7 @@
     time_point end{};
     for (const server_work *each : work) {
         end = std::max(end, each->sentAt) + each->readTime;
-        if (end + passTolerance < now) {
+        if (!each->isJoint && end + passTolerance < now) {
             load.overdue = std::max(load.overdue, std::chrono::duration_cast<std::chrono::microseconds>(now - end - passTolerance));
         }
     }
--- a/src/gateway/internal/load_report.cpp
+++ b/src/gateway/internal/load_report.cpp
@@ -14,6 +14,7 @@
 constexpr std::uint32_t writingFlag = 1;
 constexpr std::uint32_t helperFlag = 2;
 constexpr std::uint32_t shortPausesFlag = 4;
+constexpr std::uint32_t jointFlag = 8;
 
 std::uint32_t clipped(std::int64_t value)
 {
@@ -27,7 +28,7 @@
     target.set_read_us(clipped(work.readTime.count()));
     target.set_memory_tokens(clipped(work.memoryTokens));
     target.set_context_tokens(clipped(work.contextTokens));
-    target.set_flags((work.isWriting ? writingFlag : 0) | (work.isHelper ? helperFlag : 0) | (work.hasShortPauses ? shortPausesFlag : 0));
+    target.set_flags((work.isWriting ? writingFlag : 0) | (work.isHelper ? helperFlag : 0) | (work.hasShortPauses ? shortPausesFlag : 0) | (work.isJoint ? jointFlag : 0));
     const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - work.sentAt);
     target.set_sent_ms_ago(clipped(age.count()));
 }
@@ -42,6 +43,7 @@
     work.contextTokens = source.context_tokens();
     work.isWriting = (source.flags() & writingFlag) != 0;
     work.isHelper = (source.flags() & helperFlag) != 0;
+    work.isJoint = (source.flags() & jointFlag) != 0;
     work.hasShortPauses = (source.flags() & shortPausesFlag) != 0;
     work.sentAt = now - std::chrono::milliseconds(source.sent_ms_ago());
     return work;
--- a/src/gateway/internal/prompt_placement.cpp
+++ b/src/gateway/internal/prompt_placement.cpp
@@ -19,8 +19,10 @@
 constexpr size_t mostParts = 17; ///< The answering engine and the 16 helpers that a request may name.
 constexpr microseconds shortPass{ 210'000 }; ///< Whole pass, for quick streams: their 250 ms less network and error.
 constexpr microseconds longPass{ 500'000 }; ///< The same for engines whose writers all allow 600 ms and more.
+constexpr microseconds longestPass{ 750'000 }; ///< Never exceeded for a prompt that others could wait for.
 constexpr milliseconds sendMargin{ 100 }; ///< Network, and the pass that runs when the request arrives.
 constexpr milliseconds roundTrip{ 4 }; ///< Between this instance and a backend server.
+constexpr double ticketShare = 0.5; ///< Of an engine's memory for one prompt's reservation, so that other work goes on beside it.
 constexpr unsigned freeSlots = 3; ///< Left on an engine that quick streams are gathered on, for those that others send now.
 constexpr milliseconds noServerPause{ 500 }; ///< A replaced server is listed within about a heartbeat.
 constexpr milliseconds noRoomPause{ 500 }; ///< About the time in which one of many streams ends.
@@ -39,8 +41,10 @@
 
 bool wouldDisturb(const placement_candidate &candidate, microseconds part, const engine_profile &engine)
 {
-    const microseconds limit = candidate.load.shortWriters > 0 ? shortPass : longPass;
-    return pendingAt(candidate).count() > 0 && passWith(candidate, part, engine) > limit;
+    if (candidate.load.shortWriters > 0) {
+        return passWith(candidate, part, engine) > shortPass;
+    }
+    return pendingAt(candidate).count() > 0 && passWith(candidate, part, engine) > longPass;
 }
 
 bool canAnswer(const placement_candidate &candidate, std::int64_t tokens, const engine_profile &engine)
@@ -97,14 +101,15 @@
 }
 
 // The answering engine keeps the memory of the whole prompt, the helpers only read.
-candidates_view withHelpers(const placement_candidate *answering, const candidates_view &helpers, size_t parts)
+candidates_view withHelpers(
+    const placement_candidate *answering, const candidates_view &helpers, size_t parts, microseconds part, const engine_profile &engine)
 {
     candidates_view chosen{ answering };
     for (const placement_candidate *each : helpers) {
         if (chosen.size() == parts) {
             break;
         }
-        if (each != answering && !each->isSuspect && !each->isColdFull) {
+        if (each != answering && !each->isSuspect && !each->isColdFull && !wouldDisturb(*each, part, engine)) {
             chosen.push_back(each);
         }
     }
@@ -143,7 +148,7 @@
         if (!answering) {
             return std::nullopt;
         }
-        return decisionFor(withHelpers(answering, ordered, m_parts));
+        return decisionFor(withHelpers(answering, ordered, m_parts, wantedPart, m_engine));
     }
 
     bool isOnTime(const placement_decision &decision) const
@@ -151,6 +156,41 @@
         return m_now + decision.predictedFirst + sendMargin < m_work.targetAt;
     }
 
+    bool exceedsOneEngine() const
+    {
+        return m_tokens > m_engine.memoryTokens;
+    }
+
+    /// The memory of the prompt shared out evenly over as many engines as it takes; the answering engine holds a share
+    /// as well. Nothing while too few of them have the room.
+    std::optional<placement_decision> decideWithReservations(const candidates_view &ordered) const
+    {
+        const auto mostTokens = static_cast<std::int64_t>(static_cast<double>(m_engine.memoryTokens) * ticketShare);
+        const auto holders = static_cast<size_t>((m_tokens + mostTokens - 1) / mostTokens);
+        const std::int64_t share = m_tokens / static_cast<std::int64_t>(holders) + 1;
+        candidates_view chosen;
+        for (const placement_candidate *each : ordered) {
+            if (chosen.size() < holders && !each->isSuspect && canAnswer(*each, share, m_engine)) {
+                chosen.push_back(each);
+            }
+        }
+        if (chosen.size() < holders) {
+            return std::nullopt;
+        }
+        for (const placement_candidate *each : ordered) {
+            const bool isChosen = std::find(chosen.begin(), chosen.end(), each) != chosen.end();
+            if (chosen.size() < m_parts && !isChosen && !each->isSuspect && !each->isColdFull) {
+                chosen.push_back(each);
+            }
+        }
+        placement_decision decision = decisionFor(chosen);
+        for (size_t index = 0; index < decision.parts.size(); ++index) {
+            decision.parts[index].memoryTokens = index < holders ? share : 0;
+            decision.parts[index].contextTokens = index < holders ? share : 0;
+        }
+        return decision;
+    }
+
     /// While no engine can answer.
     placement_decision withoutRoom() const
     {
@@ -161,6 +201,12 @@
     }
 
 private:
+    // A request that will be late displaces nothing that is on time; but it is not held until nothing can be done for it.
+    bool isWorthHolding() const
+    {
+        return m_now < m_work.arrivedAt + (m_work.deadline - m_work.arrivedAt) / 2;
+    }
+
     placement_decision decisionFor(const candidates_view &chosen) const
     {
         const microseconds part = m_whole / static_cast<std::int64_t>(chosen.size());
@@ -172,14 +218,17 @@
         }
         placement_decision decision;
         decision.predictedFirst = slowest + passTime(m_engine, chosen.front()->load) + roundTrip;
-        const bool canWait = isOnTime(decision);
         decision.reason = disturbs ? "passes_full" : "fits";
-        if (disturbs && canWait) {
+        if (disturbs && isOnTime(decision)) {
             return decision;
         }
         if (m_now + decision.predictedFirst > m_work.deadline) {
             return refuse("deadline", std::chrono::duration_cast<milliseconds>(slowest));
         }
+        const bool isSmall = chosen.size() == 1;
+        if (disturbs && !isSmall && slowest > longestPass) {
+            return isWorthHolding() ? decision : refuse(decision.reason, std::chrono::duration_cast<milliseconds>(slowest));
+        }
         decision.next = placement_decision::action::send;
         for (const placement_candidate *each : chosen) {
             const bool answers = decision.parts.empty();
@@ -208,6 +257,11 @@
     const placement_look look(work, engine, now);
     const candidates_view all = byPending(candidates);
     const bool isQuick = work.pauseTarget <= shortPause;
+    if (look.exceedsOneEngine()) {
+        // Its parts take passes of a second and more, which no quick stream can sit through.
+        const auto apart = look.decideWithReservations(withoutShortWriters(all));
+        return apart ? *apart : look.withoutRoom();
+    }
     if (!isQuick) {
         const auto apart = look.decide(withoutShortWriters(all), false);
         if (apart && look.isOnTime(*apart)) {
--- a/src/gateway/server_work.h
+++ b/src/gateway/server_work.h
@@ -19,11 +19,12 @@
     std::int64_t contextTokens = 0; ///< What a step of its answer looks back on here.
     bool isWriting = false; ///< The first token has come, so nothing is left to read.
     bool isHelper = false; ///< Reads a part of the prompt and writes nothing.
+    bool isJoint = false; ///< Others read parts of the same prompt, so its first token says little of this server.
     bool hasShortPauses = false; ///< Its caller notices a pass longer than shortPause.
     time_point sentAt{};
 };
 
 /// Streams with a pause target up to this are disturbed by long passes; between the quick and the long classes.
-inline constexpr std::chrono::milliseconds shortPause{ 400 };
+inline constexpr std::chrono::milliseconds shortPause{ 700 };
 
 } // namespace mustardtrail::gateway
--- a/src/programs/gateway/request_relay.cpp
+++ b/src/programs/gateway/request_relay.cpp
@@ -69,7 +69,8 @@
         if (&part == &placed.parts.front()) {
             terms.expected = server->entry.id;
         } else {
-            terms.helpers.push_back({ server->entry.address, {} });
+            const bool isReserved = m_reservations && part.memoryTokens > 0;
+            terms.helpers.push_back({ server->entry.address, isReserved ? m_reservations->nameFor(part.server) : std::string() });
         }
     }
     if (m_lastEvent != m_head.lastEvent) {
@@ -88,6 +89,7 @@
         work.readTime = part.readTime;
         work.memoryTokens = part.memoryTokens;
         work.contextTokens = part.contextTokens;
+        work.isJoint = placed.parts.size() > 1;
         work.isHelper = &part != &placed.parts.front();
         work.hasShortPauses = m_route->isStream && m_route->pauseTarget <= shortPause;
         work.sentAt = now;
@@ -96,6 +98,24 @@
     m_context.workChanged();
 }
 
+asio::awaitable<bool> request_session::reserve(const placement_decision &placed)
+{
+    std::vector<reservation_set::share> shares;
+    for (const placed_part &part : placed.parts) {
+        const auto *server = m_context.state.serverOf(part.server);
+        const bool answers = &part == &placed.parts.front();
+        if (server && !answers && part.memoryTokens > 0) {
+            shares.push_back({ part.server, server->entry.id, server->entry.address, part.memoryTokens });
+        }
+    }
+    if (shares.empty()) {
+        co_return true;
+    }
+    m_reservations = std::make_shared<reservation_set>(m_context, m_exchange.executor(), m_workId, std::move(shares));
+    const bool isWhole = co_await m_reservations->acquire();
+    co_return isWhole;
+}
+
 asio::awaitable<std::optional<attempt_failure>> request_session::send(const placement_decision &placed)
 {
     const time_point now = m_context.clock.now();
@@ -111,6 +131,10 @@
         m_context.metrics.waited(m_route->name, now - m_arrivedAt);
     }
     registerWork(placed, now);
+    const bool isReserved = co_await reserve(placed);
+    if (!isReserved || m_isGone) {
+        co_return attempt_failure{ verdict::not_run, false, false, m_lastEvent, m_exchange.hasStarted() };
+    }
     m_context.log.write(log_line("request_sent")
                             .add("request", m_head.attempt.str())
                             .add("server", m_lastServer)
--- a/src/programs/gateway/request_session.cpp
+++ b/src/programs/gateway/request_session.cpp
@@ -109,6 +109,10 @@
         m_context.state.loads.finish(m_workId);
         m_context.workChanged();
         m_closeConnection = nullptr;
+        if (m_reservations) {
+            m_reservations->release();
+            m_reservations.reset();
+        }
         if (!failure) {
             logEnd("request_served", 200, m_lastServer);
             co_return;
--- a/src/programs/gateway/request_session.h
+++ b/src/programs/gateway/request_session.h
@@ -8,6 +8,7 @@
 #include "platform/answer_head.h"
 #include "platform/caller_head.h"
 #include "programs/gateway/gateway_context.h"
+#include "programs/gateway/reservation_set.h"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -41,6 +42,7 @@
     placement_decision decide(time_point now);
     /// Nothing when the caller has the whole answer.
     boost::asio::awaitable<std::optional<attempt_failure>> send(const placement_decision &placed);
+    boost::asio::awaitable<bool> reserve(const placement_decision &placed);
     boost::asio::awaitable<std::optional<attempt_failure>> relayStream(http::response_stream &answer);
     boost::asio::awaitable<std::optional<attempt_failure>> relayWhole(http::response_stream &answer, const platform::answer_head &head);
     boost::asio::awaitable<void> end(const attempt_failure &failure, next_step step);
@@ -86,6 +88,7 @@
     std::optional<time_point> m_firstEventAt;
     time_point m_lastEventAt{};
     std::chrono::milliseconds m_longestPause{ 0 }; ///< Between two events.
+    std::shared_ptr<reservation_set> m_reservations; ///< Null for prompts that one engine holds.
     std::optional<http::response_message> m_serverFailure; ///< A server's own failure, which may be passed on.
 };
 
--- /dev/null
+++ b/src/programs/gateway/reservation_set.cpp
@@ -0,0 +1,116 @@
+#include "programs/gateway/reservation_set.h"
+
+#include "platform/reservation.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace mustardtrail::gateway
+{
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+constexpr milliseconds orderLimit{ 300 }; ///< An engine answers an order within milliseconds or is in trouble.
+constexpr int mostReleaseTries = 4; ///< Until the lease would have ended anyway.
+
+} // namespace
+
+reservation_set::reservation_set(
+    gateway_context &context, asio::any_io_executor executor, std::uint64_t request, std::vector<share> shares)
+    : m_context(context)
+    , m_executor(std::move(executor))
+    , m_request(request)
+    , m_shares(std::move(shares))
+{
+}
+
+std::string reservation_set::nameFor(server_key server) const
+{
+    return "mt" + std::to_string(m_request) + "-" + std::to_string(server);
+}
+
+asio::awaitable<bool> reservation_set::reserveAt(const share &at)
+{
+    const auto limits = http::call_limits::within(orderLimit);
+    auto message = platform::reserveRequest(nameFor(at.server), at.tokens, lease);
+    const auto answer = co_await m_context.client.call(at.address, std::move(message), limits);
+    const int status = answer ? answer->status : 0;
+    if (status == 200) {
+        co_return true;
+    }
+    m_context.log.write(log_line("reservation_refused")
+                            .add("name", nameFor(at.server))
+                            .add("server", at.id.str())
+                            .add("tokens", at.tokens)
+                            .add("status", status));
+    co_return false;
+}
+
+asio::awaitable<bool> reservation_set::acquire()
+{
+    const auto self = shared_from_this();
+    for (const share &each : m_shares) {
+        const bool granted = co_await reserveAt(each);
+        if (!granted) {
+            release();
+            co_return false;
+        }
+    }
+    asio::co_spawn(m_executor, renew(), asio::detached);
+    co_return true;
+}
+
+asio::awaitable<void> reservation_set::renew()
+{
+    const auto self = shared_from_this();
+    asio::steady_timer timer(m_executor);
+    while (true) {
+        timer.expires_after(renewal);
+        boost::system::error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        for (const share &each : m_shares) {
+            if (m_isReleased) {
+                co_return;
+            }
+            co_await reserveAt(each);
+        }
+    }
+}
+
+void reservation_set::release()
+{
+    if (m_isReleased) {
+        return;
+    }
+    m_isReleased = true;
+    for (const share &each : m_shares) {
+        asio::co_spawn(m_executor, releaseAt(each), asio::detached);
+    }
+}
+
+asio::awaitable<void> reservation_set::releaseAt(share at)
+{
+    const auto self = shared_from_this();
+    asio::steady_timer timer(m_executor);
+    for (int tries = 0; tries < mostReleaseTries; ++tries) {
+        const auto limits = http::call_limits::within(orderLimit);
+        auto message = platform::releaseRequest(nameFor(at.server));
+        const auto answer = co_await m_context.client.call(at.address, std::move(message), limits);
+        if (answer) {
+            co_return;
+        }
+        timer.expires_after(orderLimit);
+        boost::system::error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    m_context.log.write(log_line("reservation_not_released").add("name", nameFor(at.server)).add("server", at.id.str()));
+}
+
+} // namespace mustardtrail::gateway
