--- a/src/gateway/internal/prompt_placement.cpp
+++ b/src/gateway/internal/prompt_placement.cpp
@@ -18,6 +18,7 @@
 constexpr microseconds partTarget{ 60'000 }; ///< One part; shorter parts cost more at the engines than they gain.
 constexpr size_t mostParts = 17; ///< The answering engine and the 16 helpers that a request may name.
 constexpr microseconds shortPass{ 210'000 }; ///< Whole pass, for quick streams: their 250 ms less network and error.
+constexpr microseconds gatheredPass{ 150'000 }; ///< Up to here quick streams are gathered: half of their 300 ms to the first event.
 constexpr microseconds longPass{ 500'000 }; ///< The same for engines whose writers all allow 600 ms and more.
 constexpr microseconds longestPass{ 750'000 }; ///< Never exceeded for a prompt that others could wait for.
 constexpr milliseconds sendMargin{ 100 }; ///< Network, and the pass that runs when the request arrives.
@@ -84,7 +85,7 @@
     const placement_candidate *best = nullptr;
     for (const placement_candidate *each : ordered) {
         const bool hasRoom = canAnswer(*each, tokens, engine) && each->load.requests + freeSlots < each->slots;
-        const bool isQuick = !each->isSuspect && passWith(*each, part, engine) <= shortPass;
+        const bool isQuick = !each->isSuspect && passWith(*each, part, engine) <= gatheredPass;
         if (hasRoom && isQuick && (!best || each->load.shortWriters > best->load.shortWriters)) {
             best = each;
         }
