--- a/src/gateway/internal/fleet_state.cpp
+++ b/src/gateway/internal/fleet_state.cpp
@@ -126,7 +126,7 @@
 {
     const auto allLoads = loads.loads(now);
     std::vector<placement_candidate> found;
-    for (const server_directory::known_server *server : servers.usable(service)) {
+    for (const server_directory::known_server *server : servers.usable(service, now)) {
         if (excluded.contains(server->entry.id)) {
             continue;
         }
--- a/src/gateway/internal/server_directory.cpp
+++ b/src/gateway/internal/server_directory.cpp
@@ -79,11 +79,11 @@
     m_outOfService = std::move(dataCentres);
 }
 
-std::vector<const server_directory::known_server *> server_directory::usable(const service_id &service) const
+std::vector<const server_directory::known_server *> server_directory::usable(const service_id &service, time_point now) const
 {
     std::vector<const known_server *> found;
     for (const auto &[id, server] : m_servers) {
-        if (server.entry.service == service && mayTakeWork(server)) {
+        if (server.entry.service == service && mayTakeWork(server, now)) {
             found.push_back(&server);
         }
     }
@@ -96,9 +96,10 @@
     return found == m_servers.end() ? nullptr : &found->second;
 }
 
-bool server_directory::mayTakeWork(const known_server &server) const
+bool server_directory::mayTakeWork(const known_server &server, time_point now) const
 {
-    return !server.entry.isLeaving && !m_outOfService.contains(server.entry.dataCentre);
+    const bool isGone = server.missingSince && now - *server.missingSince >= m_missingGrace;
+    return !isGone && !server.entry.isLeaving && !m_outOfService.contains(server.entry.dataCentre);
 }
 
 size_t server_directory::size() const
--- a/src/gateway/server_directory.h
+++ b/src/gateway/server_directory.h
@@ -42,9 +42,9 @@
     void setAllOutOfService(std::set<data_centre_id> dataCentres);
 
     /// Servers of the service that may get new work.
-    std::vector<const known_server *> usable(const service_id &service) const;
+    std::vector<const known_server *> usable(const service_id &service, time_point now) const;
     const known_server *find(const backend_server_id &id) const;
-    bool mayTakeWork(const known_server &server) const;
+    bool mayTakeWork(const known_server &server, time_point now) const;
     size_t size() const;
 
 private:
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -44,7 +44,7 @@
 
     static constexpr std::chrono::milliseconds batchPause{ 500 }; ///< A quarter of the shortest time that changes may take.
     static constexpr std::chrono::milliseconds changesWait{ 1'000 }; ///< Keeps the configuration's age well below the limit for keys.
-    static constexpr std::chrono::milliseconds settling{ 2'500 }; ///< Servers write their entries again within 2 s.
+    static constexpr std::chrono::milliseconds settling{ 2'250 }; ///< Servers write their entries again within about 2 s.
 
 private:
     bool m_hasList = false;
--- /dev/null
+++ b/src/gateway/tests/server_directory_test.cpp
@@ -0,0 +1,99 @@
+#include "gateway/server_directory.h"
+
+#include "testing/expect.h"
+
+using namespace mustardtrail;
+using namespace mustardtrail::gateway;
+using mustardtrail::testing::expectEqual;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+const service_id reading("reading");
+constexpr milliseconds grace{ 2'250 };
+
+listed_server serverNamed(const std::string &name)
+{
+    listed_server server;
+    server.id = backend_server_id(name);
+    server.service = reading;
+    server.address = { "10.0.0.1", 80 };
+    server.dataCentre = data_centre_id("dc1");
+    return server;
+}
+
+time_point at(int value)
+{
+    return time_point{} + milliseconds(value);
+}
+
+} // namespace
+
+Test(server_directory, givesNoWorkToAServerThatLeaves)
+{
+    server_directory directory;
+    listed_server server = serverNamed("a");
+    directory.put(server, at(0));
+    expectEqual(directory.usable(reading, at(0)).size(), 1U);
+    server.isLeaving = true;
+    cr_assert(directory.put(server, at(1)) == server_directory::change::leaving);
+    expectEqual(directory.usable(reading, at(1)).size(), 0U);
+}
+
+Test(server_directory, givesNoWorkToADataCentreThatIsOutOfService)
+{
+    server_directory directory;
+    directory.put(serverNamed("a"), at(0));
+    directory.setOutOfService(data_centre_id("dc1"), true);
+    expectEqual(directory.usable(reading, at(1)).size(), 0U);
+    directory.setOutOfService(data_centre_id("dc1"), false);
+    expectEqual(directory.usable(reading, at(2)).size(), 1U);
+}
+
+Test(server_directory, keepsAServerThatIsMissingAfterAnOutageForTheGraceAndNoLonger)
+{
+    server_directory directory;
+    directory.put(serverNamed("a"), at(0));
+    directory.replaceAll({}, at(1'000), grace);
+    expectEqual(directory.usable(reading, at(3'249)).size(), 1U);
+    // Without a call of expire(): requests come more often than looks at the store.
+    expectEqual(directory.usable(reading, at(3'250)).size(), 0U);
+}
+
+Test(server_directory, keepsAServerThatIsListedAgainWithinTheGrace)
+{
+    server_directory directory;
+    directory.put(serverNamed("a"), at(0));
+    directory.replaceAll({}, at(1'000), grace);
+    directory.put(serverNamed("a"), at(2'000));
+    expectEqual(directory.expire(at(9'000)).size(), 0U);
+    expectEqual(directory.usable(reading, at(9'000)).size(), 1U);
+}
+
+Test(server_directory, removesAtOnceWhatLeavesWhileTheStoreAnswers)
+{
+    server_directory directory;
+    directory.put(serverNamed("a"), at(0));
+    cr_assert(directory.remove(backend_server_id("a"), at(10), milliseconds(0)) == server_directory::change::removed);
+    expectEqual(directory.size(), 0U);
+}
+
+Test(server_directory, removesALeavingServerAtOnceAlsoAfterAnOutage)
+{
+    server_directory directory;
+    listed_server server = serverNamed("a");
+    server.isLeaving = true;
+    directory.put(server, at(0));
+    cr_assert(directory.remove(server.id, at(10), grace) == server_directory::change::removed);
+}
+
+Test(server_directory, tellsARestartUnderTheSameId)
+{
+    server_directory directory;
+    listed_server server = serverNamed("a");
+    server.startedAt = 1;
+    directory.put(server, at(0));
+    server.startedAt = 2;
+    cr_assert(directory.put(server, at(1)) == server_directory::change::restarted);
+}
