--- a/src/gateway/fleet_state.h
+++ b/src/gateway/fleet_state.h
@@ -31,7 +31,7 @@
 
 /// All that one instance believes of the fleet: configuration, backend servers, their load, the other instances.
 struct fleet_state {
-    fleet_state(peer_address self, const fleet_limits &fleetLimits, belief_log log);
+    fleet_state(peer_address self, data_centre_id ownDataCentre, const fleet_limits &fleetLimits, belief_log log);
 
     /// One change of what the platform publishes. With a grace, servers that are taken off the list stay so long.
     void apply(const published_change &change, time_point now, std::chrono::milliseconds grace);
--- a/src/gateway/internal/fleet_state.cpp
+++ b/src/gateway/internal/fleet_state.cpp
@@ -32,11 +32,11 @@
     return hash64(id.str());
 }
 
-fleet_state::fleet_state(peer_address self, const fleet_limits &fleetLimits, belief_log log)
+fleet_state::fleet_state(peer_address self, data_centre_id ownDataCentre, const fleet_limits &fleetLimits, belief_log log)
     : limits(fleetLimits)
     , freshness(fleetLimits.configAge)
     , resends(fleetLimits.resend)
-    , peers(self)
+    , peers(self, std::move(ownDataCentre))
     , m_log(std::move(log))
 {
 }
@@ -125,6 +125,7 @@
     const service_id &service, const std::set<backend_server_id> &excluded, time_point now) const
 {
     const auto allLoads = loads.loads(now);
+    const auto silent = peers.silentDataCentres(now);
     std::vector<placement_candidate> found;
     for (const server_directory::known_server *server : servers.usable(service, now)) {
         if (excluded.contains(server->entry.id)) {
@@ -134,7 +135,7 @@
         candidate.key = keyOf(server->entry.id);
         candidate.id = server->entry.id;
         candidate.slots = server->entry.slots;
-        candidate.isSuspect = trust.isSuspect(candidate.key, now);
+        candidate.isSuspect = trust.isSuspect(candidate.key, now) || silent.contains(server->entry.dataCentre);
         if (const auto load = allLoads.find(candidate.key); load != allLoads.end()) {
             candidate.load = load->second;
         }
--- a/src/gateway/internal/load_report.cpp
+++ b/src/gateway/internal/load_report.cpp
@@ -55,6 +55,7 @@
 {
     wire::Report message;
     message.set_sender(report.sender.str());
+    message.set_data_centre(report.dataCentre.str());
     message.set_address(report.address);
     message.set_incarnation(report.incarnation);
     message.set_sequence(report.sequence);
@@ -77,6 +78,7 @@
     }
     load_report report;
     report.sender = instance_id(message.sender());
+    report.dataCentre = data_centre_id(message.data_centre());
     report.address = message.address();
     report.incarnation = message.incarnation();
     report.sequence = message.sequence();
--- a/src/gateway/internal/peer_book.cpp
+++ b/src/gateway/internal/peer_book.cpp
@@ -5,8 +5,9 @@
 namespace mustardtrail::gateway
 {
 
-peer_book::peer_book(peer_address self)
+peer_book::peer_book(peer_address self, data_centre_id ownDataCentre)
     : m_self(self)
+    , m_ownDataCentre(std::move(ownDataCentre))
 {
 }
 
@@ -30,12 +31,13 @@
     if (isOld) {
         return false;
     }
+    sender.dataCentre = report.dataCentre;
     sender.incarnation = report.incarnation;
     sender.sequence = report.sequence;
     sender.heardAt = now;
     for (const peer_address known : report.known) {
         if (known != m_self) {
-            m_peers.try_emplace(known, peer{ 0, 0, std::nullopt, now, false });
+            m_peers.try_emplace(known, peer{ data_centre_id(), 0, 0, std::nullopt, now, false });
         }
     }
     if (report.isLeaving) {
@@ -73,6 +75,24 @@
     return addresses;
 }
 
+std::set<data_centre_id> peer_book::silentDataCentres(time_point now) const
+{
+    std::map<data_centre_id, time_point> lastHeard;
+    for (const auto &[address, each] : m_peers) {
+        if (each.heardAt && !each.dataCentre.empty() && each.dataCentre != m_ownDataCentre) {
+            time_point &last = lastHeard[each.dataCentre];
+            last = std::max(last, *each.heardAt);
+        }
+    }
+    std::set<data_centre_id> silent;
+    for (const auto &[dataCentre, last] : lastHeard) {
+        if (now - last > cutSilence && now - last < cutMemory) {
+            silent.insert(dataCentre);
+        }
+    }
+    return silent;
+}
+
 size_t peer_book::largestFleet() const
 {
     return m_largest;
--- a/src/gateway/load_report.h
+++ b/src/gateway/load_report.h
@@ -17,6 +17,7 @@
 /// What one instance tells the others: the whole of its work, so that a lost datagram needs no repair.
 struct load_report {
     instance_id sender;
+    data_centre_id dataCentre;
     peer_address address = 0;
     std::uint64_t incarnation = 0; ///< Drawn at the start of the process.
     std::uint32_t sequence = 0;
--- a/src/gateway/peer_book.h
+++ b/src/gateway/peer_book.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace mustardtrail::gateway
@@ -15,7 +16,7 @@
 class peer_book
 {
 public:
-    explicit peer_book(peer_address self);
+    peer_book(peer_address self, data_centre_id ownDataCentre);
 
     /// Addresses from the settings; told until they are heard or forever.
     void addSeeds(const std::vector<peer_address> &seeds);
@@ -26,15 +27,21 @@
     std::vector<peer_address> targets() const;
     /// Those heard within the last few reports; passed on to others.
     std::vector<peer_address> alive(time_point now) const;
+    /// Data centres from which no instance is heard any more, though one was lately: probably cut off from here. Their
+    /// backend servers would take a request and never answer.
+    std::set<data_centre_id> silentDataCentres(time_point now) const;
     /// Most instances ever known at one time, this one included. Shares of fleet-wide bounds are divided by it, so that
     /// an instance that loses sight of the others does not take their part.
     size_t largestFleet() const;
 
     static constexpr std::chrono::milliseconds silence{ 3'000 }; ///< Several intervals between reports.
+    static constexpr std::chrono::milliseconds cutSilence{ 1'000 }; ///< Three reports of each instance there are missing.
+    static constexpr std::chrono::milliseconds cutMemory{ 15'000 }; ///< After it the silence may as well mean that all were stopped.
     static constexpr std::chrono::milliseconds memory{ 60'000 }; ///< Longer than a cut of a data centre usually lasts.
 
 private:
     struct peer {
+        data_centre_id dataCentre;
         std::uint64_t incarnation = 0;
         std::uint32_t sequence = 0;
         std::optional<time_point> heardAt;
@@ -43,6 +50,7 @@
     };
 
     peer_address m_self;
+    data_centre_id m_ownDataCentre;
     std::map<peer_address, peer> m_peers;
     size_t m_largest = 1;
 };
--- a/src/programs/gateway/gateway_host.cpp
+++ b/src/programs/gateway/gateway_host.cpp
@@ -64,6 +64,7 @@
     , m_log(m_clock)
     , m_client(context.get_executor())
     , m_state(peerAddressOf(m_settings.address),
+          m_settings.dataCentre,
           limitsFrom(m_settings),
           [this](std::string_view event, std::string_view subject, std::string_view detail) {
               m_log.write(log_line(event).add("subject", subject).add("detail", detail));
@@ -79,7 +80,7 @@
             m_peers.workChanged();
         },
         false }
-    , m_peers(context.get_executor(), m_shared, m_settings.instance, { m_settings.address, m_settings.peerPort })
+    , m_peers(context.get_executor(), m_shared, m_settings.instance, m_settings.dataCentre, { m_settings.address, m_settings.peerPort })
     , m_store(m_shared, m_settings.store)
     , m_callers(
           context.get_executor(),
--- a/src/programs/gateway/main.cpp
+++ b/src/programs/gateway/main.cpp
@@ -132,5 +132,7 @@
     host::log(
         host::log_level::info, log_line("started").add("instance", settings->instance.str()).add("callers", toString(settings->callers)));
     context.run();
-    return host::exit_ok;
+    // What still runs is past its grace; its frames must not be destroyed behind the host that they use.
+    std::cout.flush();
+    std::_Exit(host::exit_ok);
 }
--- a/src/programs/gateway/peer_link.cpp
+++ b/src/programs/gateway/peer_link.cpp
@@ -23,9 +23,10 @@
     return failure ? 0 : address.to_uint();
 }
 
-peer_link::peer_link(asio::any_io_executor executor, gateway_context &context, instance_id self, endpoint address)
+peer_link::peer_link(asio::any_io_executor executor, gateway_context &context, instance_id self, data_centre_id dataCentre, endpoint address)
     : m_context(context)
     , m_self(std::move(self))
+    , m_dataCentre(std::move(dataCentre))
     , m_address(std::move(address))
     , m_number(peerAddressOf(m_address.address))
     , m_incarnation(context.random.below(~std::uint64_t{ 0 }))
@@ -113,6 +114,7 @@
     const time_point now = m_context.clock.now();
     load_report report;
     report.sender = m_self;
+    report.dataCentre = m_dataCentre;
     report.address = m_number;
     report.incarnation = m_incarnation;
     report.sequence = ++m_sequence;
--- a/src/programs/gateway/peer_link.h
+++ b/src/programs/gateway/peer_link.h
@@ -15,7 +15,7 @@
 class peer_link
 {
 public:
-    peer_link(boost::asio::any_io_executor executor, gateway_context &context, instance_id self, endpoint address);
+    peer_link(boost::asio::any_io_executor executor, gateway_context &context, instance_id self, data_centre_id dataCentre, endpoint address);
 
     result<void> open();
     boost::asio::awaitable<void> receive();
@@ -25,13 +25,14 @@
     void sendReport();
 
     static constexpr std::chrono::milliseconds reportPause{ 5 }; ///< Joins the changes of one moment into one datagram.
-    static constexpr std::chrono::milliseconds reportInterval{ 500 }; ///< Without changes; repairs lost datagrams.
+    static constexpr std::chrono::milliseconds reportInterval{ 300 }; ///< Without changes; repairs lost datagrams and shows that the way is open.
 
 private:
     void onReport(const std::string &bytes);
 
     gateway_context &m_context;
     instance_id m_self;
+    data_centre_id m_dataCentre;
     endpoint m_address;
     peer_address m_number;
     std::uint64_t m_incarnation;
--- a/src/programs/gateway/request_relay.cpp
+++ b/src/programs/gateway/request_relay.cpp
@@ -12,10 +12,12 @@
 namespace
 {
 
-constexpr milliseconds connectLimit{ 400 }; ///< Many times the way to any backend server.
+constexpr milliseconds connectLimit{ 250 }; ///< Many times the way to any backend server.
 constexpr milliseconds recentReuse{ 1'000 }; ///< A server rarely closes a connection that was used this lately.
 constexpr milliseconds plainPatience{ 350 }; ///< Several times the usual work of a plain service.
-constexpr milliseconds passMargin{ 300 }; ///< Error of the prediction: a pass that was longer than known.
+constexpr milliseconds passMargin{ 500 }; ///< Error of the prediction: passes that were longer than known.
+constexpr milliseconds shortestStall{ 1'000 }; ///< Callers leave a stream after a gap of 2 s at the earliest.
+constexpr double stallOverPause = 2.5; ///< Of the class's target between two events; a stream beyond it goes on elsewhere.
 constexpr size_t wholeAnswerBytes = 8 * 1024 * 1024;
 
 attempt_failure failureOf(const error &problem, bool hasStarted, std::optional<std::uint64_t> lastEvent)
@@ -29,6 +31,13 @@
 
 } // namespace
 
+// Engines that read together wait for a lost one until its stall is over, and then say that nothing has run.
+milliseconds request_session::patienceFor(const placement_decision &placed) const
+{
+    const auto predicted = duration_cast<milliseconds>(placed.predictedFirst);
+    return placed.parts.size() > 1 ? 2 * predicted + m_context.stall + passMargin : 3 * predicted + passMargin;
+}
+
 http::call_limits request_session::limitsFor(const placement_decision &placed, time_point now)
 {
     const auto left = std::max(duration_cast<milliseconds>(m_endAt - now), milliseconds(1));
@@ -40,9 +49,9 @@
     if (m_route->repeat == repetition::once) {
         limits.reuseIdle = recentReuse;
     } else if (m_runs + 1 < m_route->maxServers) {
-        const auto predicted = duration_cast<milliseconds>(placed.predictedFirst);
-        const auto patience = m_route->isStream ? 2 * predicted + m_context.stall + passMargin : plainPatience;
-        limits.firstByte = std::min(left, patience);
+        limits.firstByte = std::min(left, m_route->isStream ? patienceFor(placed) : plainPatience);
+        const auto stall = duration_cast<milliseconds>(m_route->pauseTarget * stallOverPause);
+        limits.progress = std::min(left, std::max(stall, shortestStall));
     }
     limits.onConnection = [this, alive = m_alive](std::function<void()> close) {
         if (!*alive) {
--- a/src/programs/gateway/request_session.h
+++ b/src/programs/gateway/request_session.h
@@ -52,6 +52,7 @@
     void watchCaller();
     void watchDeadline();
     void interrupt();
+    std::chrono::milliseconds patienceFor(const placement_decision &placed) const;
     http::call_limits limitsFor(const placement_decision &placed, time_point now);
     http::request_message messageFor(const placement_decision &placed, time_point now) const;
     void noteEvents(time_point now);
