--- a/src/gateway/internal/prompt_placement.cpp
+++ b/src/gateway/internal/prompt_placement.cpp
@@ -223,13 +223,13 @@
         if (disturbs && isOnTime(decision)) {
             return decision;
         }
-        if (m_now + decision.predictedFirst > m_work.deadline) {
-            return refuse("deadline", std::chrono::duration_cast<milliseconds>(slowest));
-        }
-        const bool isSmall = chosen.size() == 1;
+        const bool isSmall = m_parts == 1;
         if (disturbs && !isSmall && slowest > longestPass) {
             return isWorthHolding() ? decision : refuse(decision.reason, std::chrono::duration_cast<milliseconds>(slowest));
         }
+        if (m_now + decision.predictedFirst > m_work.deadline) {
+            return refuse("deadline", std::chrono::duration_cast<milliseconds>(slowest));
+        }
         decision.next = placement_decision::action::send;
         for (const placement_candidate *each : chosen) {
             const bool answers = decision.parts.empty();
