--- /dev/null
+++ b/src/gateway/internal/caller_patience.cpp
@@ -0,0 +1,17 @@
+#include "gateway/caller_patience.h"
+
+#include <algorithm>
+
+namespace mustardtrail::gateway
+{
+
+// The three figures are what the platform's callers do.
+std::chrono::milliseconds callerPatience(const route &from)
+{
+    constexpr std::chrono::milliseconds shortest{ 2'000 };
+    constexpr int latencyTargets = 4;
+    constexpr int pauseTargets = 8;
+    return std::max({ shortest, from.latencyTarget * latencyTargets, from.pauseTarget * pauseTargets });
+}
+
+} // namespace mustardtrail::gateway
--- a/src/gateway/internal/prompt_placement.cpp
+++ b/src/gateway/internal/prompt_placement.cpp
@@ -48,9 +48,9 @@
     return pendingAt(candidate).count() > 0 && passWith(candidate, part, engine) > longPass;
 }
 
-bool canAnswer(const placement_candidate &candidate, std::int64_t tokens, const engine_profile &engine)
+bool canAnswer(const placement_candidate &candidate, std::int64_t tokens, const engine_profile &engine, unsigned reserve)
 {
-    return !candidate.isColdFull && candidate.load.requests < candidate.slots
+    return !candidate.isColdFull && candidate.load.requests + reserve < candidate.slots
         && candidate.load.memoryTokens + tokens <= engine.memoryTokens;
 }
 
@@ -84,7 +84,7 @@
 {
     const placement_candidate *best = nullptr;
     for (const placement_candidate *each : ordered) {
-        const bool hasRoom = canAnswer(*each, tokens, engine) && each->load.requests + freeSlots < each->slots;
+        const bool hasRoom = canAnswer(*each, tokens, engine, freeSlots);
         const bool isQuick = !each->isSuspect && passWith(*each, part, engine) <= gatheredPass;
         if (hasRoom && isQuick && (!best || each->load.shortWriters > best->load.shortWriters)) {
             best = each;
@@ -93,10 +93,11 @@
     return best;
 }
 
-const placement_candidate *firstThatAnswers(const candidates_view &ordered, std::int64_t tokens, const engine_profile &engine)
+const placement_candidate *firstThatAnswers(
+    const candidates_view &ordered, std::int64_t tokens, const engine_profile &engine, unsigned reserve)
 {
     const auto found = std::find_if(ordered.begin(), ordered.end(), [&](const placement_candidate *each) {
-        return canAnswer(*each, tokens, engine);
+        return canAnswer(*each, tokens, engine, reserve);
     });
     return found == ordered.end() ? nullptr : *found;
 }
@@ -145,7 +146,7 @@
     {
         const microseconds wantedPart = m_whole / static_cast<std::int64_t>(m_parts);
         const placement_candidate *answering = isQuick ? gatheringEngine(ordered, m_tokens, wantedPart, m_engine) : nullptr;
-        answering = answering ? answering : firstThatAnswers(ordered, m_tokens, m_engine);
+        answering = answering ? answering : firstThatAnswers(ordered, m_tokens, m_engine, reserve());
         if (!answering) {
             return std::nullopt;
         }
@@ -171,7 +172,7 @@
         const std::int64_t share = m_tokens / static_cast<std::int64_t>(holders) + 1;
         candidates_view chosen;
         for (const placement_candidate *each : ordered) {
-            if (chosen.size() < holders && !each->isSuspect && canAnswer(*each, share, m_engine)) {
+            if (chosen.size() < holders && !each->isSuspect && canAnswer(*each, share, m_engine, reserve())) {
                 chosen.push_back(each);
             }
         }
@@ -198,14 +199,20 @@
         placement_decision decision;
         decision.reason = "no_memory_or_slot";
         decision.predictedFirst = m_whole / static_cast<std::int64_t>(m_parts);
-        return isOnTime(decision) ? decision : refuse(decision.reason, noRoomPause);
+        return isOnTime(decision) || isWorthHolding() ? decision : refuse(decision.reason, noRoomPause);
     }
 
 private:
+    // Late requests leave the last slots to those that can still be on time.
+    unsigned reserve() const
+    {
+        return m_now < m_work.targetAt ? 0 : freeSlots;
+    }
+
     // A request that will be late displaces nothing that is on time; but it is not held until nothing can be done for it.
     bool isWorthHolding() const
     {
-        return m_now < m_work.arrivedAt + (m_work.deadline - m_work.arrivedAt) / 2;
+        return m_now < m_work.arrivedAt + (m_work.leavesAt - m_work.arrivedAt) / 2;
     }
 
     placement_decision decisionFor(const candidates_view &chosen) const
@@ -227,7 +234,7 @@
         if (disturbs && !isSmall && slowest > longestPass) {
             return isWorthHolding() ? decision : refuse(decision.reason, std::chrono::duration_cast<milliseconds>(slowest));
         }
-        if (m_now + decision.predictedFirst > m_work.deadline) {
+        if (m_now + decision.predictedFirst > std::min(m_work.deadline, m_work.leavesAt)) {
             return refuse("deadline", std::chrono::duration_cast<milliseconds>(slowest));
         }
         decision.next = placement_decision::action::send;
--- a/src/gateway/internal/resend_budget.cpp
+++ b/src/gateway/internal/resend_budget.cpp
@@ -33,16 +33,21 @@
     window.requests.push_back(now);
 }
 
-bool resend_budget::tryTake(const service_id &service, time_point now, size_t instances)
+bool resend_budget::hasRoom(const service_id &service, time_point now, size_t instances)
 {
     service_window &window = m_services[service];
     forget(window, now);
     const double share = m_limits.slack / static_cast<double>(std::max<size_t>(instances, 1));
     const double allowed = safety * (m_limits.ratio * static_cast<double>(window.requests.size()) + share);
-    if (static_cast<double>(window.resends.size()) + 1.0 > allowed) {
+    return static_cast<double>(window.resends.size()) + 1.0 <= allowed;
+}
+
+bool resend_budget::tryTake(const service_id &service, time_point now, size_t instances)
+{
+    if (!hasRoom(service, now, instances)) {
         return false;
     }
-    window.resends.push_back(now);
+    m_services[service].resends.push_back(now);
     return true;
 }
 
--- a/src/gateway/prompt_work.h
+++ b/src/gateway/prompt_work.h
@@ -14,6 +14,7 @@
     std::chrono::milliseconds pauseTarget{ 0 };
     time_point arrivedAt{};
     time_point targetAt{}; ///< The first event is on time up to here.
+    time_point leavesAt{}; ///< The caller leaves here if no event has come.
     time_point deadline{}; ///< Nothing is worth sending after this.
 };
 
--- a/src/gateway/resend_budget.h
+++ b/src/gateway/resend_budget.h
@@ -24,6 +24,8 @@
     explicit resend_budget(resend_limits limits);
 
     void countRequest(const service_id &service, time_point now);
+    /// Whether tryTake would succeed.
+    bool hasRoom(const service_id &service, time_point now, size_t instances);
     /// Counts a second send if there is room for it.
     bool tryTake(const service_id &service, time_point now, size_t instances);
 
--- a/src/programs/gateway/request_relay.cpp
+++ b/src/programs/gateway/request_relay.cpp
@@ -34,11 +34,20 @@
 // Engines that read together wait for a lost one until its stall is over, and then say that nothing has run.
 milliseconds request_session::patienceFor(const placement_decision &placed) const
 {
+    if (!m_route->isStream) {
+        return plainPatience;
+    }
     const auto predicted = duration_cast<milliseconds>(placed.predictedFirst);
     return placed.parts.size() > 1 ? 2 * predicted + m_context.stall + passMargin : 3 * predicted + passMargin;
 }
 
-http::call_limits request_session::limitsFor(const placement_decision &placed, time_point now)
+milliseconds request_session::stallLimit() const
+{
+    const auto stall = duration_cast<milliseconds>(m_route->pauseTarget * stallOverPause);
+    return m_route->isStream ? std::max(stall, shortestStall) : plainPatience;
+}
+
+http::call_limits request_session::limitsFor(time_point now)
 {
     const auto left = std::max(duration_cast<milliseconds>(m_endAt - now), milliseconds(1));
     http::call_limits limits;
@@ -48,10 +57,6 @@
     limits.bodyBytes = wholeAnswerBytes;
     if (m_route->repeat == repetition::once) {
         limits.reuseIdle = recentReuse;
-    } else if (m_runs + 1 < m_route->maxServers) {
-        limits.firstByte = std::min(left, m_route->isStream ? patienceFor(placed) : plainPatience);
-        const auto stall = duration_cast<milliseconds>(m_route->pauseTarget * stallOverPause);
-        limits.progress = std::min(left, std::max(stall, shortestStall));
     }
     limits.onConnection = [this, alive = m_alive](std::function<void()> close) {
         if (!*alive) {
@@ -153,7 +158,8 @@
                             .add("why", placed.reason)
                             .add("age", age(now)));
     http::request_message message = messageFor(placed, now);
-    http::call_limits limits = limitsFor(placed, now);
+    http::call_limits limits = limitsFor(now);
+    watchStall(patienceFor(placed));
     auto answer = co_await m_context.client.open(address, std::move(message), std::move(limits));
     if (!answer) {
         m_arrivals += answer.error().outcome == verdict::not_run ? 0 : 1;
@@ -220,6 +226,7 @@
         m_longestPause = std::max(m_longestPause, duration_cast<milliseconds>(now - m_lastEventAt));
     }
     m_lastEventAt = now;
+    watchStall(stallLimit());
     if (m_context.state.loads.firstToken(m_workId)) {
         m_context.workChanged();
     }
--- a/src/programs/gateway/request_session.cpp
+++ b/src/programs/gateway/request_session.cpp
@@ -1,5 +1,6 @@
 #include "programs/gateway/request_session.h"
 
+#include "gateway/caller_patience.h"
 #include "gateway/prompt_placement.h"
 #include "gateway/service_choice.h"
 
@@ -33,6 +34,7 @@
     , m_arrivedAt(context.clock.now())
     , m_pause(exchange.executor())
     , m_deadline(exchange.executor())
+    , m_stall(exchange.executor())
 {
 }
 
@@ -109,6 +111,7 @@
         m_context.state.loads.finish(m_workId);
         m_context.workChanged();
         m_closeConnection = nullptr;
+        m_stall.cancel();
         if (m_reservations) {
             m_reservations->release();
             m_reservations.reset();
@@ -142,6 +145,7 @@
         work.pauseTarget = m_route->pauseTarget;
         work.arrivedAt = m_arrivedAt;
         work.targetAt = m_arrivedAt + m_route->latencyTarget;
+        work.leavesAt = std::min(m_endAt, m_arrivedAt + callerPatience(*m_route));
         work.deadline = m_endAt;
         return placePrompt(work, *profile->engine, candidates, now);
     }
@@ -177,11 +181,8 @@
     }
 }
 
-next_step request_session::stepAfter(const attempt_failure &failure)
+retry_state request_session::retryState(time_point now)
 {
-    const time_point now = m_context.clock.now();
-    m_mayHaveRun = m_mayHaveRun || failure.outcome != verdict::not_run;
-    m_runs += failure.outcome != verdict::not_run ? 1 : 0;
     retry_state state;
     state.repeat = m_route->repeat;
     state.mayHaveRun = m_mayHaveRun;
@@ -190,6 +191,41 @@
     state.hasTime = now + milliseconds(20) < m_endAt && m_sends < mostSends;
     state.hasOtherServer = !m_context.state.candidates(m_service, m_excluded, now).empty();
     state.hasBudget = true;
+    return state;
+}
+
+bool request_session::canMoveOn()
+{
+    const time_point now = m_context.clock.now();
+    retry_state state = retryState(now);
+    state.mayHaveRun = true;
+    state.sends = m_runs + 1;
+    state.hasBudget = m_context.state.resends.hasRoom(m_service, now, m_context.state.peers.largestFleet());
+    const attempt_failure lost{ verdict::may_have_run, false, false, m_lastEvent, m_exchange.hasStarted() };
+    return afterFailure(lost, state) == next_step::send_again;
+}
+
+void request_session::watchStall(milliseconds pause)
+{
+    m_stall.expires_after(pause);
+    m_stall.async_wait([this, alive = m_alive](boost::system::error_code failure) {
+        if (failure || !*alive || !m_closeConnection) {
+            return;
+        }
+        if (canMoveOn()) {
+            m_closeConnection();
+        } else {
+            watchStall(stallLimit());
+        }
+    });
+}
+
+next_step request_session::stepAfter(const attempt_failure &failure)
+{
+    const time_point now = m_context.clock.now();
+    m_mayHaveRun = m_mayHaveRun || failure.outcome != verdict::not_run;
+    m_runs += failure.outcome != verdict::not_run ? 1 : 0;
+    retry_state state = retryState(now);
     if (afterFailure(failure, state) != next_step::send_again || m_arrivals == 0) {
         return afterFailure(failure, state);
     }
--- a/src/programs/gateway/request_session.h
+++ b/src/programs/gateway/request_session.h
@@ -51,9 +51,14 @@
 
     void watchCaller();
     void watchDeadline();
+    /// Gives the current send up after the pause if another server can go on; else looks again.
+    void watchStall(std::chrono::milliseconds pause);
+    bool canMoveOn();
+    retry_state retryState(time_point now);
     void interrupt();
     std::chrono::milliseconds patienceFor(const placement_decision &placed) const;
-    http::call_limits limitsFor(const placement_decision &placed, time_point now);
+    std::chrono::milliseconds stallLimit() const;
+    http::call_limits limitsFor(time_point now);
     http::request_message messageFor(const placement_decision &placed, time_point now) const;
     void noteEvents(time_point now);
     void registerWork(const placement_decision &placed, time_point now);
@@ -72,6 +77,7 @@
     time_point m_endAt{};
     boost::asio::steady_timer m_pause;
     boost::asio::steady_timer m_deadline;
+    boost::asio::steady_timer m_stall;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
     std::function<void()> m_closeConnection;
     bool m_isGone = false;
