--- a/src/gateway/internal/load_report.cpp
+++ b/src/gateway/internal/load_report.cpp
@@ -61,6 +61,7 @@
     message.set_sequence(report.sequence);
     message.set_leaving(report.isLeaving);
     message.mutable_known()->Add(report.known.begin(), report.known.end());
+    message.mutable_suspects()->Add(report.suspects.begin(), report.suspects.end());
     for (const server_work &work : report.work) {
         write(work, now, *message.add_work());
     }
@@ -83,6 +84,7 @@
     report.incarnation = message.incarnation();
     report.sequence = message.sequence();
     report.isLeaving = message.leaving();
+    report.suspects.assign(message.suspects().begin(), message.suspects().end());
     report.known.assign(message.known().begin(), message.known().end());
     for (const wire::Work &work : message.work()) {
         report.work.push_back(read(work, now));
--- a/src/gateway/internal/prompt_placement.cpp
+++ b/src/gateway/internal/prompt_placement.cpp
@@ -24,7 +24,8 @@
 constexpr milliseconds sendMargin{ 100 }; ///< Network, and the pass that runs when the request arrives.
 constexpr milliseconds roundTrip{ 4 }; ///< Between this instance and a backend server.
 constexpr double ticketShare = 0.5; ///< Of an engine's memory for one prompt's reservation, so that other work goes on beside it.
-constexpr unsigned freeSlots = 3; ///< Left on an engine that quick streams are gathered on, for those that others send now.
+constexpr int freeSlots = 3; ///< Left on an engine that quick streams are gathered on, for those that others send now.
+constexpr int queuedStreams = 4; ///< Interrupted streams that may wait in an engine's own queue.
 constexpr milliseconds noServerPause{ 500 }; ///< A replaced server is listed within about a heartbeat.
 constexpr milliseconds noRoomPause{ 500 }; ///< About the time in which one of many streams ends.
 
@@ -48,9 +49,10 @@
     return pendingAt(candidate).count() > 0 && passWith(candidate, part, engine) > longPass;
 }
 
-bool canAnswer(const placement_candidate &candidate, std::int64_t tokens, const engine_profile &engine, unsigned reserve)
+bool canAnswer(const placement_candidate &candidate, std::int64_t tokens, const engine_profile &engine, int reserve)
 {
-    return !candidate.isColdFull && candidate.load.requests + reserve < candidate.slots
+    const int taken = static_cast<int>(candidate.load.requests) + reserve;
+    return !candidate.isColdFull && taken < static_cast<int>(candidate.slots)
         && candidate.load.memoryTokens + tokens <= engine.memoryTokens;
 }
 
@@ -94,7 +96,7 @@
 }
 
 const placement_candidate *firstThatAnswers(
-    const candidates_view &ordered, std::int64_t tokens, const engine_profile &engine, unsigned reserve)
+    const candidates_view &ordered, std::int64_t tokens, const engine_profile &engine, int reserve)
 {
     const auto found = std::find_if(ordered.begin(), ordered.end(), [&](const placement_candidate *each) {
         return canAnswer(*each, tokens, engine, reserve);
@@ -204,14 +206,20 @@
 
 private:
     // Late requests leave the last slots to those that can still be on time.
-    unsigned reserve() const
+    int reserve() const
     {
+        if (m_work.isInterrupted) {
+            return -queuedStreams;
+        }
         return m_now < m_work.targetAt ? 0 : freeSlots;
     }
 
     // A request that will be late displaces nothing that is on time; but it is not held until nothing can be done for it.
     bool isWorthHolding() const
     {
+        if (m_work.isInterrupted) {
+            return m_now + m_whole / static_cast<std::int64_t>(m_parts) + sendMargin < m_work.leavesAt;
+        }
         return m_now < m_work.arrivedAt + (m_work.leavesAt - m_work.arrivedAt) / 2;
     }
 
--- a/src/gateway/internal/resend_budget.cpp
+++ b/src/gateway/internal/resend_budget.cpp
@@ -8,6 +8,7 @@
 namespace
 {
 
+constexpr double refusedShare = 0.5; // The rest is kept for streams that break in a burst, as at a cut.
 constexpr double safety = 0.8; // Counting windows of the instances are not aligned with each other.
 
 } // namespace
@@ -33,18 +34,19 @@
     window.requests.push_back(now);
 }
 
-bool resend_budget::hasRoom(const service_id &service, time_point now, size_t instances)
+bool resend_budget::hasRoom(const service_id &service, use why, time_point now, size_t instances)
 {
     service_window &window = m_services[service];
     forget(window, now);
     const double share = m_limits.slack / static_cast<double>(std::max<size_t>(instances, 1));
-    const double allowed = safety * (m_limits.ratio * static_cast<double>(window.requests.size()) + share);
+    const double part = why == use::refused ? refusedShare : 1.0;
+    const double allowed = part * safety * (m_limits.ratio * static_cast<double>(window.requests.size()) + share);
     return static_cast<double>(window.resends.size()) + 1.0 <= allowed;
 }
 
-bool resend_budget::tryTake(const service_id &service, time_point now, size_t instances)
+bool resend_budget::tryTake(const service_id &service, use why, time_point now, size_t instances)
 {
-    if (!hasRoom(service, now, instances)) {
+    if (!hasRoom(service, why, now, instances)) {
         return false;
     }
     m_services[service].resends.push_back(now);
--- a/src/gateway/load_report.h
+++ b/src/gateway/load_report.h
@@ -24,6 +24,7 @@
     bool isLeaving = false; ///< Stops soon; others forget it without a wait.
     std::vector<peer_address> known; ///< Other instances that it heard lately.
     std::vector<server_work> work;
+    std::vector<server_key> suspects; ///< Backend servers that failed it lately.
 };
 
 std::string encodeLoadReport(const load_report &report, time_point now);
--- a/src/gateway/prompt_work.h
+++ b/src/gateway/prompt_work.h
@@ -15,6 +15,7 @@
     time_point arrivedAt{};
     time_point targetAt{}; ///< The first event is on time up to here.
     time_point leavesAt{}; ///< The caller leaves here if no event has come.
+    bool isInterrupted = false; ///< Its caller has a part of the answer, which is lost unless another engine goes on.
     time_point deadline{}; ///< Nothing is worth sending after this.
 };
 
--- a/src/programs/gateway/peer_link.cpp
+++ b/src/programs/gateway/peer_link.cpp
@@ -83,6 +83,7 @@
     if (!m_context.state.peers.hear(*report, now)) {
         return;
     }
+    m_context.state.trust.hear(report->sender, report->suspects, now);
     m_context.state.loads.replacePeer(report->sender, std::move(report->work), now);
 }
 
@@ -120,6 +121,7 @@
     report.sequence = ++m_sequence;
     report.isLeaving = m_context.isStopping && m_context.state.loads.own().empty();
     report.known = m_context.state.peers.alive(now);
+    report.suspects = m_context.state.trust.suspects(now);
     report.work = m_context.state.loads.own();
     const std::string bytes = encodeLoadReport(report, now);
     for (const peer_address target : m_context.state.peers.targets()) {
--- a/src/programs/gateway/request_relay.cpp
+++ b/src/programs/gateway/request_relay.cpp
@@ -20,16 +20,23 @@
 constexpr double stallOverPause = 2.5; ///< Of the class's target between two events; a stream beyond it goes on elsewhere.
 constexpr size_t wholeAnswerBytes = 8 * 1024 * 1024;
 
-attempt_failure failureOf(const error &problem, bool hasStarted, std::optional<std::uint64_t> lastEvent)
+} // namespace
+
+attempt_failure request_session::failureNow(verdict outcome) const
 {
     attempt_failure failure;
-    failure.outcome = problem.outcome;
-    failure.hasStarted = hasStarted;
-    failure.lastEvent = lastEvent;
+    failure.outcome = outcome;
+    failure.lastEvent = m_lastEvent;
+    failure.hasStarted = m_exchange.hasStarted();
     return failure;
 }
 
-} // namespace
+attempt_failure request_session::failureOf(const error &problem) const
+{
+    attempt_failure failure = failureNow(problem.outcome);
+    failure.isUnreachable = problem.code == error_code::backend_connect_failed;
+    return failure;
+}
 
 // Engines that read together wait for a lost one until its stall is over, and then say that nothing has run.
 milliseconds request_session::patienceFor(const placement_decision &placed) const
@@ -87,6 +94,9 @@
             terms.helpers.push_back({ server->entry.address, isReserved ? m_reservations->nameFor(part.server) : std::string() });
         }
     }
+    if (m_firstEventAt) {
+        terms.urgency = 0;
+    }
     if (m_lastEvent != m_head.lastEvent) {
         terms.lastEvent = m_lastEvent;
     }
@@ -135,9 +145,11 @@
     const time_point now = m_context.clock.now();
     const auto *server = m_context.state.serverOf(placed.parts.front().server);
     if (!server) {
-        co_return attempt_failure{ verdict::not_run, false, false, m_lastEvent, m_exchange.hasStarted() };
+        co_return failureNow(verdict::not_run);
     }
     const endpoint address = server->entry.address;
+    m_answering = placed.parts.front().server;
+    m_isStallExtended = false;
     m_lastServer = server->entry.id.str();
     m_faultyServer.clear();
     ++m_sends;
@@ -147,7 +159,7 @@
     registerWork(placed, now);
     const bool isReserved = co_await reserve(placed);
     if (!isReserved || m_isGone) {
-        co_return attempt_failure{ verdict::not_run, false, false, m_lastEvent, m_exchange.hasStarted() };
+        co_return failureNow(verdict::not_run);
     }
     m_context.log.write(log_line("request_sent")
                             .add("request", m_head.attempt.str())
@@ -164,13 +176,13 @@
     if (!answer) {
         m_arrivals += answer.error().outcome == verdict::not_run ? 0 : 1;
         m_context.metrics.sendEnded(std::string(toString(answer.error().code)));
-        co_return failureOf(answer.error(), m_exchange.hasStarted(), m_lastEvent);
+        co_return failureOf(answer.error());
     }
     ++m_arrivals;
     const auto head = platform::readAnswerHead((*answer)->status(), (*answer)->headers(), m_head.attempt);
     if (head.isOther) {
         m_context.metrics.sendEnded("other_request");
-        co_return attempt_failure{ verdict::may_have_run, false, false, m_lastEvent, m_exchange.hasStarted() };
+        co_return failureNow(verdict::may_have_run);
     }
     if (head.isSuccess && m_route->isStream) {
         m_context.state.trust.succeeded(placed.parts.front().server);
@@ -190,7 +202,7 @@
         auto bytes = co_await answer.read();
         if (!bytes) {
             m_context.metrics.sendEnded("stream_lost");
-            co_return failureOf(bytes.error(), true, m_lastEvent);
+            co_return failureOf(bytes.error());
         }
         if (bytes->empty()) {
             break;
@@ -210,7 +222,7 @@
     }
     const bool isWhole = !m_isGone && !m_events.hasRest();
     if (!isWhole) {
-        co_return attempt_failure{ verdict::ran, false, false, m_lastEvent, true };
+        co_return failureNow(verdict::ran);
     }
     m_context.metrics.sendEnded("served");
     co_await m_exchange.finishStream();
@@ -226,6 +238,7 @@
         m_longestPause = std::max(m_longestPause, duration_cast<milliseconds>(now - m_lastEventAt));
     }
     m_lastEventAt = now;
+    m_context.state.trust.heard(m_answering, now);
     watchStall(stallLimit());
     if (m_context.state.loads.firstToken(m_workId)) {
         m_context.workChanged();
@@ -240,11 +253,7 @@
         auto bytes = co_await answer.read();
         if (!bytes || message.body.size() > wholeAnswerBytes) {
             m_context.metrics.sendEnded("answer_lost");
-            co_return attempt_failure{ head.outcome == verdict::not_run ? verdict::not_run : verdict::may_have_run,
-                head.isWrongServer,
-                false,
-                m_lastEvent,
-                m_exchange.hasStarted() };
+            co_return failureNow(head.outcome == verdict::not_run ? verdict::not_run : verdict::may_have_run);
         }
         if (bytes->empty()) {
             break;
@@ -258,7 +267,8 @@
         co_return std::nullopt;
     }
     m_context.metrics.sendEnded("status_" + std::to_string(message.status));
-    attempt_failure failure{ head.outcome, head.isWrongServer, false, m_lastEvent, m_exchange.hasStarted() };
+    attempt_failure failure = failureNow(head.outcome);
+    failure.isWrongServer = head.isWrongServer;
     const bool isFailure = message.status >= 300;
     if (head.outcome == verdict::ran && isFailure) {
         failure.hasAnswer = true;
--- a/src/programs/gateway/request_session.cpp
+++ b/src/programs/gateway/request_session.cpp
@@ -91,12 +91,10 @@
             co_return;
         }
         if (placed.next != placement_decision::action::send) {
-            const attempt_failure none{ m_mayHaveRun ? verdict::may_have_run : verdict::not_run,
-                false,
-                m_serverFailure.has_value(),
-                m_lastEvent,
-                m_exchange.hasStarted() };
+            attempt_failure none = failureNow(m_mayHaveRun ? verdict::may_have_run : verdict::not_run);
+            none.hasAnswer = m_serverFailure.has_value();
             if (m_exchange.hasStarted() || m_mayHaveRun) {
+                logDenied(placed.reason);
                 const next_step last = m_exchange.hasStarted() ? next_step::break_off
                     : m_serverFailure                          ? next_step::pass_on
                                                                : next_step::fail;
@@ -143,9 +141,11 @@
         work.promptTokens = *m_head.promptTokens;
         work.answerTokens = m_head.answerTokens;
         work.pauseTarget = m_route->pauseTarget;
-        work.arrivedAt = m_arrivedAt;
-        work.targetAt = m_arrivedAt + m_route->latencyTarget;
-        work.leavesAt = std::min(m_endAt, m_arrivedAt + callerPatience(*m_route));
+        // The caller of an interrupted stream has waited since its last event.
+        work.arrivedAt = m_firstEventAt ? m_lastEventAt : m_arrivedAt;
+        work.targetAt = work.arrivedAt + m_route->latencyTarget;
+        work.leavesAt = std::min(m_endAt, work.arrivedAt + callerPatience(*m_route));
+        work.isInterrupted = m_firstEventAt.has_value();
         work.deadline = m_endAt;
         return placePrompt(work, *profile->engine, candidates, now);
     }
@@ -200,8 +200,8 @@
     retry_state state = retryState(now);
     state.mayHaveRun = true;
     state.sends = m_runs + 1;
-    state.hasBudget = m_context.state.resends.hasRoom(m_service, now, m_context.state.peers.largestFleet());
-    const attempt_failure lost{ verdict::may_have_run, false, false, m_lastEvent, m_exchange.hasStarted() };
+    state.hasBudget = m_context.state.resends.hasRoom(m_service, resend_budget::use::interrupted, now, m_context.state.peers.largestFleet());
+    const attempt_failure lost = failureNow(verdict::may_have_run);
     return afterFailure(lost, state) == next_step::send_again;
 }
 
@@ -212,10 +212,13 @@
         if (failure || !*alive || !m_closeConnection) {
             return;
         }
-        if (canMoveOn()) {
-            m_closeConnection();
-        } else {
+        // A server that serves others is slow rather than lost, and moving on would only add to its load.
+        const bool isSlow = !m_isStallExtended && m_context.state.trust.isTalking(m_answering, m_context.clock.now());
+        if (isSlow || !canMoveOn()) {
+            m_isStallExtended = true;
             watchStall(stallLimit());
+        } else {
+            m_closeConnection();
         }
     });
 }
@@ -226,11 +229,32 @@
     m_mayHaveRun = m_mayHaveRun || failure.outcome != verdict::not_run;
     m_runs += failure.outcome != verdict::not_run ? 1 : 0;
     retry_state state = retryState(now);
-    if (afterFailure(failure, state) != next_step::send_again || m_arrivals == 0) {
+    if (afterFailure(failure, state) != next_step::send_again) {
+        const std::string_view why = !state.hasOtherServer ? "no_server" : !state.hasTime ? "no_time" : "not_allowed";
+        logDenied(why);
         return afterFailure(failure, state);
     }
-    state.hasBudget = m_context.state.resends.tryTake(m_service, now, m_context.state.peers.largestFleet());
-    return afterFailure(failure, state);
+    if (m_arrivals == 0) {
+        return next_step::send_again;
+    }
+    const auto use = failure.outcome == verdict::not_run ? resend_budget::use::refused : resend_budget::use::interrupted;
+    state.hasBudget = m_context.state.resends.tryTake(m_service, use, now, m_context.state.peers.largestFleet());
+    const next_step step = afterFailure(failure, state);
+    if (step != next_step::send_again) {
+        logDenied("budget");
+    }
+    return step;
+}
+
+void request_session::logDenied(std::string_view why)
+{
+    m_context.log.write(log_line("resend_denied")
+                            .add("request", m_head.attempt.str())
+                            .add("service", m_service.str())
+                            .add("why", why)
+                            .add("runs", m_runs)
+                            .add("most", m_route->maxServers)
+                            .add("lastEvent", m_lastEvent ? static_cast<std::int64_t>(*m_lastEvent) : -1));
 }
 
 void request_session::blame(const placement_decision &placed, const attempt_failure &failure)
@@ -256,7 +280,9 @@
         return;
     }
     m_excluded.insert(primary->entry.id);
-    if (failure.outcome != verdict::not_run && !failure.hasAnswer) {
+    const bool isSilent = failure.outcome != verdict::not_run && !failure.hasAnswer;
+    const bool isTalking = m_context.state.trust.isTalking(m_answering, now);
+    if (failure.isUnreachable || (isSilent && !isTalking)) {
         m_context.state.trust.failed(placed.parts.front().server, now);
     }
 }
--- a/src/programs/gateway/request_session.h
+++ b/src/programs/gateway/request_session.h
@@ -49,6 +49,8 @@
     boost::asio::awaitable<void> refuse(const refusal &answer);
     next_step stepAfter(const attempt_failure &failure);
 
+    attempt_failure failureNow(verdict outcome) const;
+    attempt_failure failureOf(const error &problem) const;
     void watchCaller();
     void watchDeadline();
     /// Gives the current send up after the pause if another server can go on; else looks again.
@@ -63,6 +65,7 @@
     void noteEvents(time_point now);
     void registerWork(const placement_decision &placed, time_point now);
     void blame(const placement_decision &placed, const attempt_failure &failure);
+    void logDenied(std::string_view why);
     void logEnd(std::string_view event, int status, std::string_view reason);
     std::chrono::milliseconds age(time_point now) const;
 
@@ -88,6 +91,8 @@
     unsigned m_sends = 0;
     std::uint64_t m_workId = 0;
     std::set<backend_server_id> m_excluded;
+    server_key m_answering = 0; ///< Server of the current send.
+    bool m_isStallExtended = false;
     std::string m_lastServer;
     std::string m_faultyServer;
     event_splitter m_events;
