--- a/src/gateway/internal/prompt_placement.cpp
+++ b/src/gateway/internal/prompt_placement.cpp
@@ -21,6 +21,7 @@
 constexpr microseconds gatheredPass{ 150'000 }; ///< Up to here quick streams are gathered: half of their 300 ms to the first event.
 constexpr microseconds longPass{ 500'000 }; ///< The same for engines whose writers all allow 600 ms and more.
 constexpr microseconds longestPass{ 750'000 }; ///< Never exceeded for a prompt that others could wait for.
+constexpr std::int64_t tokensPerDisturbed = 10'000; ///< Twice a usual quick prompt: what a long one may cost others.
 constexpr milliseconds sendMargin{ 100 }; ///< Network, and the pass that runs when the request arrives.
 constexpr milliseconds roundTrip{ 4 }; ///< Between this instance and a backend server.
 constexpr double ticketShare = 0.5; ///< Of an engine's memory for one prompt's reservation, so that other work goes on beside it.
@@ -227,10 +228,13 @@
     {
         const microseconds part = m_whole / static_cast<std::int64_t>(chosen.size());
         microseconds slowest{ 0 };
+        unsigned disturbedStreams = 0;
         bool disturbs = false;
         for (const placement_candidate *each : chosen) {
             slowest = std::max(slowest, pendingAt(*each) + part);
-            disturbs = disturbs || wouldDisturb(*each, part, m_engine);
+            const bool isDisturbed = wouldDisturb(*each, part, m_engine);
+            disturbs = disturbs || isDisturbed;
+            disturbedStreams += isDisturbed ? each->load.shortWriters : 0;
         }
         placement_decision decision;
         decision.predictedFirst = slowest + passTime(m_engine, chosen.front()->load) + roundTrip;
@@ -239,7 +243,8 @@
             return decision;
         }
         const bool isSmall = m_parts == 1;
-        if (disturbs && !isSmall && slowest > longestPass) {
+        const bool costsTooMuch = slowest > longestPass || disturbedStreams * tokensPerDisturbed > m_tokens;
+        if (disturbs && !isSmall && costsTooMuch) {
             return isWorthHolding() ? decision : refuse(decision.reason, std::chrono::duration_cast<milliseconds>(slowest));
         }
         if (m_now + decision.predictedFirst > std::min(m_work.deadline, m_work.leavesAt)) {
