--- a/src/programs/gateway/peer_link.h
+++ b/src/programs/gateway/peer_link.h
@@ -24,7 +24,7 @@
     void workChanged();
     void sendReport();
 
-    static constexpr std::chrono::milliseconds reportPause{ 5 }; ///< Joins the changes of one moment into one datagram.
+    static constexpr std::chrono::milliseconds reportPause{ 1 }; ///< Joins the changes of one moment; longer, and two instances take the same slot.
     static constexpr std::chrono::milliseconds reportInterval{ 300 }; ///< Without changes; repairs lost datagrams and shows that the way is open.
 
 private:
--- a/src/programs/gateway/request_session.cpp
+++ b/src/programs/gateway/request_session.cpp
@@ -19,7 +19,7 @@
 namespace
 {
 
-constexpr milliseconds lookAgain{ 10 }; ///< While a request waits here; below a pass of an engine.
+constexpr milliseconds lookAgain{ 10 }; ///< Mean, while a request waits here; below a pass of an engine. Spread, as others wait as well.
 constexpr milliseconds defaultTimeLeft{ 30'000 }; ///< Of a caller that does not say how long it waits.
 constexpr milliseconds noViewPause{ 500 }; ///< A started or cut off instance is usually back within this.
 constexpr unsigned mostSends = 6; ///< Refusals of servers cost little, but not nothing.
@@ -175,7 +175,7 @@
         if (m_isGone || decision.next != placement_decision::action::wait) {
             co_return decision;
         }
-        m_pause.expires_after(lookAgain);
+        m_pause.expires_after(lookAgain / 2 + milliseconds(m_context.random.below(lookAgain.count())));
         boost::system::error_code ignored;
         co_await m_pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
