--- a/src/gateway/internal/prompt_placement.cpp
+++ b/src/gateway/internal/prompt_placement.cpp
@@ -212,7 +212,7 @@
         if (m_work.isInterrupted) {
             return -queuedStreams;
         }
-        return m_now < m_work.targetAt ? 0 : freeSlots;
+        return m_now + m_whole / static_cast<std::int64_t>(m_parts) + sendMargin < m_work.targetAt ? 0 : freeSlots;
     }
 
     // A request that will be late displaces nothing that is on time; but it is not held until nothing can be done for it.
--- /dev/null
+++ b/src/gateway/internal/waiting_line.cpp
@@ -0,0 +1,59 @@
+#include "gateway/waiting_line.h"
+
+#include <algorithm>
+#include <tuple>
+#include <vector>
+
+namespace mustardtrail::gateway
+{
+
+namespace
+{
+
+auto orderOf(const waiting_rank &rank, time_point now)
+{
+    const auto age = now - rank.arrivedAt;
+    return std::tuple(!rank.isInterrupted, age > rank.latencyTarget, rank.latencyTarget, age);
+}
+
+} // namespace
+
+waiting_line::ticket waiting_line::add(const waiting_rank &rank, look tryPlace)
+{
+    m_entries.emplace(++m_last, entry{ rank, std::move(tryPlace) });
+    return m_last;
+}
+
+void waiting_line::remove(ticket id)
+{
+    m_entries.erase(id);
+}
+
+void waiting_line::lookAll(time_point now)
+{
+    std::vector<ticket> order;
+    for (const auto &[id, each] : m_entries) {
+        order.push_back(id);
+    }
+    std::stable_sort(order.begin(), order.end(), [&](ticket left, ticket right) {
+        return orderOf(m_entries.at(left).rank, now) < orderOf(m_entries.at(right).rank, now);
+    });
+    for (const ticket id : order) {
+        const auto found = m_entries.find(id);
+        if (found != m_entries.end() && found->second.tryPlace(now)) {
+            m_entries.erase(id);
+        }
+    }
+}
+
+bool waiting_line::empty() const
+{
+    return m_entries.empty();
+}
+
+size_t waiting_line::size() const
+{
+    return m_entries.size();
+}
+
+} // namespace mustardtrail::gateway
--- a/src/programs/gateway/gateway_context.h
+++ b/src/programs/gateway/gateway_context.h
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/random_source.h"
 #include "gateway/fleet_state.h"
+#include "gateway/waiting_line.h"
 #include "http/client.h"
 #include "programs/gateway/decision_log.h"
 #include "programs/gateway/gateway_metrics.h"
@@ -22,6 +23,7 @@
     gateway_metrics &metrics;
     std::chrono::milliseconds stall; ///< After this an engine ends work that depends on a lost engine.
     std::function<void()> workChanged; ///< Tells the other instances soon.
+    waiting_line waiting; ///< Requests that wait for room.
     bool isStopping = false;
 };
 
--- a/src/programs/gateway/gateway_host.cpp
+++ b/src/programs/gateway/gateway_host.cpp
@@ -22,6 +22,7 @@
 constexpr milliseconds rotationPause{ 2'500 }; ///< The balancer asks each second and takes an instance out after two misses.
 constexpr milliseconds stopReserve{ 600 }; ///< Of the grace: the process has to end before it is killed.
 constexpr milliseconds stopCheck{ 20 };
+constexpr milliseconds lookInterval{ 16 }; ///< Mean between looks for waiting requests; a fraction of an engine's pass.
 constexpr double configAgeShare = 0.8; ///< Of the time in which a key must be gone; the rest covers a request that runs.
 
 fleet_limits limitsFrom(const platform::instance_settings &settings)
@@ -79,6 +80,7 @@
         [this] {
             m_peers.workChanged();
         },
+        {},
         false }
     , m_peers(context.get_executor(), m_shared, m_settings.instance, m_settings.dataCentre, { m_settings.address, m_settings.peerPort })
     , m_store(m_shared, m_settings.store)
@@ -138,6 +140,7 @@
     asio::co_spawn(m_context, m_store.run(), rethrow);
     asio::co_spawn(m_context, m_peers.receive(), rethrow);
     asio::co_spawn(m_context, m_peers.report(), rethrow);
+    asio::co_spawn(m_context, lookForRoom(), rethrow);
 }
 
 void gateway_host::reload(const platform::instance_settings &settings)
@@ -182,6 +185,18 @@
     co_await exchange.respond(std::move(answer));
 }
 
+asio::awaitable<void> gateway_host::lookForRoom()
+{
+    asio::steady_timer timer(m_context);
+    while (true) {
+        // Spread, as the other instances look as well and take the same slot in the same moment.
+        timer.expires_after(lookInterval / 2 + milliseconds(m_random.below(lookInterval.count())));
+        boost::system::error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        m_shared.waiting.lookAll(m_clock.now());
+    }
+}
+
 asio::awaitable<void> gateway_host::stop()
 {
     const time_point end = m_clock.now() + m_settings.stopGrace - stopReserve;
--- a/src/programs/gateway/gateway_host.h
+++ b/src/programs/gateway/gateway_host.h
@@ -28,6 +28,7 @@
     boost::asio::awaitable<void> serveCaller(http::exchange &exchange);
     boost::asio::awaitable<void> serveReadiness(http::exchange &exchange);
     boost::asio::awaitable<void> serveMetrics(http::exchange &exchange);
+    boost::asio::awaitable<void> lookForRoom();
     bool isReady() const;
     void addSeeds(const std::vector<endpoint> &seeds);
 
--- a/src/programs/gateway/request_relay.cpp
+++ b/src/programs/gateway/request_relay.cpp
@@ -105,7 +105,7 @@
 
 void request_session::registerWork(const placement_decision &placed, time_point now)
 {
-    m_workId = m_context.random.below(~std::uint64_t{ 0 });
+    m_workId = 1 + m_context.random.below(~std::uint64_t{ 0 });
     for (const placed_part &part : placed.parts) {
         server_work work;
         work.request = m_workId;
@@ -156,7 +156,9 @@
     if (m_sends == 1) {
         m_context.metrics.waited(m_route->name, now - m_arrivedAt);
     }
-    registerWork(placed, now);
+    if (m_workId == 0) {
+        registerWork(placed, now);
+    }
     const bool isReserved = co_await reserve(placed);
     if (!isReserved || m_isGone) {
         co_return failureNow(verdict::not_run);
--- a/src/programs/gateway/request_session.cpp
+++ b/src/programs/gateway/request_session.cpp
@@ -19,7 +19,6 @@
 namespace
 {
 
-constexpr milliseconds lookAgain{ 10 }; ///< Mean, while a request waits here; below a pass of an engine. Spread, as others wait as well.
 constexpr milliseconds defaultTimeLeft{ 30'000 }; ///< Of a caller that does not say how long it waits.
 constexpr milliseconds noViewPause{ 500 }; ///< A started or cut off instance is usually back within this.
 constexpr unsigned mostSends = 6; ///< Refusals of servers cost little, but not nothing.
@@ -87,6 +86,7 @@
     while (true) {
         const placement_decision placed = co_await place();
         if (m_isGone) {
+            finishWork();
             logEnd("caller_gone", 0, "waiting");
             co_return;
         }
@@ -106,8 +106,7 @@
             co_return;
         }
         const auto failure = co_await send(placed);
-        m_context.state.loads.finish(m_workId);
-        m_context.workChanged();
+        finishWork();
         m_closeConnection = nullptr;
         m_stall.cancel();
         if (m_reservations) {
@@ -162,23 +161,45 @@
     return decision;
 }
 
+placement_decision request_session::look(time_point now)
+{
+    placement_decision decision = decide(now);
+    if (now >= m_endAt) {
+        decision.next = placement_decision::action::refuse;
+        decision.reason = "deadline";
+    }
+    return decision;
+}
+
 asio::awaitable<placement_decision> request_session::place()
 {
-    while (true) {
-        const time_point now = m_context.clock.now();
-        placement_decision decision = decide(now);
-        const bool isLate = now >= m_endAt;
-        if (isLate) {
-            decision.next = placement_decision::action::refuse;
-            decision.reason = "deadline";
+    placement_decision decision = look(m_context.clock.now());
+    if (m_isGone || decision.next != placement_decision::action::wait) {
+        co_return decision;
+    }
+    const bool isInterrupted = m_firstEventAt.has_value();
+    const waiting_rank rank{ isInterrupted, m_route->latencyTarget, m_arrivedAt };
+    const auto tryPlace = [this, &decision](time_point now) {
+        decision = look(now);
+        if (decision.next == placement_decision::action::wait) {
+            return false;
         }
-        if (m_isGone || decision.next != placement_decision::action::wait) {
-            co_return decision;
+        if (decision.next == placement_decision::action::send) {
+            registerWork(decision, now);
         }
-        m_pause.expires_after(lookAgain / 2 + milliseconds(m_context.random.below(lookAgain.count())));
-        boost::system::error_code ignored;
-        co_await m_pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        m_pause.cancel();
+        return true;
+    };
+    const waiting_line::ticket place = m_context.waiting.add(rank, tryPlace);
+    m_pause.expires_at(m_endAt);
+    boost::system::error_code ignored;
+    co_await m_pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    m_context.waiting.remove(place);
+    if (m_isGone || m_isOver) {
+        decision.next = placement_decision::action::refuse;
+        decision.reason = "deadline";
     }
+    co_return decision;
 }
 
 retry_state request_session::retryState(time_point now)
@@ -324,6 +345,14 @@
     co_await m_exchange.respond(std::move(message));
 }
 
+void request_session::finishWork()
+{
+    m_context.state.loads.finish(m_workId);
+    m_workId = 0;
+    m_context.workChanged();
+    m_context.waiting.lookAll(m_context.clock.now());
+}
+
 void request_session::watchCaller()
 {
     m_exchange.onGone([this] {
--- a/src/programs/gateway/request_session.h
+++ b/src/programs/gateway/request_session.h
@@ -40,6 +40,8 @@
     /// Where to send next; waits while that serves the request better.
     boost::asio::awaitable<placement_decision> place();
     placement_decision decide(time_point now);
+    placement_decision look(time_point now);
+    void finishWork();
     /// Nothing when the caller has the whole answer.
     boost::asio::awaitable<std::optional<attempt_failure>> send(const placement_decision &placed);
     boost::asio::awaitable<bool> reserve(const placement_decision &placed);
