--- a/src/gateway/internal/server_directory.cpp
+++ b/src/gateway/internal/server_directory.cpp
@@ -81,10 +81,17 @@
 
 std::vector<const server_directory::known_server *> server_directory::usable(const service_id &service, time_point now) const
 {
-    std::vector<const known_server *> found;
+    std::map<endpoint, const known_server *> lastAt;
     for (const auto &[id, server] : m_servers) {
-        if (server.entry.service == service && mayTakeWork(server, now)) {
-            found.push_back(&server);
+        const known_server *&last = lastAt[server.entry.address];
+        if (!last || last->entry.startedAt < server.entry.startedAt) {
+            last = &server;
+        }
+    }
+    std::vector<const known_server *> found;
+    for (const auto &[address, server] : lastAt) {
+        if (server->entry.service == service && mayTakeWork(*server, now)) {
+            found.push_back(server);
         }
     }
     return found;
--- a/src/gateway/server_directory.h
+++ b/src/gateway/server_directory.h
@@ -41,7 +41,7 @@
     void setOutOfService(const data_centre_id &dataCentre, bool isOut);
     void setAllOutOfService(std::set<data_centre_id> dataCentres);
 
-    /// Servers of the service that may get new work.
+    /// Servers of the service that may get new work; of several starts at one address only the last.
     std::vector<const known_server *> usable(const service_id &service, time_point now) const;
     const known_server *find(const backend_server_id &id) const;
     bool mayTakeWork(const known_server &server, time_point now) const;
--- a/src/gateway/tests/server_directory_test.cpp
+++ b/src/gateway/tests/server_directory_test.cpp
@@ -97,3 +97,17 @@
     server.startedAt = 2;
     cr_assert(directory.put(server, at(1)) == server_directory::change::restarted);
 }
+
+Test(server_directory, usesOnlyTheLastStartAtAnAddress)
+{
+    server_directory directory;
+    listed_server first = serverNamed("b");
+    first.startedAt = 1'000;
+    listed_server second = serverNamed("a");
+    second.startedAt = 2'000;
+    directory.put(second, at(0));
+    directory.put(first, at(1));
+    const auto usable = directory.usable(reading, at(2));
+    expectEqual(usable.size(), 1U);
+    expectEqual(usable.front()->entry.id.str(), "a");
+}
