--- a/src/gateway/internal/load_report.cpp
+++ b/src/gateway/internal/load_report.cpp
@@ -28,7 +28,8 @@
     target.set_read_us(clipped(work.readTime.count()));
     target.set_memory_tokens(clipped(work.memoryTokens));
     target.set_context_tokens(clipped(work.contextTokens));
-    target.set_flags((work.isWriting ? writingFlag : 0) | (work.isHelper ? helperFlag : 0) | (work.hasShortPauses ? shortPausesFlag : 0) | (work.isJoint ? jointFlag : 0));
+    target.set_flags((work.isWriting ? writingFlag : 0) | (work.isHelper ? helperFlag : 0) | (work.hasShortPauses ? shortPausesFlag : 0)
+        | (work.isJoint ? jointFlag : 0));
     const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - work.sentAt);
     target.set_sent_ms_ago(clipped(age.count()));
 }
--- a/src/gateway/internal/prompt_placement.cpp
+++ b/src/gateway/internal/prompt_placement.cpp
@@ -25,7 +25,8 @@
 constexpr milliseconds sendMargin{ 100 }; ///< Network, and the pass that runs when the request arrives.
 constexpr milliseconds roundTrip{ 4 }; ///< Between this instance and a backend server.
 constexpr double ticketShare = 0.5; ///< Of an engine's memory for one prompt's reservation, so that other work goes on beside it.
-constexpr int freeSlots = 3; ///< Left on an engine that quick streams are gathered on, for those that others send now.
+constexpr int freeSlots = 3; ///< Left by late requests to those that can be on time.
+constexpr int ungatheredSlots = 6; ///< Of an engine that quick streams are gathered on; fuller ones take long to the first event.
 constexpr int queuedStreams = 4; ///< Interrupted streams that may wait in an engine's own queue.
 constexpr milliseconds noServerPause{ 500 }; ///< A replaced server is listed within about a heartbeat.
 constexpr milliseconds noRoomPause{ 500 }; ///< About the time in which one of many streams ends.
@@ -57,6 +58,11 @@
         && candidate.load.memoryTokens + tokens <= engine.memoryTokens;
 }
 
+bool canHelp(const placement_candidate &candidate)
+{
+    return !candidate.isSuspect && !candidate.isColdFull;
+}
+
 candidates_view byPending(const std::vector<placement_candidate> &candidates)
 {
     candidates_view ordered;
@@ -87,7 +93,7 @@
 {
     const placement_candidate *best = nullptr;
     for (const placement_candidate *each : ordered) {
-        const bool hasRoom = canAnswer(*each, tokens, engine, freeSlots);
+        const bool hasRoom = canAnswer(*each, tokens, engine, ungatheredSlots);
         const bool isQuick = !each->isSuspect && passWith(*each, part, engine) <= gatheredPass;
         if (hasRoom && isQuick && (!best || each->load.shortWriters > best->load.shortWriters)) {
             best = each;
@@ -96,8 +102,7 @@
     return best;
 }
 
-const placement_candidate *firstThatAnswers(
-    const candidates_view &ordered, std::int64_t tokens, const engine_profile &engine, int reserve)
+const placement_candidate *firstThatAnswers(const candidates_view &ordered, std::int64_t tokens, const engine_profile &engine, int reserve)
 {
     const auto found = std::find_if(ordered.begin(), ordered.end(), [&](const placement_candidate *each) {
         return canAnswer(*each, tokens, engine, reserve);
@@ -114,7 +119,7 @@
         if (chosen.size() == parts) {
             break;
         }
-        if (each != answering && !each->isSuspect && !each->isColdFull && !wouldDisturb(*each, part, engine)) {
+        if (each != answering && canHelp(*each) && !wouldDisturb(*each, part, engine)) {
             chosen.push_back(each);
         }
     }
@@ -184,7 +189,7 @@
         }
         for (const placement_candidate *each : ordered) {
             const bool isChosen = std::find(chosen.begin(), chosen.end(), each) != chosen.end();
-            if (chosen.size() < m_parts && !isChosen && !each->isSuspect && !each->isColdFull) {
+            if (chosen.size() < m_parts && !isChosen && canHelp(*each)) {
                 chosen.push_back(each);
             }
         }
--- /dev/null
+++ b/src/gateway/tests/event_splitter_test.cpp
@@ -0,0 +1,48 @@
+#include "gateway/event_splitter.h"
+
+#include "testing/expect.h"
+
+using namespace mustardtrail::gateway;
+using mustardtrail::testing::expectEqual;
+
+Test(event_splitter, givesWholeEventsOnly)
+{
+    event_splitter events;
+    events.append("id: 1\ndata: a\n");
+    cr_assert_not(events.next().has_value());
+    events.append("\nid: 2\nda");
+    expectEqual(*events.next(), "id: 1\ndata: a\n\n");
+    expectEqual(*events.lastId(), 1U);
+    cr_assert_not(events.next().has_value());
+    cr_assert(events.hasRest());
+}
+
+Test(event_splitter, dropsAHalfEventWhenAnotherServerGoesOn)
+{
+    event_splitter events;
+    events.append("id: 1\ndata: a\n\nid: 2\nda");
+    events.next();
+    events.dropRest();
+    events.append("id: 2\ndata: b\n\n");
+    expectEqual(*events.next(), "id: 2\ndata: b\n\n");
+    expectEqual(*events.lastId(), 2U);
+    cr_assert_not(events.hasRest());
+}
+
+Test(event_splitter, readsLineEndsOfBothKinds)
+{
+    event_splitter events;
+    events.append("id: 7\r\ndata: a\r\n\r\nid: 8\ndata: b\n\n");
+    expectEqual(*events.next(), "id: 7\r\ndata: a\r\n\r\n");
+    expectEqual(*events.lastId(), 7U);
+    expectEqual(*events.next(), "id: 8\ndata: b\n\n");
+}
+
+Test(event_splitter, keepsTheLastIdOverEventsWithoutOne)
+{
+    event_splitter events;
+    events.append("id: 3\ndata: a\n\ndata: b\n\n");
+    events.next();
+    events.next();
+    expectEqual(*events.lastId(), 3U);
+}
--- /dev/null
+++ b/src/gateway/tests/pass_model.cpp
@@ -0,0 +1,160 @@
+#include "gateway/tests/pass_model.h"
+
+#include "gateway/tests/test_time.h"
+
+#include <algorithm>
+
+namespace mustardtrail::gateway::testing
+{
+
+namespace
+{
+
+constexpr int lastMillisecond = 60'000;
+
+std::vector<server_key> keysOf(size_t engines)
+{
+    std::vector<server_key> keys;
+    for (server_key key = 1; key <= engines; ++key) {
+        keys.push_back(key);
+    }
+    return keys;
+}
+
+} // namespace
+
+pass_model::pass_model(const engine_profile &engine, size_t engines)
+    : m_engine(engine)
+{
+    for (const server_key key : keysOf(engines)) {
+        m_engines[key];
+    }
+}
+
+void pass_model::decide(size_t index, const model_prompt &prompt, const policy &place, int now)
+{
+    const placement_decision decision = place(prompt, keysOf(m_engines.size()), m_book, at(now));
+    if (decision.next == placement_decision::action::wait) {
+        return;
+    }
+    prompt_state &state = m_prompts[index];
+    state.isDecided = true;
+    if (decision.next == placement_decision::action::refuse) {
+        m_results[index].isRefused = true;
+        return;
+    }
+    state.partsLeft = decision.parts.size();
+    state.answering = decision.parts.front().server;
+    state.tokensLeft = prompt.answerTokens;
+    state.context = decision.parts.front().contextTokens;
+    for (const placed_part &part : decision.parts) {
+        m_engines[part.server].waiting.emplace_back(index, static_cast<double>(part.readTime.count()) / 1'000.0);
+        server_work work;
+        work.request = index + 1;
+        work.server = part.server;
+        work.readTime = part.readTime;
+        work.memoryTokens = part.memoryTokens;
+        work.contextTokens = part.contextTokens;
+        work.isHelper = part.server != state.answering;
+        work.isJoint = decision.parts.size() > 1;
+        work.hasShortPauses = prompt.pauseTarget <= shortPause;
+        work.sentAt = at(now);
+        m_book.add(work);
+    }
+}
+
+void pass_model::endPass(server_key key, const std::vector<model_prompt> &prompts, int now)
+{
+    engine_state &engine = m_engines[key];
+    for (const size_t index : engine.writers) {
+        prompt_state &state = m_prompts[index];
+        m_results[index].longestPause = std::max(m_results[index].longestPause, now - state.lastEvent);
+        state.lastEvent = now;
+        state.tokensLeft -= m_engine.stepsPerPass;
+        if (state.tokensLeft <= 0) {
+            m_book.finish(index + 1);
+        }
+    }
+    std::erase_if(engine.writers, [this](size_t index) {
+        return m_prompts[index].tokensLeft <= 0;
+    });
+    for (const size_t index : engine.inPass) {
+        prompt_state &state = m_prompts[index];
+        if (--state.partsLeft > 0) {
+            continue;
+        }
+        m_results[index].firstAfter = now - prompts[index].arrivesAt;
+        state.lastEvent = now;
+        m_engines[state.answering].writers.push_back(index);
+        m_book.firstToken(index + 1);
+    }
+    engine.inPass.clear();
+}
+
+void pass_model::beginPass(engine_state &engine, int now)
+{
+    double reading = 0.0;
+    for (const auto &[index, milliseconds] : engine.waiting) {
+        reading += milliseconds;
+        engine.inPass.push_back(index);
+    }
+    engine.waiting.clear();
+    double writing = 0.0;
+    if (!engine.writers.empty()) {
+        double context = 0.0;
+        for (const size_t index : engine.writers) {
+            context += static_cast<double>(m_prompts[index].context) / 1'000.0;
+        }
+        const double writers = static_cast<double>(engine.writers.size());
+        writing = m_engine.stepsPerPass * (m_engine.stepMs + m_engine.stepMsPerWriter * writers + m_engine.stepMsPerContext * context);
+    }
+    engine.passEnd = now + std::max(1, static_cast<int>(reading + writing));
+}
+
+std::vector<model_result> pass_model::replay(const std::vector<model_prompt> &prompts, const policy &place)
+{
+    m_prompts.assign(prompts.size(), {});
+    m_results.assign(prompts.size(), {});
+    size_t arrived = 0;
+    for (int now = 0; now < lastMillisecond; ++now) {
+        for (auto &[key, engine] : m_engines) {
+            if (engine.passEnd == now) {
+                endPass(key, prompts, now);
+            }
+        }
+        while (arrived < prompts.size() && prompts[arrived].arrivesAt <= now) {
+            ++arrived;
+        }
+        for (size_t index = 0; index < arrived; ++index) {
+            const bool looksNow = prompts[index].arrivesAt == now || now % 10 == 0;
+            if (!m_prompts[index].isDecided && looksNow) {
+                decide(index, prompts[index], place, now);
+            }
+        }
+        for (auto &[key, engine] : m_engines) {
+            if (engine.passEnd <= now && (!engine.waiting.empty() || !engine.writers.empty())) {
+                beginPass(engine, now);
+            }
+        }
+    }
+    return m_results;
+}
+
+int percentOnTime(
+    const std::vector<model_prompt> &prompts, const std::vector<model_result> &results, std::chrono::milliseconds latencyTarget)
+{
+    int count = 0;
+    int onTime = 0;
+    for (size_t index = 0; index < prompts.size(); ++index) {
+        if (prompts[index].latencyTarget != latencyTarget) {
+            continue;
+        }
+        ++count;
+        const model_result &result = results[index];
+        const bool isFirstOnTime = result.firstAfter >= 0 && result.firstAfter <= latencyTarget.count();
+        onTime += isFirstOnTime && result.longestPause <= prompts[index].pauseTarget.count() ? 1 : 0;
+    }
+    return count == 0 ? 100 : onTime * 100 / count;
+}
+
+} // namespace mustardtrail::gateway::testing
--- /dev/null
+++ b/src/gateway/tests/pass_model.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "gateway/load_book.h"
+#include "gateway/placement_decision.h"
+#include "gateway/service_profile.h"
+
+#include <functional>
+#include <map>
+#include <vector>
+
+namespace mustardtrail::gateway::testing
+{
+
+/// One prompt of a replayed load.
+struct model_prompt {
+    int arrivesAt = 0; ///< In ms.
+    std::int64_t promptTokens = 0;
+    std::int64_t answerTokens = 0;
+    std::chrono::milliseconds latencyTarget{ 0 };
+    std::chrono::milliseconds pauseTarget{ 0 };
+};
+
+/// What its caller saw.
+struct model_result {
+    int firstAfter = -1; ///< ms after its arrival; -1: never.
+    int longestPause = 0;
+    bool isRefused = false;
+};
+
+/// Engines that work in passes, as the platform describes them, on a clock of whole milliseconds. One decider sees its
+/// own sends at once.
+class pass_model
+{
+public:
+    using policy = std::function<placement_decision(const model_prompt &, const std::vector<server_key> &, const load_book &, time_point)>;
+
+    pass_model(const engine_profile &engine, size_t engines);
+
+    std::vector<model_result> replay(const std::vector<model_prompt> &prompts, const policy &place);
+
+private:
+    struct engine_state {
+        int passEnd = 0;
+        std::vector<std::pair<size_t, double>> waiting; ///< Prompt and ms of reading.
+        std::vector<size_t> inPass; ///< Prompts whose parts are read in the running pass.
+        std::vector<size_t> writers;
+    };
+    struct prompt_state {
+        size_t partsLeft = 0;
+        server_key answering = 0;
+        std::int64_t tokensLeft = 0;
+        std::int64_t context = 0;
+        int lastEvent = 0;
+        bool isDecided = false;
+    };
+
+    void decide(size_t index, const model_prompt &prompt, const policy &place, int now);
+    void endPass(server_key key, const std::vector<model_prompt> &prompts, int now);
+    void beginPass(engine_state &engine, int now);
+
+    engine_profile m_engine;
+    std::map<server_key, engine_state> m_engines;
+    std::vector<prompt_state> m_prompts;
+    std::vector<model_result> m_results;
+    load_book m_book;
+};
+
+/// Share of the results that were on time in first event and pauses, in percent.
+int percentOnTime(
+    const std::vector<model_prompt> &prompts, const std::vector<model_result> &results, std::chrono::milliseconds latencyTarget);
+
+} // namespace mustardtrail::gateway::testing
--- /dev/null
+++ b/src/gateway/tests/prompt_placement_test.cpp
@@ -0,0 +1,282 @@
+#include "gateway/prompt_placement.h"
+
+#include "base/random_source.h"
+#include "gateway/read_cost.h"
+#include "gateway/tests/pass_model.h"
+#include "gateway/tests/test_time.h"
+#include "testing/expect.h"
+
+#include <algorithm>
+#include <cmath>
+
+using namespace mustardtrail;
+using namespace mustardtrail::gateway;
+using namespace mustardtrail::gateway::testing;
+using mustardtrail::testing::expectEqual;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using action = placement_decision::action;
+
+namespace
+{
+
+constexpr size_t engines = 16;
+constexpr milliseconds quickTarget{ 300 };
+constexpr milliseconds mediumTarget{ 1'500 };
+constexpr milliseconds longTarget{ 3'000 };
+
+engine_profile profile()
+{
+    engine_profile engine;
+    engine.slots = 16;
+    engine.memoryTokens = 232'000;
+    engine.tokensReadPerMs = 206.0;
+    engine.pairsMsPerMillion = 0.138;
+    engine.stepMs = 1.02;
+    engine.stepMsPerWriter = 0.00226;
+    engine.stepMsPerContext = 0.00431;
+    engine.stepsPerPass = 43;
+    return engine;
+}
+
+prompt_work workOf(const model_prompt &prompt)
+{
+    prompt_work work;
+    work.promptTokens = prompt.promptTokens;
+    work.answerTokens = prompt.answerTokens;
+    work.pauseTarget = prompt.pauseTarget;
+    work.arrivedAt = at(prompt.arrivesAt);
+    work.targetAt = work.arrivedAt + prompt.latencyTarget;
+    work.leavesAt = work.arrivedAt + std::max(milliseconds(2'000), 4 * prompt.latencyTarget);
+    work.deadline = work.arrivedAt + milliseconds(10'000);
+    return work;
+}
+
+std::vector<placement_candidate> candidatesOf(const std::vector<server_key> &keys, const load_book &book, time_point now)
+{
+    const auto loads = book.loads(now);
+    std::vector<placement_candidate> candidates;
+    for (const server_key key : keys) {
+        placement_candidate candidate;
+        candidate.key = key;
+        candidate.slots = profile().slots;
+        const auto load = loads.find(key);
+        candidate.load = load == loads.end() ? server_load() : load->second;
+        candidates.push_back(std::move(candidate));
+    }
+    return candidates;
+}
+
+placement_decision place(const model_prompt &prompt, const std::vector<server_key> &keys, const load_book &book, time_point now)
+{
+    return placePrompt(workOf(prompt), profile(), candidatesOf(keys, book, now), now);
+}
+
+// The baseline: parts of about 60 ms at the engines with least to read, whoever writes there, and never a wait.
+placement_decision placeBlindly(const model_prompt &prompt, const std::vector<server_key> &keys, const load_book &book, time_point now)
+{
+    auto candidates = candidatesOf(keys, book, now);
+    std::stable_sort(candidates.begin(), candidates.end(), [](const placement_candidate &left, const placement_candidate &right) {
+        return left.load.pendingRead < right.load.pendingRead;
+    });
+    const microseconds whole = readTime(profile(), prompt.promptTokens);
+    const auto parts = std::clamp<std::int64_t>(whole / milliseconds(60) + 1, 1, static_cast<std::int64_t>(candidates.size()));
+    placement_decision decision;
+    decision.next = action::send;
+    for (std::int64_t index = 0; index < parts; ++index) {
+        const std::int64_t tokens = prompt.promptTokens + prompt.answerTokens;
+        decision.parts.push_back({ candidates[index].key, whole / parts, index == 0 ? tokens / parts : 0, index == 0 ? tokens : 0 });
+    }
+    return decision;
+}
+
+struct load_class {
+    double perSecond = 0.0;
+    std::int64_t meanTokens = 0;
+    std::int64_t mostTokens = 0;
+    milliseconds latencyTarget{ 0 };
+    milliseconds pauseTarget{ 0 };
+    std::int64_t answerTokens = 0;
+};
+
+std::vector<model_prompt> loadOf(const std::vector<load_class> &classes, std::uint64_t seed)
+{
+    random_source random(seed);
+    std::vector<model_prompt> prompts;
+    for (const load_class &each : classes) {
+        double when = 0.0;
+        while (when < 20'000.0) {
+            when += -std::log(1.0 - random.unit()) * 1'000.0 / each.perSecond;
+            const double size = static_cast<double>(each.meanTokens) * (0.4 - 0.75 * std::log(1.0 - random.unit()));
+            const auto tokens = std::min(each.mostTokens, static_cast<std::int64_t>(size));
+            prompts.push_back({ static_cast<int>(when), tokens, each.answerTokens, each.latencyTarget, each.pauseTarget });
+        }
+    }
+    std::stable_sort(prompts.begin(), prompts.end(), [](const model_prompt &left, const model_prompt &right) {
+        return left.arrivesAt < right.arrivesAt;
+    });
+    return prompts;
+}
+
+load_class quickOf(double perSecond)
+{
+    return { perSecond, 4'960, 23'800, quickTarget, milliseconds(250), 1'360 };
+}
+
+load_class mediumOf(double perSecond)
+{
+    return { perSecond, 45'000, 110'000, mediumTarget, milliseconds(600), 820 };
+}
+
+load_class longOf(double perSecond)
+{
+    return { perSecond, 100'000, 220'000, longTarget, milliseconds(1'000), 680 };
+}
+
+int percentOf(const std::vector<model_prompt> &load, const pass_model::policy &policy, milliseconds target)
+{
+    pass_model model(profile(), engines);
+    return percentOnTime(load, model.replay(load, policy), target);
+}
+
+model_prompt quickPrompt(int arrivesAt)
+{
+    return { arrivesAt, 5'000, 1'360, quickTarget, milliseconds(250) };
+}
+
+model_prompt longPrompt(std::int64_t tokens)
+{
+    return { 0, tokens, 680, longTarget, milliseconds(1'000) };
+}
+
+const std::vector<server_key> fourEngines{ 1, 2, 3, 4 };
+
+} // namespace
+
+// Long prompts at nearly three times their usual rate beside quick ones: 10 of 16 engines' time is reading.
+Test(prompt_placement, quickStreamsStayOnTimeBesideManyLongPrompts)
+{
+    const auto load = loadOf({ quickOf(13.0), mediumOf(2.4), longOf(3.6) }, 11);
+    const int ours = percentOf(load, place, quickTarget);
+    const int blind = percentOf(load, placeBlindly, quickTarget);
+    cr_assert_geq(ours, 90, "ours %d", ours);
+    cr_assert_gt(ours, blind, "ours %d, blind %d", ours, blind);
+    cr_assert_geq(percentOf(load, place, longTarget), 60);
+}
+
+// Quick prompts at over twice their usual rate with few long ones.
+Test(prompt_placement, aBurstOfQuickPromptsIsOnTime)
+{
+    const auto load = loadOf({ quickOf(82.0), mediumOf(0.9), longOf(0.3) }, 12);
+    cr_assert_geq(percentOf(load, place, quickTarget), 95);
+}
+
+Test(prompt_placement, mediumPromptsAreOnTimeBesideBoth)
+{
+    const auto load = loadOf({ quickOf(34.0), mediumOf(1.9), longOf(1.4) }, 13);
+    cr_assert_geq(percentOf(load, place, quickTarget), 95);
+    cr_assert_geq(percentOf(load, place, mediumTarget), 95);
+}
+
+Test(prompt_placement, gathersQuickStreamsOnOneEngineWhileItIsQuick)
+{
+    load_book book;
+    server_work writing;
+    writing.request = 1;
+    writing.server = 3;
+    writing.isWriting = true;
+    writing.hasShortPauses = true;
+    book.add(writing);
+    const auto decision = place(quickPrompt(0), fourEngines, book, at(0));
+    cr_assert(decision.next == action::send);
+    expectEqual(decision.parts.front().server, server_key(3));
+}
+
+Test(prompt_placement, readsALongPromptInPartsAwayFromQuickStreams)
+{
+    load_book book;
+    server_work writing;
+    writing.request = 1;
+    writing.server = 3;
+    writing.isWriting = true;
+    writing.hasShortPauses = true;
+    book.add(writing);
+    const auto decision = place(longPrompt(100'000), fourEngines, book, at(0));
+    cr_assert(decision.next == action::send);
+    expectEqual(decision.parts.size(), 3U);
+    for (const placed_part &part : decision.parts) {
+        cr_assert_neq(part.server, server_key(3));
+    }
+}
+
+Test(prompt_placement, waitsWhileEnginesReadAndThereIsTime)
+{
+    load_book book;
+    for (const server_key key : fourEngines) {
+        server_work reading;
+        reading.request = key;
+        reading.server = key;
+        reading.readTime = milliseconds(600);
+        reading.sentAt = at(0);
+        book.add(reading);
+    }
+    cr_assert(place(longPrompt(100'000), fourEngines, book, at(0)).next == action::wait);
+}
+
+Test(prompt_placement, neverPutsALongPromptUnderQuickStreamsThatAreWorthMore)
+{
+    load_book book;
+    std::uint64_t request = 0;
+    for (const server_key key : fourEngines) {
+        for (int count = 0; count < 10; ++count) {
+            server_work writing;
+            writing.request = ++request;
+            writing.server = key;
+            writing.isWriting = true;
+            writing.hasShortPauses = true;
+            book.add(writing);
+        }
+    }
+    // Forty streams would pause; the prompt is worth about ten of them.
+    cr_assert(place(longPrompt(100'000), fourEngines, book, at(2'950)).next == action::wait);
+    cr_assert(place(longPrompt(100'000), fourEngines, book, at(6'500)).next == action::refuse);
+}
+
+Test(prompt_placement, sharesOutTheMemoryOfAPromptBeyondOneEngine)
+{
+    const auto decision = place(longPrompt(300'000), fourEngines, load_book(), at(0));
+    cr_assert(decision.next == action::send);
+    std::int64_t held = 0;
+    for (const placed_part &part : decision.parts) {
+        cr_assert_leq(part.memoryTokens, profile().memoryTokens / 2);
+        held += part.memoryTokens;
+    }
+    cr_assert_geq(held, 300'680);
+}
+
+Test(prompt_placement, refusesAtOnceWithoutAnyServer)
+{
+    const auto decision = placePrompt(workOf(quickPrompt(0)), profile(), {}, at(0));
+    cr_assert(decision.next == action::refuse);
+    cr_assert_gt(decision.retryAfter.count(), 0);
+}
+
+Test(prompt_placement, anInterruptedStreamMayWaitInAnEnginesQueue)
+{
+    std::vector<placement_candidate> full = candidatesOf({ 1 }, load_book(), at(0));
+    full.front().load.requests = full.front().slots;
+    prompt_work work = workOf(quickPrompt(0));
+    cr_assert(placePrompt(work, profile(), full, at(0)).next == action::wait);
+    work.isInterrupted = true;
+    cr_assert(placePrompt(work, profile(), full, at(0)).next == action::send);
+}
+
+Test(prompt_placement, leavesTheLastSlotsToThoseThatCanBeOnTime)
+{
+    std::vector<placement_candidate> nearlyFull = candidatesOf({ 1 }, load_book(), at(0));
+    nearlyFull.front().load.requests = nearlyFull.front().slots - 1;
+    const prompt_work work = workOf(quickPrompt(0));
+    cr_assert(placePrompt(work, profile(), nearlyFull, at(0)).next == action::send);
+    cr_assert(placePrompt(work, profile(), nearlyFull, at(500)).next == action::wait);
+    cr_assert(placePrompt(work, profile(), nearlyFull, at(1'100)).next == action::refuse);
+}
--- /dev/null
+++ b/src/gateway/tests/retry_rule_test.cpp
@@ -0,0 +1,92 @@
+#include "gateway/retry_rule.h"
+
+#include "testing/expect.h"
+
+using namespace mustardtrail;
+using namespace mustardtrail::gateway;
+
+namespace
+{
+
+retry_state openState(repetition repeat)
+{
+    retry_state state;
+    state.repeat = repeat;
+    state.maxServers = 2;
+    state.hasBudget = true;
+    state.hasOtherServer = true;
+    state.hasTime = true;
+    return state;
+}
+
+attempt_failure lost()
+{
+    attempt_failure failure;
+    failure.outcome = verdict::may_have_run;
+    return failure;
+}
+
+retry_state afterOneRun(repetition repeat)
+{
+    retry_state state = openState(repeat);
+    state.mayHaveRun = true;
+    state.sends = 1;
+    return state;
+}
+
+} // namespace
+
+Test(retry_rule, aRequestThatRunsOnceIsNeverSentAgainAfterItMayHaveRun)
+{
+    cr_assert(afterFailure(lost(), afterOneRun(repetition::once)) == next_step::fail);
+}
+
+Test(retry_rule, aRefusedRequestGoesToAnotherServerWhateverItsKind)
+{
+    attempt_failure refused;
+    refused.outcome = verdict::not_run;
+    cr_assert(afterFailure(refused, openState(repetition::once)) == next_step::send_again);
+}
+
+Test(retry_rule, refusesTruthfullyWhenNothingHasRunAndNoServerIsLeft)
+{
+    attempt_failure refused;
+    refused.outcome = verdict::not_run;
+    retry_state state = openState(repetition::once);
+    state.hasOtherServer = false;
+    cr_assert(afterFailure(refused, state) == next_step::refuse);
+    state.mayHaveRun = true;
+    cr_assert(afterFailure(refused, state) == next_step::fail);
+}
+
+Test(retry_rule, anIdempotentRequestIsSentAgainWithinItsServersBudgetAndTime)
+{
+    cr_assert(afterFailure(lost(), afterOneRun(repetition::idempotent)) == next_step::send_again);
+    retry_state state = afterOneRun(repetition::idempotent);
+    state.sends = 2;
+    cr_assert(afterFailure(lost(), state) == next_step::fail);
+    state = afterOneRun(repetition::idempotent);
+    state.hasBudget = false;
+    cr_assert(afterFailure(lost(), state) == next_step::fail);
+    state = afterOneRun(repetition::idempotent);
+    state.hasTime = false;
+    cr_assert(afterFailure(lost(), state) == next_step::fail);
+}
+
+Test(retry_rule, aBrokenStreamGoesOnOnlyBehindAKnownEvent)
+{
+    attempt_failure broken = lost();
+    broken.hasStarted = true;
+    cr_assert(afterFailure(broken, afterOneRun(repetition::resumable)) == next_step::break_off);
+    broken.lastEvent = 12;
+    cr_assert(afterFailure(broken, afterOneRun(repetition::resumable)) == next_step::send_again);
+    cr_assert(afterFailure(broken, afterOneRun(repetition::once)) == next_step::break_off);
+}
+
+Test(retry_rule, passesAServersOwnFailureOnWhenNothingElseIsLeft)
+{
+    attempt_failure answered = lost();
+    answered.outcome = verdict::ran;
+    answered.hasAnswer = true;
+    cr_assert(afterFailure(answered, afterOneRun(repetition::once)) == next_step::pass_on);
+}
--- /dev/null
+++ b/src/gateway/tests/route_table_test.cpp
@@ -0,0 +1,64 @@
+#include "gateway/route_table.h"
+
+#include "testing/expect.h"
+
+using namespace mustardtrail;
+using namespace mustardtrail::gateway;
+using mustardtrail::testing::expectEqual;
+
+namespace
+{
+
+route routeAt(const std::string &name, const std::string &prefix)
+{
+    route made;
+    made.name = name;
+    made.host = "shop.example";
+    made.pathPrefix = prefix;
+    made.services = { { service_id("reading"), 1 } };
+    return made;
+}
+
+route_table tableOf(std::vector<route> routes)
+{
+    published_config config;
+    config.version = 7;
+    config.routes = std::move(routes);
+    config.needsKeys = true;
+    config.customerByKey["secret"] = customer_id("first");
+    return route_table(config);
+}
+
+} // namespace
+
+Test(route_table, takesTheLongestPrefixOfTheHost)
+{
+    const route_table table = tableOf({ routeAt("short", "/a/"), routeAt("long", "/a/b/") });
+    expectEqual(table.find("shop.example", "/a/b/c")->name, "long");
+    expectEqual(table.find("shop.example", "/a/c")->name, "short");
+    cr_assert_null(table.find("shop.example", "/c"));
+    cr_assert_null(table.find("other.example", "/a/c"));
+}
+
+Test(route_table, readsTheHostWithoutCaseAndPort)
+{
+    const route_table table = tableOf({ routeAt("only", "/a/") });
+    cr_assert_not_null(table.find("Shop.EXAMPLE:8080", "/a/"));
+}
+
+Test(route_table, knowsCustomersByTheirKey)
+{
+    const route_table table = tableOf({});
+    expectEqual(table.customerOf("secret")->str(), "first");
+    cr_assert_not(table.customerOf("Secret").has_value());
+}
+
+Test(route_table, sharesRequestsByWeight)
+{
+    route split = routeAt("split", "/a/");
+    split.services = { { service_id("old"), 90 }, { service_id("new"), 10 } };
+    expectEqual(serviceAt(split, 0.0).str(), "old");
+    expectEqual(serviceAt(split, 0.89).str(), "old");
+    expectEqual(serviceAt(split, 0.91).str(), "new");
+    expectEqual(serviceAt(split, 0.999).str(), "new");
+}
--- a/src/gateway/tests/server_directory_test.cpp
+++ b/src/gateway/tests/server_directory_test.cpp
@@ -1,9 +1,12 @@
 #include "gateway/server_directory.h"
 
+#include "gateway/tests/test_time.h"
+
 #include "testing/expect.h"
 
 using namespace mustardtrail;
 using namespace mustardtrail::gateway;
+using mustardtrail::gateway::testing::at;
 using mustardtrail::testing::expectEqual;
 using std::chrono::milliseconds;
 
@@ -23,11 +26,6 @@
     return server;
 }
 
-time_point at(int value)
-{
-    return time_point{} + milliseconds(value);
-}
-
 } // namespace
 
 Test(server_directory, givesNoWorkToAServerThatLeaves)
--- /dev/null
+++ b/src/gateway/tests/store_follower_test.cpp
@@ -0,0 +1,86 @@
+#include "gateway/store_follower.h"
+
+#include "gateway/config_freshness.h"
+#include "gateway/tests/test_time.h"
+#include "testing/expect.h"
+
+using namespace mustardtrail;
+using namespace mustardtrail::gateway;
+using mustardtrail::gateway::testing::at;
+using mustardtrail::testing::expectEqual;
+using std::chrono::milliseconds;
+using kind = store_question::kind;
+
+Test(store_follower, readsTheWholeListOnceAndThenChangesFromItsFirstPage)
+{
+    store_follower follower;
+    cr_assert(follower.next().what == kind::list);
+    cr_assert_not(follower.onPage(100, true, "servers/m"));
+    expectEqual(follower.next().afterKey, "servers/m");
+    cr_assert(follower.onPage(120, false, "servers/z"));
+    cr_assert(follower.next().what == kind::changes);
+    // Pages are no snapshot: what changed while they were read comes again.
+    expectEqual(follower.next().afterRevision, 100U);
+}
+
+Test(store_follower, takesChangesUpInBatches)
+{
+    store_follower follower;
+    follower.onPage(100, false, "");
+    cr_assert(follower.next().pauseBefore == milliseconds(0));
+    cr_assert(follower.onChanges(103, 3));
+    cr_assert(follower.next().pauseBefore == store_follower::batchPause);
+    cr_assert(follower.onChanges(103, 0));
+    cr_assert(follower.next().pauseBefore == milliseconds(0));
+}
+
+Test(store_follower, neverGoesBackToAnOlderState)
+{
+    store_follower follower;
+    follower.onPage(100, false, "");
+    follower.onChanges(110, 1);
+    cr_assert_not(follower.onChanges(105, 1));
+    expectEqual(follower.next().afterRevision, 110U);
+}
+
+Test(store_follower, readsTheListAgainWhenTheHistoryIsGone)
+{
+    store_follower follower;
+    follower.onPage(100, false, "");
+    follower.onHistoryGone();
+    cr_assert(follower.next().what == kind::list);
+}
+
+Test(store_follower, asksAStoreThatIsAwayMoreSlowlyAndSettlesAfterIt)
+{
+    store_follower follower;
+    follower.onPage(100, false, "");
+    follower.onFailure(at(0));
+    cr_assert(follower.next().pauseBefore == milliseconds(100));
+    for (int count = 0; count < 20; ++count) {
+        follower.onFailure(at(1'000));
+    }
+    cr_assert(follower.next().pauseBefore == milliseconds(800));
+    cr_assert_not(follower.isReachable());
+    follower.onChanges(101, 1);
+    cr_assert(follower.isReachable());
+    cr_assert(follower.isSettling(at(3'000)));
+    cr_assert_not(follower.isSettling(at(3'300)));
+}
+
+Test(config_freshness, countsFromTheQuestionAndNotFromTheAnswer)
+{
+    config_freshness freshness(milliseconds(4'000));
+    cr_assert_not(freshness.isFresh(at(0)));
+    freshness.confirm(at(1'000));
+    cr_assert(freshness.isFresh(at(4'999)));
+    cr_assert_not(freshness.isFresh(at(5'000)));
+}
+
+Test(config_freshness, anOlderConfirmationThatComesLateChangesNothing)
+{
+    config_freshness freshness(milliseconds(4'000));
+    freshness.confirm(at(3'000));
+    freshness.confirm(at(1'000));
+    cr_assert(freshness.isFresh(at(6'999)));
+}
--- a/src/programs/gateway/peer_link.cpp
+++ b/src/programs/gateway/peer_link.cpp
@@ -23,7 +23,8 @@
     return failure ? 0 : address.to_uint();
 }
 
-peer_link::peer_link(asio::any_io_executor executor, gateway_context &context, instance_id self, data_centre_id dataCentre, endpoint address)
+peer_link::peer_link(
+    asio::any_io_executor executor, gateway_context &context, instance_id self, data_centre_id dataCentre, endpoint address)
     : m_context(context)
     , m_self(std::move(self))
     , m_dataCentre(std::move(dataCentre))
--- a/src/programs/gateway/peer_link.h
+++ b/src/programs/gateway/peer_link.h
@@ -15,7 +15,8 @@
 class peer_link
 {
 public:
-    peer_link(boost::asio::any_io_executor executor, gateway_context &context, instance_id self, data_centre_id dataCentre, endpoint address);
+    peer_link(
+        boost::asio::any_io_executor executor, gateway_context &context, instance_id self, data_centre_id dataCentre, endpoint address);
 
     result<void> open();
     boost::asio::awaitable<void> receive();
@@ -24,8 +25,12 @@
     void workChanged();
     void sendReport();
 
-    static constexpr std::chrono::milliseconds reportPause{ 1 }; ///< Joins the changes of one moment; longer, and two instances take the same slot.
-    static constexpr std::chrono::milliseconds reportInterval{ 300 }; ///< Without changes; repairs lost datagrams and shows that the way is open.
+    static constexpr std::chrono::milliseconds reportPause{
+        1
+    }; ///< Joins the changes of one moment; longer, and two instances take the same slot.
+    static constexpr std::chrono::milliseconds reportInterval{
+        300
+    }; ///< Without changes; repairs lost datagrams and shows that the way is open.
 
 private:
     void onReport(const std::string &bytes);
--- a/src/programs/gateway/request_session.cpp
+++ b/src/programs/gateway/request_session.cpp
@@ -221,7 +221,8 @@
     retry_state state = retryState(now);
     state.mayHaveRun = true;
     state.sends = m_runs + 1;
-    state.hasBudget = m_context.state.resends.hasRoom(m_service, resend_budget::use::interrupted, now, m_context.state.peers.largestFleet());
+    state.hasBudget
+        = m_context.state.resends.hasRoom(m_service, resend_budget::use::interrupted, now, m_context.state.peers.largestFleet());
     const attempt_failure lost = failureNow(verdict::may_have_run);
     return afterFailure(lost, state) == next_step::send_again;
 }
--- a/src/programs/gateway/reservation_set.cpp
+++ b/src/programs/gateway/reservation_set.cpp
@@ -22,8 +22,7 @@
 
 } // namespace
 
-reservation_set::reservation_set(
-    gateway_context &context, asio::any_io_executor executor, std::uint64_t request, std::vector<share> shares)
+reservation_set::reservation_set(gateway_context &context, asio::any_io_executor executor, std::uint64_t request, std::vector<share> shares)
     : m_context(context)
     , m_executor(std::move(executor))
     , m_request(request)
