--- a/src/programs/gateway/request_relay.cpp
+++ b/src/programs/gateway/request_relay.cpp
@@ -13,6 +13,7 @@
 {
 
 constexpr milliseconds connectLimit{ 250 }; ///< Many times the way to any backend server.
+constexpr milliseconds deadlineSlack{ 50 }; ///< The session's own timer ends a call at the deadline; this only backs it up.
 constexpr milliseconds recentReuse{ 1'000 }; ///< A server rarely closes a connection that was used this lately.
 constexpr milliseconds plainPatience{ 350 }; ///< Several times the usual work of a plain service.
 constexpr milliseconds passMargin{ 500 }; ///< Error of the prediction: passes that were longer than known.
@@ -59,8 +60,8 @@
     const auto left = std::max(duration_cast<milliseconds>(m_endAt - now), milliseconds(1));
     http::call_limits limits;
     limits.connect = std::min(connectLimit, left);
-    limits.progress = left;
-    limits.firstByte = left;
+    limits.progress = left + deadlineSlack;
+    limits.firstByte = left + deadlineSlack;
     limits.bodyBytes = wholeAnswerBytes;
     if (m_route->repeat == repetition::once) {
         limits.reuseIdle = recentReuse;
--- /dev/null
+++ b/src/programs/gateway/tests/fake_platform.cpp
@@ -0,0 +1,215 @@
+#include "programs/gateway/tests/fake_platform.h"
+
+#include "host/log.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/detail/base64.hpp>
+
+#include <stdexcept>
+
+namespace mustardtrail::gateway::testing
+{
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+const std::string loopback = "127.0.0.1";
+
+const std::string configText = R"({"version":1,"routes":[
+ {"name":"stream","host":"h.example","path_prefix":"/stream/","kind":"streaming","timeout_ms":5000,"target_latency_ms":300,
+  "service":"reading","max_attempts":2,"resumable":true,"target_gap_ms":250},
+ {"name":"once","host":"h.example","path_prefix":"/once/","kind":"non_idempotent","timeout_ms":2000,"target_latency_ms":100,
+  "service":"desk","max_attempts":2},
+ {"name":"again","host":"h.example","path_prefix":"/again/","kind":"idempotent","timeout_ms":2000,"target_latency_ms":100,
+  "service":"desk","max_attempts":2}],
+ "services":[{"name":"reading"},{"name":"desk"}],"tenants":[{"name":"first","api_keys":["secret"]}]})";
+
+std::string base64(const std::string &text)
+{
+    namespace codec = boost::beast::detail::base64;
+    std::string encoded(codec::encoded_size(text.size()), '\0');
+    encoded.resize(codec::encode(encoded.data(), text.data(), text.size()));
+    return encoded;
+}
+
+std::string itemOf(const std::string &key, const std::string &value)
+{
+    return R"({"key":")" + key + R"(","value":")" + base64(value) + R"(","revision":5})";
+}
+
+http::response_message plainRefusal(int status, int, std::string_view)
+{
+    http::response_message message;
+    message.status = status;
+    return message;
+}
+
+endpoint freeAddress(asio::io_context &context)
+{
+    asio::ip::tcp::acceptor probe(context, { asio::ip::make_address(loopback), 0 });
+    return { loopback, probe.local_endpoint().port() };
+}
+
+} // namespace
+
+fake_platform::fake_platform()
+    : m_items(itemOf("op/config", configText))
+    , m_caller(m_context.get_executor())
+{
+    host::openLog(host::log_level::warning, "gateway_test");
+    m_store = std::make_unique<http::server>(
+        m_context.get_executor(),
+        http::server_limits(),
+        [this](http::exchange &exchange) {
+            return serveStore(exchange);
+        },
+        plainRefusal);
+    m_storeAddress = *m_store->listen({ loopback, 0 });
+}
+
+fake_platform::~fake_platform() = default;
+
+void fake_platform::addServer(const std::string &id, const std::string &service, backend serve)
+{
+    auto server = std::make_unique<http::server>(m_context.get_executor(), http::server_limits(), std::move(serve), plainRefusal);
+    const endpoint address = *server->listen({ loopback, 0 });
+    m_servers.push_back(std::move(server));
+    m_items += ","
+        + itemOf("servers/" + id,
+            R"({"service":")" + service + R"(","address":")" + toString(address) + R"(","zone":"dc","slots":4,"state":"ready"})");
+}
+
+asio::awaitable<void> fake_platform::serveStore(http::exchange &exchange)
+{
+    http::response_message answer;
+    const bool isList = exchange.request().path() == "/api/kv-range";
+    answer.body = isList ? R"({"items":[)" + m_items + R"(],"has_more":false,"store_revision":9})" : R"({"events":[],"store_revision":9})";
+    if (m_isStoreDown) {
+        answer.status = 503;
+    } else if (!isList) {
+        asio::steady_timer wait(exchange.executor(), milliseconds(100));
+        co_await wait.async_wait(asio::use_awaitable);
+    }
+    co_await exchange.respond(std::move(answer));
+}
+
+void fake_platform::start()
+{
+    platform::instance_settings settings;
+    settings.instance = instance_id("one");
+    settings.dataCentre = data_centre_id("dc");
+    settings.address = loopback;
+    m_callers = settings.callers = freeAddress(m_context);
+    m_readiness = settings.readiness = freeAddress(m_context);
+    settings.peerPort = freeAddress(m_context).port;
+    settings.metricsPort = freeAddress(m_context).port;
+    settings.store = m_storeAddress;
+    settings.memoryMegabytes = 260;
+    settings.stopGrace = milliseconds(8'000);
+    settings.keyRevocation = milliseconds(1'000);
+    settings.stall = milliseconds(500);
+    settings.resendRatio = 0.2;
+    settings.resendSlack = 100;
+    settings.resendWindow = milliseconds(10'000);
+    m_host = std::make_unique<gateway_host>(m_context, settings);
+    if (const auto opened = m_host->open(); !opened) {
+        throw std::runtime_error(opened.error().detail);
+    }
+    m_host->start();
+    for (int looks = 0; looks < 200 && readiness() != 200; ++looks) {
+        runFor(milliseconds(20));
+    }
+}
+
+void fake_platform::stopStore()
+{
+    m_isStoreDown = true;
+}
+
+void fake_platform::runFor(milliseconds time)
+{
+    m_context.run_for(time);
+}
+
+http::request_message fake_platform::requestOf(const std::string &path, const std::string &key, milliseconds timeLeft) const
+{
+    http::request_message message;
+    message.method = "POST";
+    message.target = path;
+    message.headers = { { "Host", "h.example" }, { "Attempt-Id", "a1" }, { "Deadline-Ms", std::to_string(timeLeft.count()) } };
+    if (!key.empty()) {
+        message.headers.add("Authorization", "Token " + key);
+    }
+    message.body = std::make_shared<const std::string>("question");
+    return message;
+}
+
+asio::awaitable<void> fake_platform::callGateway(http::request_message message, caller_answer &answer)
+{
+    const endpoint to = m_callers;
+    const http::call_limits limits;
+    auto opened = co_await m_caller.open(to, std::move(message), limits);
+    if (!opened) {
+        co_return;
+    }
+    answer.status = (*opened)->status();
+    answer.retryAfter = (*opened)->headers().find("Retry-After");
+    answer.signature = (*opened)->headers().find("Response-Stamp");
+    while (true) {
+        const auto bytes = co_await (*opened)->read();
+        if (!bytes) {
+            co_return;
+        }
+        if (bytes->empty()) {
+            answer.isWhole = true;
+            co_return;
+        }
+        answer.body += *bytes;
+    }
+}
+
+caller_answer fake_platform::call(const std::string &path, const std::string &key, milliseconds timeLeft)
+{
+    caller_answer answer;
+    bool isDone = false;
+    asio::co_spawn(m_context, callGateway(requestOf(path, key, timeLeft), answer), [&isDone](std::exception_ptr) {
+        isDone = true;
+    });
+    for (int steps = 0; steps < 1'000 && !isDone; ++steps) {
+        runFor(milliseconds(10));
+    }
+    return answer;
+}
+
+int fake_platform::readiness()
+{
+    int status = 0;
+    bool isDone = false;
+    const endpoint to = m_readiness;
+    asio::co_spawn(
+        m_context,
+        [](http::client &caller, endpoint address, int &seen) -> asio::awaitable<void> {
+            http::request_message question;
+            question.target = "/api/readyz";
+            const http::call_limits limits;
+            const auto answer = co_await caller.call(address, std::move(question), limits);
+            seen = answer ? answer->status : 0;
+        }(m_caller, to, status),
+        [&isDone](std::exception_ptr) {
+            isDone = true;
+        });
+    for (int steps = 0; steps < 1'000 && !isDone; ++steps) {
+        runFor(milliseconds(10));
+    }
+    return status;
+}
+
+} // namespace mustardtrail::gateway::testing
--- /dev/null
+++ b/src/programs/gateway/tests/fake_platform.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "http/server.h"
+#include "programs/gateway/gateway_host.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace mustardtrail::gateway::testing
+{
+
+/// What the caller got.
+struct caller_answer {
+    int status = 0;
+    std::string body;
+    bool isWhole = false;
+    std::string retryAfter;
+    std::string signature;
+};
+
+/// One instance of the gateway with a store and backend servers of this process, on one event loop and loopback ports.
+class fake_platform
+{
+public:
+    /// Serves one request at a backend server.
+    using backend = std::function<boost::asio::awaitable<void>(http::exchange &)>;
+
+    fake_platform();
+    ~fake_platform();
+
+    /// A listed backend server; `service` is "reading" (streams may go on elsewhere) or "desk".
+    void addServer(const std::string &id, const std::string &service, backend serve);
+    /// Starts the gateway and runs until it has a configuration.
+    void start();
+    /// From now on the store answers 503.
+    void stopStore();
+    caller_answer call(
+        const std::string &path, const std::string &key = "secret", std::chrono::milliseconds timeLeft = std::chrono::milliseconds(4'000));
+    void runFor(std::chrono::milliseconds time);
+    int readiness();
+
+private:
+    boost::asio::awaitable<void> serveStore(http::exchange &exchange);
+    boost::asio::awaitable<void> callGateway(http::request_message message, caller_answer &answer);
+    http::request_message requestOf(const std::string &path, const std::string &key, std::chrono::milliseconds timeLeft) const;
+
+    boost::asio::io_context m_context;
+    std::vector<std::unique_ptr<http::server>> m_servers;
+    std::string m_items;
+    std::unique_ptr<http::server> m_store;
+    endpoint m_storeAddress;
+    std::unique_ptr<gateway_host> m_host;
+    http::client m_caller;
+    endpoint m_callers;
+    endpoint m_readiness;
+    bool m_isStoreDown = false;
+};
+
+} // namespace mustardtrail::gateway::testing
