--- a/src/gateway/fleet_state.h
+++ b/src/gateway/fleet_state.h
@@ -33,10 +33,10 @@
 struct fleet_state {
     fleet_state(peer_address self, data_centre_id ownDataCentre, const fleet_limits &fleetLimits, belief_log log);
 
-    /// One change of what the platform publishes. With a grace, servers that are taken off the list stay so long.
-    void apply(const published_change &change, time_point now, std::chrono::milliseconds grace);
-    /// A whole list: what it lacks is gone after the grace.
-    void applyWhole(const std::vector<published_change> &list, time_point now, std::chrono::milliseconds grace);
+    /// One change of what the platform publishes. Servers that are taken off the list stay until `keepUntil`.
+    void apply(const published_change &change, time_point now, time_point keepUntil);
+    /// A whole list: what it lacks is gone from `keepUntil` on.
+    void applyWhole(const std::vector<published_change> &list, time_point now, time_point keepUntil);
     void expire(time_point now);
 
     /// Servers of the service that may get a request, without the excluded ones.
--- a/src/gateway/internal/fleet_state.cpp
+++ b/src/gateway/internal/fleet_state.cpp
@@ -63,14 +63,14 @@
     }
 }
 
-void fleet_state::apply(const published_change &change, time_point now, std::chrono::milliseconds grace)
+void fleet_state::apply(const published_change &change, time_point now, time_point keepUntil)
 {
     if (const auto *config = std::get_if<config_published>(&change)) {
         applyConfig(*config);
     } else if (const auto *listed = std::get_if<server_listed>(&change)) {
         applyServer(listed->server, now);
     } else if (const auto *unlisted = std::get_if<server_unlisted>(&change)) {
-        const auto outcome = servers.remove(unlisted->server, now, grace);
+        const auto outcome = servers.remove(unlisted->server, now, keepUntil);
         if (outcome != server_directory::change::none) {
             m_log(nameOf(outcome), unlisted->server.str(), {});
         }
@@ -82,7 +82,7 @@
     }
 }
 
-void fleet_state::applyWhole(const std::vector<published_change> &list, time_point now, std::chrono::milliseconds grace)
+void fleet_state::applyWhole(const std::vector<published_change> &list, time_point now, time_point keepUntil)
 {
     std::vector<listed_server> listed;
     std::set<data_centre_id> out;
@@ -93,10 +93,10 @@
         } else if (const auto *dataCentre = std::get_if<data_centre_service>(&change)) {
             out.insert(dataCentre->dataCentre);
         } else {
-            apply(change, now, grace);
+            apply(change, now, keepUntil);
         }
     }
-    servers.replaceAll(listed, now, grace);
+    servers.replaceAll(listed, now, keepUntil);
     servers.setAllOutOfService(std::move(out));
 }
 
--- a/src/gateway/internal/server_directory.cpp
+++ b/src/gateway/internal/server_directory.cpp
@@ -11,7 +11,7 @@
     const bool beganToLeave = entry.isLeaving && (isNew || !server.entry.isLeaving);
     server.entry = entry;
     server.coldUntil = now + entry.coldLeft;
-    server.missingSince.reset();
+    server.keptUntil.reset();
     if (beganToLeave) {
         return change::leaving;
     }
@@ -21,32 +21,30 @@
     return restarted ? change::restarted : change::none;
 }
 
-server_directory::change server_directory::remove(const backend_server_id &id, time_point now, std::chrono::milliseconds grace)
+server_directory::change server_directory::remove(const backend_server_id &id, time_point now, time_point keepUntil)
 {
     const auto found = m_servers.find(id);
     if (found == m_servers.end()) {
         return change::none;
     }
-    if (grace.count() > 0 && !found->second.entry.isLeaving) {
-        m_missingGrace = grace;
-        found->second.missingSince = found->second.missingSince.value_or(now);
+    if (keepUntil > now && !found->second.entry.isLeaving) {
+        found->second.keptUntil = found->second.keptUntil.value_or(keepUntil);
         return change::none;
     }
     m_servers.erase(found);
     return change::removed;
 }
 
-void server_directory::replaceAll(const std::vector<listed_server> &entries, time_point now, std::chrono::milliseconds grace)
+void server_directory::replaceAll(const std::vector<listed_server> &entries, time_point now, time_point keepUntil)
 {
-    m_missingGrace = grace;
     std::set<backend_server_id> present;
     for (const listed_server &entry : entries) {
         put(entry, now);
         present.insert(entry.id);
     }
     for (auto &[id, server] : m_servers) {
-        if (!present.contains(id) && !server.missingSince) {
-            server.missingSince = now;
+        if (!present.contains(id)) {
+            server.keptUntil = server.keptUntil.value_or(keepUntil);
         }
     }
 }
@@ -55,7 +53,7 @@
 {
     std::vector<backend_server_id> gone;
     for (const auto &[id, server] : m_servers) {
-        if (server.missingSince && now - *server.missingSince >= m_missingGrace) {
+        if (server.keptUntil && now >= *server.keptUntil) {
             gone.push_back(id);
         }
     }
@@ -105,7 +103,7 @@
 
 bool server_directory::mayTakeWork(const known_server &server, time_point now) const
 {
-    const bool isGone = server.missingSince && now - *server.missingSince >= m_missingGrace;
+    const bool isGone = server.keptUntil && now >= *server.keptUntil;
     return !isGone && !server.entry.isLeaving && !m_outOfService.contains(server.entry.dataCentre);
 }
 
--- a/src/gateway/internal/store_follower.cpp
+++ b/src/gateway/internal/store_follower.cpp
@@ -28,9 +28,17 @@
     return question;
 }
 
-bool store_follower::onPage(std::uint64_t storeRevision, bool hasMore, const std::string &lastKey)
+void store_follower::noteAnswer(time_point now)
 {
+    if (m_failures > 0) {
+        m_settledAt = now + settling;
+    }
     m_failures = 0;
+}
+
+bool store_follower::onPage(std::uint64_t storeRevision, bool hasMore, const std::string &lastKey, time_point now)
+{
+    noteAnswer(now);
     if (m_afterKey.empty()) {
         m_listRevision = storeRevision;
     }
@@ -44,9 +52,9 @@
     return true;
 }
 
-bool store_follower::onChanges(std::uint64_t storeRevision, size_t count)
+bool store_follower::onChanges(std::uint64_t storeRevision, size_t count, time_point now)
 {
-    m_failures = 0;
+    noteAnswer(now);
     m_lastCount = count;
     if (storeRevision < m_revision) {
         return false;
@@ -57,15 +65,13 @@
 
 void store_follower::onHistoryGone()
 {
-    m_failures = 0;
     m_hasList = false;
     m_afterKey.clear();
 }
 
-void store_follower::onFailure(time_point now)
+void store_follower::onFailure()
 {
     ++m_failures;
-    m_lastFailure = now;
     m_afterKey.clear();
 }
 
@@ -74,9 +80,9 @@
     return m_failures == 0;
 }
 
-bool store_follower::isSettling(time_point now) const
+time_point store_follower::settledAt() const
 {
-    return m_lastFailure && now - *m_lastFailure < settling;
+    return m_settledAt;
 }
 
 } // namespace mustardtrail::gateway
--- a/src/gateway/server_directory.h
+++ b/src/gateway/server_directory.h
@@ -27,15 +27,15 @@
     struct known_server {
         listed_server entry;
         time_point coldUntil{};
-        std::optional<time_point> missingSince; ///< Left out of a whole list read after an outage.
+        std::optional<time_point> keptUntil; ///< Missing in the list, and taken for gone from here on.
     };
 
     change put(const listed_server &entry, time_point now);
-    /// Removes the server; with a grace it stays that long, unless it was leaving, and until it is listed again.
-    change remove(const backend_server_id &id, time_point now, std::chrono::milliseconds grace);
-    /// A whole list. Entries that it lacks are kept for `grace`, as servers write theirs again after an outage.
-    void replaceAll(const std::vector<listed_server> &entries, time_point now, std::chrono::milliseconds grace);
-    /// Removes what stayed missing for the grace. Returns the ids.
+    /// Removes the server. With a later `keepUntil` it stays until then, unless it was leaving, and longer when it is listed again.
+    change remove(const backend_server_id &id, time_point now, time_point keepUntil);
+    /// A whole list. Entries that it lacks are kept until `keepUntil`, as servers write theirs again after an outage.
+    void replaceAll(const std::vector<listed_server> &entries, time_point now, time_point keepUntil);
+    /// Removes what stayed missing. Returns the ids.
     std::vector<backend_server_id> expire(time_point now);
 
     void setOutOfService(const data_centre_id &dataCentre, bool isOut);
@@ -50,7 +50,6 @@
 private:
     std::map<backend_server_id, known_server> m_servers;
     std::set<data_centre_id> m_outOfService;
-    std::chrono::milliseconds m_missingGrace{ 0 };
 };
 
 } // namespace mustardtrail::gateway
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -3,7 +3,6 @@
 #include "base/clock.h"
 
 #include <cstdint>
-#include <optional>
 #include <string>
 
 namespace mustardtrail::gateway
@@ -31,29 +30,31 @@
     store_question next() const;
 
     /// A page arrived. True when the list is complete.
-    bool onPage(std::uint64_t storeRevision, bool hasMore, const std::string &lastKey);
+    bool onPage(std::uint64_t storeRevision, bool hasMore, const std::string &lastKey, time_point now);
     /// Changes arrived, `count` of them. False when the store answered from an older state than was already seen.
-    bool onChanges(std::uint64_t storeRevision, size_t count);
+    bool onChanges(std::uint64_t storeRevision, size_t count, time_point now);
     /// The changes behind the known revision are gone, so the whole list is read again.
     void onHistoryGone();
-    void onFailure(time_point now);
+    void onFailure();
 
     bool isReachable() const;
-    /// Entries may be missing only because the store was away: until a while after its return.
-    bool isSettling(time_point now) const;
+    /// Until here an entry may be missing only because the store was away. In the past when it was not.
+    time_point settledAt() const;
 
     static constexpr std::chrono::milliseconds batchPause{ 500 }; ///< A quarter of the shortest time that changes may take.
     static constexpr std::chrono::milliseconds changesWait{ 1'000 }; ///< Keeps the configuration's age well below the limit for keys.
-    static constexpr std::chrono::milliseconds settling{ 2'250 }; ///< Servers write their entries again within about 2 s.
+    static constexpr std::chrono::milliseconds settling{ 2'000 }; ///< After the store's return servers write their entries again.
 
 private:
+    void noteAnswer(time_point now);
+
     bool m_hasList = false;
     std::string m_afterKey;
     std::uint64_t m_listRevision = 0; ///< Of the first page: later pages may be newer.
     std::uint64_t m_revision = 0;
     size_t m_lastCount = 0;
     unsigned m_failures = 0;
-    std::optional<time_point> m_lastFailure;
+    time_point m_settledAt{};
 };
 
 } // namespace mustardtrail::gateway
--- a/src/gateway/tests/server_directory_test.cpp
+++ b/src/gateway/tests/server_directory_test.cpp
@@ -8,13 +8,11 @@
 using namespace mustardtrail::gateway;
 using mustardtrail::gateway::testing::at;
 using mustardtrail::testing::expectEqual;
-using std::chrono::milliseconds;
 
 namespace
 {
 
 const service_id reading("reading");
-constexpr milliseconds grace{ 2'250 };
 
 listed_server serverNamed(const std::string &name)
 {
@@ -49,21 +47,21 @@
     expectEqual(directory.usable(reading, at(2)).size(), 1U);
 }
 
-Test(server_directory, keepsAServerThatIsMissingAfterAnOutageForTheGraceAndNoLonger)
+Test(server_directory, keepsAServerThatIsMissingAfterAnOutageUntilTheGivenTimeAndNoLonger)
 {
     server_directory directory;
     directory.put(serverNamed("a"), at(0));
-    directory.replaceAll({}, at(1'000), grace);
-    expectEqual(directory.usable(reading, at(3'249)).size(), 1U);
+    directory.replaceAll({}, at(1'000), at(3'000));
+    expectEqual(directory.usable(reading, at(2'999)).size(), 1U);
     // Without a call of expire(): requests come more often than looks at the store.
-    expectEqual(directory.usable(reading, at(3'250)).size(), 0U);
+    expectEqual(directory.usable(reading, at(3'000)).size(), 0U);
 }
 
-Test(server_directory, keepsAServerThatIsListedAgainWithinTheGrace)
+Test(server_directory, keepsAServerThatIsListedAgainInTime)
 {
     server_directory directory;
     directory.put(serverNamed("a"), at(0));
-    directory.replaceAll({}, at(1'000), grace);
+    directory.replaceAll({}, at(1'000), at(3'000));
     directory.put(serverNamed("a"), at(2'000));
     expectEqual(directory.expire(at(9'000)).size(), 0U);
     expectEqual(directory.usable(reading, at(9'000)).size(), 1U);
@@ -73,7 +71,7 @@
 {
     server_directory directory;
     directory.put(serverNamed("a"), at(0));
-    cr_assert(directory.remove(backend_server_id("a"), at(10), milliseconds(0)) == server_directory::change::removed);
+    cr_assert(directory.remove(backend_server_id("a"), at(10), time_point()) == server_directory::change::removed);
     expectEqual(directory.size(), 0U);
 }
 
@@ -83,7 +81,7 @@
     listed_server server = serverNamed("a");
     server.isLeaving = true;
     directory.put(server, at(0));
-    cr_assert(directory.remove(server.id, at(10), grace) == server_directory::change::removed);
+    cr_assert(directory.remove(server.id, at(10), at(2'000)) == server_directory::change::removed);
 }
 
 Test(server_directory, tellsARestartUnderTheSameId)
@@ -109,3 +107,13 @@
     expectEqual(usable.size(), 1U);
     expectEqual(usable.front()->entry.id.str(), "a");
 }
+
+// An engine that leaves a second after the store's return must not be kept for two seconds more.
+Test(server_directory, keepsAServerThatIsRemovedAfterTheReturnNoLongerThanTheOthers)
+{
+    server_directory directory;
+    directory.put(serverNamed("a"), at(0));
+    directory.remove(backend_server_id("a"), at(1'500), at(2'000));
+    expectEqual(directory.usable(reading, at(1'999)).size(), 1U);
+    expectEqual(directory.usable(reading, at(2'000)).size(), 0U);
+}
--- a/src/gateway/tests/store_follower_test.cpp
+++ b/src/gateway/tests/store_follower_test.cpp
@@ -15,9 +15,9 @@
 {
     store_follower follower;
     cr_assert(follower.next().what == kind::list);
-    cr_assert_not(follower.onPage(100, true, "servers/m"));
+    cr_assert_not(follower.onPage(100, true, "servers/m", at(0)));
     expectEqual(follower.next().afterKey, "servers/m");
-    cr_assert(follower.onPage(120, false, "servers/z"));
+    cr_assert(follower.onPage(120, false, "servers/z", at(1)));
     cr_assert(follower.next().what == kind::changes);
     // Pages are no snapshot: what changed while they were read comes again.
     expectEqual(follower.next().afterRevision, 100U);
@@ -26,27 +26,27 @@
 Test(store_follower, takesChangesUpInBatches)
 {
     store_follower follower;
-    follower.onPage(100, false, "");
+    follower.onPage(100, false, "", at(0));
     cr_assert(follower.next().pauseBefore == milliseconds(0));
-    cr_assert(follower.onChanges(103, 3));
+    cr_assert(follower.onChanges(103, 3, at(10)));
     cr_assert(follower.next().pauseBefore == store_follower::batchPause);
-    cr_assert(follower.onChanges(103, 0));
+    cr_assert(follower.onChanges(103, 0, at(10)));
     cr_assert(follower.next().pauseBefore == milliseconds(0));
 }
 
 Test(store_follower, neverGoesBackToAnOlderState)
 {
     store_follower follower;
-    follower.onPage(100, false, "");
-    follower.onChanges(110, 1);
-    cr_assert_not(follower.onChanges(105, 1));
+    follower.onPage(100, false, "", at(0));
+    follower.onChanges(110, 1, at(10));
+    cr_assert_not(follower.onChanges(105, 1, at(10)));
     expectEqual(follower.next().afterRevision, 110U);
 }
 
 Test(store_follower, readsTheListAgainWhenTheHistoryIsGone)
 {
     store_follower follower;
-    follower.onPage(100, false, "");
+    follower.onPage(100, false, "", at(0));
     follower.onHistoryGone();
     cr_assert(follower.next().what == kind::list);
 }
@@ -54,18 +54,19 @@
 Test(store_follower, asksAStoreThatIsAwayMoreSlowlyAndSettlesAfterIt)
 {
     store_follower follower;
-    follower.onPage(100, false, "");
-    follower.onFailure(at(0));
+    follower.onPage(100, false, "", at(0));
+    follower.onFailure();
     cr_assert(follower.next().pauseBefore == milliseconds(100));
     for (int count = 0; count < 20; ++count) {
-        follower.onFailure(at(1'000));
+        follower.onFailure();
     }
     cr_assert(follower.next().pauseBefore == milliseconds(800));
     cr_assert_not(follower.isReachable());
-    follower.onChanges(101, 1);
+    follower.onChanges(101, 1, at(5'000));
     cr_assert(follower.isReachable());
-    cr_assert(follower.isSettling(at(3'000)));
-    cr_assert_not(follower.isSettling(at(3'300)));
+    cr_assert(follower.settledAt() == at(7'000));
+    follower.onChanges(102, 1, at(6'000));
+    cr_assert(follower.settledAt() == at(7'000));
 }
 
 Test(config_freshness, countsFromTheQuestionAndNotFromTheAnswer)
--- a/src/programs/gateway/request_session.cpp
+++ b/src/programs/gateway/request_session.cpp
@@ -301,6 +301,11 @@
     if (helperFailed || !primary) {
         return;
     }
+    // A server that refused may take the request once another has run a part of it and failed.
+    if (failure.outcome != verdict::not_run) {
+        m_excluded = m_failed;
+        m_failed.insert(primary->entry.id);
+    }
     m_excluded.insert(primary->entry.id);
     const bool isSilent = failure.outcome != verdict::not_run && !failure.hasAnswer;
     const bool isTalking = m_context.state.trust.isTalking(m_answering, now);
--- a/src/programs/gateway/request_session.h
+++ b/src/programs/gateway/request_session.h
@@ -92,7 +92,8 @@
     unsigned m_arrivals = 0; ///< Sends that reached a server.
     unsigned m_sends = 0;
     std::uint64_t m_workId = 0;
-    std::set<backend_server_id> m_excluded;
+    std::set<backend_server_id> m_excluded; ///< Not tried next: those that failed, and those that refused since then.
+    std::set<backend_server_id> m_failed; ///< Those that may have run it.
     server_key m_answering = 0; ///< Server of the current send.
     bool m_isStallExtended = false;
     std::string m_lastServer;
--- a/src/programs/gateway/store_reader.cpp
+++ b/src/programs/gateway/store_reader.cpp
@@ -101,39 +101,34 @@
         }
     }
     const std::string lastKey = reply.changes.empty() ? std::string() : reply.changes.back().key;
-    if (!m_follower.onPage(reply.revision, reply.hasMore, lastKey)) {
+    const time_point now = m_context.clock.now();
+    if (!m_follower.onPage(reply.revision, reply.hasMore, lastKey, now)) {
         return;
     }
-    const time_point now = m_context.clock.now();
-    m_context.state.applyWhole(m_list, now, store_follower::settling);
+    m_context.state.applyWhole(m_list, now, m_follower.settledAt());
     m_context.state.freshness.confirm(m_listAskedAt);
     m_list.clear();
 }
 
 void store_reader::onChanges(const platform::store_reply &reply, time_point askedAt)
 {
-    if (!m_follower.onChanges(reply.revision, reply.changes.size())) {
+    const time_point now = m_context.clock.now();
+    if (!m_follower.onChanges(reply.revision, reply.changes.size(), now)) {
         m_context.log.write(log_line("store_answer_old").add("revision", static_cast<std::int64_t>(reply.revision)));
         return;
     }
-    const time_point now = m_context.clock.now();
     for (const platform::store_change &change : reply.changes) {
         if (const auto published = platform::readPublishedChange(change)) {
-            m_context.state.apply(*published, now, grace(now));
+            m_context.state.apply(*published, now, m_follower.settledAt());
         }
     }
     m_context.state.freshness.confirm(askedAt);
 }
 
-milliseconds store_reader::grace(time_point now) const
-{
-    return m_follower.isSettling(now) ? store_follower::settling : milliseconds(0);
-}
-
 void store_reader::fail(std::string_view what, std::string_view detail)
 {
     m_context.metrics.storeCall(std::string(what));
-    m_follower.onFailure(m_context.clock.now());
+    m_follower.onFailure();
     if (m_wasReachable) {
         m_wasReachable = false;
         m_context.log.write(log_line("store_lost").add("reason", what).add("detail", detail));
--- a/src/programs/gateway/store_reader.h
+++ b/src/programs/gateway/store_reader.h
@@ -21,7 +21,6 @@
     void onPage(const platform::store_reply &reply);
     void onChanges(const platform::store_reply &reply, time_point askedAt);
     void fail(std::string_view what, std::string_view detail);
-    std::chrono::milliseconds grace(time_point now) const;
 
     gateway_context &m_context;
     endpoint m_store;
