--- a/src/gateway/attempt_outcome.h
+++ b/src/gateway/attempt_outcome.h
@@ -13,7 +13,6 @@
 struct attempt_failure {
     verdict outcome = verdict::may_have_run;
     bool isUnreachable = false; ///< No connection could be opened.
-    bool isWrongServer = false; ///< The address belongs to another server now.
     bool hasAnswer = false; ///< The server answered with a failure of its own, which can be passed on.
     std::optional<std::uint64_t> lastEvent; ///< Last event that the caller has got of a stream.
     bool hasStarted = false; ///< The caller has got the head of the answer.
--- a/src/gateway/fleet_state.h
+++ b/src/gateway/fleet_state.h
@@ -22,8 +22,6 @@
 struct fleet_limits {
     resend_limits resend;
     std::chrono::milliseconds configAge{ 0 }; ///< Requests with keys are refused when the configuration is not confirmed for this long.
-    double coldOver = 1.0; ///< Factor on the rate that a cold server bears.
-    double coldSlack = 0.0; ///< Requests a second on top of it.
 };
 
 /// Gets one line for each belief that changed: event name, subject, detail.
--- a/src/gateway/internal/store_follower.cpp
+++ b/src/gateway/internal/store_follower.cpp
@@ -13,13 +13,18 @@
 
 } // namespace
 
+store_follower::store_follower(std::chrono::milliseconds batchPause)
+    : m_batchPause(batchPause)
+{
+}
+
 store_question store_follower::next() const
 {
     store_question question;
     if (m_failures > 0) {
         question.pauseBefore = std::min(longestRetry, firstRetry * (1 << std::min(m_failures - 1, 4U)));
     } else if (m_hasList && m_lastCount > 0) {
-        question.pauseBefore = batchPause;
+        question.pauseBefore = m_batchPause;
     }
     question.what = m_hasList ? store_question::kind::changes : store_question::kind::list;
     question.afterKey = m_afterKey;
--- a/src/gateway/load_report.h
+++ b/src/gateway/load_report.h
@@ -22,7 +22,7 @@
     std::uint64_t incarnation = 0; ///< Drawn at the start of the process.
     std::uint32_t sequence = 0;
     bool isLeaving = false; ///< Stops soon; others forget it without a wait.
-    std::vector<peer_address> known; ///< Other instances that it heard lately.
+    std::vector<peer_address> known; ///< Other instances that it heard lately; only in reports without a change, as they seldom change.
     std::vector<server_work> work;
     std::vector<server_key> suspects; ///< Backend servers that failed it lately.
 };
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -27,6 +27,9 @@
 class store_follower
 {
 public:
+    /// Changes are taken up this long after an answer with changes.
+    explicit store_follower(std::chrono::milliseconds batchPause);
+
     store_question next() const;
 
     /// A page arrived. True when the list is complete.
@@ -41,13 +44,13 @@
     /// Until here an entry may be missing only because the store was away. In the past when it was not.
     time_point settledAt() const;
 
-    static constexpr std::chrono::milliseconds batchPause{ 500 }; ///< A quarter of the shortest time that changes may take.
     static constexpr std::chrono::milliseconds changesWait{ 1'000 }; ///< Keeps the configuration's age well below the limit for keys.
     static constexpr std::chrono::milliseconds settling{ 2'000 }; ///< After the store's return servers write their entries again.
 
 private:
     void noteAnswer(time_point now);
 
+    std::chrono::milliseconds m_batchPause;
     bool m_hasList = false;
     std::string m_afterKey;
     std::uint64_t m_listRevision = 0; ///< Of the first page: later pages may be newer.
--- a/src/gateway/tests/store_follower_test.cpp
+++ b/src/gateway/tests/store_follower_test.cpp
@@ -11,9 +11,16 @@
 using std::chrono::milliseconds;
 using kind = store_question::kind;
 
+namespace
+{
+
+constexpr milliseconds batchPause{ 600 };
+
+} // namespace
+
 Test(store_follower, readsTheWholeListOnceAndThenChangesFromItsFirstPage)
 {
-    store_follower follower;
+    store_follower follower(batchPause);
     cr_assert(follower.next().what == kind::list);
     cr_assert_not(follower.onPage(100, true, "servers/m", at(0)));
     expectEqual(follower.next().afterKey, "servers/m");
@@ -25,18 +32,18 @@
 
 Test(store_follower, takesChangesUpInBatches)
 {
-    store_follower follower;
+    store_follower follower(batchPause);
     follower.onPage(100, false, "", at(0));
     cr_assert(follower.next().pauseBefore == milliseconds(0));
     cr_assert(follower.onChanges(103, 3, at(10)));
-    cr_assert(follower.next().pauseBefore == store_follower::batchPause);
+    cr_assert(follower.next().pauseBefore == batchPause);
     cr_assert(follower.onChanges(103, 0, at(10)));
     cr_assert(follower.next().pauseBefore == milliseconds(0));
 }
 
 Test(store_follower, neverGoesBackToAnOlderState)
 {
-    store_follower follower;
+    store_follower follower(batchPause);
     follower.onPage(100, false, "", at(0));
     follower.onChanges(110, 1, at(10));
     cr_assert_not(follower.onChanges(105, 1, at(10)));
@@ -45,7 +52,7 @@
 
 Test(store_follower, readsTheListAgainWhenTheHistoryIsGone)
 {
-    store_follower follower;
+    store_follower follower(batchPause);
     follower.onPage(100, false, "", at(0));
     follower.onHistoryGone();
     cr_assert(follower.next().what == kind::list);
@@ -53,7 +60,7 @@
 
 Test(store_follower, asksAStoreThatIsAwayMoreSlowlyAndSettlesAfterIt)
 {
-    store_follower follower;
+    store_follower follower(batchPause);
     follower.onPage(100, false, "", at(0));
     follower.onFailure();
     cr_assert(follower.next().pauseBefore == milliseconds(100));
--- a/src/programs/gateway/gateway_host.cpp
+++ b/src/programs/gateway/gateway_host.cpp
@@ -30,8 +30,6 @@
     fleet_limits limits;
     limits.resend = { settings.resendRatio, settings.resendWindow, settings.resendSlack };
     limits.configAge = std::chrono::duration_cast<milliseconds>(settings.keyRevocation * configAgeShare);
-    limits.coldOver = settings.coldOver;
-    limits.coldSlack = settings.coldSlack;
     return limits;
 }
 
@@ -83,7 +81,7 @@
         {},
         false }
     , m_peers(context.get_executor(), m_shared, m_settings.instance, m_settings.dataCentre, { m_settings.address, m_settings.peerPort })
-    , m_store(m_shared, m_settings.store)
+    , m_store(m_shared, m_settings.store, m_settings.changeBound)
     , m_callers(
           context.get_executor(),
           callerLimits(m_settings),
--- a/src/programs/gateway/peer_link.cpp
+++ b/src/programs/gateway/peer_link.cpp
@@ -112,6 +112,7 @@
 
 void peer_link::sendReport()
 {
+    const bool isPeriodic = !m_hasChange;
     m_hasChange = false;
     const time_point now = m_context.clock.now();
     load_report report;
@@ -121,7 +122,9 @@
     report.incarnation = m_incarnation;
     report.sequence = ++m_sequence;
     report.isLeaving = m_context.isStopping && m_context.state.loads.own().empty();
-    report.known = m_context.state.peers.alive(now);
+    if (isPeriodic) {
+        report.known = m_context.state.peers.alive(now);
+    }
     report.suspects = m_context.state.trust.suspects(now);
     report.work = m_context.state.loads.own();
     const std::string bytes = encodeLoadReport(report, now);
--- a/src/programs/gateway/request_relay.cpp
+++ b/src/programs/gateway/request_relay.cpp
@@ -271,7 +271,6 @@
     }
     m_context.metrics.sendEnded("status_" + std::to_string(message.status));
     attempt_failure failure = failureNow(head.outcome);
-    failure.isWrongServer = head.isWrongServer;
     const bool isFailure = message.status >= 300;
     if (head.outcome == verdict::ran && isFailure) {
         failure.hasAnswer = true;
--- a/src/programs/gateway/request_session.cpp
+++ b/src/programs/gateway/request_session.cpp
@@ -21,7 +21,6 @@
 
 constexpr milliseconds defaultTimeLeft{ 30'000 }; ///< Of a caller that does not say how long it waits.
 constexpr milliseconds noViewPause{ 500 }; ///< A started or cut off instance is usually back within this.
-constexpr unsigned mostSends = 6; ///< Refusals of servers cost little, but not nothing.
 
 } // namespace
 
@@ -202,118 +201,6 @@
     co_return decision;
 }
 
-retry_state request_session::retryState(time_point now)
-{
-    retry_state state;
-    state.repeat = m_route->repeat;
-    state.mayHaveRun = m_mayHaveRun;
-    state.sends = m_runs;
-    state.maxServers = m_route->maxServers;
-    state.hasTime = now + milliseconds(20) < m_endAt && m_sends < mostSends;
-    state.hasOtherServer = !m_context.state.candidates(m_service, m_excluded, now).empty();
-    state.hasBudget = true;
-    return state;
-}
-
-bool request_session::canMoveOn()
-{
-    const time_point now = m_context.clock.now();
-    retry_state state = retryState(now);
-    state.mayHaveRun = true;
-    state.sends = m_runs + 1;
-    state.hasBudget
-        = m_context.state.resends.hasRoom(m_service, resend_budget::use::interrupted, now, m_context.state.peers.largestFleet());
-    const attempt_failure lost = failureNow(verdict::may_have_run);
-    return afterFailure(lost, state) == next_step::send_again;
-}
-
-void request_session::watchStall(milliseconds pause)
-{
-    m_stall.expires_after(pause);
-    m_stall.async_wait([this, alive = m_alive](boost::system::error_code failure) {
-        if (failure || !*alive || !m_closeConnection) {
-            return;
-        }
-        // A server that serves others is slow rather than lost, and moving on would only add to its load.
-        const bool isSlow = !m_isStallExtended && m_context.state.trust.isTalking(m_answering, m_context.clock.now());
-        if (isSlow || !canMoveOn()) {
-            m_isStallExtended = true;
-            watchStall(stallLimit());
-        } else {
-            m_closeConnection();
-        }
-    });
-}
-
-next_step request_session::stepAfter(const attempt_failure &failure)
-{
-    const time_point now = m_context.clock.now();
-    m_mayHaveRun = m_mayHaveRun || failure.outcome != verdict::not_run;
-    m_runs += failure.outcome != verdict::not_run ? 1 : 0;
-    retry_state state = retryState(now);
-    if (afterFailure(failure, state) != next_step::send_again) {
-        const std::string_view why = !state.hasOtherServer ? "no_server" : !state.hasTime ? "no_time" : "not_allowed";
-        logDenied(why);
-        return afterFailure(failure, state);
-    }
-    if (m_arrivals == 0) {
-        return next_step::send_again;
-    }
-    const auto use = failure.outcome == verdict::not_run ? resend_budget::use::refused : resend_budget::use::interrupted;
-    state.hasBudget = m_context.state.resends.tryTake(m_service, use, now, m_context.state.peers.largestFleet());
-    const next_step step = afterFailure(failure, state);
-    if (step != next_step::send_again) {
-        logDenied("budget");
-    }
-    return step;
-}
-
-void request_session::logDenied(std::string_view why)
-{
-    m_context.log.write(log_line("resend_denied")
-                            .add("request", m_head.attempt.str())
-                            .add("service", m_service.str())
-                            .add("why", why)
-                            .add("runs", m_runs)
-                            .add("most", m_route->maxServers)
-                            .add("lastEvent", m_lastEvent ? static_cast<std::int64_t>(*m_lastEvent) : -1));
-}
-
-void request_session::blame(const placement_decision &placed, const attempt_failure &failure)
-{
-    const time_point now = m_context.clock.now();
-    const auto *primary = m_context.state.serverOf(placed.parts.front().server);
-    m_context.log.write(log_line("send_failed")
-                            .add("request", m_head.attempt.str())
-                            .add("server", m_lastServer)
-                            .add("verdict", toString(failure.outcome))
-                            .add("faulty", m_faultyServer)
-                            .add("age", age(now)));
-    bool helperFailed = false;
-    for (const placed_part &part : placed.parts) {
-        const auto *server = m_context.state.serverOf(part.server);
-        const bool isNamed = server && (server->entry.id.str() == m_faultyServer || toString(server->entry.address) == m_faultyServer);
-        if (isNamed) {
-            m_context.state.trust.failed(part.server, now);
-            helperFailed = part.server != placed.parts.front().server;
-        }
-    }
-    if (helperFailed || !primary) {
-        return;
-    }
-    // A server that refused may take the request once another has run a part of it and failed.
-    if (failure.outcome != verdict::not_run) {
-        m_excluded = m_failed;
-        m_failed.insert(primary->entry.id);
-    }
-    m_excluded.insert(primary->entry.id);
-    const bool isSilent = failure.outcome != verdict::not_run && !failure.hasAnswer;
-    const bool isTalking = m_context.state.trust.isTalking(m_answering, now);
-    if (failure.isUnreachable || (isSilent && !isTalking)) {
-        m_context.state.trust.failed(placed.parts.front().server, now);
-    }
-}
-
 asio::awaitable<void> request_session::end(const attempt_failure &failure, next_step step)
 {
     if (step == next_step::break_off) {
--- a/src/programs/gateway/store_reader.cpp
+++ b/src/programs/gateway/store_reader.cpp
@@ -17,13 +17,15 @@
 {
 
 constexpr milliseconds callLimit{ 1'000 }; ///< Hundreds of times the store's usual answer; beyond it the store counts as away.
+constexpr int pausesPerBound = 3; ///< Leaves two thirds for a slow answer and what is already on its way.
 const std::string everything; // One wait for all keys is one priced call.
 
 } // namespace
 
-store_reader::store_reader(gateway_context &context, endpoint store)
+store_reader::store_reader(gateway_context &context, endpoint store, milliseconds changeBound)
     : m_context(context)
     , m_store(std::move(store))
+    , m_follower(changeBound / pausesPerBound)
 {
 }
 
--- a/src/programs/gateway/store_reader.h
+++ b/src/programs/gateway/store_reader.h
@@ -11,7 +11,8 @@
 class store_reader
 {
 public:
-    store_reader(gateway_context &context, endpoint store);
+    /// Changes are in force within a third of `changeBound` after the store answers.
+    store_reader(gateway_context &context, endpoint store, std::chrono::milliseconds changeBound);
 
     boost::asio::awaitable<void> run();
 
