--- a/src/gateway/internal/fleet_state.cpp
+++ b/src/gateway/internal/fleet_state.cpp
@@ -133,7 +133,6 @@
         }
         placement_candidate candidate;
         candidate.key = keyOf(server->entry.id);
-        candidate.id = server->entry.id;
         candidate.slots = server->entry.slots;
         candidate.isSuspect = trust.isSuspect(candidate.key, now) || silent.contains(server->entry.dataCentre);
         if (const auto load = allLoads.find(candidate.key); load != allLoads.end()) {
--- a/src/gateway/internal/waiting_line.cpp
+++ b/src/gateway/internal/waiting_line.cpp
@@ -46,11 +46,6 @@
     }
 }
 
-bool waiting_line::empty() const
-{
-    return m_entries.empty();
-}
-
 size_t waiting_line::size() const
 {
     return m_entries.size();
--- a/src/gateway/service_profile.h
+++ b/src/gateway/service_profile.h
@@ -23,7 +23,6 @@
 /// Backend servers of one kind.
 struct service_profile {
     service_id name;
-    size_t maxConnections = 0; ///< At one backend server, over all instances; 0: unknown.
     double coldRequestsPerSecond = 0.0; ///< What a cold backend server bears; 0: no bound.
     std::optional<engine_profile> engine; ///< None for a plain service.
 };
--- a/src/gateway/tests/prompt_placement_test.cpp
+++ b/src/gateway/tests/prompt_placement_test.cpp
@@ -149,6 +149,16 @@
     return { 0, tokens, 680, longTarget, milliseconds(1'000) };
 }
 
+server_work quickWriter(std::uint64_t request, server_key server)
+{
+    server_work writing;
+    writing.request = request;
+    writing.server = server;
+    writing.isWriting = true;
+    writing.hasShortPauses = true;
+    return writing;
+}
+
 const std::vector<server_key> fourEngines{ 1, 2, 3, 4 };
 
 } // namespace
@@ -181,12 +191,7 @@
 Test(prompt_placement, gathersQuickStreamsOnOneEngineWhileItIsQuick)
 {
     load_book book;
-    server_work writing;
-    writing.request = 1;
-    writing.server = 3;
-    writing.isWriting = true;
-    writing.hasShortPauses = true;
-    book.add(writing);
+    book.add(quickWriter(1, 3));
     const auto decision = place(quickPrompt(0), fourEngines, book, at(0));
     cr_assert(decision.next == action::send);
     expectEqual(decision.parts.front().server, server_key(3));
@@ -195,12 +200,7 @@
 Test(prompt_placement, readsALongPromptInPartsAwayFromQuickStreams)
 {
     load_book book;
-    server_work writing;
-    writing.request = 1;
-    writing.server = 3;
-    writing.isWriting = true;
-    writing.hasShortPauses = true;
-    book.add(writing);
+    book.add(quickWriter(1, 3));
     const auto decision = place(longPrompt(100'000), fourEngines, book, at(0));
     cr_assert(decision.next == action::send);
     expectEqual(decision.parts.size(), 3U);
@@ -229,12 +229,7 @@
     std::uint64_t request = 0;
     for (const server_key key : fourEngines) {
         for (int count = 0; count < 10; ++count) {
-            server_work writing;
-            writing.request = ++request;
-            writing.server = key;
-            writing.isWriting = true;
-            writing.hasShortPauses = true;
-            book.add(writing);
+            book.add(quickWriter(++request, key));
         }
     }
     // Forty streams would pause; the prompt is worth about ten of them.
--- a/src/gateway/waiting_line.h
+++ b/src/gateway/waiting_line.h
@@ -31,7 +31,6 @@
     void remove(ticket id);
     /// Looks for every request in order; those that wait no longer leave the line.
     void lookAll(time_point now);
-    bool empty() const;
     size_t size() const;
 
 private:
--- a/src/programs/gateway/request_retry.cpp
+++ b/src/programs/gateway/request_retry.cpp
@@ -62,13 +62,14 @@
     m_mayHaveRun = m_mayHaveRun || failure.outcome != verdict::not_run;
     m_runs += failure.outcome != verdict::not_run ? 1 : 0;
     retry_state state = retryState(now);
-    if (afterFailure(failure, state) != next_step::send_again) {
+    const next_step wanted = afterFailure(failure, state);
+    if (wanted != next_step::send_again) {
         const std::string_view why = !state.hasOtherServer ? "no_server" : !state.hasTime ? "no_time" : "not_allowed";
         logDenied(why);
-        return afterFailure(failure, state);
+        return wanted;
     }
     if (m_arrivals == 0) {
-        return next_step::send_again;
+        return wanted;
     }
     const auto use = failure.outcome == verdict::not_run ? resend_budget::use::refused : resend_budget::use::interrupted;
     state.hasBudget = m_context.state.resends.tryTake(m_service, use, now, m_context.state.peers.largestFleet());
--- a/src/programs/gateway/request_session.cpp
+++ b/src/programs/gateway/request_session.cpp
@@ -84,8 +84,10 @@
     watchDeadline();
     while (true) {
         const placement_decision placed = co_await place();
-        if (m_isGone) {
+        if (m_isGone || placed.next != placement_decision::action::send) {
             finishWork();
+        }
+        if (m_isGone) {
             logEnd("caller_gone", 0, "waiting");
             co_return;
         }
@@ -240,6 +242,9 @@
 
 void request_session::finishWork()
 {
+    if (m_workId == 0) {
+        return;
+    }
     m_context.state.loads.finish(m_workId);
     m_workId = 0;
     m_context.workChanged();
--- a/src/programs/gateway/request_session.h
+++ b/src/programs/gateway/request_session.h
@@ -41,6 +41,7 @@
     boost::asio::awaitable<placement_decision> place();
     placement_decision decide(time_point now);
     placement_decision look(time_point now);
+    /// Gives back what the current placement took at the servers, if there is one.
     void finishWork();
     /// Nothing when the caller has the whole answer.
     boost::asio::awaitable<std::optional<attempt_failure>> send(const placement_decision &placed);
@@ -91,7 +92,7 @@
     unsigned m_runs = 0; ///< Sends that may have run.
     unsigned m_arrivals = 0; ///< Sends that reached a server.
     unsigned m_sends = 0;
-    std::uint64_t m_workId = 0;
+    std::uint64_t m_workId = 0; ///< Of the current placement; 0: none.
     std::set<backend_server_id> m_excluded; ///< Not tried next: those that failed, and those that refused since then.
     std::set<backend_server_id> m_failed; ///< Those that may have run it.
     server_key m_answering = 0; ///< Server of the current send.
