A restarted instance has no slack for second sends in its first window

A first start of the whole fleet has its slack at once. Test: resend_budget/aRestartedFleetStaysBelowTheBoundWithWhatItSentBefore.

--- a/src/gateway/fleet_state.h
+++ b/src/gateway/fleet_state.h
@@ -21,6 +21,7 @@
 /// Limits of one deployment.
 struct fleet_limits {
     resend_limits resend;
+    time_point resendSlackFrom{}; ///< A window after a restart, as nothing is known of what was sent before.
     std::chrono::milliseconds configAge{ 0 }; ///< Requests with keys are refused when the configuration is not confirmed for this long.
 };
 
--- a/src/gateway/internal/fleet_state.cpp
+++ b/src/gateway/internal/fleet_state.cpp
@@ -35,7 +35,7 @@
 fleet_state::fleet_state(peer_address self, data_centre_id ownDataCentre, const fleet_limits &fleetLimits, belief_log log)
     : limits(fleetLimits)
     , freshness(fleetLimits.configAge)
-    , resends(fleetLimits.resend)
+    , resends(fleetLimits.resend, fleetLimits.resendSlackFrom)
     , peers(self, std::move(ownDataCentre))
     , m_log(std::move(log))
 {
--- a/src/gateway/internal/resend_budget.cpp
+++ b/src/gateway/internal/resend_budget.cpp
@@ -13,8 +13,9 @@
 
 } // namespace
 
-resend_budget::resend_budget(resend_limits limits)
+resend_budget::resend_budget(resend_limits limits, time_point slackFrom)
     : m_limits(limits)
+    , m_slackFrom(slackFrom)
 {
 }
 
@@ -34,13 +35,20 @@
     window.requests.push_back(now);
 }
 
+double resend_budget::slackShare(time_point now, size_t instances) const
+{
+    if (now < m_slackFrom) {
+        return 0.0;
+    }
+    return m_limits.slack / static_cast<double>(std::max<size_t>(instances, 1));
+}
+
 bool resend_budget::hasRoom(const service_id &service, use why, time_point now, size_t instances)
 {
     service_window &window = m_services[service];
     forget(window, now);
-    const double share = m_limits.slack / static_cast<double>(std::max<size_t>(instances, 1));
     const double part = why == use::refused ? refusedShare : 1.0;
-    const double allowed = part * safety * (m_limits.ratio * static_cast<double>(window.requests.size()) + share);
+    const double allowed = part * safety * (m_limits.ratio * static_cast<double>(window.requests.size()) + slackShare(now, instances));
     return static_cast<double>(window.resends.size()) + 1.0 <= allowed;
 }
 
--- a/src/gateway/resend_budget.h
+++ b/src/gateway/resend_budget.h
@@ -17,7 +17,9 @@
 };
 
 /// This instance's share of the bound: its own requests count whole, the slack is divided by the instances known. Keeps
-/// a fleet of failing servers from being loaded further by second sends, also when instances cannot hear each other.
+/// a fleet of failing servers from being loaded further by second sends, also when instances cannot hear each other. A
+/// restarted instance has no slack for one window: after a restart of everything no instance knows what it spent before,
+/// nor how many others there are.
 class resend_budget
 {
 public:
@@ -27,7 +29,7 @@
         interrupted, ///< It may have run and is lost to the caller otherwise; may take all of the share.
     };
 
-    explicit resend_budget(resend_limits limits);
+    resend_budget(resend_limits limits, time_point slackFrom);
 
     void countRequest(const service_id &service, time_point now);
     /// Whether tryTake would succeed.
@@ -42,8 +44,10 @@
     };
 
     void forget(service_window &window, time_point now) const;
+    double slackShare(time_point now, size_t instances) const;
 
     resend_limits m_limits;
+    time_point m_slackFrom;
     std::map<service_id, service_window> m_services;
 };
 
--- a/src/gateway/tests/resend_budget_test.cpp
+++ b/src/gateway/tests/resend_budget_test.cpp
@@ -15,6 +15,13 @@
 const service_id reading("reading");
 using why = resend_budget::use;
 
+constexpr int longAfterStart = 60'000;
+
+resend_budget runningBudget(resend_limits limits)
+{
+    return { limits, at(0) };
+}
+
 int takeAll(resend_budget &budget, why use, int now, size_t instances)
 {
     int taken = 0;
@@ -28,8 +35,8 @@
 
 Test(resend_budget, dividesTheSlackByTheInstances)
 {
-    resend_budget budget({ 0.2, milliseconds(10'000), 100.0 });
-    expectEqual(takeAll(budget, why::interrupted, 0, 10), 8);
+    resend_budget budget = runningBudget({ 0.2, milliseconds(10'000), 100.0 });
+    expectEqual(takeAll(budget, why::interrupted, longAfterStart, 10), 8);
 }
 
 Test(resend_budget, allInstancesTogetherStayBelowTheBound)
@@ -38,26 +45,48 @@
     constexpr int requests = 50;
     int sent = 0;
     for (int index = 0; index < instances; ++index) {
-        resend_budget budget({ 0.2, milliseconds(10'000), 104.0 });
+        resend_budget budget = runningBudget({ 0.2, milliseconds(10'000), 104.0 });
         for (int count = 0; count < requests; ++count) {
-            budget.countRequest(reading, at(count));
+            budget.countRequest(reading, at(longAfterStart + count));
         }
-        sent += takeAll(budget, why::interrupted, 100, instances);
+        sent += takeAll(budget, why::interrupted, longAfterStart + 100, instances);
     }
     cr_assert_leq(sent, static_cast<int>(0.2 * instances * requests + 104.0));
 }
 
 Test(resend_budget, refusedRequestsLeaveHalfToInterruptedStreams)
 {
-    resend_budget budget({ 0.2, milliseconds(10'000), 100.0 });
-    expectEqual(takeAll(budget, why::refused, 0, 10), 4);
-    expectEqual(takeAll(budget, why::interrupted, 0, 10), 4);
+    resend_budget budget = runningBudget({ 0.2, milliseconds(10'000), 100.0 });
+    expectEqual(takeAll(budget, why::refused, longAfterStart, 10), 4);
+    expectEqual(takeAll(budget, why::interrupted, longAfterStart, 10), 4);
 }
 
 Test(resend_budget, hasRoomAgainWhenTheWindowHasPassed)
 {
-    resend_budget budget({ 0.0, milliseconds(10'000), 10.0 });
-    cr_assert_gt(takeAll(budget, why::interrupted, 0, 1), 0);
-    cr_assert_not(budget.hasRoom(reading, why::interrupted, at(9'000), 1));
-    cr_assert(budget.hasRoom(reading, why::interrupted, at(10'001), 1));
+    resend_budget budget = runningBudget({ 0.0, milliseconds(10'000), 10.0 });
+    cr_assert_gt(takeAll(budget, why::interrupted, longAfterStart, 1), 0);
+    cr_assert_not(budget.hasRoom(reading, why::interrupted, at(longAfterStart + 9'000), 1));
+    cr_assert(budget.hasRoom(reading, why::interrupted, at(longAfterStart + 10'001), 1));
+}
+
+// Power returns to all instances at once: each knows only the three seeds and nothing of what it sent before.
+Test(resend_budget, aRestartedFleetStaysBelowTheBoundWithWhatItSentBefore)
+{
+    constexpr int instances = 66;
+    constexpr size_t seedsAndSelf = 4;
+    constexpr int downAt = longAfterStart;
+    constexpr int backAt = downAt + 1'000;
+    constexpr int windowEnd = downAt + 10'000;
+    const resend_limits limits{ 0.2, milliseconds(10'000), 208.0 };
+    int sent = 0;
+    for (int index = 0; index < instances; ++index) {
+        resend_budget before = runningBudget(limits);
+        sent += takeAll(before, why::interrupted, downAt, instances);
+        resend_budget after(limits, at(backAt + 10'000));
+        sent += takeAll(after, why::interrupted, backAt + 500, seedsAndSelf);
+        for (int now = backAt + 1'500; now < windowEnd; now += 500) {
+            sent += takeAll(after, why::interrupted, now, instances);
+        }
+    }
+    cr_assert_leq(sent, 208);
 }
--- a/src/programs/gateway/gateway_host.cpp
+++ b/src/programs/gateway/gateway_host.cpp
@@ -25,10 +25,11 @@
 constexpr milliseconds lookInterval{ 16 }; ///< Mean between looks for waiting requests; a fraction of an engine's pass.
 constexpr double configAgeShare = 0.8; ///< Of the time in which a key must be gone; the rest covers a request that runs.
 
-fleet_limits limitsFrom(const platform::instance_settings &settings)
+fleet_limits limitsFrom(const platform::instance_settings &settings, time_point now)
 {
     fleet_limits limits;
     limits.resend = { settings.resendRatio, settings.resendWindow, settings.resendSlack };
+    limits.resendSlackFrom = settings.isFirstStart ? now : now + settings.resendWindow;
     limits.configAge = std::chrono::duration_cast<milliseconds>(settings.keyRevocation * configAgeShare);
     return limits;
 }
@@ -64,7 +65,7 @@
     , m_client(context.get_executor())
     , m_state(peerAddressOf(m_settings.address),
           m_settings.dataCentre,
-          limitsFrom(m_settings),
+          limitsFrom(m_settings, m_clock.now()),
           [this](std::string_view event, std::string_view subject, std::string_view detail) {
               m_log.write(log_line(event).add("subject", subject).add("detail", detail));
           })
--- a/src/programs/gateway/tests/fake_platform.cpp
+++ b/src/programs/gateway/tests/fake_platform.cpp
@@ -113,6 +113,7 @@
     settings.metricsPort = freeAddress(m_context).port;
     settings.store = m_storeAddress;
     settings.memoryMegabytes = 260;
+    settings.isFirstStart = true;
     settings.stopGrace = milliseconds(8'000);
     settings.keyRevocation = milliseconds(1'000);
     settings.stall = milliseconds(500);
