One instance of each data centre reads the store for the others; cuts that refuse connections are noticed at once

The instance with the lowest address that the store answers tells its neighbours the answer, and echoes their clocks, so that a confirmation dates from a moment of the follower's own clock and a frozen process cannot take an old one for new. Lost relays are repaired from the reader's history. A restarted instance may use a quarter of its slack once it knows the others.

--- a/src/gateway/fleet_state.h
+++ b/src/gateway/fleet_state.h
@@ -2,6 +2,7 @@
 
 #include "base/random_source.h"
 #include "gateway/config_freshness.h"
+#include "gateway/data_centre_doubt.h"
 #include "gateway/load_book.h"
 #include "gateway/peer_book.h"
 #include "gateway/placement_candidate.h"
@@ -42,6 +43,10 @@
     std::vector<placement_candidate> candidates(
         const service_id &service, const std::set<backend_server_id> &excluded, time_point now) const;
     const server_directory::known_server *serverOf(server_key key) const;
+    /// The server failed a request; `isUnreachable`: no way to it was found.
+    void noteFailure(server_key server, bool isUnreachable, time_point now);
+    /// An answer began to come from the server.
+    void noteAnswer(server_key server);
     /// Whether requests that need a key may be served.
     bool mayServe(time_point now) const;
 
@@ -51,6 +56,7 @@
     server_directory servers;
     load_book loads;
     server_trust trust;
+    data_centre_doubt doubt;
     resend_budget resends;
     peer_book peers;
 
--- a/src/gateway/internal/fleet_state.cpp
+++ b/src/gateway/internal/fleet_state.cpp
@@ -134,7 +134,8 @@
         placement_candidate candidate;
         candidate.key = keyOf(server->entry.id);
         candidate.slots = server->entry.slots;
-        candidate.isSuspect = trust.isSuspect(candidate.key, now) || silent.contains(server->entry.dataCentre);
+        candidate.isSuspect = trust.isSuspect(candidate.key, now) || silent.contains(server->entry.dataCentre)
+            || doubt.isDoubted(server->entry.dataCentre, now);
         if (const auto load = allLoads.find(candidate.key); load != allLoads.end()) {
             candidate.load = load->second;
         }
@@ -144,6 +145,28 @@
     return found;
 }
 
+void fleet_state::noteFailure(server_key server, bool isUnreachable, time_point now)
+{
+    trust.failed(server, now);
+    const auto *known = serverOf(server);
+    if (!known || !isUnreachable) {
+        return;
+    }
+    const data_centre_id &dataCentre = known->entry.dataCentre;
+    const bool wasDoubted = doubt.isDoubted(dataCentre, now);
+    doubt.unreachable(dataCentre, server, now);
+    if (!wasDoubted && doubt.isDoubted(dataCentre, now)) {
+        m_log("data_centre_doubted", dataCentre.str(), "last=" + known->entry.id.str());
+    }
+}
+
+void fleet_state::noteAnswer(server_key server)
+{
+    if (const auto *known = serverOf(server)) {
+        doubt.heard(known->entry.dataCentre);
+    }
+}
+
 const server_directory::known_server *fleet_state::serverOf(server_key key) const
 {
     const auto found = m_idByKey.find(key);
--- a/src/gateway/internal/load_report.cpp
+++ b/src/gateway/internal/load_report.cpp
@@ -50,6 +50,38 @@
     return work;
 }
 
+void write(const store_relay &relay, wire::Relay &target)
+{
+    target.set_from_revision(relay.fromRevision);
+    target.set_to_revision(relay.toRevision);
+    target.set_settling_ms(clipped(relay.settling.count()));
+    if (relay.changes) {
+        target.set_changes(*relay.changes);
+    }
+    for (const clock_echo &echo : relay.echoes) {
+        wire::Echo &each = *target.add_echoes();
+        each.set_address(echo.address);
+        each.set_incarnation(echo.incarnation);
+        each.set_clock_us(static_cast<std::uint64_t>(echo.clock.count()));
+    }
+}
+
+store_relay read(const wire::Relay &source)
+{
+    store_relay relay;
+    relay.fromRevision = source.from_revision();
+    relay.toRevision = source.to_revision();
+    relay.settling = std::chrono::milliseconds(source.settling_ms());
+    if (!source.changes().empty()) {
+        relay.changes = source.changes();
+    }
+    for (const wire::Echo &echo : source.echoes()) {
+        relay.echoes.push_back(
+            { echo.address(), echo.incarnation(), std::chrono::microseconds(static_cast<std::int64_t>(echo.clock_us())) });
+    }
+    return relay;
+}
+
 } // namespace
 
 std::string encodeLoadReport(const load_report &report, time_point now)
@@ -63,6 +95,11 @@
     message.set_leaving(report.isLeaving);
     message.mutable_known()->Add(report.known.begin(), report.known.end());
     message.mutable_suspects()->Add(report.suspects.begin(), report.suspects.end());
+    message.set_clock_us(static_cast<std::uint64_t>(report.clock.count()));
+    message.set_store_revision(report.storeRevision);
+    if (report.relay) {
+        write(*report.relay, *message.mutable_relay());
+    }
     for (const server_work &work : report.work) {
         write(work, now, *message.add_work());
     }
@@ -87,6 +124,11 @@
     report.isLeaving = message.leaving();
     report.suspects.assign(message.suspects().begin(), message.suspects().end());
     report.known.assign(message.known().begin(), message.known().end());
+    report.clock = std::chrono::microseconds(static_cast<std::int64_t>(message.clock_us()));
+    report.storeRevision = message.store_revision();
+    if (message.has_relay()) {
+        report.relay = read(message.relay());
+    }
     for (const wire::Work &work : message.work()) {
         report.work.push_back(read(work, now));
     }
--- a/src/gateway/internal/peer_book.cpp
+++ b/src/gateway/internal/peer_book.cpp
@@ -35,9 +35,10 @@
     sender.incarnation = report.incarnation;
     sender.sequence = report.sequence;
     sender.heardAt = now;
+    sender.clock = report.clock;
     for (const peer_address known : report.known) {
         if (known != m_self) {
-            m_peers.try_emplace(known, peer{ data_centre_id(), 0, 0, std::nullopt, now, false });
+            m_peers.try_emplace(known, peer{ data_centre_id(), 0, 0, std::nullopt, {}, now, false });
         }
     }
     if (report.isLeaving) {
@@ -75,6 +76,26 @@
     return addresses;
 }
 
+std::vector<clock_echo> peer_book::neighbourClocks(time_point now) const
+{
+    std::vector<clock_echo> clocks;
+    for (const auto &[address, each] : m_peers) {
+        if (each.dataCentre == m_ownDataCentre && each.heardAt && now - *each.heardAt < silence) {
+            clocks.push_back({ address, each.incarnation, each.clock });
+        }
+    }
+    return clocks;
+}
+
+std::vector<peer_address> peer_book::neighbours(time_point now) const
+{
+    std::vector<peer_address> addresses;
+    for (const clock_echo &each : neighbourClocks(now)) {
+        addresses.push_back(each.address);
+    }
+    return addresses;
+}
+
 std::set<data_centre_id> peer_book::silentDataCentres(time_point now) const
 {
     std::map<data_centre_id, time_point> lastHeard;
--- a/src/gateway/internal/prompt_placement.cpp
+++ b/src/gateway/internal/prompt_placement.cpp
@@ -19,7 +19,7 @@
 constexpr size_t mostParts = 17; ///< The answering engine and the 16 helpers that a request may name.
 constexpr microseconds shortPass{ 210'000 }; ///< Whole pass, for quick streams: their 250 ms less network and error.
 constexpr microseconds gatheredPass{ 150'000 }; ///< Up to here quick streams are gathered: half of their 300 ms to the first event.
-constexpr microseconds longPass{ 500'000 }; ///< The same for engines whose writers all allow 600 ms and more.
+constexpr microseconds longPass{ 300'000 }; ///< Engines read the last part first, so what would wait there longer waits here.
 constexpr microseconds longestPass{ 750'000 }; ///< Never exceeded for a prompt that others could wait for.
 constexpr std::int64_t tokensPerDisturbed = 10'000; ///< Twice a usual quick prompt: what a long one may cost others.
 constexpr milliseconds sendMargin{ 100 }; ///< Network, and the pass that runs when the request arrives.
--- /dev/null
+++ b/src/gateway/internal/relay_history.cpp
@@ -0,0 +1,44 @@
+#include "gateway/relay_history.h"
+
+namespace mustardtrail::gateway
+{
+
+void relay_history::add(const store_relay &relay, time_point now)
+{
+    if (!relay.changes) {
+        m_entries.clear();
+        m_bytes = 0;
+        return;
+    }
+    if (relay.toRevision > relay.fromRevision) {
+        m_entries.push_back({ relay, now });
+        m_entries.back().relay.echoes.clear();
+        m_bytes += relay.changes->size();
+    }
+    while (!m_entries.empty() && (now - m_entries.front().addedAt > memory || m_bytes > mostBytes)) {
+        m_bytes -= m_entries.front().relay.changes->size();
+        m_entries.pop_front();
+    }
+}
+
+std::vector<store_relay> relay_history::repairFor(peer_address peer, std::uint64_t revision, time_point now)
+{
+    std::vector<store_relay> missing;
+    const bool isKnown = !m_entries.empty() && m_entries.front().relay.fromRevision <= revision;
+    const auto last = m_repairedAt.find(peer);
+    const bool wasRepaired = last != m_repairedAt.end() && now - last->second < repairPause;
+    if (!isKnown || wasRepaired) {
+        return missing;
+    }
+    for (const entry &each : m_entries) {
+        if (each.relay.toRevision > revision) {
+            missing.push_back(each.relay);
+        }
+    }
+    if (!missing.empty()) {
+        m_repairedAt[peer] = now;
+    }
+    return missing;
+}
+
+} // namespace mustardtrail::gateway
--- a/src/gateway/internal/resend_budget.cpp
+++ b/src/gateway/internal/resend_budget.cpp
@@ -9,7 +9,9 @@
 {
 
 constexpr double refusedShare = 0.5; // The rest is kept for streams that break in a burst, as at a cut.
+constexpr std::chrono::milliseconds discovery{ 2'000 }; // A few reports of the other instances.
 constexpr double safety = 0.8; // Counting windows of the instances are not aligned with each other.
+constexpr double restartShare = 1.0 / safety - 1.0; // What the others leave if all had spent theirs before a restart.
 
 } // namespace
 
@@ -37,10 +39,12 @@
 
 double resend_budget::slackShare(time_point now, size_t instances) const
 {
-    if (now < m_slackFrom) {
-        return 0.0;
+    const double share = m_limits.slack / static_cast<double>(std::max<size_t>(instances, 1));
+    if (now >= m_slackFrom) {
+        return share;
     }
-    return m_limits.slack / static_cast<double>(std::max<size_t>(instances, 1));
+    const bool knowsOthers = now >= m_slackFrom - m_limits.window + discovery;
+    return knowsOthers ? share * restartShare : 0.0;
 }
 
 bool resend_budget::hasRoom(const service_id &service, use why, time_point now, size_t instances)
--- a/src/gateway/internal/store_follower.cpp
+++ b/src/gateway/internal/store_follower.cpp
@@ -68,6 +68,26 @@
     return true;
 }
 
+bool store_follower::onRelay(std::uint64_t fromRevision, std::uint64_t toRevision, time_point settledAt)
+{
+    if (fromRevision > m_revision) {
+        return false;
+    }
+    m_revision = std::max(m_revision, toRevision);
+    m_settledAt = std::max(m_settledAt, settledAt);
+    return true;
+}
+
+bool store_follower::hasList() const
+{
+    return m_hasList;
+}
+
+std::uint64_t store_follower::revision() const
+{
+    return m_revision;
+}
+
 void store_follower::onHistoryGone()
 {
     m_hasList = false;
--- a/src/gateway/load_report.h
+++ b/src/gateway/load_report.h
@@ -3,6 +3,7 @@
 #include "base/error.h"
 #include "base/ids.h"
 #include "gateway/server_work.h"
+#include "gateway/store_relay.h"
 
 #include <cstdint>
 #include <string>
@@ -11,9 +12,6 @@
 namespace mustardtrail::gateway
 {
 
-/// IPv4 address as a number; instances of one fleet listen on the same ports.
-using peer_address = std::uint32_t;
-
 /// What one instance tells the others: the whole of its work, so that a lost datagram needs no repair.
 struct load_report {
     instance_id sender;
@@ -25,6 +23,9 @@
     std::vector<peer_address> known; ///< Other instances that it heard lately; only in reports without a change, as they seldom change.
     std::vector<server_work> work;
     std::vector<server_key> suspects; ///< Backend servers that failed it lately.
+    std::chrono::microseconds clock{ 0 }; ///< The sender's monotonic clock; means nothing to others but as an echo.
+    std::optional<store_relay> relay;
+    std::uint64_t storeRevision = 0; ///< Up to which the sender knows the platform's store.
 };
 
 std::string encodeLoadReport(const load_report &report, time_point now);
--- a/src/gateway/peer_book.h
+++ b/src/gateway/peer_book.h
@@ -30,6 +30,10 @@
     /// Data centres from which no instance is heard any more, though one was lately: probably cut off from here. Their
     /// backend servers would take a request and never answer.
     std::set<data_centre_id> silentDataCentres(time_point now) const;
+    /// Of the own data centre, those heard within the last few reports.
+    std::vector<peer_address> neighbours(time_point now) const;
+    /// The clocks of the neighbours in their last reports.
+    std::vector<clock_echo> neighbourClocks(time_point now) const;
     /// Most instances ever known at one time, this one included. Shares of fleet-wide bounds are divided by it, so that
     /// an instance that loses sight of the others does not take their part.
     size_t largestFleet() const;
@@ -45,6 +49,7 @@
         std::uint64_t incarnation = 0;
         std::uint32_t sequence = 0;
         std::optional<time_point> heardAt;
+        std::chrono::microseconds clock{ 0 };
         time_point learntAt{};
         bool isSeed = false;
     };
--- a/src/gateway/resend_budget.h
+++ b/src/gateway/resend_budget.h
@@ -18,8 +18,8 @@
 
 /// This instance's share of the bound: its own requests count whole, the slack is divided by the instances known. Keeps
 /// a fleet of failing servers from being loaded further by second sends, also when instances cannot hear each other. A
-/// restarted instance has no slack for one window: after a restart of everything no instance knows what it spent before,
-/// nor how many others there are.
+/// restarted instance has little slack for one window: after a restart of everything no instance knows what it spent
+/// before, nor at first how many others there are.
 class resend_budget
 {
 public:
--- a/src/gateway/store_follower.h
+++ b/src/gateway/store_follower.h
@@ -36,6 +36,10 @@
     bool onPage(std::uint64_t storeRevision, bool hasMore, const std::string &lastKey, time_point now);
     /// Changes arrived, `count` of them. False when the store answered from an older state than was already seen.
     bool onChanges(std::uint64_t storeRevision, size_t count, time_point now);
+    /// Another instance read the changes between the two revisions. False when changes before them are not known here.
+    bool onRelay(std::uint64_t fromRevision, std::uint64_t toRevision, time_point settledAt);
+    bool hasList() const;
+    std::uint64_t revision() const;
     /// The changes behind the known revision are gone, so the whole list is read again.
     void onHistoryGone();
     void onFailure();
@@ -44,7 +48,7 @@
     /// Until here an entry may be missing only because the store was away. In the past when it was not.
     time_point settledAt() const;
 
-    static constexpr std::chrono::milliseconds changesWait{ 1'000 }; ///< Keeps the configuration's age well below the limit for keys.
+    static constexpr std::chrono::milliseconds changesWait{ 500 }; ///< Other instances notice within it that this one is not answered.
     static constexpr std::chrono::milliseconds settling{ 2'000 }; ///< After the store's return servers write their entries again.
 
 private:
--- /dev/null
+++ b/src/gateway/tests/relay_history_test.cpp
@@ -0,0 +1,67 @@
+#include "gateway/relay_history.h"
+
+#include "gateway/tests/test_time.h"
+#include "testing/expect.h"
+
+using namespace mustardtrail;
+using namespace mustardtrail::gateway;
+using mustardtrail::gateway::testing::at;
+using mustardtrail::testing::expectEqual;
+
+namespace
+{
+
+constexpr peer_address neighbour = 7;
+
+store_relay changesBetween(std::uint64_t from, std::uint64_t to)
+{
+    store_relay relay;
+    relay.fromRevision = from;
+    relay.toRevision = to;
+    relay.changes = "{}";
+    return relay;
+}
+
+} // namespace
+
+Test(relay_history, givesWhatAnInstanceMissedInOrder)
+{
+    relay_history history;
+    history.add(changesBetween(100, 104), at(0));
+    history.add(changesBetween(104, 109), at(500));
+    history.add(changesBetween(109, 111), at(1'000));
+    const auto missing = history.repairFor(neighbour, 104, at(1'001));
+    expectEqual(missing.size(), 2U);
+    expectEqual(missing.front().toRevision, 109U);
+    expectEqual(history.repairFor(8, 111, at(1'001)).size(), 0U);
+}
+
+Test(relay_history, leavesAnInstanceThatIsTooFarBehindToTheStore)
+{
+    relay_history history;
+    history.add(changesBetween(100, 104), at(0));
+    expectEqual(history.repairFor(neighbour, 90, at(1)).size(), 0U);
+    history.add(changesBetween(104, 105), at(20'000));
+    expectEqual(history.repairFor(neighbour, 100, at(20'001)).size(), 0U);
+}
+
+Test(relay_history, hasNoRepairAcrossChangesThatWereTooLargeToRelay)
+{
+    relay_history history;
+    history.add(changesBetween(100, 104), at(0));
+    store_relay large = changesBetween(104, 105);
+    large.changes.reset();
+    history.add(large, at(1));
+    history.add(changesBetween(105, 106), at(2));
+    expectEqual(history.repairFor(neighbour, 104, at(3)).size(), 0U);
+    expectEqual(history.repairFor(neighbour, 105, at(3)).size(), 1U);
+}
+
+Test(relay_history, waitsForTheEffectOfARepair)
+{
+    relay_history history;
+    history.add(changesBetween(100, 104), at(0));
+    expectEqual(history.repairFor(neighbour, 100, at(10)).size(), 1U);
+    expectEqual(history.repairFor(neighbour, 100, at(20)).size(), 0U);
+    expectEqual(history.repairFor(neighbour, 100, at(200)).size(), 1U);
+}
--- a/src/gateway/tests/store_follower_test.cpp
+++ b/src/gateway/tests/store_follower_test.cpp
@@ -92,3 +92,23 @@
     freshness.confirm(at(1'000));
     cr_assert(freshness.isFresh(at(6'999)));
 }
+
+Test(store_follower, takesUpWhatAnotherInstanceReadUnlessSomethingBeforeItIsMissing)
+{
+    store_follower follower(batchPause);
+    follower.onPage(100, false, "", at(0));
+    cr_assert(follower.onRelay(95, 110, at(0)));
+    expectEqual(follower.revision(), 110U);
+    cr_assert_not(follower.onRelay(112, 120, at(0)));
+    expectEqual(follower.revision(), 110U);
+    cr_assert(follower.onRelay(90, 105, at(0)));
+    expectEqual(follower.revision(), 110U);
+}
+
+Test(store_follower, keepsMissingServersAsLongAsTheInstanceThatSawTheOutage)
+{
+    store_follower follower(batchPause);
+    follower.onPage(100, false, "", at(0));
+    follower.onRelay(100, 110, at(3'000));
+    cr_assert(follower.settledAt() == at(3'000));
+}
--- a/src/programs/gateway/gateway_context.h
+++ b/src/programs/gateway/gateway_context.h
@@ -23,6 +23,8 @@
     gateway_metrics &metrics;
     std::chrono::milliseconds stall; ///< After this an engine ends work that depends on a lost engine.
     std::function<void()> workChanged; ///< Tells the other instances soon.
+    std::function<std::uint64_t()> storeRevision; ///< Up to which the platform's store is known.
+    std::function<void(store_relay)> relay; ///< Tells the instances of this data centre what the store answered.
     waiting_line waiting; ///< Requests that wait for room.
     bool isStopping = false;
 };
--- a/src/programs/gateway/gateway_host.cpp
+++ b/src/programs/gateway/gateway_host.cpp
@@ -79,10 +79,23 @@
         [this] {
             m_peers.workChanged();
         },
+        [this] {
+            return m_store.revision();
+        },
+        [this](store_relay relay) {
+            m_peers.relay(std::move(relay));
+        },
         {},
         false }
-    , m_peers(context.get_executor(), m_shared, m_settings.instance, m_settings.dataCentre, { m_settings.address, m_settings.peerPort })
-    , m_store(m_shared, m_settings.store, m_settings.changeBound)
+    , m_peers(context.get_executor(),
+          m_shared,
+          m_settings.instance,
+          m_settings.dataCentre,
+          { m_settings.address, m_settings.peerPort },
+          [this](peer_address by, const store_relay &relay, std::optional<time_point> askedAfter) {
+              m_store.onRelay(by, relay, askedAfter);
+          })
+    , m_store(context.get_executor(), m_shared, peerAddressOf(m_settings.address), m_settings.store, m_settings.changeBound)
     , m_callers(
           context.get_executor(),
           callerLimits(m_settings),
--- a/src/programs/gateway/peer_link.cpp
+++ b/src/programs/gateway/peer_link.cpp
@@ -4,6 +4,8 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <set>
+
 namespace mustardtrail::gateway
 {
 
@@ -13,6 +15,12 @@
 {
 
 constexpr size_t datagramBytes = 60'000; ///< Largest that UDP carries, less its headers.
+constexpr int relayCopies = 2; ///< The second goes with the next report.
+
+std::chrono::microseconds clockOf(time_point moment)
+{
+    return std::chrono::duration_cast<std::chrono::microseconds>(moment.time_since_epoch());
+}
 
 } // namespace
 
@@ -23,8 +31,12 @@
     return failure ? 0 : address.to_uint();
 }
 
-peer_link::peer_link(
-    asio::any_io_executor executor, gateway_context &context, instance_id self, data_centre_id dataCentre, endpoint address)
+peer_link::peer_link(asio::any_io_executor executor,
+    gateway_context &context,
+    instance_id self,
+    data_centre_id dataCentre,
+    endpoint address,
+    relay_handler heardRelay)
     : m_context(context)
     , m_self(std::move(self))
     , m_dataCentre(std::move(dataCentre))
@@ -33,6 +45,7 @@
     , m_incarnation(context.random.below(~std::uint64_t{ 0 }))
     , m_socket(executor)
     , m_timer(executor)
+    , m_heardRelay(std::move(heardRelay))
 {
 }
 
@@ -84,10 +97,48 @@
     if (!m_context.state.peers.hear(*report, now)) {
         return;
     }
+    onRelay(*report);
+    repair(*report);
     m_context.state.trust.hear(report->sender, report->suspects, now);
     m_context.state.loads.replacePeer(report->sender, std::move(report->work), now);
 }
 
+void peer_link::onRelay(const load_report &report)
+{
+    if (!report.relay) {
+        return;
+    }
+    std::optional<time_point> askedAfter;
+    for (const clock_echo &echo : report.relay->echoes) {
+        if (echo.address == m_number && echo.incarnation == m_incarnation) {
+            askedAfter = time_point(echo.clock);
+        }
+    }
+    m_heardRelay(report.address, *report.relay, askedAfter);
+}
+
+void peer_link::repair(const load_report &report)
+{
+    if (report.dataCentre != m_dataCentre || report.storeRevision == 0 || report.storeRevision >= m_context.storeRevision()) {
+        return;
+    }
+    const time_point now = m_context.clock.now();
+    for (store_relay &missing : m_relayHistory.repairFor(report.address, report.storeRevision, now)) {
+        load_report message = emptyReport(now);
+        message.work = m_context.state.loads.own();
+        message.relay = std::move(missing);
+        send(encodeLoadReport(message, now), report.address);
+    }
+}
+
+void peer_link::relay(store_relay changes)
+{
+    m_relayHistory.add(changes, m_context.clock.now());
+    m_relay = std::move(changes);
+    m_relayCopies = relayCopies;
+    workChanged();
+}
+
 void peer_link::workChanged()
 {
     if (m_hasChange) {
@@ -110,17 +161,25 @@
     }
 }
 
-void peer_link::sendReport()
+load_report peer_link::emptyReport(time_point now)
 {
-    const bool isPeriodic = !m_hasChange;
-    m_hasChange = false;
-    const time_point now = m_context.clock.now();
     load_report report;
     report.sender = m_self;
     report.dataCentre = m_dataCentre;
     report.address = m_number;
     report.incarnation = m_incarnation;
     report.sequence = ++m_sequence;
+    report.clock = clockOf(now);
+    report.storeRevision = m_context.storeRevision();
+    return report;
+}
+
+void peer_link::sendReport()
+{
+    const bool isPeriodic = !m_hasChange;
+    m_hasChange = false;
+    const time_point now = m_context.clock.now();
+    load_report report = emptyReport(now);
     report.isLeaving = m_context.isStopping && m_context.state.loads.own().empty();
     if (isPeriodic) {
         report.known = m_context.state.peers.alive(now);
@@ -128,13 +187,26 @@
     report.suspects = m_context.state.trust.suspects(now);
     report.work = m_context.state.loads.own();
     const std::string bytes = encodeLoadReport(report, now);
+    std::set<peer_address> relayTargets;
+    if (m_relayCopies > 0) {
+        --m_relayCopies;
+        const auto neighbours = m_context.state.peers.neighbours(now);
+        relayTargets.insert(neighbours.begin(), neighbours.end());
+        report.relay = m_relay;
+    }
+    const std::string withRelay = relayTargets.empty() ? std::string() : encodeLoadReport(report, now);
     for (const peer_address target : m_context.state.peers.targets()) {
-        boost::system::error_code failure;
-        m_socket.send_to(asio::buffer(bytes), { asio::ip::address_v4(target), m_address.port }, 0, failure);
-        if (failure && failure != asio::error::would_block) {
-            m_context.log.write(
-                log_line("peer_unreachable").add("peer", asio::ip::address_v4(target).to_string()).add("detail", failure.message()));
-        }
+        send(relayTargets.contains(target) ? withRelay : bytes, target);
+    }
+}
+
+void peer_link::send(const std::string &bytes, peer_address target)
+{
+    boost::system::error_code failure;
+    m_socket.send_to(asio::buffer(bytes), { asio::ip::address_v4(target), m_address.port }, 0, failure);
+    if (failure && failure != asio::error::would_block) {
+        m_context.log.write(
+            log_line("peer_unreachable").add("peer", asio::ip::address_v4(target).to_string()).add("detail", failure.message()));
     }
 }
 
--- a/src/programs/gateway/peer_link.h
+++ b/src/programs/gateway/peer_link.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/relay_history.h"
 #include "programs/gateway/gateway_context.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -15,12 +16,21 @@
 class peer_link
 {
 public:
-    peer_link(
-        boost::asio::any_io_executor executor, gateway_context &context, instance_id self, data_centre_id dataCentre, endpoint address);
+    /// Gets each relay of another instance, with the moment before which the store was not asked for it.
+    using relay_handler = std::function<void(peer_address by, const store_relay &relay, std::optional<time_point> askedAfter)>;
+
+    peer_link(boost::asio::any_io_executor executor,
+        gateway_context &context,
+        instance_id self,
+        data_centre_id dataCentre,
+        endpoint address,
+        relay_handler heardRelay);
 
     result<void> open();
     boost::asio::awaitable<void> receive();
     boost::asio::awaitable<void> report();
+    /// Sends the relay to the instances of this data centre, twice, as datagrams are lost at times.
+    void relay(store_relay changes);
     /// The work has changed: a report goes out within reportPause.
     void workChanged();
     void sendReport();
@@ -34,6 +44,11 @@
 
 private:
     void onReport(const std::string &bytes);
+    void onRelay(const load_report &report);
+    /// Sends an instance of this data centre the changes that its report shows to be missing there.
+    void repair(const load_report &report);
+    load_report emptyReport(time_point now);
+    void send(const std::string &bytes, peer_address target);
 
     gateway_context &m_context;
     instance_id m_self;
@@ -45,6 +60,10 @@
     boost::asio::ip::udp::socket m_socket;
     boost::asio::steady_timer m_timer;
     bool m_hasChange = false;
+    relay_handler m_heardRelay;
+    std::optional<store_relay> m_relay;
+    relay_history m_relayHistory;
+    int m_relayCopies = 0; ///< Still to be sent.
 };
 
 /// IPv4 number as an integer; 0 when the text is none.
--- a/src/programs/gateway/request_relay.cpp
+++ b/src/programs/gateway/request_relay.cpp
@@ -182,6 +182,7 @@
         co_return failureOf(answer.error());
     }
     ++m_arrivals;
+    m_context.state.noteAnswer(placed.parts.front().server);
     const auto head = platform::readAnswerHead((*answer)->status(), (*answer)->headers(), m_head.attempt);
     if (head.isOther) {
         m_context.metrics.sendEnded("other_request");
--- a/src/programs/gateway/request_retry.cpp
+++ b/src/programs/gateway/request_retry.cpp
@@ -106,7 +106,7 @@
         const auto *server = m_context.state.serverOf(part.server);
         const bool isNamed = server && (server->entry.id.str() == m_faultyServer || toString(server->entry.address) == m_faultyServer);
         if (isNamed) {
-            m_context.state.trust.failed(part.server, now);
+            m_context.state.noteFailure(part.server, true, now);
             helperFailed = part.server != placed.parts.front().server;
         }
     }
@@ -122,7 +122,7 @@
     const bool isSilent = failure.outcome != verdict::not_run && !failure.hasAnswer;
     const bool isTalking = m_context.state.trust.isTalking(m_answering, now);
     if (failure.isUnreachable || (isSilent && !isTalking)) {
-        m_context.state.trust.failed(placed.parts.front().server, now);
+        m_context.state.noteFailure(placed.parts.front().server, failure.isUnreachable, now);
     }
 }
 
--- a/src/programs/gateway/store_reader.cpp
+++ b/src/programs/gateway/store_reader.cpp
@@ -17,32 +17,54 @@
 {
 
 constexpr milliseconds callLimit{ 1'000 }; ///< Hundreds of times the store's usual answer; beyond it the store counts as away.
-constexpr int pausesPerBound = 3; ///< Leaves two thirds for a slow answer and what is already on its way.
+constexpr int pausesPerBound = 4; ///< Leaves a quarter for the wait at the store and two for an instance that stops reading.
+constexpr milliseconds relayMargin{ 200 }; ///< A slow answer and the way of a relay.
+constexpr size_t relayBytes = 16'000; ///< A few hundred changed servers; a larger answer is read by each instance.
 const std::string everything; // One wait for all keys is one priced call.
 
 } // namespace
 
-store_reader::store_reader(gateway_context &context, endpoint store, milliseconds changeBound)
+store_reader::store_reader(
+    asio::any_io_executor executor, gateway_context &context, peer_address self, endpoint store, milliseconds changeBound)
     : m_context(context)
     , m_store(std::move(store))
     , m_follower(changeBound / pausesPerBound)
+    , m_duty(self, changeBound / pausesPerBound + store_follower::changesWait + relayMargin)
+    , m_pause(executor)
 {
 }
 
 asio::awaitable<void> store_reader::run()
 {
-    const auto executor = co_await asio::this_coro::executor;
-    asio::steady_timer pause(executor);
     while (true) {
-        const store_question question = m_follower.next();
-        if (question.pauseBefore.count() > 0) {
-            pause.expires_after(question.pauseBefore);
+        const time_point now = m_context.clock.now();
+        m_context.state.expire(now);
+        const time_point due = askAt(now);
+        if (due > now) {
+            m_pause.expires_after(due - now);
             boost::system::error_code ignored;
-            co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+            co_await m_pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+            continue;
         }
+        const store_question question = m_follower.next();
         co_await ask(question);
-        m_context.state.expire(m_context.clock.now());
+        m_duty.asked(m_follower.isReachable());
+        m_notBefore = m_context.clock.now() + m_follower.next().pauseBefore;
+    }
+}
+
+time_point store_reader::askAt(time_point now) const
+{
+    if (!m_follower.hasList()) {
+        return m_notBefore;
     }
+    const time_point due = m_duty.askAt(now);
+    return m_duty.isBehind() && m_follower.isReachable() ? due : std::max(m_notBefore, due);
+}
+
+std::uint64_t store_reader::revision() const
+{
+    return m_follower.revision();
 }
 
 asio::awaitable<result<http::response_message>> store_reader::call(http::request_message message, milliseconds wait)
@@ -55,11 +77,12 @@
 asio::awaitable<void> store_reader::ask(store_question question)
 {
     const time_point askedAt = m_context.clock.now();
+    std::vector<clock_echo> echoes = m_context.state.peers.neighbourClocks(askedAt);
     const bool isList = question.what == store_question::kind::list;
     http::request_message message = isList ? platform::listRequest(everything, question.afterKey)
                                            : platform::changesRequest(everything, question.afterRevision, question.storeWait);
     const milliseconds wait = isList ? milliseconds(0) : question.storeWait;
-    const auto answer = co_await call(std::move(message), wait);
+    auto answer = co_await call(std::move(message), wait);
     if (!answer) {
         fail("no_answer", answer.error().detail);
         co_return;
@@ -90,8 +113,8 @@
             m_listAskedAt = askedAt;
         }
         onPage(*reply);
-    } else {
-        onChanges(*reply, askedAt);
+    } else if (onChanges(*reply, askedAt)) {
+        publish(question, *reply, std::move(answer->body), std::move(echoes));
     }
 }
 
@@ -112,19 +135,71 @@
     m_list.clear();
 }
 
-void store_reader::onChanges(const platform::store_reply &reply, time_point askedAt)
+bool store_reader::onChanges(const platform::store_reply &reply, time_point askedAt)
 {
     const time_point now = m_context.clock.now();
+    const std::uint64_t before = m_follower.revision();
     if (!m_follower.onChanges(reply.revision, reply.changes.size(), now)) {
         m_context.log.write(log_line("store_answer_old").add("revision", static_cast<std::int64_t>(reply.revision)));
-        return;
+        return false;
     }
-    for (const platform::store_change &change : reply.changes) {
+    apply(reply.changes, before, now);
+    m_context.state.freshness.confirm(askedAt);
+    return true;
+}
+
+void store_reader::apply(const std::vector<platform::store_change> &changes, std::uint64_t afterRevision, time_point now)
+{
+    for (const platform::store_change &change : changes) {
+        if (change.revision <= afterRevision) {
+            continue;
+        }
         if (const auto published = platform::readPublishedChange(change)) {
             m_context.state.apply(*published, now, m_follower.settledAt());
         }
     }
-    m_context.state.freshness.confirm(askedAt);
+}
+
+void store_reader::publish(
+    const store_question &question, const platform::store_reply &reply, std::string body, std::vector<clock_echo> echoes)
+{
+    if (m_duty.isBehind() || echoes.empty()) {
+        return;
+    }
+    const auto settling = std::chrono::duration_cast<milliseconds>(m_follower.settledAt() - m_context.clock.now());
+    store_relay relay;
+    relay.fromRevision = question.afterRevision;
+    relay.toRevision = reply.revision;
+    relay.settling = std::max(settling, milliseconds(0));
+    relay.echoes = std::move(echoes);
+    if (body.size() <= relayBytes) {
+        relay.changes = std::move(body);
+    }
+    m_context.relay(std::move(relay));
+}
+
+void store_reader::onRelay(peer_address by, const store_relay &relay, std::optional<time_point> askedAfter)
+{
+    if (!m_follower.hasList()) {
+        return;
+    }
+    const time_point now = m_context.clock.now();
+    m_duty.heardRelay(by, now);
+    if (relay.toRevision > m_follower.revision()) {
+        const std::uint64_t before = m_follower.revision();
+        const auto reply = platform::readChangesReply(relay.changes.value_or(std::string()));
+        if (!reply || !m_follower.onRelay(relay.fromRevision, relay.toRevision, now + relay.settling)) {
+            m_duty.missedChanges(relay.changes.has_value(), now);
+            m_pause.cancel();
+            return;
+        }
+        apply(reply->changes, before, now);
+        m_context.state.expire(now);
+        m_duty.caughtUp();
+    }
+    if (askedAfter) {
+        m_context.state.freshness.confirm(*askedAfter);
+    }
 }
 
 void store_reader::fail(std::string_view what, std::string_view detail)
