A log reader that does not read costs lines, not time

Cause: log4cplus' console appender waits for the reader of standard output, so a stuck collector stopped the event loop. Lines now go through an appender that asks the descriptor for room first, writes a line whole or drops and counts it; the count is logged when there is room again.

--- a/src/host/internal/log.cpp
+++ b/src/host/internal/log.cpp
@@ -1,9 +1,12 @@
 #include "host/log.h"
 
-#include <log4cplus/configurator.h>
+#include "host/internal/pipe_appender.h"
+
 #include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
-#include <log4cplus/loggingmacros.h>
+
+#include <unistd.h>
 
 namespace mustardtrail::host
 {
@@ -24,32 +27,22 @@
     return log4cplus::INFO_LOG_LEVEL;
 }
 
-const char *nameOf(log_level level)
-{
-    switch (level) {
-    case log_level::debug:
-        return "DEBUG";
-    case log_level::info:
-        return "INFO";
-    case log_level::warning:
-        return "WARN";
-    }
-    return "INFO";
-}
+// Owned by the root logger, which lives as long as the program.
+const pipe_appender *openAppender = nullptr;
 
 } // namespace
 
 void openLog(log_level level, const std::string &program)
 {
     static log4cplus::Initializer initializer;
-    log4cplus::helpers::Properties properties;
-    properties.setProperty("log4cplus.rootLogger", std::string(nameOf(level)) + ", OUT");
-    properties.setProperty("log4cplus.appender.OUT", "log4cplus::ConsoleAppender");
-    properties.setProperty("log4cplus.appender.OUT.ImmediateFlush", "true");
-    properties.setProperty("log4cplus.appender.OUT.layout", "log4cplus::PatternLayout");
+    auto appender = std::make_unique<pipe_appender>(STDOUT_FILENO);
     const std::string pattern = "time=%D{%Y-%m-%dT%H:%M:%S.%q}Z level=%p program=" + program + " %m%n";
-    properties.setProperty("log4cplus.appender.OUT.layout.ConversionPattern", pattern);
-    log4cplus::PropertyConfigurator(properties).configure();
+    appender->setLayout(std::make_unique<log4cplus::PatternLayout>(pattern));
+    openAppender = appender.get();
+    log4cplus::Logger root = log4cplus::Logger::getRoot();
+    root.removeAllAppenders();
+    root.setLogLevel(levelOf(level));
+    root.addAppender(log4cplus::SharedAppenderPtr(appender.release()));
 }
 
 void log(log_level level, const log_line &line)
@@ -57,4 +50,9 @@
     log4cplus::Logger::getRoot().log(levelOf(level), line.str(), nullptr, -1, nullptr);
 }
 
+std::uint64_t unwrittenLogLines()
+{
+    return openAppender ? openAppender->dropped() : 0;
+}
+
 } // namespace mustardtrail::host
--- a/src/host/log.h
+++ b/src/host/log.h
@@ -2,6 +2,7 @@
 
 #include "base/log_line.h"
 
+#include <cstdint>
 #include <string>
 
 namespace mustardtrail::host
@@ -13,8 +14,11 @@
     warning,
 };
 
-/// Sends log lines to standard output; call once at the start of a program.
+/// Sends log lines to standard output; call once at the start of a program. Lines that its reader does not take up in
+/// time are dropped, so that a stuck reader never holds up the program.
 void openLog(log_level level, const std::string &program);
 void log(log_level level, const log_line &line);
+/// Lines dropped since the start.
+std::uint64_t unwrittenLogLines();
 
 } // namespace mustardtrail::host
--- a/src/programs/gateway/decision_log.cpp
+++ b/src/programs/gateway/decision_log.cpp
@@ -24,17 +24,17 @@
         return;
     }
     m_room -= 1.0;
-    if (m_dropped != m_toldDropped) {
-        host::log(
-            host::log_level::warning, log_line("log_lines_dropped").add("count", static_cast<std::int64_t>(m_dropped - m_toldDropped)));
-        m_toldDropped = m_dropped;
+    if (dropped() != m_toldDropped) {
+        const std::uint64_t count = dropped() - m_toldDropped;
+        m_toldDropped = dropped();
+        host::log(host::log_level::warning, log_line("log_lines_dropped").add("count", static_cast<std::int64_t>(count)));
     }
     host::log(host::log_level::info, line);
 }
 
 std::uint64_t decision_log::dropped() const
 {
-    return m_dropped;
+    return m_dropped + host::unwrittenLogLines();
 }
 
 } // namespace mustardtrail::gateway
--- a/src/programs/gateway/decision_log.h
+++ b/src/programs/gateway/decision_log.h
@@ -8,7 +8,8 @@
 namespace mustardtrail::gateway
 {
 
-/// Log lines of one process, bounded: over the rate they are dropped, counted, and the count is logged.
+/// Log lines of one process, bounded: over the rate, or when nobody reads them, they are dropped, counted, and the count
+/// is logged.
 class decision_log
 {
 public:
