An outage of the store for one instance alone ends when another instance reads it

Cause: an instance that the store had turned away kept its count of failures while it followed another; when it read again much later, it kept missing servers for two seconds more, beyond the bound on leaving servers. Found by reading the change; the test store_follower/anOutageThatOthersSawEndIsOverHereToo failed before.

--- a/src/gateway/internal/store_follower.cpp
+++ b/src/gateway/internal/store_follower.cpp
@@ -75,6 +75,8 @@
     }
     m_revision = std::max(m_revision, toRevision);
     m_settledAt = std::max(m_settledAt, settledAt);
+    // The store serves others, so what is missing later is not missing for an outage of this instance alone.
+    m_failures = 0;
     return true;
 }
 
--- a/src/gateway/tests/store_follower_test.cpp
+++ b/src/gateway/tests/store_follower_test.cpp
@@ -112,3 +112,14 @@
     follower.onRelay(100, 110, at(3'000));
     cr_assert(follower.settledAt() == at(3'000));
 }
+
+// The store turned this instance away long ago and served the others: no server is missing for that.
+Test(store_follower, anOutageThatOthersSawEndIsOverHereToo)
+{
+    store_follower follower(batchPause);
+    follower.onPage(100, false, "", at(0));
+    follower.onFailure();
+    follower.onRelay(100, 110, at(0));
+    follower.onChanges(120, 1, at(30'000));
+    cr_assert_lt(follower.settledAt().time_since_epoch().count(), at(30'000).time_since_epoch().count());
+}
