Signals are handled before the settings are read

Ruled out: a crash (no message, exit by the signal). The set of handled signals is now the first thing of main. What is left is the time until main begins.

--- a/src/programs/gateway/main.cpp
+++ b/src/programs/gateway/main.cpp
@@ -63,10 +63,10 @@
 class signal_watch
 {
 public:
-    signal_watch(asio::io_context &context, gateway_host &host)
+    signal_watch(asio::io_context &context, gateway_host &host, asio::signal_set &signals)
         : m_context(context)
         , m_host(host)
-        , m_signals(context, SIGTERM, SIGINT, SIGHUP)
+        , m_signals(signals)
     {
         wait();
     }
@@ -102,7 +102,7 @@
 
     asio::io_context &m_context;
     gateway_host &m_host;
-    asio::signal_set m_signals;
+    asio::signal_set &m_signals;
     bool m_isStopping = false;
 };
 
@@ -110,6 +110,9 @@
 
 int main(int argc, char **argv)
 {
+    // First of all: a signal that comes before its handler ends the process, also one that only announces new settings.
+    asio::io_context context(1);
+    asio::signal_set handled(context, SIGTERM, SIGINT, SIGHUP);
     absl::SetProgramUsageMessage("Serves callers' requests of one instance on the users' platform.");
     host::parseCommandLine(argc, argv);
     const auto settings = readSettings();
@@ -122,13 +125,12 @@
     }
     std::signal(SIGPIPE, SIG_IGN);
     host::openLog(chosenLevel(), "mustardtrail-gateway");
-    asio::io_context context(1);
     gateway_host host(context, *settings);
     if (const auto opened = host.open(); !opened) {
         return fail(opened.error(), host::exit_listen);
     }
     host.start();
-    const signal_watch signals(context, host);
+    const signal_watch signals(context, host, handled);
     host::log(
         host::log_level::info, log_line("started").add("instance", settings->instance.str()).add("callers", toString(settings->callers)));
     context.run();
