Instances report in cells: all their work within, summaries between

Cause: each instance told all others all its work 1 ms after each change and every 300 ms, with the addresses of all instances.

A cell is now a data centre, or a part of one above 72 instances; a fleet of up to 48 stays one cell. Within a cell reports are as before, every 300 to 900 ms by its size. Each cell tells each other the load of its freest servers, by two of its instances chosen by rendezvous hashing for that cell, to another listener each time, who passes it on. Work at another cell's server is told to that cell at once; its summary leaves out the work of the cell that receives it. Instances are known from reports, summaries and lists that are asked for, no longer from each report. A request goes to another cell when that makes it be on time, or when its own would refuse it.

Ruled out: lists of instances passed on as signs of life (instances told each other of a stopped one for ever); one summary for all receivers (work of the receiving cell was counted twice).

--- a/src/gateway/fleet_state.h
+++ b/src/gateway/fleet_state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/random_source.h"
+#include "gateway/cell_summaries.h"
 #include "gateway/config_freshness.h"
 #include "gateway/data_centre_suspicion.h"
 #include "gateway/load_tracker.h"
@@ -25,6 +26,12 @@
     std::chrono::milliseconds maxConfigAge{ 0 }; ///< Requests that need a key are refused with an older configuration.
 };
 
+/// Which backend servers to consider for a request.
+enum class server_scope {
+    own_cell, ///< Their load is known as of the last milliseconds.
+    fleet, ///< Also those of other cells, whose load is known from summaries.
+};
+
 /// Called for each change of the fleet state that is logged.
 using fleet_event_log = std::function<void(std::string_view event, std::string_view subject, std::string_view detail)>;
 
@@ -39,9 +46,9 @@
     void expire(time_point now);
 
     /// Returns the servers of the service that may receive a request, except the excluded ones. Suspected servers are included
-    /// and marked.
+    /// and marked. Servers of other cells whose load is not known are included, as suspected, only when there are no others.
     std::vector<placement_candidate> candidates(
-        const service_id &service, const std::set<backend_server_id> &excluded, time_point now) const;
+        const service_id &service, const std::set<backend_server_id> &excluded, server_scope scope, time_point now) const;
     const server_directory::known_server *findServer(server_key key) const;
     /// Records that the server failed a request. `isUnreachable`: no connection to it could be opened.
     void recordFailure(server_key server, bool isUnreachable, time_point now);
@@ -55,6 +62,7 @@
     config_freshness freshness;
     server_directory servers;
     load_tracker loads;
+    cell_summaries summaries;
     server_suspicion serverSuspicion;
     data_centre_suspicion dataCentreSuspicion;
     resend_budget resends;
@@ -63,7 +71,8 @@
 private:
     void applyConfig(const config_published &published);
     void applyServer(const listed_server &server, time_point now);
-    bool isAtColdLimit(const server_directory::known_server &server, const server_load &load, time_point now) const;
+    bool isAtColdLimit(const server_directory::known_server &server, unsigned sentLastSecond, double share, time_point now) const;
+    placement_candidate candidateFor(const server_directory::known_server &server, time_point now) const;
 
     fleet_event_log m_log;
     std::map<server_key, backend_server_id> m_idByKey;
--- a/src/gateway/internal/fleet_state.cpp
+++ b/src/gateway/internal/fleet_state.cpp
@@ -8,6 +8,8 @@
 namespace
 {
 
+constexpr double otherCellsColdShare = 0.5; // Of a cold server's limit, for all other cells together; each knows only its own sends.
+
 std::string_view eventName(server_directory::change change)
 {
     switch (change) {
@@ -110,39 +112,71 @@
     });
     loads.expire(now);
     peers.expire(now);
+    summaries.expire(now);
 }
 
-bool fleet_state::isAtColdLimit(const server_directory::known_server &server, const server_load &load, time_point now) const
+bool fleet_state::isAtColdLimit(const server_directory::known_server &server, unsigned sentLastSecond, double share, time_point now) const
 {
     const service_profile *profile = routes ? routes->profileOf(server.entry.service) : nullptr;
     if (!profile || profile->coldRequestsPerSecond <= 0.0 || now >= server.coldUntil) {
         return false;
     }
-    return load.sentLastSecond + 1.0 > profile->coldRequestsPerSecond;
+    return sentLastSecond + 1.0 > profile->coldRequestsPerSecond * share;
+}
+
+placement_candidate fleet_state::candidateFor(const server_directory::known_server &server, time_point now) const
+{
+    placement_candidate candidate;
+    candidate.key = keyOf(server.entry.id);
+    candidate.slots = server.entry.slots;
+    candidate.isSuspected
+        = serverSuspicion.isSuspected(candidate.key, now) || dataCentreSuspicion.isSuspected(server.entry.dataCentre, now);
+    const auto &known = loads.loads(now);
+    if (const auto load = known.find(candidate.key); load != known.end()) {
+        candidate.load = load->second;
+    }
+    return candidate;
 }
 
 std::vector<placement_candidate> fleet_state::candidates(
-    const service_id &service, const std::set<backend_server_id> &excluded, time_point now) const
+    const service_id &service, const std::set<backend_server_id> &excluded, server_scope scope, time_point now) const
 {
-    const auto allLoads = loads.loads(now);
     const auto unresponsive = peers.unresponsiveDataCentres(now);
+    const cell_map &cells = peers.cells();
+    const cell_id ownCell = peers.ownCell();
+    const double otherCells = static_cast<double>(std::max<size_t>(cells.cells().size(), 2) - 1);
+    std::map<cell_id, std::map<server_key, server_load>> summarized;
     std::vector<placement_candidate> found;
+    std::vector<placement_candidate> unknown;
     for (const server_directory::known_server *server : servers.usable(service, now)) {
         if (excluded.contains(server->entry.id)) {
             continue;
         }
-        placement_candidate candidate;
-        candidate.key = keyOf(server->entry.id);
-        candidate.slots = server->entry.slots;
-        candidate.isSuspected = serverSuspicion.isSuspected(candidate.key, now) || unresponsive.contains(server->entry.dataCentre)
-            || dataCentreSuspicion.isSuspected(server->entry.dataCentre, now);
-        if (const auto load = allLoads.find(candidate.key); load != allLoads.end()) {
-            candidate.load = load->second;
+        placement_candidate candidate = candidateFor(*server, now);
+        candidate.isSuspected = candidate.isSuspected || unresponsive.contains(server->entry.dataCentre);
+        const cell_id cell = cells.cellOfServer(candidate.key, server->entry.dataCentre);
+        if (cell == ownCell) {
+            candidate.isAtColdLimit = isAtColdLimit(*server, candidate.load.sentLastSecond, 1.0, now);
+            found.push_back(std::move(candidate));
+            continue;
+        }
+        if (scope == server_scope::own_cell) {
+            continue;
+        }
+        candidate.isAtColdLimit = isAtColdLimit(*server, candidate.load.sentLastSecond, otherCellsColdShare / otherCells, now);
+        if (!summarized.contains(cell)) {
+            summarized[cell] = summaries.loadsOf(cell, now);
+        }
+        const auto &loadsThere = summarized[cell];
+        if (const auto load = loadsThere.find(candidate.key); load != loadsThere.end()) {
+            candidate.load += load->second;
+            found.push_back(std::move(candidate));
+        } else {
+            candidate.isSuspected = true;
+            unknown.push_back(std::move(candidate));
         }
-        candidate.isAtColdLimit = isAtColdLimit(*server, candidate.load, now);
-        found.push_back(std::move(candidate));
     }
-    return found;
+    return found.empty() ? unknown : found;
 }
 
 void fleet_state::recordFailure(server_key server, bool isUnreachable, time_point now)
--- a/src/gateway/internal/load_report.cpp
+++ b/src/gateway/internal/load_report.cpp
@@ -82,6 +82,63 @@
     return relay;
 }
 
+void write(const server_summary &summary, wire::ServerLoad &target)
+{
+    const server_load &load = summary.load;
+    target.set_server(summary.server);
+    target.set_pending_us(clamped(load.pendingPrefill.count()));
+    target.set_overdue_us(clamped(load.overdue.count()));
+    target.set_memory_tokens(clamped(load.memoryTokens));
+    target.set_context_tokens(clamped(load.contextTokens));
+    target.set_requests(load.requests);
+    target.set_decoding(load.decodingRequests);
+    target.set_latency_sensitive(load.latencySensitiveRequests);
+    target.set_sent_last_second(load.sentLastSecond);
+}
+
+server_summary read(const wire::ServerLoad &source)
+{
+    server_summary summary;
+    summary.server = source.server();
+    summary.load.pendingPrefill = std::chrono::microseconds(source.pending_us());
+    summary.load.overdue = std::chrono::microseconds(source.overdue_us());
+    summary.load.memoryTokens = source.memory_tokens();
+    summary.load.contextTokens = source.context_tokens();
+    summary.load.requests = source.requests();
+    summary.load.decodingRequests = source.decoding();
+    summary.load.latencySensitiveRequests = source.latency_sensitive();
+    summary.load.sentLastSecond = source.sent_last_second();
+    return summary;
+}
+
+void write(const cell_summary &summary, time_point now, wire::CellSummary &target)
+{
+    target.set_data_centre(summary.cell.dataCentre.str());
+    target.set_index(summary.cell.index);
+    target.set_age_ms(clamped(std::chrono::duration_cast<std::chrono::milliseconds>(now - summary.measuredAt).count()));
+    for (const server_summary &each : summary.servers) {
+        write(each, *target.add_servers());
+    }
+    target.set_has_instances(summary.instances.has_value());
+    if (summary.instances) {
+        target.mutable_instances()->Add(summary.instances->begin(), summary.instances->end());
+    }
+}
+
+cell_summary read(const wire::CellSummary &source, time_point now)
+{
+    cell_summary summary;
+    summary.cell = { data_centre_id(source.data_centre()), source.index() };
+    summary.measuredAt = now - std::chrono::milliseconds(source.age_ms());
+    for (const wire::ServerLoad &each : source.servers()) {
+        summary.servers.push_back(read(each));
+    }
+    if (source.has_instances()) {
+        summary.instances.emplace(source.instances().begin(), source.instances().end());
+    }
+    return summary;
+}
+
 } // namespace
 
 std::string encodeLoadReport(const load_report &report, time_point now)
@@ -93,7 +150,6 @@
     message.set_incarnation(report.incarnation);
     message.set_sequence(report.sequence);
     message.set_leaving(report.isLeaving);
-    message.mutable_known()->Add(report.knownPeers.begin(), report.knownPeers.end());
     message.mutable_suspects()->Add(report.suspectedServers.begin(), report.suspectedServers.end());
     message.set_clock_us(static_cast<std::uint64_t>(report.clock.count()));
     message.set_store_revision(report.storeRevision);
@@ -103,6 +159,16 @@
     for (const server_work &work : report.work) {
         write(work, now, *message.add_work());
     }
+    for (const cell_summary &summary : report.summaries) {
+        write(summary, now, *message.add_summaries());
+    }
+    message.set_summaries_relayed(report.areSummariesRelayed);
+    message.set_wants_instances(report.wantsInstances);
+    for (const auto &[dataCentre, addresses] : report.instances) {
+        wire::InstanceList &list = *message.add_instances();
+        list.set_data_centre(dataCentre.str());
+        list.mutable_addresses()->Add(addresses.begin(), addresses.end());
+    }
     return message.SerializeAsString();
 }
 
@@ -123,7 +189,6 @@
     report.sequence = message.sequence();
     report.isLeaving = message.leaving();
     report.suspectedServers.assign(message.suspects().begin(), message.suspects().end());
-    report.knownPeers.assign(message.known().begin(), message.known().end());
     report.clock = std::chrono::microseconds(static_cast<std::int64_t>(message.clock_us()));
     report.storeRevision = message.store_revision();
     if (message.has_relay()) {
@@ -132,6 +197,14 @@
     for (const wire::Work &work : message.work()) {
         report.work.push_back(read(work, now));
     }
+    for (const wire::CellSummary &summary : message.summaries()) {
+        report.summaries.push_back(read(summary, now));
+    }
+    report.areSummariesRelayed = message.summaries_relayed();
+    report.wantsInstances = message.wants_instances();
+    for (const wire::InstanceList &list : message.instances()) {
+        report.instances[data_centre_id(list.data_centre())].assign(list.addresses().begin(), list.addresses().end());
+    }
     return report;
 }
 
--- a/src/gateway/internal/load_tracker.cpp
+++ b/src/gateway/internal/load_tracker.cpp
@@ -32,13 +32,28 @@
 
 } // namespace
 
+server_load &server_load::operator+=(const server_load &other)
+{
+    pendingPrefill += other.pendingPrefill;
+    overdue = std::max(overdue, other.overdue);
+    memoryTokens += other.memoryTokens;
+    contextTokens += other.contextTokens;
+    requests += other.requests;
+    decodingRequests += other.decodingRequests;
+    latencySensitiveRequests += other.latencySensitiveRequests;
+    sentLastSecond += other.sentLastSecond;
+    return *this;
+}
+
 void load_tracker::add(const server_work &work)
 {
     m_own.push_back(work);
+    m_loadsAt.reset();
 }
 
 bool load_tracker::recordFirstToken(std::uint64_t request)
 {
+    m_loadsAt.reset();
     std::erase_if(m_own, [request](const server_work &work) {
         return work.request == request && work.isHelper && work.memoryTokens == 0;
     });
@@ -54,24 +69,39 @@
 
 void load_tracker::finish(std::uint64_t request)
 {
+    m_loadsAt.reset();
     std::erase_if(m_own, [request](const server_work &work) {
         return work.request == request;
     });
 }
 
-void load_tracker::replacePeerWork(const instance_id &peer, std::vector<server_work> work, time_point now)
+void load_tracker::replacePeerWork(peer_address peer, std::vector<server_work> work, time_point now)
 {
+    m_loadsAt.reset();
     m_peers[peer] = { std::move(work), now };
 }
 
 void load_tracker::expire(time_point now)
 {
+    m_loadsAt.reset();
     std::erase_if(m_peers, [now](const auto &peer) {
         return now - peer.second.receivedAt > peerExpiry;
     });
 }
 
-std::map<server_key, server_load> load_tracker::loads(time_point now) const
+const std::map<server_key, server_load> &load_tracker::loads(time_point now) const
+{
+    if (m_loadsAt != now) {
+        const auto countsAll = [](peer_address) {
+            return true;
+        };
+        m_loads = loadsOf(countsAll, now);
+        m_loadsAt = now;
+    }
+    return m_loads;
+}
+
+std::map<server_key, server_load> load_tracker::loadsOf(const peer_filter &counts, time_point now) const
 {
     std::map<server_key, server_load> loads;
     std::map<server_key, std::vector<const server_work *>> inPrefill;
@@ -90,7 +120,10 @@
     for (const server_work &work : m_own) {
         count(work);
     }
-    for (const auto &[id, peer] : m_peers) {
+    for (const auto &[address, peer] : m_peers) {
+        if (!counts(address)) {
+            continue;
+        }
         for (const server_work &work : peer.work) {
             count(work);
         }
--- a/src/gateway/internal/server_choice.cpp
+++ b/src/gateway/internal/server_choice.cpp
@@ -6,6 +6,11 @@
 namespace mustardtrail::gateway
 {
 
+bool hasFreeSlot(const placement_candidate &candidate)
+{
+    return !candidate.isSuspected && !candidate.isAtColdLimit && candidate.load.requests < candidate.slots;
+}
+
 std::optional<server_key> chooseServer(const std::vector<placement_candidate> &candidates, double point)
 {
     const auto rank = [](const placement_candidate &each) {
--- a/src/gateway/internal/server_directory.cpp
+++ b/src/gateway/internal/server_directory.cpp
@@ -95,6 +95,15 @@
     return found;
 }
 
+std::set<service_id> server_directory::services() const
+{
+    std::set<service_id> found;
+    for (const auto &[id, server] : m_servers) {
+        found.insert(server.entry.service);
+    }
+    return found;
+}
+
 const server_directory::known_server *server_directory::find(const backend_server_id &id) const
 {
     const auto found = m_servers.find(id);
--- a/src/gateway/load_report.h
+++ b/src/gateway/load_report.h
@@ -2,17 +2,23 @@
 
 #include "base/error.h"
 #include "base/ids.h"
+#include "gateway/cell_summary.h"
 #include "gateway/server_work.h"
 #include "gateway/store_relay.h"
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
 namespace mustardtrail::gateway
 {
 
-/// Report of one instance to the others. It holds all of the instance's work, so that a lost datagram needs no resend.
+/// Instances by data centre.
+using instance_list = std::map<data_centre_id, std::vector<peer_address>>;
+
+/// Report of one instance to the others. It holds all of the instance's work that concerns the receiver, so that a lost
+/// datagram needs no resend.
 struct load_report {
     instance_id sender;
     data_centre_id dataCentre;
@@ -20,12 +26,15 @@
     std::uint64_t incarnation = 0; ///< Random, chosen at the start of the process.
     std::uint32_t sequence = 0;
     bool isLeaving = false; ///< The sender stops soon; the others remove it without waiting for a time-out.
-    std::vector<peer_address> knownPeers; ///< Live instances; only in periodic reports, as the list seldom changes.
-    std::vector<server_work> work;
+    std::vector<server_work> work; ///< To the sender's cell all its work, to another cell the work at that cell's servers.
     std::vector<server_key> suspectedServers; ///< Backend servers that recently failed the sender's requests.
     std::chrono::microseconds clock{ 0 }; ///< The sender's monotonic clock; the others only echo it.
     std::optional<store_relay> relay;
     std::uint64_t storeRevision = 0; ///< Latest revision of the platform's store that the sender has.
+    std::vector<cell_summary> summaries;
+    bool areSummariesRelayed = false; ///< They came from another cell; the receiver passes them on only if not.
+    bool wantsInstances = false; ///< Asks the receiver for the instances that it knows.
+    instance_list instances; ///< The answer to such a question.
 };
 
 std::string encodeLoadReport(const load_report &report, time_point now);
--- a/src/gateway/load_tracker.h
+++ b/src/gateway/load_tracker.h
@@ -1,9 +1,11 @@
 #pragma once
 
-#include "base/ids.h"
+#include "gateway/peer_address.h"
 #include "gateway/server_work.h"
 
+#include <functional>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace mustardtrail::gateway
@@ -19,6 +21,9 @@
     unsigned decodingRequests = 0;
     unsigned latencySensitiveRequests = 0; ///< In decode or in prefill.
     unsigned sentLastSecond = 0;
+
+    /// Adds the load of other work at the same server.
+    server_load &operator+=(const server_load &other);
 };
 
 /// Tracks the work at every backend server: this instance's own and what the others reported.
@@ -30,11 +35,15 @@
     bool recordFirstToken(std::uint64_t request);
     void finish(std::uint64_t request);
     /// Replaces all work of another instance with that of its latest report.
-    void replacePeerWork(const instance_id &peer, std::vector<server_work> work, time_point now);
+    void replacePeerWork(peer_address peer, std::vector<server_work> work, time_point now);
     /// Removes the work of instances that have not reported for peerExpiry.
     void expire(time_point now);
 
-    std::map<server_key, server_load> loads(time_point now) const;
+    /// Whose work to count; this instance's own is always counted.
+    using peer_filter = std::function<bool(peer_address peer)>;
+
+    const std::map<server_key, server_load> &loads(time_point now) const;
+    std::map<server_key, server_load> loadsOf(const peer_filter &counts, time_point now) const;
     const std::vector<server_work> &ownWork() const;
     size_t peerCount() const;
 
@@ -47,7 +56,10 @@
         time_point receivedAt{};
     };
     std::vector<server_work> m_own;
-    std::map<instance_id, peer_work> m_peers;
+    std::map<peer_address, peer_work> m_peers;
+    // Requests that wait are tried together: each try at one time needs the same loads.
+    mutable std::map<server_key, server_load> m_loads;
+    mutable std::optional<time_point> m_loadsAt; ///< Not set after a change of the work.
 };
 
 } // namespace mustardtrail::gateway
--- a/src/gateway/server_directory.h
+++ b/src/gateway/server_directory.h
@@ -45,6 +45,8 @@
 
     /// Returns the servers of the service that may receive new requests; of several starts at one address only the latest.
     std::vector<const known_server *> usable(const service_id &service, time_point now) const;
+    /// Returns the services that have a server.
+    std::set<service_id> services() const;
     const known_server *find(const backend_server_id &id) const;
     bool mayTakeWork(const known_server &server, time_point now) const;
     size_t size() const;
--- a/src/gateway/tests/load_tracker_test.cpp
+++ b/src/gateway/tests/load_tracker_test.cpp
@@ -14,6 +14,7 @@
 {
 
 constexpr server_key engine = 17;
+constexpr peer_address other = 2;
 
 server_work prefill(std::uint64_t request, int sentMs, milliseconds duration)
 {
@@ -29,7 +30,9 @@
 
 server_load loadAt(const load_tracker &tracker, int now)
 {
-    return tracker.loads(at(now))[engine];
+    const auto loads = tracker.loads(at(now));
+    const auto found = loads.find(engine);
+    return found == loads.end() ? server_load() : found->second;
 }
 
 } // namespace
@@ -90,11 +93,11 @@
 Test(load_tracker, countsPeerWorkUntilItExpires)
 {
     load_tracker tracker;
-    tracker.replacePeerWork(instance_id("other"), { prefill(5, 0, milliseconds(100)) }, at(0));
+    tracker.replacePeerWork(other, { prefill(5, 0, milliseconds(100)) }, at(0));
     expectEqual(loadAt(tracker, 10).requests, 1U);
-    tracker.replacePeerWork(instance_id("other"), {}, at(20));
+    tracker.replacePeerWork(other, {}, at(20));
     expectEqual(loadAt(tracker, 30).requests, 0U);
-    tracker.replacePeerWork(instance_id("other"), { prefill(6, 40, milliseconds(100)) }, at(40));
+    tracker.replacePeerWork(other, { prefill(6, 40, milliseconds(100)) }, at(40));
     tracker.expire(at(2'000));
     expectEqual(tracker.peerCount(), 1U);
     tracker.expire(at(2'600));
@@ -109,7 +112,20 @@
     sent.address = 0x0a010005;
     sent.incarnation = 99;
     sent.sequence = 3;
-    sent.knownPeers = { 0x0a010006 };
+    sent.wantsInstances = true;
+    sent.instances = { { data_centre_id("dc2"), { 0x0a010006 } } };
+    server_summary busy;
+    busy.server = 21;
+    busy.load.pendingPrefill = milliseconds(120);
+    busy.load.requests = 4;
+    cell_summary near;
+    near.cell.dataCentre = data_centre_id("dc3");
+    near.cell.index = 1;
+    near.measuredAt = at(100);
+    near.servers = { busy };
+    near.instances.emplace(1, 0x0a020001);
+    sent.summaries = { near };
+    sent.areSummariesRelayed = true;
     sent.suspectedServers = { engine };
     server_work work = prefill(1, 100, milliseconds(25));
     work.contextTokens = 500;
@@ -119,7 +135,14 @@
     cr_assert(received.has_value());
     expectEqual(received->sender.str(), "one");
     expectEqual(received->dataCentre.str(), "dc1");
-    expectEqual(received->knownPeers.front(), 0x0a010006U);
+    cr_assert(received->wantsInstances && received->areSummariesRelayed);
+    expectEqual(received->instances.at(data_centre_id("dc2")).front(), 0x0a010006U);
+    const cell_summary &summary = received->summaries.front();
+    cr_assert(summary.cell == near.cell);
+    cr_assert(summary.measuredAt == at(970));
+    cr_assert(summary.servers.front().load.pendingPrefill == milliseconds(120));
+    expectEqual(summary.servers.front().load.requests, 4U);
+    expectEqual(summary.instances->front(), 0x0a020001U);
     expectEqual(received->suspectedServers.front(), engine);
     const server_work &copy = received->work.front();
     cr_assert(copy.prefillTime == work.prefillTime);
--- a/src/programs/gateway/gateway_context.h
+++ b/src/programs/gateway/gateway_context.h
@@ -24,7 +24,8 @@
     std::chrono::milliseconds engineStallTimeout; ///< An engine ends work that depends on a lost engine after this time.
     std::function<void()> scheduleReport; ///< Reports this instance's changed work to the other instances shortly.
     std::function<std::uint64_t()> storeRevision; ///< Latest revision of the platform's store that this instance has applied.
-    std::function<void(store_relay)> relayStoreChanges; ///< Forwards a store answer to the other instances of this data centre.
+    std::function<void(store_relay)> relayStoreChanges; ///< Forwards a store answer to the instances that rely on this one.
+    std::function<void(peer_address)> requestMissingChanges; ///< Asks another instance for store changes that it relayed earlier.
     placement_queue queue; ///< Requests that wait for capacity at a server.
     bool isStopping = false;
 };
--- a/src/programs/gateway/gateway_host.cpp
+++ b/src/programs/gateway/gateway_host.cpp
@@ -85,6 +85,9 @@
         [this](store_relay relay) {
             m_peerLink.relay(std::move(relay));
         },
+        [this](peer_address from) {
+            m_peerLink.requestMissingChanges(from);
+        },
         {},
         false }
     , m_peerLink(context.get_executor(),
@@ -224,7 +227,7 @@
         timer.expires_after(drainPollInterval);
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
-    m_peerLink.sendReport();
+    m_peerLink.reportLeaving();
     m_log.write(log_line("stopped").add("running", static_cast<std::int64_t>(m_activeRequests)));
     m_context.stop();
 }
--- a/src/programs/gateway/peer_link.cpp
+++ b/src/programs/gateway/peer_link.cpp
@@ -4,8 +4,6 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include <set>
-
 namespace mustardtrail::gateway
 {
 
@@ -15,12 +13,6 @@
 {
 
 constexpr size_t maxDatagramBytes = 60'000; ///< Largest UDP datagram without its headers.
-constexpr int relayCopies = 2; ///< The second copy is sent with the next report.
-
-std::chrono::microseconds toMicroseconds(time_point moment)
-{
-    return std::chrono::duration_cast<std::chrono::microseconds>(moment.time_since_epoch());
-}
 
 } // namespace
 
@@ -38,11 +30,11 @@
     endpoint address,
     relay_handler relayHandler)
     : m_context(context)
-    , m_self(std::move(self))
     , m_dataCentre(std::move(dataCentre))
     , m_address(std::move(address))
     , m_peerAddress(peerAddressOf(m_address.address))
     , m_incarnation(context.random.below(~std::uint64_t{ 0 }))
+    , m_exchange(context.state, { std::move(self), m_dataCentre, m_peerAddress, m_incarnation }, context.clock.now())
     , m_socket(executor)
     , m_reportTimer(executor)
     , m_onRelay(std::move(relayHandler))
@@ -75,13 +67,16 @@
     asio::ip::udp::endpoint sender;
     while (true) {
         boost::system::error_code failure;
-        const size_t count
-            = co_await m_socket.async_receive_from(asio::buffer(buffer), sender, asio::redirect_error(asio::use_awaitable, failure));
+        co_await m_socket.async_wait(asio::ip::udp::socket::wait_read, asio::redirect_error(asio::use_awaitable, failure));
         if (failure == asio::error::operation_aborted) {
             co_return;
         }
-        if (!failure) {
-            onReport(buffer.substr(0, count));
+        // All datagrams that have arrived are read at one wake-up.
+        while (!failure) {
+            const size_t count = m_socket.receive_from(asio::buffer(buffer), sender, 0, failure);
+            if (!failure) {
+                onReport(buffer.substr(0, count));
+            }
         }
     }
 }
@@ -89,18 +84,18 @@
 void peer_link::onReport(const std::string &bytes)
 {
     const time_point now = m_context.clock.now();
-    auto report = decodeLoadReport(bytes, now);
+    const auto report = decodeLoadReport(bytes, now);
     if (!report) {
         m_context.log.write(log_line("peer_report_unreadable").add("detail", report.error().detail));
         return;
     }
-    if (!m_context.state.peers.recordReport(*report, now)) {
+    report_exchange::reception received = m_exchange.onReport(*report, now);
+    if (!received.isNew) {
         return;
     }
     onRelay(*report);
     sendMissingChanges(*report);
-    m_context.state.serverSuspicion.updatePeerSuspects(report->sender, report->suspectedServers, now);
-    m_context.state.loads.replacePeerWork(report->sender, std::move(report->work), now);
+    sendAll(std::move(received.replies));
 }
 
 void peer_link::onRelay(const load_report &report)
@@ -123,20 +118,36 @@
         return;
     }
     const time_point now = m_context.clock.now();
+    std::vector<outgoing_report> messages;
     for (store_relay &missing : m_relayHistory.missedRelaysFor(report.address, report.storeRevision, now)) {
-        load_report message = newReport(now);
-        message.work = m_context.state.loads.ownWork();
-        message.relay = std::move(missing);
-        send(encodeLoadReport(message, now), report.address);
+        messages.push_back({ m_exchange.reportTo(report.address, now), { report.address } });
+        messages.back().report.relay = std::move(missing);
     }
+    sendAll(std::move(messages));
+}
+
+void peer_link::requestMissingChanges(peer_address from)
+{
+    sendAll({ { m_exchange.reportTo(from, m_context.clock.now()), { from } } });
 }
 
 void peer_link::relay(store_relay changes)
 {
     m_relayHistory.add(changes, m_context.clock.now());
-    m_relay = std::move(changes);
-    m_relayCopiesLeft = relayCopies;
-    scheduleReport();
+    sendRelay(changes);
+    m_lastRelay = std::move(changes);
+}
+
+void peer_link::sendRelay(const store_relay &relay)
+{
+    const time_point now = m_context.clock.now();
+    const auto targets = m_context.state.peers.storeRelayTargets(now);
+    if (targets.empty()) {
+        return;
+    }
+    outgoing_report message{ m_exchange.reportTo(targets.front(), now), targets };
+    message.report.relay = relay;
+    sendAll({ std::move(message) });
 }
 
 void peer_link::scheduleReport()
@@ -151,52 +162,48 @@
 asio::awaitable<void> peer_link::reportPeriodically()
 {
     while (true) {
-        m_reportTimer.expires_after(m_hasUnreportedChange ? reportDelay : reportInterval);
+        const time_point now = m_context.clock.now();
+        m_reportTimer.expires_at(m_hasUnreportedChange ? now + reportDelay : m_exchange.nextDueAt());
         boost::system::error_code failure;
         co_await m_reportTimer.async_wait(asio::redirect_error(asio::use_awaitable, failure));
         if (failure && m_hasUnreportedChange) {
             continue;
         }
-        sendReport();
+        sendDueReports();
     }
 }
 
-load_report peer_link::newReport(time_point now)
+void peer_link::sendDueReports()
 {
-    load_report report;
-    report.sender = m_self;
-    report.dataCentre = m_dataCentre;
-    report.address = m_peerAddress;
-    report.incarnation = m_incarnation;
-    report.sequence = ++m_sequence;
-    report.clock = toMicroseconds(now);
-    report.storeRevision = m_context.storeRevision();
-    return report;
+    const time_point now = m_context.clock.now();
+    if (m_hasUnreportedChange) {
+        m_hasUnreportedChange = false;
+        sendAll(m_exchange.reportWork(now));
+    }
+    if (now < m_exchange.nextDueAt()) {
+        return;
+    }
+    sendAll(m_exchange.reportsDue(now));
+    if (m_lastRelay) {
+        sendRelay(*m_lastRelay);
+        m_lastRelay.reset();
+    }
 }
 
-void peer_link::sendReport()
+void peer_link::reportLeaving()
+{
+    sendAll(m_exchange.reportLeaving(m_context.clock.now()));
+}
+
+void peer_link::sendAll(std::vector<outgoing_report> reports)
 {
-    const bool isHeartbeat = !m_hasUnreportedChange;
-    m_hasUnreportedChange = false;
     const time_point now = m_context.clock.now();
-    load_report report = newReport(now);
-    report.isLeaving = m_context.isStopping && m_context.state.loads.ownWork().empty();
-    if (isHeartbeat) {
-        report.knownPeers = m_context.state.peers.alive(now);
-    }
-    report.suspectedServers = m_context.state.serverSuspicion.ownSuspects(now);
-    report.work = m_context.state.loads.ownWork();
-    const std::string bytes = encodeLoadReport(report, now);
-    std::set<peer_address> relayTargets;
-    if (m_relayCopiesLeft > 0) {
-        --m_relayCopiesLeft;
-        const auto neighbours = m_context.state.peers.sameDataCentrePeers(now);
-        relayTargets.insert(neighbours.begin(), neighbours.end());
-        report.relay = m_relay;
-    }
-    const std::string bytesWithRelay = relayTargets.empty() ? std::string() : encodeLoadReport(report, now);
-    for (const peer_address target : m_context.state.peers.reportTargets()) {
-        send(relayTargets.contains(target) ? bytesWithRelay : bytes, target);
+    for (outgoing_report &each : reports) {
+        each.report.storeRevision = m_context.storeRevision();
+        const std::string bytes = encodeLoadReport(each.report, now);
+        for (const peer_address target : each.targets) {
+            send(bytes, target);
+        }
     }
 }
 
--- a/src/programs/gateway/peer_link.h
+++ b/src/programs/gateway/peer_link.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/relay_history.h"
+#include "gateway/report_exchange.h"
 #include "programs/gateway/gateway_context.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -12,7 +13,7 @@
 namespace mustardtrail::gateway
 {
 
-/// UDP reports between the instances: each instance sends all its work to the others shortly after it has changed.
+/// UDP reports between the instances: sends what `report_exchange` decides, and the store's changes.
 class peer_link
 {
 public:
@@ -30,39 +31,40 @@
     result<void> open();
     boost::asio::awaitable<void> receiveReports();
     boost::asio::awaitable<void> reportPeriodically();
-    /// Sends the changes to the instances of this data centre, twice to compensate for lost datagrams.
+    /// Sends the changes to the instances that rely on this one, twice to compensate for lost datagrams.
     void relay(store_relay changes);
+    /// Asks the instance to send the store's changes that are missing here.
+    void requestMissingChanges(peer_address from);
     /// Schedules a report within reportDelay, because the work has changed.
     void scheduleReport();
-    void sendReport();
+    /// Tells the others that this instance stops.
+    void reportLeaving();
 
     /// Combines simultaneous changes; with a longer delay two instances would take the same slot.
     static constexpr std::chrono::milliseconds reportDelay{ 1 };
-    /// Heartbeat without changes; makes up for lost datagrams and shows that the network path works.
-    static constexpr std::chrono::milliseconds reportInterval{ 300 };
 
 private:
     void onReport(const std::string &bytes);
     void onRelay(const load_report &report);
     /// Resends store changes to an instance of this data centre whose report shows an older store revision.
     void sendMissingChanges(const load_report &report);
-    load_report newReport(time_point now);
+    void sendDueReports();
+    void sendAll(std::vector<outgoing_report> reports);
+    void sendRelay(const store_relay &relay);
     void send(const std::string &bytes, peer_address target);
 
     gateway_context &m_context;
-    instance_id m_self;
     data_centre_id m_dataCentre;
     endpoint m_address;
     peer_address m_peerAddress;
     std::uint64_t m_incarnation;
-    std::uint32_t m_sequence = 0;
+    report_exchange m_exchange;
     boost::asio::ip::udp::socket m_socket;
     boost::asio::steady_timer m_reportTimer;
     bool m_hasUnreportedChange = false;
     relay_handler m_onRelay;
-    std::optional<store_relay> m_relay;
+    std::optional<store_relay> m_lastRelay; ///< Set until its second copy is sent.
     relay_history m_relayHistory;
-    int m_relayCopiesLeft = 0; ///< Copies of m_relay that remain to be sent.
 };
 
 /// IPv4 address as an integer; 0 when the text is not an IPv4 address.
--- a/src/programs/gateway/request_retry.cpp
+++ b/src/programs/gateway/request_retry.cpp
@@ -21,7 +21,7 @@
     state.possibleRuns = m_possibleRuns;
     state.maxServers = m_route->maxServers;
     state.hasTime = now + minTimeForSend < m_deadlineAt && m_sends < maxSends;
-    state.hasOtherServer = !m_context.state.candidates(m_service, m_excluded, now).empty();
+    state.hasOtherServer = !m_context.state.candidates(m_service, m_excluded, server_scope::fleet, now).empty();
     state.hasBudget = true;
     return state;
 }
--- a/src/programs/gateway/request_session.cpp
+++ b/src/programs/gateway/request_session.cpp
@@ -1,5 +1,6 @@
 #include "programs/gateway/request_session.h"
 
+#include "gateway/placement_spill.h"
 #include "gateway/prompt_placement.h"
 #include "gateway/server_choice.h"
 #include "gateway/stream_wait_limit.h"
@@ -134,7 +135,16 @@
 
 placement_decision request_session::choosePlacement(time_point now)
 {
-    const auto candidates = m_context.state.candidates(m_service, m_excluded, now);
+    const placement_decision near = choosePlacementIn(server_scope::own_cell, now);
+    if (near.isOnTime || m_context.state.peers.cells().cells().size() <= 1) {
+        return near;
+    }
+    return chooseCell(near, choosePlacementIn(server_scope::fleet, now));
+}
+
+placement_decision request_session::choosePlacementIn(server_scope scope, time_point now)
+{
+    const auto candidates = m_context.state.candidates(m_service, m_excluded, scope, now);
     const service_profile *profile = m_routes->profileOf(m_service);
     if (profile && profile->engine && m_head.promptTokens) {
         placement_request work;
@@ -158,6 +168,9 @@
         return decision;
     }
     decision.next = placement_decision::action::send;
+    decision.isOnTime = std::any_of(candidates.begin(), candidates.end(), [&](const placement_candidate &each) {
+        return each.key == *chosen && hasFreeSlot(each);
+    });
     decision.parts.push_back({ *chosen, std::chrono::microseconds(0), 0, 0 });
     return decision;
 }
--- a/src/programs/gateway/request_session.h
+++ b/src/programs/gateway/request_session.h
@@ -40,6 +40,7 @@
     /// Decides where to send the request next; waits in the queue while waiting is the better choice.
     boost::asio::awaitable<placement_decision> waitForPlacement();
     placement_decision choosePlacement(time_point now);
+    placement_decision choosePlacementIn(server_scope scope, time_point now);
     placement_decision tryPlacement(time_point now);
     /// Removes the load of the current placement, if any, from the fleet state.
     void unregisterWork();
--- a/src/programs/gateway/store_reader.cpp
+++ b/src/programs/gateway/store_reader.cpp
@@ -77,7 +77,7 @@
 asio::awaitable<void> store_reader::query(store_query storeQuery)
 {
     const time_point queriedAt = m_context.clock.now();
-    std::vector<clock_echo> echoes = m_context.state.peers.sameDataCentreClocks(queriedAt);
+    std::vector<clock_echo> echoes = m_context.state.peers.storeRelayClocks(queriedAt);
     const bool isList = storeQuery.type == store_query::kind::list;
     http::request_message message = isList ? platform::listRequest(allKeys, storeQuery.afterKey)
                                            : platform::watchRequest(allKeys, storeQuery.afterRevision, storeQuery.longPollTimeout);
@@ -190,6 +190,7 @@
         const auto reply = platform::readWatchReply(relay.changes.value_or(std::string()));
         if (!reply || !m_watcher.onRelay(relay.fromRevision, relay.toRevision, now + relay.graceLeft)) {
             m_election.recordMissedChanges(relay.changes.has_value(), now);
+            m_context.requestMissingChanges(by);
             m_queryTimer.cancel();
             return;
         }
