A store restored from a copy, servers that announce their leaving or ask for quiet

In a drill the store comes back from a copy some seconds old and its revisions are given out again; an engine that leaves says so in its answers; one that turns a request away may ask for quiet.

Store: positions are ordered by era, then revision. A higher era, from an answer, a relay or a report of another instance, makes an instance list all anew; older answers and relays are dropped. What the copy undoes is kept for the 2 s in which it is written again: missing servers, data centres out of service. A server that had left and is listed again is not used until it writes its entry again; a drain is not undone within one start. The configuration in force never goes back; no configuration is confirmed for keys while the store settles, or while an instance nearby has a newer one. The others are told, by a key of the start, as a server may start anew under its id. Quiet: nothing is sent there, nor a part of a prompt, until its end; where all servers of a service ask for it, callers are refused at once with the time of the first end.

--- a/src/gateway/fleet_state.h
+++ b/src/gateway/fleet_state.h
@@ -8,6 +8,7 @@
 #include "gateway/peer_registry.h"
 #include "gateway/placement_candidate.h"
 #include "gateway/published_change.h"
+#include "gateway/quiet_servers.h"
 #include "gateway/resend_budget.h"
 #include "gateway/route_table.h"
 #include "gateway/server_directory.h"
@@ -43,6 +44,9 @@
     void apply(const published_change &change, time_point now, time_point keepUntil);
     /// Applies a full listing. Servers that it lacks are kept until `keepUntil`.
     void applySnapshot(const std::vector<published_change> &list, time_point now, time_point keepUntil);
+    /// Applies the first full listing of a store that was restored from an older copy. What it undoes is kept until `keepUntil`,
+    /// by when it has been written again; servers that had left are not used until they write their entry again.
+    void applyRestoredSnapshot(const std::vector<published_change> &list, time_point now, time_point keepUntil);
     void expire(time_point now);
 
     /// Returns the servers of the service that may receive a request, except the excluded ones. Suspected servers are included
@@ -52,10 +56,24 @@
     const server_directory::known_server *findServer(server_key key) const;
     /// Records that the server failed a request. `isUnreachable`: no connection to it could be opened.
     void recordFailure(server_key server, bool isUnreachable, time_point now);
+    /// Records that the server announced to this instance that it leaves.
+    void recordLeaving(server_key server, time_point now);
+    /// Records the servers that another instance knows to leave, as returned by `leavingServers` there.
+    void recordLeavingServers(const std::vector<server_start_key> &servers, const instance_id &source, time_point now);
+    /// Records that the server wants nothing from this instance for a while.
+    void recordQuiet(server_key server, std::chrono::milliseconds duration, time_point now);
+    /// Returns when the first server of the service wants requests again, if all that could take them asked for quiet.
+    std::optional<time_point> quietUntil(const service_id &service, time_point now) const;
+    /// Servers whose leaving became known lately, for the other instances.
+    std::vector<server_start_key> leavingServers(time_point now) const;
     /// Records that an answer from the server has begun.
     void recordAnswer(server_key server);
     /// Whether requests may be served: a configuration is loaded and, if it requires API keys, is fresh enough.
     bool mayServe(time_point now) const;
+    /// Records that the configuration in force includes all that was published before `queriedAt`, unless an instance nearby
+    /// has a newer one: then the store was restored and has lost it.
+    void confirmConfig(time_point queriedAt, time_point now);
+    std::uint64_t configVersion() const;
 
     fleet_limits limits;
     std::shared_ptr<const route_table> routes; ///< Null until the first configuration.
@@ -64,6 +82,7 @@
     load_tracker loads;
     cell_summaries summaries;
     server_suspicion serverSuspicion;
+    quiet_servers quiet;
     data_centre_suspicion dataCentreSuspicion;
     resend_budget resends;
     peer_registry peers;
@@ -73,6 +92,8 @@
     void applyServer(const listed_server &server, time_point now);
     bool isAtColdLimit(const server_directory::known_server &server, unsigned sentLastSecond, double share, time_point now) const;
     placement_candidate candidateFor(const server_directory::known_server &server, time_point now) const;
+    std::vector<const server_directory::known_server *> eligible(
+        const service_id &service, const std::set<backend_server_id> &excluded, time_point now) const;
 
     fleet_event_log m_log;
     std::map<server_key, backend_server_id> m_idByKey;
--- a/src/gateway/internal/fleet_state.cpp
+++ b/src/gateway/internal/fleet_state.cpp
@@ -2,6 +2,8 @@
 
 #include "base/hash.h"
 
+#include <algorithm>
+
 namespace mustardtrail::gateway
 {
 
@@ -10,6 +12,13 @@
 
 constexpr double otherCellsColdShare = 0.5; // Of a cold server's limit, for all other cells together; each knows only its own sends.
 
+constexpr std::chrono::seconds leavingReportTime{ 3 }; // Several reports; then the store's entry shows it too.
+
+server_start_key startKeyOf(const listed_server &server)
+{
+    return hash64(server.id.str(), server.startedAt);
+}
+
 std::string_view eventName(server_directory::change change)
 {
     switch (change) {
@@ -102,6 +111,14 @@
     servers.replaceOutOfService(std::move(outOfService));
 }
 
+void fleet_state::applyRestoredSnapshot(const std::vector<published_change> &list, time_point now, time_point keepUntil)
+{
+    servers.keepOutOfService(keepUntil);
+    servers.setReadingRestoredList(true);
+    applySnapshot(list, now, keepUntil);
+    servers.setReadingRestoredList(false);
+}
+
 void fleet_state::expire(time_point now)
 {
     for (const backend_server_id &id : servers.expire(now)) {
@@ -113,6 +130,7 @@
     loads.expire(now);
     peers.expire(now);
     summaries.expire(now);
+    quiet.expire(now);
 }
 
 bool fleet_state::isAtColdLimit(const server_directory::known_server &server, unsigned sentLastSecond, double share, time_point now) const
@@ -138,6 +156,21 @@
     return candidate;
 }
 
+std::vector<const server_directory::known_server *> fleet_state::eligible(
+    const service_id &service, const std::set<backend_server_id> &excluded, time_point now) const
+{
+    const auto mustNotBeUsed = [&](const server_directory::known_server *server) {
+        return excluded.contains(server->entry.id) || quiet.isQuiet(keyOf(server->entry.id), now);
+    };
+    auto found = servers.usable(service, now);
+    std::erase_if(found, mustNotBeUsed);
+    if (found.empty()) {
+        found = servers.lastResort(service, now);
+        std::erase_if(found, mustNotBeUsed);
+    }
+    return found;
+}
+
 std::vector<placement_candidate> fleet_state::candidates(
     const service_id &service, const std::set<backend_server_id> &excluded, server_scope scope, time_point now) const
 {
@@ -148,10 +181,7 @@
     std::map<cell_id, std::map<server_key, server_load>> summarized;
     std::vector<placement_candidate> found;
     std::vector<placement_candidate> unknown;
-    for (const server_directory::known_server *server : servers.usable(service, now)) {
-        if (excluded.contains(server->entry.id)) {
-            continue;
-        }
+    for (const server_directory::known_server *server : eligible(service, excluded, now)) {
         placement_candidate candidate = candidateFor(*server, now);
         candidate.isSuspected = candidate.isSuspected || unresponsive.contains(server->entry.dataCentre);
         const cell_id cell = cells.cellOfServer(candidate.key, server->entry.dataCentre);
@@ -194,6 +224,58 @@
     }
 }
 
+void fleet_state::recordLeaving(server_key server, time_point now)
+{
+    const auto *known = findServer(server);
+    if (known && servers.recordLeaving(known->entry.id, now)) {
+        m_log("server_announced_leaving", known->entry.id.str(), "source=answer");
+    }
+}
+
+void fleet_state::recordLeavingServers(const std::vector<server_start_key> &leaving, const instance_id &source, time_point now)
+{
+    if (leaving.empty()) {
+        return;
+    }
+    for (const server_directory::known_server *server : servers.staying()) {
+        const backend_server_id id = server->entry.id;
+        const bool isNamed = std::find(leaving.begin(), leaving.end(), startKeyOf(server->entry)) != leaving.end();
+        if (isNamed && servers.recordLeaving(id, now)) {
+            m_log("server_announced_leaving", id.str(), "source=" + source.str());
+        }
+    }
+}
+
+void fleet_state::recordQuiet(server_key server, std::chrono::milliseconds duration, time_point now)
+{
+    quiet.record(server, now + duration);
+    if (const auto *known = findServer(server)) {
+        m_log("server_asked_for_quiet", known->entry.id.str(), "ms=" + std::to_string(duration.count()));
+    }
+}
+
+std::optional<time_point> fleet_state::quietUntil(const service_id &service, time_point now) const
+{
+    std::optional<time_point> first;
+    for (const server_directory::known_server *server : servers.usable(service, now)) {
+        const server_key key = keyOf(server->entry.id);
+        if (!quiet.isQuiet(key, now)) {
+            return std::nullopt;
+        }
+        first = std::min(first.value_or(quiet.until(key)), quiet.until(key));
+    }
+    return first;
+}
+
+std::vector<server_start_key> fleet_state::leavingServers(time_point now) const
+{
+    std::vector<server_start_key> keys;
+    for (const server_directory::known_server *server : servers.leaving(leavingReportTime, now)) {
+        keys.push_back(startKeyOf(server->entry));
+    }
+    return keys;
+}
+
 void fleet_state::recordAnswer(server_key server)
 {
     if (const auto *known = findServer(server)) {
@@ -207,6 +289,18 @@
     return found == m_idByKey.end() ? nullptr : servers.find(found->second);
 }
 
+std::uint64_t fleet_state::configVersion() const
+{
+    return routes ? routes->version() : 0;
+}
+
+void fleet_state::confirmConfig(time_point queriedAt, time_point now)
+{
+    if (peers.newestConfig(now) <= configVersion()) {
+        freshness.confirm(queriedAt);
+    }
+}
+
 bool fleet_state::mayServe(time_point now) const
 {
     return routes && (!routes->needsKeys() || freshness.isFresh(now));
--- a/src/gateway/internal/load_report.cpp
+++ b/src/gateway/internal/load_report.cpp
@@ -52,6 +52,7 @@
 
 void write(const store_relay &relay, wire::Relay &target)
 {
+    target.set_era(relay.era);
     target.set_from_revision(relay.fromRevision);
     target.set_to_revision(relay.toRevision);
     target.set_settling_ms(clamped(relay.graceLeft.count()));
@@ -69,6 +70,7 @@
 store_relay read(const wire::Relay &source)
 {
     store_relay relay;
+    relay.era = source.era();
     relay.fromRevision = source.from_revision();
     relay.toRevision = source.to_revision();
     relay.graceLeft = std::chrono::milliseconds(source.settling_ms());
@@ -152,7 +154,10 @@
     message.set_leaving(report.isLeaving);
     message.mutable_suspects()->Add(report.suspectedServers.begin(), report.suspectedServers.end());
     message.set_clock_us(static_cast<std::uint64_t>(report.clock.count()));
-    message.set_store_revision(report.storeRevision);
+    message.set_store_revision(report.storePosition.revision);
+    message.set_store_era(report.storePosition.era);
+    message.set_config_version(report.configVersion);
+    message.mutable_leaving_servers()->Add(report.leavingServers.begin(), report.leavingServers.end());
     if (report.relay) {
         write(*report.relay, *message.mutable_relay());
     }
@@ -190,7 +195,9 @@
     report.isLeaving = message.leaving();
     report.suspectedServers.assign(message.suspects().begin(), message.suspects().end());
     report.clock = std::chrono::microseconds(static_cast<std::int64_t>(message.clock_us()));
-    report.storeRevision = message.store_revision();
+    report.storePosition = { message.store_era(), message.store_revision() };
+    report.configVersion = message.config_version();
+    report.leavingServers.assign(message.leaving_servers().begin(), message.leaving_servers().end());
     if (message.has_relay()) {
         report.relay = read(message.relay());
     }
--- a/src/gateway/internal/peer_registry.cpp
+++ b/src/gateway/internal/peer_registry.cpp
@@ -49,6 +49,7 @@
     sender.sequence = report.sequence;
     sender.lastReportAt = now;
     sender.clock = report.clock;
+    sender.configVersion = report.configVersion;
     recordSignOfLife(report.dataCentre, now);
     updateFleetSize();
     if (report.isLeaving) {
@@ -237,6 +238,17 @@
     return unresponsive;
 }
 
+std::uint64_t peer_registry::newestConfig(time_point now) const
+{
+    std::uint64_t newest = 0;
+    for (const auto &[address, each] : m_peers) {
+        if (each.lastReportAt && now - *each.lastReportAt < peerTimeout) {
+            newest = std::max(newest, each.configVersion);
+        }
+    }
+    return newest;
+}
+
 size_t peer_registry::largestFleetSize() const
 {
     return m_largestFleetSize;
--- a/src/gateway/internal/relay_history.cpp
+++ b/src/gateway/internal/relay_history.cpp
@@ -5,9 +5,12 @@
 
 void relay_history::add(const store_relay &relay, time_point now)
 {
-    if (!relay.changes) {
+    const bool isOtherEra = !m_entries.empty() && m_entries.front().relay.era != relay.era;
+    if (!relay.changes || isOtherEra) {
         m_entries.clear();
         m_bytes = 0;
+    }
+    if (!relay.changes) {
         return;
     }
     if (relay.toRevision > relay.fromRevision) {
--- a/src/gateway/internal/report_exchange.cpp
+++ b/src/gateway/internal/report_exchange.cpp
@@ -71,6 +71,7 @@
     report.address = m_self.address;
     report.incarnation = m_self.incarnation;
     report.sequence = ++m_sequence;
+    report.configVersion = m_state.configVersion();
     report.clock = std::chrono::duration_cast<std::chrono::microseconds>(now.time_since_epoch());
     return report;
 }
@@ -80,6 +81,7 @@
     load_report report = newReport(now);
     report.work = cell == m_state.peers.ownCell() ? m_state.loads.ownWork() : workAt(cell);
     report.suspectedServers = m_state.serverSuspicion.ownSuspects(now);
+    report.leavingServers = m_state.leavingServers(now);
     return report;
 }
 
@@ -98,6 +100,7 @@
     m_state.serverSuspicion.updatePeerSuspects(report.sender, report.suspectedServers, now);
     m_state.loads.replacePeerWork(report.address, report.work, now);
     m_state.peers.addInstances(report.instances, now);
+    m_state.recordLeavingServers(report.leavingServers, report.sender, now);
     std::vector<cell_summary> passedOn;
     for (const cell_summary &summary : report.summaries) {
         m_state.peers.recordSignOfLife(summary.cell.dataCentre, summary.measuredAt);
--- a/src/gateway/internal/server_directory.cpp
+++ b/src/gateway/internal/server_directory.cpp
@@ -8,8 +8,20 @@
     auto [at, isNew] = m_servers.try_emplace(entry.id);
     known_server &server = at->second;
     const bool restarted = !isNew && server.entry.startedAt != entry.startedAt;
-    const bool startedDraining = entry.isLeaving && (isNew || !server.entry.isLeaving);
+    if (restarted) {
+        server.leavingSince.reset();
+    }
+    const bool startedDraining = entry.isLeaving && !server.leavingSince;
+    if (startedDraining) {
+        server.leavingSince = now;
+    }
     server.entry = entry;
+    const auto departed = m_departed.find(entry.id);
+    const bool hasDeparted = departed != m_departed.end() && departed->second.startedAt == entry.startedAt;
+    server.isUnconfirmed = m_isReadingRestoredList && hasDeparted;
+    if (!m_isReadingRestoredList) {
+        m_departed.erase(entry.id);
+    }
     server.coldUntil = now + entry.coldLeft;
     server.keptUntil.reset();
     if (startedDraining) {
@@ -27,14 +39,30 @@
     if (found == m_servers.end()) {
         return change::none;
     }
-    if (keepUntil > now && !found->second.entry.isLeaving) {
+    if (keepUntil > now && !found->second.leavingSince) {
         found->second.keptUntil = found->second.keptUntil.value_or(keepUntil);
         return change::none;
     }
+    m_departed[id] = { found->second.entry.startedAt, now };
     m_servers.erase(found);
     return change::removed;
 }
 
+bool server_directory::recordLeaving(const backend_server_id &id, time_point now)
+{
+    const auto found = m_servers.find(id);
+    if (found == m_servers.end() || found->second.leavingSince) {
+        return false;
+    }
+    found->second.leavingSince = now;
+    return true;
+}
+
+void server_directory::setReadingRestoredList(bool isReading)
+{
+    m_isReadingRestoredList = isReading;
+}
+
 void server_directory::replaceAll(const std::vector<listed_server> &entries, time_point now, time_point keepUntil)
 {
     std::set<backend_server_id> present;
@@ -58,8 +86,12 @@
         }
     }
     for (const backend_server_id &id : expired) {
+        m_departed[id] = { m_servers.at(id).entry.startedAt, now };
         m_servers.erase(id);
     }
+    std::erase_if(m_departed, [now](const auto &entry) {
+        return now - entry.second.at > departedRetention;
+    });
     return expired;
 }
 
@@ -77,6 +109,20 @@
     m_outOfService = std::move(dataCentres);
 }
 
+void server_directory::keepOutOfService(time_point until)
+{
+    for (const data_centre_id &dataCentre : m_outOfService) {
+        m_keptOutOfServiceUntil[dataCentre] = until;
+    }
+}
+
+bool server_directory::isInService(const data_centre_id &dataCentre, time_point now) const
+{
+    const auto kept = m_keptOutOfServiceUntil.find(dataCentre);
+    const bool isKeptOut = kept != m_keptOutOfServiceUntil.end() && now < kept->second;
+    return !isKeptOut && !m_outOfService.contains(dataCentre);
+}
+
 std::vector<const server_directory::known_server *> server_directory::usable(const service_id &service, time_point now) const
 {
     std::map<endpoint, const known_server *> latestAtAddress;
@@ -113,7 +159,42 @@
 bool server_directory::mayTakeWork(const known_server &server, time_point now) const
 {
     const bool isExpired = server.keptUntil && now >= *server.keptUntil;
-    return !isExpired && !server.entry.isLeaving && !m_outOfService.contains(server.entry.dataCentre);
+    return !isExpired && !server.leavingSince && !server.isUnconfirmed && isInService(server.entry.dataCentre, now);
+}
+
+std::vector<const server_directory::known_server *> server_directory::lastResort(const service_id &service, time_point now) const
+{
+    std::vector<const known_server *> found;
+    for (const auto &[id, server] : m_servers) {
+        const bool hasAnnounced = server.leavingSince && !server.entry.isLeaving && !server.keptUntil;
+        if (hasAnnounced && now - *server.leavingSince < lastResortTime && server.entry.service == service
+            && isInService(server.entry.dataCentre, now)) {
+            found.push_back(&server);
+        }
+    }
+    return found;
+}
+
+std::vector<const server_directory::known_server *> server_directory::leaving(std::chrono::milliseconds maxAge, time_point now) const
+{
+    std::vector<const known_server *> found;
+    for (const auto &[id, server] : m_servers) {
+        if (server.leavingSince && now - *server.leavingSince < maxAge) {
+            found.push_back(&server);
+        }
+    }
+    return found;
+}
+
+std::vector<const server_directory::known_server *> server_directory::staying() const
+{
+    std::vector<const known_server *> found;
+    for (const auto &[id, server] : m_servers) {
+        if (!server.leavingSince) {
+            found.push_back(&server);
+        }
+    }
+    return found;
 }
 
 size_t server_directory::size() const
--- a/src/gateway/internal/store_watcher.cpp
+++ b/src/gateway/internal/store_watcher.cpp
@@ -41,6 +41,39 @@
     m_failures = 0;
 }
 
+bool store_watcher::onEra(std::uint64_t era, time_point now)
+{
+    if (!m_era) {
+        m_era = era > 0 ? std::optional(era) : std::nullopt;
+        return true;
+    }
+    if (era <= *m_era) {
+        return era == *m_era;
+    }
+    m_era = era;
+    m_settlingUntil = now + settlingTime;
+    m_graceUntil = std::max(m_graceUntil, m_settlingUntil);
+    m_isFirstListOfEra = true;
+    m_revision = 0;
+    onHistoryGone();
+    return true;
+}
+
+bool store_watcher::isSettling(time_point now) const
+{
+    return now < m_settlingUntil;
+}
+
+bool store_watcher::isFirstListOfEra() const
+{
+    return m_isFirstListOfEra;
+}
+
+store_position store_watcher::position() const
+{
+    return { m_era.value_or(0), m_hasList ? m_revision : 0 };
+}
+
 bool store_watcher::onPage(std::uint64_t storeRevision, bool hasMore, const std::string &lastKey, time_point now)
 {
     recordAnswer(now);
@@ -52,6 +85,7 @@
         return false;
     }
     m_hasList = true;
+    m_isFirstListOfEra = false;
     m_lastChangeCount = 0;
     m_revision = std::max(m_revision, m_listRevision);
     return true;
--- a/src/gateway/load_report.h
+++ b/src/gateway/load_report.h
@@ -4,6 +4,7 @@
 #include "base/ids.h"
 #include "gateway/cell_summary.h"
 #include "gateway/server_work.h"
+#include "gateway/store_position.h"
 #include "gateway/store_relay.h"
 
 #include <cstdint>
@@ -28,9 +29,11 @@
     bool isLeaving = false; ///< The sender stops soon; the others remove it without waiting for a time-out.
     std::vector<server_work> work; ///< To the sender's cell all its work, to another cell the work at that cell's servers.
     std::vector<server_key> suspectedServers; ///< Backend servers that recently failed the sender's requests.
+    std::vector<server_start_key> leavingServers; ///< Backend servers that announced lately that they leave.
     std::chrono::microseconds clock{ 0 }; ///< The sender's monotonic clock; the others only echo it.
     std::optional<store_relay> relay;
-    std::uint64_t storeRevision = 0; ///< Latest revision of the platform's store that the sender has.
+    store_position storePosition; ///< Latest change of the platform's store that the sender has.
+    std::uint64_t configVersion = 0; ///< Of the configuration in force at the sender; 0 without one.
     std::vector<cell_summary> summaries;
     bool areSummariesRelayed = false; ///< They came from another cell; the receiver passes them on only if not.
     bool wantsInstances = false; ///< Asks the receiver for the instances that it knows.
--- a/src/gateway/peer_registry.h
+++ b/src/gateway/peer_registry.h
@@ -52,6 +52,8 @@
     std::vector<peer_address> storeRelayTargets(time_point now) const;
     /// Returns the timestamps of the last reports of `storeRelayTargets`.
     std::vector<clock_echo> storeRelayClocks(time_point now) const;
+    /// Returns the newest configuration version that an instance reported within `peerTimeout`.
+    std::uint64_t newestConfig(time_point now) const;
     /// Returns the largest number of instances known at one time since the start, this one included. Fleet-wide limits are
     /// divided by it, so that an instance that is cut off from the others does not use their share.
     size_t largestFleetSize() const;
@@ -72,6 +74,7 @@
         std::optional<time_point> lastReportAt;
         std::optional<time_point> lastListedAt; ///< In a summary of its cell.
         std::chrono::microseconds clock{ 0 };
+        std::uint64_t configVersion = 0;
         time_point discoveredAt{};
         bool isSeed = false;
     };
--- a/src/gateway/server_work.h
+++ b/src/gateway/server_work.h
@@ -10,6 +10,9 @@
 /// Identity of a backend server in messages between instances: hash of its id.
 using server_key = std::uint64_t;
 
+/// Identity of one start of a backend server in messages between instances: it may start anew under its id.
+using server_start_key = std::uint64_t;
+
 /// Work of one request at one backend server, as reported to the other instances.
 struct server_work {
     std::uint64_t request = 0; ///< Random number of the request's attempt.
--- /dev/null
+++ b/src/gateway/store_position.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+namespace mustardtrail::gateway
+{
+
+/// A point in the history of the platform's store. Its revisions go back and are given out again when it is restored from an
+/// older copy, which raises the era; so positions are ordered by era first.
+struct store_position {
+    std::uint64_t era = 0; ///< 0 with a store that does not tell it.
+    std::uint64_t revision = 0;
+
+    auto operator<=>(const store_position &) const = default;
+};
+
+} // namespace mustardtrail::gateway
--- a/src/gateway/store_relay.h
+++ b/src/gateway/store_relay.h
@@ -11,6 +11,7 @@
 
 /// Store changes that one instance read and relays to the other instances of its data centre.
 struct store_relay {
+    std::uint64_t era = 0; ///< Of both revisions.
     std::uint64_t fromRevision = 0; ///< The relay holds the changes after this revision.
     std::uint64_t toRevision = 0; ///< Revision of the store when it answered.
     std::optional<std::string> changes; ///< Body of the store's response; not set when too large for a datagram.
--- a/src/gateway/store_watcher.h
+++ b/src/gateway/store_watcher.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "base/clock.h"
+#include "gateway/store_position.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace mustardtrail::gateway
@@ -23,7 +25,8 @@
 };
 
 /// List-and-watch state of the platform's store: reads the full listing once, then follows the changes. Handles a store that
-/// is down, is slow, refuses this instance or has dropped its history. Reads changes in batches, as each call has a price.
+/// is down, is slow, refuses this instance, has dropped its history or was restored from an older copy. Reads changes in batches, as each
+/// call has a price.
 class store_watcher
 {
 public:
@@ -32,14 +35,23 @@
 
     store_query nextQuery() const;
 
+    /// Records the era of an answer, or one that another instance has seen. A rise restarts with a full listing, as revisions
+    /// of different eras cannot be compared. Returns false when the era is older than the known one; 0 is one that is not told.
+    bool onEra(std::uint64_t era, time_point now);
+    /// Whether the store was restored so recently that not all has been written again that it had lost.
+    bool isSettling(time_point now) const;
+    /// Whether the listing being read is the first of a restored store.
+    bool isFirstListOfEra() const;
     /// Records a page of the listing. Returns true when the listing is complete.
     bool onPage(std::uint64_t storeRevision, bool hasMore, const std::string &lastKey, time_point now);
     /// Records a response with `count` changes. Returns false when its revision is older than the known one.
     bool onChanges(std::uint64_t storeRevision, size_t count, time_point now);
-    /// Records the changes between two revisions, relayed by another instance. Returns false when earlier changes are missing here.
+    /// Records the changes between two revisions of the known era, relayed by another instance. Returns false when earlier changes
+    /// are missing here.
     bool onRelay(std::uint64_t fromRevision, std::uint64_t toRevision, time_point graceUntil);
     bool hasList() const;
     std::uint64_t revision() const;
+    store_position position() const;
     /// The store no longer has the changes after the known revision: restarts with a full listing.
     void onHistoryGone();
     void onFailure();
@@ -52,6 +64,7 @@
     static constexpr std::chrono::milliseconds longPollTimeout{
         500
     }; ///< Also bounds the time until other instances notice that this one gets no response.
+    static constexpr std::chrono::milliseconds settlingTime{ 2'000 }; ///< Time for lost entries to be written again to a restored store.
     static constexpr std::chrono::milliseconds outageGrace{ 2'000 }; ///< Time for servers to register again after an outage of the store.
 
 private:
@@ -62,6 +75,9 @@
     std::string m_afterKey;
     std::uint64_t m_listRevision = 0; ///< Revision of the first page; later pages may be newer.
     std::uint64_t m_revision = 0;
+    std::optional<std::uint64_t> m_era; ///< Not set before the first answer.
+    time_point m_settlingUntil{};
+    bool m_isFirstListOfEra = false;
     size_t m_lastChangeCount = 0;
     unsigned m_failures = 0;
     time_point m_graceUntil{};
--- a/src/gateway/tests/relay_history_test.cpp
+++ b/src/gateway/tests/relay_history_test.cpp
@@ -65,3 +65,21 @@
     expectEqual(history.missedRelaysFor(peer, 100, at(20)).size(), 0U);
     expectEqual(history.missedRelaysFor(peer, 100, at(200)).size(), 1U);
 }
+
+Test(relay_history, forgetsTheChangesOfAnEarlierEra)
+{
+    relay_history history;
+    store_relay before;
+    before.era = 1;
+    before.fromRevision = 10;
+    before.toRevision = 20;
+    before.changes = "{}";
+    history.add(before, at(0));
+    store_relay after = before;
+    after.era = 2;
+    after.fromRevision = 12;
+    after.toRevision = 14;
+    history.add(after, at(10));
+    expectEqual(history.missedRelaysFor(3, 11, at(20)).size(), 0U);
+    expectEqual(history.missedRelaysFor(3, 13, at(20)).size(), 1U);
+}
--- a/src/gateway/tests/server_directory_test.cpp
+++ b/src/gateway/tests/server_directory_test.cpp
@@ -118,3 +118,45 @@
     expectEqual(directory.usable(reading, at(1'999)).size(), 1U);
     expectEqual(directory.usable(reading, at(2'000)).size(), 0U);
 }
+
+Test(server_directory, restoredStoreDoesNotBringBackAServerThatHadLeft)
+{
+    server_directory directory;
+    listed_server gone = serverNamed("a");
+    gone.startedAt = 7;
+    directory.put(gone, at(0));
+    directory.remove(gone.id, at(100), at(100));
+    directory.setReadingRestoredList(true);
+    directory.put(gone, at(200));
+    directory.replaceAll({ gone }, at(200), at(2'200));
+    directory.setReadingRestoredList(false);
+    expectEqual(directory.usable(reading, at(300)).size(), 0U);
+    // It lives if it writes its entry again.
+    directory.put(gone, at(400));
+    expectEqual(directory.usable(reading, at(400)).size(), 1U);
+}
+
+Test(server_directory, restoredStoreDoesNotUndoTheDrainOfAServer)
+{
+    server_directory directory;
+    listed_server server = serverNamed("a");
+    server.startedAt = 7;
+    server.isLeaving = true;
+    directory.put(server, at(0));
+    server.isLeaving = false;
+    directory.setReadingRestoredList(true);
+    directory.put(server, at(100));
+    directory.setReadingRestoredList(false);
+    expectEqual(directory.usable(reading, at(100)).size(), 0U);
+}
+
+Test(server_directory, dataCentreStaysOutOfServiceUntilARestoredStoreSaysSoAgain)
+{
+    server_directory directory;
+    directory.put(serverNamed("a"), at(0));
+    directory.setOutOfService(data_centre_id("dc1"), true);
+    directory.keepOutOfService(at(2'000));
+    directory.replaceOutOfService({});
+    expectEqual(directory.usable(reading, at(1'999)).size(), 0U);
+    expectEqual(directory.usable(reading, at(2'000)).size(), 1U);
+}
--- a/src/gateway/tests/store_watcher_test.cpp
+++ b/src/gateway/tests/store_watcher_test.cpp
@@ -123,3 +123,56 @@
     watcher.onChanges(120, 1, at(30'000));
     cr_assert_lt(watcher.graceUntil().time_since_epoch().count(), at(30'000).time_since_epoch().count());
 }
+
+Test(store_watcher, restoredStoreIsListedAnewThoughItsRevisionsWentBack)
+{
+    store_watcher watcher(batchDelay);
+    cr_assert(watcher.onEra(4, at(0)));
+    watcher.onPage(100, false, "", at(0));
+    cr_assert(watcher.onEra(5, at(10)));
+    cr_assert(watcher.nextQuery().type == kind::list);
+    cr_assert(watcher.isFirstListOfEra());
+    cr_assert(watcher.onPage(60, false, "", at(20)));
+    expectEqual(watcher.nextQuery().afterRevision, 60U);
+    cr_assert(watcher.onChanges(61, 1, at(30)));
+    const store_position expected{ 5, 61 };
+    cr_assert(watcher.position() == expected);
+}
+
+Test(store_watcher, answerOfAnOlderEraIsRejected)
+{
+    store_watcher watcher(batchDelay);
+    watcher.onEra(5, at(0));
+    watcher.onPage(60, false, "", at(0));
+    cr_assert_not(watcher.onEra(4, at(10)));
+    cr_assert(watcher.hasList());
+    cr_assert_not(watcher.onEra(0, at(10)));
+}
+
+Test(store_watcher, firstEraIsNoRestore)
+{
+    store_watcher watcher(batchDelay);
+    cr_assert(watcher.onEra(0, at(0))); // An instance that has not read the store yet.
+    cr_assert(watcher.onEra(7, at(0)));
+    cr_assert_not(watcher.isFirstListOfEra());
+    cr_assert_not(watcher.isSettling(at(0)));
+}
+
+Test(store_watcher, serversThatTheCopyLacksAreKeptUntilTheyAreWrittenAgain)
+{
+    store_watcher watcher(batchDelay);
+    watcher.onEra(1, at(0));
+    watcher.onPage(100, false, "", at(0));
+    watcher.onEra(2, at(1'000));
+    cr_assert(watcher.isSettling(at(2'900)));
+    cr_assert(watcher.graceUntil() >= at(3'000));
+    cr_assert_not(watcher.isSettling(at(3'000)));
+}
+
+Test(store_watcher, storeThatTellsNoEraWorksAsBefore)
+{
+    store_watcher watcher(batchDelay);
+    watcher.onPage(100, false, "", at(0));
+    cr_assert_not(watcher.onChanges(90, 1, at(10)));
+    expectEqual(watcher.position().revision, 100U);
+}
--- a/src/programs/gateway/gateway_context.h
+++ b/src/programs/gateway/gateway_context.h
@@ -23,7 +23,8 @@
     gateway_metrics &metrics;
     std::chrono::milliseconds engineStallTimeout; ///< An engine ends work that depends on a lost engine after this time.
     std::function<void()> scheduleReport; ///< Reports this instance's changed work to the other instances shortly.
-    std::function<std::uint64_t()> storeRevision; ///< Latest revision of the platform's store that this instance has applied.
+    std::function<store_position()> storePosition; ///< Latest change of the platform's store that this instance has applied.
+    std::function<void(std::uint64_t era)> noteStoreEra; ///< Another instance has seen this era of the store.
     std::function<void(store_relay)> relayStoreChanges; ///< Forwards a store answer to the instances that rely on this one.
     std::function<void(peer_address)> requestMissingChanges; ///< Asks another instance for store changes that it relayed earlier.
     placement_queue queue; ///< Requests that wait for capacity at a server.
--- a/src/programs/gateway/gateway_host.cpp
+++ b/src/programs/gateway/gateway_host.cpp
@@ -80,7 +80,10 @@
             m_peerLink.scheduleReport();
         },
         [this] {
-            return m_storeReader.revision();
+            return m_storeReader.position();
+        },
+        [this](std::uint64_t era) {
+            m_storeReader.onEra(era, "another instance");
         },
         [this](store_relay relay) {
             m_peerLink.relay(std::move(relay));
--- a/src/programs/gateway/peer_link.cpp
+++ b/src/programs/gateway/peer_link.cpp
@@ -93,6 +93,7 @@
     if (!received.isNew) {
         return;
     }
+    m_context.noteStoreEra(report->storePosition.era);
     onRelay(*report);
     sendMissingChanges(*report);
     sendAll(std::move(received.replies));
@@ -114,12 +115,14 @@
 
 void peer_link::sendMissingChanges(const load_report &report)
 {
-    if (report.dataCentre != m_dataCentre || report.storeRevision == 0 || report.storeRevision >= m_context.storeRevision()) {
+    const store_position own = m_context.storePosition();
+    const bool isComparable = report.storePosition.era == own.era && report.storePosition.revision != 0;
+    if (report.dataCentre != m_dataCentre || !isComparable || report.storePosition.revision >= own.revision) {
         return;
     }
     const time_point now = m_context.clock.now();
     std::vector<outgoing_report> messages;
-    for (store_relay &missing : m_relayHistory.missedRelaysFor(report.address, report.storeRevision, now)) {
+    for (store_relay &missing : m_relayHistory.missedRelaysFor(report.address, report.storePosition.revision, now)) {
         messages.push_back({ m_exchange.reportTo(report.address, now), { report.address } });
         messages.back().report.relay = std::move(missing);
     }
@@ -199,7 +202,7 @@
 {
     const time_point now = m_context.clock.now();
     for (outgoing_report &each : reports) {
-        each.report.storeRevision = m_context.storeRevision();
+        each.report.storePosition = m_context.storePosition();
         const std::string bytes = encodeLoadReport(each.report, now);
         for (const peer_address target : each.targets) {
             send(bytes, target);
--- a/src/programs/gateway/request_relay.cpp
+++ b/src/programs/gateway/request_relay.cpp
@@ -184,6 +184,7 @@
     ++m_deliveredSends;
     m_context.state.recordAnswer(placed.parts.front().server);
     const auto head = platform::readResponseHead((*answer)->status(), (*answer)->headers(), m_head.attempt);
+    recordServerNotices(head);
     if (head.isForOtherRequest) {
         m_context.metrics.recordSendOutcome("other_request");
         co_return makeFailure(verdict::may_have_run);
@@ -195,6 +196,18 @@
     co_return co_await relayCompleteAnswer(**answer, head);
 }
 
+void request_session::recordServerNotices(const platform::response_head &head)
+{
+    const time_point now = m_context.clock.now();
+    if (head.isServerLeaving) {
+        m_context.state.recordLeaving(m_currentServer, now);
+    }
+    if (head.quietFor) {
+        m_context.state.recordQuiet(m_currentServer, *head.quietFor, now);
+        m_context.metrics.recordSendOutcome("asked_for_quiet");
+    }
+}
+
 asio::awaitable<std::optional<attempt_failure>> request_session::relayStream(http::response_stream &answer)
 {
     if (!m_exchange.hasStarted()) {
--- a/src/programs/gateway/request_session.cpp
+++ b/src/programs/gateway/request_session.cpp
@@ -21,6 +21,7 @@
 {
 
 constexpr milliseconds defaultTimeLeft{ 30'000 }; ///< For a caller that sends no deadline.
+constexpr milliseconds quietSpread{ 300 }; ///< Over which callers return after servers asked for quiet, so that not all come at once.
 constexpr milliseconds noViewRetryAfter{ 500 }; ///< A starting or disconnected instance usually recovers within this time.
 
 } // namespace
@@ -136,10 +137,29 @@
 placement_decision request_session::choosePlacement(time_point now)
 {
     const placement_decision near = choosePlacementIn(server_scope::own_cell, now);
-    if (near.isOnTime || m_context.state.peers.cells().cells().size() <= 1) {
+    if (near.isOnTime) {
         return near;
     }
-    return chooseCell(near, choosePlacementIn(server_scope::fleet, now));
+    const bool isOneCell = m_context.state.peers.cells().cells().size() <= 1;
+    const placement_decision decision = isOneCell ? near : chooseCell(near, choosePlacementIn(server_scope::fleet, now));
+    if (decision.next == placement_decision::action::refuse) {
+        if (const auto quietUntil = m_context.state.quietUntil(m_service, now)) {
+            return placementWhileQuiet(*quietUntil, now);
+        }
+    }
+    return decision;
+}
+
+// Nothing may be sent now. A stream that the caller has in part is lost if it is refused, so it waits.
+placement_decision request_session::placementWhileQuiet(time_point quietUntil, time_point now) const
+{
+    placement_decision decision;
+    decision.reason = "servers_want_quiet";
+    if (!m_firstEventAt || quietUntil >= m_deadlineAt) {
+        decision.next = placement_decision::action::refuse;
+        decision.retryAfter = duration_cast<milliseconds>(quietUntil - now) + milliseconds(m_context.random.below(quietSpread.count()));
+    }
+    return decision;
 }
 
 placement_decision request_session::choosePlacementIn(server_scope scope, time_point now)
--- a/src/programs/gateway/request_session.h
+++ b/src/programs/gateway/request_session.h
@@ -41,6 +41,7 @@
     boost::asio::awaitable<placement_decision> waitForPlacement();
     placement_decision choosePlacement(time_point now);
     placement_decision choosePlacementIn(server_scope scope, time_point now);
+    placement_decision placementWhileQuiet(time_point quietUntil, time_point now) const;
     placement_decision tryPlacement(time_point now);
     /// Removes the load of the current placement, if any, from the fleet state.
     void unregisterWork();
@@ -62,6 +63,8 @@
     void watchStall(std::chrono::milliseconds timeout);
     bool canFailOver();
     retry_state retryState(time_point now);
+    /// Records what the head of a server's answer says of the server itself.
+    void recordServerNotices(const platform::response_head &head);
     void interrupt();
     std::chrono::milliseconds firstEventTimeout(const placement_decision &placed) const;
     std::chrono::milliseconds stallTimeout() const;
--- a/src/programs/gateway/store_reader.cpp
+++ b/src/programs/gateway/store_reader.cpp
@@ -62,9 +62,27 @@
     return m_election.isBehind() && m_watcher.isReachable() ? due : std::max(m_nextPollAt, due);
 }
 
-std::uint64_t store_reader::revision() const
+store_position store_reader::position() const
 {
-    return m_watcher.revision();
+    return m_watcher.position();
+}
+
+bool store_reader::onEra(std::uint64_t era, std::string_view source)
+{
+    const store_position before = m_watcher.position();
+    if (!m_watcher.onEra(era, m_context.clock.now())) {
+        return false;
+    }
+    if (m_watcher.position().era != before.era && before.revision > 0) {
+        m_context.log.write(log_line("store_era_changed")
+                                .add("era", static_cast<std::int64_t>(era))
+                                .add("before", static_cast<std::int64_t>(before.era))
+                                .add("revision", static_cast<std::int64_t>(before.revision))
+                                .add("source", source));
+        m_context.metrics.recordStoreCall("restored");
+        m_queryTimer.cancel();
+    }
+    return true;
 }
 
 asio::awaitable<result<http::response_message>> store_reader::call(http::request_message message, milliseconds longPollTimeout)
@@ -87,6 +105,14 @@
         onFailure("no_answer", answer.error().detail);
         co_return;
     }
+    const auto era = platform::readStoreEra(answer->headers);
+    if (era && !onEra(*era, "store")) {
+        onFailure("older_era", "era=" + std::to_string(*era));
+        co_return;
+    }
+    if (const store_query expected = m_watcher.nextQuery(); expected.type != storeQuery.type || expected.afterKey != storeQuery.afterKey) {
+        co_return; // The store was restored, as this answer or another instance showed: all is listed anew.
+    }
     if (answer->status == platform::historyGoneStatus) {
         m_context.metrics.recordStoreCall("history_gone");
         m_context.log.write(log_line("store_history_gone").add("revision", static_cast<std::int64_t>(storeQuery.afterRevision)));
@@ -127,11 +153,16 @@
     }
     const std::string lastKey = reply.changes.empty() ? std::string() : reply.changes.back().key;
     const time_point now = m_context.clock.now();
+    const bool isRestored = m_watcher.isFirstListOfEra();
     if (!m_watcher.onPage(reply.revision, reply.hasMore, lastKey, now)) {
         return;
     }
-    m_context.state.applySnapshot(m_listedChanges, now, m_watcher.graceUntil());
-    m_context.state.freshness.confirm(m_listRequestedAt);
+    if (isRestored) {
+        m_context.state.applyRestoredSnapshot(m_listedChanges, now, m_watcher.graceUntil());
+    } else {
+        m_context.state.applySnapshot(m_listedChanges, now, m_watcher.graceUntil());
+    }
+    confirmConfig(m_listRequestedAt);
     m_listedChanges.clear();
 }
 
@@ -144,7 +175,7 @@
         return false;
     }
     apply(reply.changes, revisionBefore, now);
-    m_context.state.freshness.confirm(queriedAt);
+    confirmConfig(queriedAt);
     return true;
 }
 
@@ -168,6 +199,7 @@
     }
     const auto graceLeft = std::chrono::duration_cast<milliseconds>(m_watcher.graceUntil() - m_context.clock.now());
     store_relay relay;
+    relay.era = m_watcher.position().era;
     relay.fromRevision = storeQuery.afterRevision;
     relay.toRevision = reply.revision;
     relay.graceLeft = std::max(graceLeft, milliseconds(0));
@@ -180,7 +212,7 @@
 
 void store_reader::onRelay(peer_address by, const store_relay &relay, std::optional<time_point> queriedAfter)
 {
-    if (!m_watcher.hasList()) {
+    if (!onEra(relay.era, "relay") || !m_watcher.hasList()) {
         return;
     }
     const time_point now = m_context.clock.now();
@@ -199,7 +231,16 @@
         m_election.recordCaughtUp();
     }
     if (queriedAfter) {
-        m_context.state.freshness.confirm(*queriedAfter);
+        confirmConfig(*queriedAfter);
+    }
+}
+
+// A restored store may lack a configuration that took a key away, until the operator has written it again.
+void store_reader::confirmConfig(time_point queriedAt)
+{
+    const time_point now = m_context.clock.now();
+    if (!m_watcher.isSettling(now)) {
+        m_context.state.confirmConfig(queriedAt, now);
     }
 }
 
--- a/src/programs/gateway/store_reader.h
+++ b/src/programs/gateway/store_reader.h
@@ -23,8 +23,10 @@
         std::chrono::milliseconds changeBound);
 
     boost::asio::awaitable<void> run();
-    /// Latest store revision that has been applied.
-    std::uint64_t revision() const;
+    /// Latest change of the store that has been applied.
+    store_position position() const;
+    /// Records the era of the store that `source` has seen. Returns false when it is older than the known one.
+    bool onEra(std::uint64_t era, std::string_view source);
     /// Applies a store answer relayed by another instance. `queriedAfter` is a time on this instance's clock before the store was
     /// queried.
     void onRelay(peer_address by, const store_relay &relay, std::optional<time_point> queriedAfter);
@@ -37,6 +39,7 @@
     void apply(const std::vector<platform::store_change> &changes, std::uint64_t afterRevision, time_point now);
     void onListPage(const platform::store_reply &reply);
     bool onChanges(const platform::store_reply &reply, time_point queriedAt);
+    void confirmConfig(time_point queriedAt);
     void onFailure(std::string_view what, std::string_view detail);
 
     gateway_context &m_context;
--- a/src/programs/gateway/tests/fake_platform.cpp
+++ b/src/programs/gateway/tests/fake_platform.cpp
@@ -91,7 +91,9 @@
 {
     http::response_message answer;
     const bool isList = exchange.request().path() == "/api/kv-range";
-    answer.body = isList ? R"({"items":[)" + m_items + R"(],"has_more":false,"store_revision":9})" : R"({"events":[],"store_revision":9})";
+    const std::string revision = R"("store_revision":)" + std::to_string(m_revision) + "}";
+    answer.body = isList ? R"({"items":[)" + m_items + R"(],"has_more":false,)" + revision : R"({"events":[],)" + revision;
+    answer.headers.add("Store-Era", std::to_string(m_era));
     if (m_isStoreDown) {
         answer.status = 503;
     } else if (!isList) {
@@ -130,6 +132,13 @@
     }
 }
 
+void fake_platform::restoreStoreWithoutServers()
+{
+    ++m_era;
+    m_revision = 6;
+    m_items = storeItem("op/config", configText);
+}
+
 void fake_platform::stopStore()
 {
     m_isStoreDown = true;
--- a/src/programs/gateway/tests/fake_platform.h
+++ b/src/programs/gateway/tests/fake_platform.h
@@ -38,6 +38,8 @@
     void addServer(const std::string &id, const std::string &service, backend serve);
     /// Starts the gateway and runs the event loop until it is ready.
     void start();
+    /// Makes the store go back to a copy that holds the configuration alone: its revisions go back, its era rises.
+    void restoreStoreWithoutServers();
     /// Makes the store answer 503 from now on.
     void stopStore();
     caller_answer call(
@@ -60,6 +62,8 @@
     endpoint m_callerAddress;
     endpoint m_readinessAddress;
     bool m_isStoreDown = false;
+    unsigned m_era = 1;
+    unsigned m_revision = 9;
 };
 
 } // namespace mustardtrail::gateway::testing
--- a/src/programs/gateway/tests/gateway_test.cpp
+++ b/src/programs/gateway/tests/gateway_test.cpp
@@ -15,6 +15,7 @@
 
 // Criterion runs each test in its own process, so these counters start at zero in each test.
 int servedRequests = 0;
+int leavingServed = 0;
 std::string receivedLastEventId;
 std::string receivedCustomer;
 std::string receivedKey;
@@ -82,6 +83,24 @@
     co_await exchange.respond(std::move(answer));
 }
 
+boost::asio::awaitable<void> askForQuiet(http::exchange &exchange)
+{
+    ++servedRequests;
+    http::response_message answer;
+    answer.status = 503;
+    answer.headers.add("Not-Run", "1");
+    answer.headers.add("Retry-After", "1.0");
+    co_await exchange.respond(std::move(answer));
+}
+
+boost::asio::awaitable<void> announceLeaving(http::exchange &exchange)
+{
+    ++leavingServed;
+    http::response_message answer{ 200, signedHeaders(), "last" };
+    answer.headers.add("Server-Leaving", "1");
+    co_await exchange.respond(std::move(answer));
+}
+
 boost::asio::awaitable<void> answerTooLate(http::exchange &exchange)
 {
     boost::asio::steady_timer wait(exchange.executor(), milliseconds(3'000));
@@ -206,6 +225,49 @@
     expectEqual(platform.readiness(), 503);
 }
 
+Test(gateway, sendsNothingMoreToAServerThatAskedForQuiet)
+{
+    fake_platform platform;
+    platform.addServer("i-1", "desk", askForQuiet);
+    platform.start();
+    const caller_answer first = platform.call("/once/x");
+    expectEqual(first.status, 503);
+    // The caller's time-out is 2 s, of which it may be told to wait a third.
+    const caller_answer second = platform.call("/once/x");
+    expectEqual(second.status, 503);
+    cr_assert_gt(std::stod(second.retryAfter), 0.5);
+    cr_assert_leq(std::stod(second.retryAfter), 0.667);
+    expectEqual(servedRequests, 1);
+    platform.runFor(milliseconds(1'100));
+    platform.call("/once/x");
+    expectEqual(servedRequests, 2);
+}
+
+Test(gateway, sendsNothingMoreToAServerThatAnnouncedItsLeaving)
+{
+    fake_platform platform;
+    platform.addServer("i-1", "desk", announceLeaving);
+    platform.addServer("i-2", "desk", echoBody);
+    platform.start();
+    for (int count = 0; count < 20; ++count) {
+        expectEqual(platform.call("/once/x").status, 200);
+    }
+    cr_assert_leq(leavingServed, 1);
+}
+
+Test(gateway, keepsServersThatARestoredStoreLacksUntilTheyHadTimeToWriteTheirEntriesAgain)
+{
+    fake_platform platform;
+    platform.addServer("i-1", "desk", echoBody);
+    platform.start();
+    platform.restoreStoreWithoutServers();
+    platform.runFor(milliseconds(500));
+    expectEqual(platform.call("/once/x").status, 200);
+    platform.runFor(milliseconds(2'500));
+    expectEqual(platform.call("/once/x").status, 503);
+    expectEqual(platform.readiness(), 200);
+}
+
 Test(gateway, answers504AtTheDeadline)
 {
     fake_platform platform;
