Gateway's test tries other ports when one was taken meanwhile

Seen once: forwardsRequestAndAnswerUnchanged could not listen on 127.0.0.1:33387. Cause: a port was chosen by opening and closing a socket, so a test that runs beside could take it. Now up to ten choices are tried.

--- a/src/programs/gateway/tests/fake_platform.cpp
+++ b/src/programs/gateway/tests/fake_platform.cpp
@@ -103,16 +103,32 @@
     co_await exchange.respond(std::move(answer));
 }
 
+// Another process, such as another test, may take an address between its choice and its use.
+void fake_platform::openHost(platform::instance_settings settings)
+{
+    constexpr int maxAttempts = 10;
+    for (int attempt = 1; attempt <= maxAttempts; ++attempt) {
+        m_callerAddress = settings.callers = unusedAddress(m_context);
+        m_readinessAddress = settings.readiness = unusedAddress(m_context);
+        settings.peerPort = unusedAddress(m_context).port;
+        settings.metricsPort = unusedAddress(m_context).port;
+        m_host = std::make_unique<gateway_host>(m_context, settings);
+        const auto opened = m_host->open();
+        if (opened) {
+            return;
+        }
+        if (attempt == maxAttempts) {
+            throw std::runtime_error(opened.error().detail);
+        }
+    }
+}
+
 void fake_platform::start()
 {
     platform::instance_settings settings;
     settings.instance = instance_id("one");
     settings.dataCentre = data_centre_id("dc");
     settings.address = loopback;
-    m_callerAddress = settings.callers = unusedAddress(m_context);
-    m_readinessAddress = settings.readiness = unusedAddress(m_context);
-    settings.peerPort = unusedAddress(m_context).port;
-    settings.metricsPort = unusedAddress(m_context).port;
     settings.store = m_storeAddress;
     settings.memoryMegabytes = 260;
     settings.isFirstStart = true;
@@ -122,10 +138,7 @@
     settings.retryBudgetRatio = 0.2;
     settings.retryBudgetSlack = 100;
     settings.retryBudgetWindow = milliseconds(10'000);
-    m_host = std::make_unique<gateway_host>(m_context, settings);
-    if (const auto opened = m_host->open(); !opened) {
-        throw std::runtime_error(opened.error().detail);
-    }
+    openHost(settings);
     m_host->start();
     for (int attempt = 0; attempt < 200 && readiness() != 200; ++attempt) {
         runFor(milliseconds(20));
--- a/src/programs/gateway/tests/fake_platform.h
+++ b/src/programs/gateway/tests/fake_platform.h
@@ -50,6 +50,7 @@
 private:
     boost::asio::awaitable<void> serveStore(http::exchange &exchange);
     boost::asio::awaitable<void> callGateway(http::request_message message, caller_answer &answer);
+    void openHost(platform::instance_settings settings);
     http::request_message requestOf(const std::string &path, const std::string &key, std::chrono::milliseconds timeLeft) const;
 
     boost::asio::io_context m_context;
