Relayed changes are compressed; a first list may be stale; a suspected server is not on time

The first list is now allowed to be stale, at a tenth of the price; the changes since then are read at once, and nothing is served or confirmed before.

--- a/src/gateway/fleet_state.h
+++ b/src/gateway/fleet_state.h
@@ -68,7 +68,7 @@
     std::vector<server_start_key> leavingServers(time_point now) const;
     /// Records that an answer from the server has begun.
     void recordAnswer(server_key server);
-    /// Whether requests may be served: a configuration is loaded and, if it requires API keys, is fresh enough.
+    /// Whether requests may be served: a configuration is loaded and was confirmed once; if it requires API keys, it is fresh enough.
     bool mayServe(time_point now) const;
     /// Records that the configuration in force includes all that was published before `queriedAt`, unless an instance nearby
     /// has a newer one: then the store was restored and has lost it.
--- a/src/gateway/internal/fleet_state.cpp
+++ b/src/gateway/internal/fleet_state.cpp
@@ -303,7 +303,8 @@
 
 bool fleet_state::mayServe(time_point now) const
 {
-    return routes && (!routes->needsKeys() || freshness.isFresh(now));
+    const bool wasEverConfirmed = freshness.confirmedAt().has_value(); // The first list may be of seconds ago.
+    return routes && wasEverConfirmed && (!routes->needsKeys() || freshness.isFresh(now));
 }
 
 } // namespace mustardtrail::gateway
--- a/src/gateway/internal/load_report.cpp
+++ b/src/gateway/internal/load_report.cpp
@@ -57,7 +57,7 @@
     target.set_to_revision(relay.toRevision);
     target.set_settling_ms(clamped(relay.graceLeft.count()));
     if (relay.changes) {
-        target.set_changes(*relay.changes);
+        target.set_compressed_changes(*relay.changes);
     }
     for (const clock_echo &echo : relay.echoes) {
         wire::Echo &each = *target.add_echoes();
@@ -74,8 +74,8 @@
     relay.fromRevision = source.from_revision();
     relay.toRevision = source.to_revision();
     relay.graceLeft = std::chrono::milliseconds(source.settling_ms());
-    if (!source.changes().empty()) {
-        relay.changes = source.changes();
+    if (!source.compressed_changes().empty()) {
+        relay.changes = source.compressed_changes();
     }
     for (const wire::Echo &echo : source.echoes()) {
         relay.echoes.push_back(
--- a/src/gateway/internal/prompt_placement.cpp
+++ b/src/gateway/internal/prompt_placement.cpp
@@ -257,7 +257,7 @@
             return refuse("deadline", std::chrono::duration_cast<milliseconds>(slowest));
         }
         decision.next = placement_decision::action::send;
-        decision.isOnTime = isOnTime(decision);
+        decision.isOnTime = isOnTime(decision) && !chosen.front()->isSuspected;
         for (const placement_candidate *each : chosen) {
             const bool answers = decision.parts.empty();
             const std::int64_t context = answers ? m_tokens / static_cast<std::int64_t>(chosen.size()) : 0;
--- a/src/gateway/internal/store_watcher.cpp
+++ b/src/gateway/internal/store_watcher.cpp
@@ -27,9 +27,10 @@
         query.delay = m_batchDelay;
     }
     query.type = m_hasList ? store_query::kind::changes : store_query::kind::list;
+    query.mayBeStale = m_mayListBeStale;
     query.afterKey = m_afterKey;
     query.afterRevision = m_revision;
-    query.longPollTimeout = longPollTimeout;
+    query.longPollTimeout = m_isListConfirmed ? longPollTimeout : std::chrono::milliseconds(0);
     return query;
 }
 
@@ -77,14 +78,13 @@
 bool store_watcher::onPage(std::uint64_t storeRevision, bool hasMore, const std::string &lastKey, time_point now)
 {
     recordAnswer(now);
-    if (m_afterKey.empty()) {
-        m_listRevision = storeRevision;
-    }
+    m_listRevision = m_afterKey.empty() ? storeRevision : std::min(m_listRevision, storeRevision);
     m_afterKey = hasMore ? lastKey : std::string();
     if (hasMore) {
         return false;
     }
     m_hasList = true;
+    m_isListConfirmed = !m_mayListBeStale;
     m_isFirstListOfEra = false;
     m_lastChangeCount = 0;
     m_revision = std::max(m_revision, m_listRevision);
@@ -99,6 +99,7 @@
         return false;
     }
     m_revision = storeRevision;
+    m_isListConfirmed = true;
     return true;
 }
 
@@ -108,6 +109,7 @@
         return false;
     }
     m_revision = std::max(m_revision, toRevision);
+    m_isListConfirmed = true;
     m_graceUntil = std::max(m_graceUntil, graceUntil);
     // The store answers another instance: servers that go missing later do so for other reasons than the failures seen here, so
     // the next response starts no grace period.
@@ -115,6 +117,11 @@
     return true;
 }
 
+bool store_watcher::isListConfirmed() const
+{
+    return m_isListConfirmed;
+}
+
 bool store_watcher::hasList() const
 {
     return m_hasList;
@@ -127,6 +134,7 @@
 
 void store_watcher::onHistoryGone()
 {
+    m_mayListBeStale = false;
     m_hasList = false;
     m_afterKey.clear();
 }
--- a/src/gateway/store_watcher.h
+++ b/src/gateway/store_watcher.h
@@ -18,6 +18,7 @@
     };
 
     kind type = kind::list;
+    bool mayBeStale = false; ///< List only: an answer that is seconds old is enough, as the changes since are read next. It costs less.
     std::string afterKey;
     std::uint64_t afterRevision = 0;
     std::chrono::milliseconds longPollTimeout{ 0 }; ///< How long the store may wait for a change.
@@ -50,6 +51,8 @@
     /// are missing here.
     bool onRelay(std::uint64_t fromRevision, std::uint64_t toRevision, time_point graceUntil);
     bool hasList() const;
+    /// Whether all changes up to the last answer are known. A list that may be stale is not enough.
+    bool isListConfirmed() const;
     std::uint64_t revision() const;
     store_position position() const;
     /// The store no longer has the changes after the known revision: restarts with a full listing.
@@ -72,8 +75,10 @@
 
     std::chrono::milliseconds m_batchDelay;
     bool m_hasList = false;
+    bool m_mayListBeStale = true; ///< False once a stale list was too old to continue from.
+    bool m_isListConfirmed = false; ///< Changes have been read since the list, which may have been stale.
     std::string m_afterKey;
-    std::uint64_t m_listRevision = 0; ///< Revision of the first page; later pages may be newer.
+    std::uint64_t m_listRevision = 0; ///< Lowest revision of the pages, which may be of different age.
     std::uint64_t m_revision = 0;
     std::optional<std::uint64_t> m_era; ///< Not set before the first answer.
     time_point m_settlingUntil{};
--- a/src/gateway/tests/store_watcher_test.cpp
+++ b/src/gateway/tests/store_watcher_test.cpp
@@ -176,3 +176,30 @@
     cr_assert_not(watcher.onChanges(90, 1, at(10)));
     expectEqual(watcher.position().revision, 100U);
 }
+
+Test(store_watcher, firstListMayBeStaleAsTheChangesSinceAreReadAtOnce)
+{
+    store_watcher watcher(batchDelay);
+    cr_assert(watcher.nextQuery().mayBeStale);
+    // The pages come from copies of different age.
+    watcher.onPage(100, true, "servers/m", at(0));
+    watcher.onPage(95, false, "servers/z", at(1));
+    cr_assert_not(watcher.isListConfirmed());
+    const store_query next = watcher.nextQuery();
+    cr_assert(next.type == kind::changes);
+    expectEqual(next.afterRevision, 95U);
+    cr_assert(next.longPollTimeout == milliseconds(0));
+    watcher.onChanges(110, 4, at(2));
+    cr_assert(watcher.isListConfirmed());
+    cr_assert(watcher.nextQuery().longPollTimeout == store_watcher::longPollTimeout);
+}
+
+Test(store_watcher, listIsNotStaleAfterTheHistoryWasGone)
+{
+    store_watcher watcher(batchDelay);
+    watcher.onPage(100, false, "", at(0));
+    watcher.onHistoryGone();
+    cr_assert_not(watcher.nextQuery().mayBeStale);
+    watcher.onPage(130, false, "", at(10));
+    cr_assert(watcher.isListConfirmed());
+}
--- a/src/programs/gateway/store_reader.cpp
+++ b/src/programs/gateway/store_reader.cpp
@@ -1,6 +1,7 @@
 #include "programs/gateway/store_reader.h"
 
 #include "platform/published_changes.h"
+#include "programs/gateway/relayed_changes.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -19,7 +20,7 @@
 constexpr milliseconds callTimeout{ 1'000 }; ///< Hundreds of times the usual response time; after it the store counts as unreachable.
 constexpr int pollsPerChangeBound = 4; ///< Of the bound, a quarter remains for the wait at the store and two for replacing a failed reader.
 constexpr milliseconds relayMargin{ 200 }; ///< Allows for a slow answer of the store and the transfer of the relay.
-constexpr size_t maxRelayBytes = 16'000; ///< A few hundred changed servers; each instance reads a larger answer itself.
+constexpr size_t maxRelayBytes = 16'000; ///< Compressed: a few hundred routes or servers; each instance reads a larger answer itself.
 const std::string allKeys; // Empty prefix: one watch over all keys costs a single priced call.
 
 } // namespace
@@ -55,7 +56,7 @@
 
 time_point store_reader::nextQueryAt(time_point now) const
 {
-    if (!m_watcher.hasList()) {
+    if (!m_watcher.hasList() || !m_watcher.isListConfirmed()) {
         return m_nextPollAt;
     }
     const time_point due = m_election.nextReadAt(now);
@@ -97,7 +98,7 @@
     const time_point queriedAt = m_context.clock.now();
     std::vector<clock_echo> echoes = m_context.state.peers.storeRelayClocks(queriedAt);
     const bool isList = storeQuery.type == store_query::kind::list;
-    http::request_message message = isList ? platform::listRequest(allKeys, storeQuery.afterKey)
+    http::request_message message = isList ? platform::listRequest(allKeys, storeQuery.afterKey, storeQuery.mayBeStale)
                                            : platform::watchRequest(allKeys, storeQuery.afterRevision, storeQuery.longPollTimeout);
     const milliseconds longPollTimeout = isList ? milliseconds(0) : storeQuery.longPollTimeout;
     auto answer = co_await call(std::move(message), longPollTimeout);
@@ -140,7 +141,7 @@
         }
         onListPage(*reply);
     } else if (onChanges(*reply, queriedAt)) {
-        relayChanges(storeQuery, *reply, std::move(answer->body), std::move(echoes));
+        relayChanges(storeQuery, *reply, std::move(echoes));
     }
 }
 
@@ -162,7 +163,9 @@
     } else {
         m_context.state.applySnapshot(m_listedChanges, now, m_watcher.graceUntil());
     }
-    confirmConfig(m_listRequestedAt);
+    if (m_watcher.isListConfirmed()) {
+        confirmConfig(m_listRequestedAt);
+    }
     m_listedChanges.clear();
 }
 
@@ -191,8 +194,7 @@
     }
 }
 
-void store_reader::relayChanges(
-    const store_query &storeQuery, const platform::store_reply &reply, std::string body, std::vector<clock_echo> echoes)
+void store_reader::relayChanges(const store_query &storeQuery, const platform::store_reply &reply, std::vector<clock_echo> echoes)
 {
     if (m_election.isBehind() || echoes.empty()) {
         return;
@@ -204,8 +206,9 @@
     relay.toRevision = reply.revision;
     relay.graceLeft = std::max(graceLeft, milliseconds(0));
     relay.echoes = std::move(echoes);
-    if (body.size() <= maxRelayBytes) {
-        relay.changes = std::move(body);
+    std::string changes = encodeRelayedChanges(reply.changes);
+    if (changes.size() <= maxRelayBytes) {
+        relay.changes = std::move(changes);
     }
     m_context.relayStoreChanges(std::move(relay));
 }
@@ -219,14 +222,14 @@
     m_election.recordRelay(by, now);
     if (relay.toRevision > m_watcher.revision()) {
         const std::uint64_t revisionBefore = m_watcher.revision();
-        const auto reply = platform::readWatchReply(relay.changes.value_or(std::string()));
-        if (!reply || !m_watcher.onRelay(relay.fromRevision, relay.toRevision, now + relay.graceLeft)) {
+        const auto changes = relay.changes ? decodeRelayedChanges(*relay.changes) : std::nullopt;
+        if (!changes || !m_watcher.onRelay(relay.fromRevision, relay.toRevision, now + relay.graceLeft)) {
             m_election.recordMissedChanges(relay.changes.has_value(), now);
             m_context.requestMissingChanges(by);
             m_queryTimer.cancel();
             return;
         }
-        apply(reply->changes, revisionBefore, now);
+        apply(*changes, revisionBefore, now);
         m_context.state.expire(now);
         m_election.recordCaughtUp();
     }
--- a/src/programs/gateway/store_reader.h
+++ b/src/programs/gateway/store_reader.h
@@ -35,7 +35,7 @@
     boost::asio::awaitable<result<http::response_message>> call(http::request_message message, std::chrono::milliseconds longPollTimeout);
     boost::asio::awaitable<void> query(store_query storeQuery);
     time_point nextQueryAt(time_point now) const;
-    void relayChanges(const store_query &storeQuery, const platform::store_reply &reply, std::string body, std::vector<clock_echo> echoes);
+    void relayChanges(const store_query &storeQuery, const platform::store_reply &reply, std::vector<clock_echo> echoes);
     void apply(const std::vector<platform::store_change> &changes, std::uint64_t afterRevision, time_point now);
     void onListPage(const platform::store_reply &reply);
     bool onChanges(const platform::store_reply &reply, time_point queriedAt);
