A request leaves its cell only when that cannot serve it; candidates of one moment are worked out once

Cause: each request that would be late in its own cell tried all 135 servers every 16 ms while it waited, and went to engines whose load was known from summaries; there it was late too, or rejected. Now a request leaves only when its own cell has no capacity, would refuse it, or has none but suspected servers; the candidates of a moment are kept for all requests that are tried in it.

--- a/src/gateway/fleet_state.h
+++ b/src/gateway/fleet_state.h
@@ -92,11 +92,24 @@
     void applyServer(const listed_server &server, time_point now);
     bool isAtColdLimit(const server_directory::known_server &server, unsigned sentLastSecond, double share, time_point now) const;
     placement_candidate candidateFor(const server_directory::known_server &server, time_point now) const;
-    std::vector<const server_directory::known_server *> eligible(
-        const service_id &service, const std::set<backend_server_id> &excluded, time_point now) const;
+    std::vector<const server_directory::known_server *> eligible(const service_id &service, time_point now) const;
+
+    const std::vector<placement_candidate> &allCandidates(const service_id &service, server_scope scope, time_point now) const;
+    std::vector<placement_candidate> makeCandidates(
+        const std::vector<const server_directory::known_server *> &eligible, server_scope scope, time_point now) const;
+
+    /// Candidates as of one moment: requests that wait are tried together.
+    struct candidate_cache {
+        service_id service;
+        server_scope scope = server_scope::own_cell;
+        time_point at{};
+        std::uint64_t loadChanges = 0;
+        std::vector<placement_candidate> candidates;
+    };
 
     fleet_event_log m_log;
     std::map<server_key, backend_server_id> m_idByKey;
+    mutable std::map<server_scope, candidate_cache> m_candidates;
 };
 
 /// Returns the hash that stands for a backend server in messages between instances.
--- a/src/gateway/internal/fleet_state.cpp
+++ b/src/gateway/internal/fleet_state.cpp
@@ -156,23 +156,45 @@
     return candidate;
 }
 
-std::vector<const server_directory::known_server *> fleet_state::eligible(
-    const service_id &service, const std::set<backend_server_id> &excluded, time_point now) const
+std::vector<const server_directory::known_server *> fleet_state::eligible(const service_id &service, time_point now) const
 {
-    const auto mustNotBeUsed = [&](const server_directory::known_server *server) {
-        return excluded.contains(server->entry.id) || quiet.isQuiet(keyOf(server->entry.id), now);
+    const auto wantsQuiet = [&](const server_directory::known_server *server) {
+        return quiet.isQuiet(keyOf(server->entry.id), now);
     };
     auto found = servers.usable(service, now);
-    std::erase_if(found, mustNotBeUsed);
+    std::erase_if(found, wantsQuiet);
     if (found.empty()) {
         found = servers.lastResort(service, now);
-        std::erase_if(found, mustNotBeUsed);
+        std::erase_if(found, wantsQuiet);
     }
     return found;
 }
 
 std::vector<placement_candidate> fleet_state::candidates(
     const service_id &service, const std::set<backend_server_id> &excluded, server_scope scope, time_point now) const
+{
+    if (excluded.empty()) {
+        return allCandidates(service, scope, now);
+    }
+    auto found = eligible(service, now);
+    std::erase_if(found, [&](const server_directory::known_server *server) {
+        return excluded.contains(server->entry.id);
+    });
+    return makeCandidates(found, scope, now);
+}
+
+const std::vector<placement_candidate> &fleet_state::allCandidates(const service_id &service, server_scope scope, time_point now) const
+{
+    candidate_cache &cache = m_candidates[scope];
+    const bool isCurrent = cache.at == now && cache.loadChanges == loads.changes() && cache.service == service;
+    if (!isCurrent) {
+        cache = { service, scope, now, loads.changes(), makeCandidates(eligible(service, now), scope, now) };
+    }
+    return cache.candidates;
+}
+
+std::vector<placement_candidate> fleet_state::makeCandidates(
+    const std::vector<const server_directory::known_server *> &eligible, server_scope scope, time_point now) const
 {
     const auto unresponsive = peers.unresponsiveDataCentres(now);
     const cell_map &cells = peers.cells();
@@ -181,7 +203,7 @@
     std::map<cell_id, std::map<server_key, server_load>> summarized;
     std::vector<placement_candidate> found;
     std::vector<placement_candidate> unknown;
-    for (const server_directory::known_server *server : eligible(service, excluded, now)) {
+    for (const server_directory::known_server *server : eligible) {
         placement_candidate candidate = candidateFor(*server, now);
         candidate.isSuspected = candidate.isSuspected || unresponsive.contains(server->entry.dataCentre);
         const cell_id cell = cells.cellOfServer(candidate.key, server->entry.dataCentre);
--- a/src/gateway/internal/load_tracker.cpp
+++ b/src/gateway/internal/load_tracker.cpp
@@ -45,15 +45,26 @@
     return *this;
 }
 
+void load_tracker::recordChange()
+{
+    ++m_changes;
+    m_loadsAt.reset();
+}
+
+std::uint64_t load_tracker::changes() const
+{
+    return m_changes;
+}
+
 void load_tracker::add(const server_work &work)
 {
     m_own.push_back(work);
-    m_loadsAt.reset();
+    recordChange();
 }
 
 bool load_tracker::recordFirstToken(std::uint64_t request)
 {
-    m_loadsAt.reset();
+    recordChange();
     std::erase_if(m_own, [request](const server_work &work) {
         return work.request == request && work.isHelper && work.memoryTokens == 0;
     });
@@ -69,7 +80,7 @@
 
 void load_tracker::finish(std::uint64_t request)
 {
-    m_loadsAt.reset();
+    recordChange();
     std::erase_if(m_own, [request](const server_work &work) {
         return work.request == request;
     });
@@ -77,13 +88,13 @@
 
 void load_tracker::replacePeerWork(peer_address peer, std::vector<server_work> work, time_point now)
 {
-    m_loadsAt.reset();
+    recordChange();
     m_peers[peer] = { std::move(work), now };
 }
 
 void load_tracker::expire(time_point now)
 {
-    m_loadsAt.reset();
+    recordChange();
     std::erase_if(m_peers, [now](const auto &peer) {
         return now - peer.second.receivedAt > peerExpiry;
     });
--- a/src/gateway/internal/placement_spill.cpp
+++ b/src/gateway/internal/placement_spill.cpp
@@ -3,13 +3,15 @@
 namespace mustardtrail::gateway
 {
 
-placement_decision chooseCell(placement_decision inOwnCell, placement_decision inFleet)
+bool wouldLeaveCell(const placement_decision &inOwnCell)
 {
-    if (inOwnCell.isOnTime) {
-        return inOwnCell;
-    }
-    const bool isRefused = inOwnCell.next == placement_decision::action::refuse;
-    return inFleet.isOnTime || isRefused ? inFleet : inOwnCell;
+    return inOwnCell.next == placement_decision::action::refuse || inOwnCell.isServerUnfit || inOwnCell.isWithoutCapacity;
+}
+
+placement_decision chooseCell(const placement_decision &inOwnCell, const placement_decision &inFleet)
+{
+    const bool isBetter = inFleet.next == placement_decision::action::send && !inFleet.isServerUnfit;
+    return wouldLeaveCell(inOwnCell) && isBetter ? inFleet : inOwnCell;
 }
 
 } // namespace mustardtrail::gateway
--- a/src/gateway/internal/prompt_placement.cpp
+++ b/src/gateway/internal/prompt_placement.cpp
@@ -17,7 +17,8 @@
 
 constexpr microseconds partTarget{ 60'000 }; ///< Prefill time of one part; shorter parts cost the engines more than they gain.
 constexpr size_t maxParts = 17; ///< The answering engine and the 16 helpers that a request may name.
-constexpr microseconds latencySensitiveStepLimit{ 210'000 }; ///< The streams' event gap target of 250 ms less network and prediction error.
+constexpr milliseconds gapMargin{ 40 }; ///< Between a batch step and the streams' event gap target: network and prediction error.
+constexpr milliseconds usualShortestGap{ 250 }; ///< Event gap target of latency-sensitive streams where it is not known.
 constexpr microseconds consolidationStepLimit{ 150'000 }; ///< Half of the 300 ms to the first event of a latency-sensitive stream.
 constexpr microseconds stepLimit{ 300'000 }; ///< Longer backlogs are held here, as engines prefill the latest part first.
 constexpr microseconds maxSplitPrefill{ 750'000 }; ///< Never exceeded by a split prompt that would disturb other requests.
@@ -26,7 +27,7 @@
 constexpr milliseconds roundTrip{ 4 }; ///< Between this instance and a backend server.
 constexpr double reservationShare = 0.5; ///< Of an engine's memory for one prompt's reservation, so that other work can run beside it.
 constexpr int onTimeReserve = 3; ///< Left free by late requests for those that can be on time.
-constexpr int consolidationFreeSlots = 6; ///< Where streams are consolidated; fuller engines delay the first event.
+constexpr double consolidationFreeShare = 0.375; ///< Of the slots where streams are consolidated; fuller engines delay the first event.
 constexpr int maxQueuedStreams = 4; ///< Interrupted streams that may wait in an engine's own queue.
 constexpr milliseconds noServerRetryAfter{ 500 }; ///< A replaced server is listed within about a heartbeat.
 constexpr milliseconds noRoomRetryAfter{ 500 }; ///< About the time in which one of many streams ends.
@@ -43,10 +44,16 @@
     return pendingAt(candidate) + part + batchStepTime(engine, candidate.load);
 }
 
-bool wouldDisturb(const placement_candidate &candidate, microseconds part, const engine_profile &engine)
+microseconds latencySensitiveStepLimit(const placement_request &request)
+{
+    const bool isKnown = request.shortestEventGapTarget.count() > 0 && request.shortestEventGapTarget <= maxLatencySensitiveGap;
+    return (isKnown ? request.shortestEventGapTarget : usualShortestGap) - gapMargin;
+}
+
+bool wouldDisturb(const placement_candidate &candidate, microseconds part, const engine_profile &engine, const placement_request &request)
 {
     if (candidate.load.latencySensitiveRequests > 0) {
-        return stepTimeWith(candidate, part, engine) > latencySensitiveStepLimit;
+        return stepTimeWith(candidate, part, engine) > latencySensitiveStepLimit(request);
     }
     return pendingAt(candidate).count() > 0 && stepTimeWith(candidate, part, engine) > stepLimit;
 }
@@ -93,7 +100,7 @@
 {
     const placement_candidate *best = nullptr;
     for (const placement_candidate *each : ordered) {
-        const bool hasRoom = canAnswer(*each, tokens, engine, consolidationFreeSlots);
+        const bool hasRoom = canAnswer(*each, tokens, engine, static_cast<int>(each->slots * consolidationFreeShare));
         const bool isFastEnough = !each->isSuspected && stepTimeWith(*each, part, engine) <= consolidationStepLimit;
         if (hasRoom && isFastEnough && (!best || each->load.latencySensitiveRequests > best->load.latencySensitiveRequests)) {
             best = each;
@@ -111,15 +118,19 @@
 }
 
 // The answering engine holds the KV cache of the whole prompt, the helpers only prefill.
-candidates_view withHelpers(
-    const placement_candidate *answering, const candidates_view &helpers, size_t parts, microseconds part, const engine_profile &engine)
+candidates_view withHelpers(const placement_candidate *answering,
+    const candidates_view &helpers,
+    size_t parts,
+    microseconds part,
+    const engine_profile &engine,
+    const placement_request &request)
 {
     candidates_view chosen{ answering };
     for (const placement_candidate *each : helpers) {
         if (chosen.size() == parts) {
             break;
         }
-        if (each != answering && canHelp(*each) && !wouldDisturb(*each, part, engine)) {
+        if (each != answering && canHelp(*each) && !wouldDisturb(*each, part, engine, request)) {
             chosen.push_back(each);
         }
     }
@@ -158,7 +169,7 @@
         if (!answering) {
             return std::nullopt;
         }
-        return decisionFor(withHelpers(answering, ordered, m_parts, partTime, m_engine));
+        return decisionFor(withHelpers(answering, ordered, m_parts, partTime, m_engine, m_request));
     }
 
     bool isOnTime(const placement_decision &decision) const
@@ -206,6 +217,7 @@
     {
         placement_decision decision;
         decision.reason = "no_memory_or_slot";
+        decision.isWithoutCapacity = true;
         decision.predictedFirstEvent = m_wholePrefill / static_cast<std::int64_t>(m_parts);
         return isOnTime(decision) || mayKeepWaiting() ? decision : refuse(decision.reason, noRoomRetryAfter);
     }
@@ -238,7 +250,7 @@
         bool disturbs = false;
         for (const placement_candidate *each : chosen) {
             slowest = std::max(slowest, pendingAt(*each) + part);
-            const bool isDisturbed = wouldDisturb(*each, part, m_engine);
+            const bool isDisturbed = wouldDisturb(*each, part, m_engine, m_request);
             disturbs = disturbs || isDisturbed;
             disturbedStreams += isDisturbed ? each->load.latencySensitiveRequests : 0;
         }
@@ -257,7 +269,8 @@
             return refuse("deadline", std::chrono::duration_cast<milliseconds>(slowest));
         }
         decision.next = placement_decision::action::send;
-        decision.isOnTime = isOnTime(decision) && !chosen.front()->isSuspected;
+        decision.isOnTime = isOnTime(decision);
+        decision.isServerUnfit = chosen.front()->isSuspected;
         for (const placement_candidate *each : chosen) {
             const bool answers = decision.parts.empty();
             const std::int64_t context = answers ? m_tokens / static_cast<std::int64_t>(chosen.size()) : 0;
--- a/src/gateway/internal/route_table.cpp
+++ b/src/gateway/internal/route_table.cpp
@@ -24,6 +24,13 @@
 {
     for (const route &each : m_config.routes) {
         m_byHost[lowerCase(each.host)].push_back(&each);
+        if (!each.isStream || each.eventGapTarget.count() <= 0) {
+            continue;
+        }
+        for (const service_share &share : each.services) {
+            const auto [shortest, isFirst] = m_shortestEventGapTarget.try_emplace(share.service, each.eventGapTarget);
+            shortest->second = std::min(shortest->second, each.eventGapTarget);
+        }
     }
     for (auto &[host, routes] : m_byHost) {
         std::stable_sort(routes.begin(), routes.end(), [](const route *left, const route *right) {
@@ -71,6 +78,12 @@
     return found == m_config.services.end() ? nullptr : &found->second;
 }
 
+std::chrono::milliseconds route_table::shortestEventGapTarget(const service_id &service) const
+{
+    const auto found = m_shortestEventGapTarget.find(service);
+    return found == m_shortestEventGapTarget.end() ? std::chrono::milliseconds(0) : found->second;
+}
+
 const service_id &chooseServiceByWeight(const route &from, double point)
 {
     unsigned total = 0;
--- a/src/gateway/load_tracker.h
+++ b/src/gateway/load_tracker.h
@@ -45,12 +45,16 @@
     const std::map<server_key, server_load> &loads(time_point now) const;
     std::map<server_key, server_load> loadsOf(const peer_filter &counts, time_point now) const;
     const std::vector<server_work> &ownWork() const;
+    /// Counts the changes of the known work.
+    std::uint64_t changes() const;
     size_t peerCount() const;
 
     /// A few times the interval between load reports.
     static constexpr std::chrono::milliseconds peerExpiry{ 2'500 };
 
 private:
+    void recordChange();
+
     struct peer_work {
         std::vector<server_work> work;
         time_point receivedAt{};
@@ -60,6 +64,7 @@
     // Requests that wait are tried together: each try at one time needs the same loads.
     mutable std::map<server_key, server_load> m_loads;
     mutable std::optional<time_point> m_loadsAt; ///< Not set after a change of the work.
+    std::uint64_t m_changes = 0;
 };
 
 } // namespace mustardtrail::gateway
--- a/src/gateway/placement_decision.h
+++ b/src/gateway/placement_decision.h
@@ -26,7 +26,9 @@
 
     action next = action::wait;
     std::vector<placed_part> parts;
-    bool isOnTime = false; ///< The target of the first event will be met, by a server that is not suspected; only with `send`.
+    bool isOnTime = false; ///< The prediction meets the target of the first event; only with `send`.
+    bool isWithoutCapacity = false; ///< No server has the slots and the memory now; only with `wait`.
+    bool isServerUnfit = false; ///< The answering server is suspected or full, and was taken for want of another; only with `send`.
     std::chrono::microseconds predictedFirstEvent{ 0 }; ///< Time from now to the first event.
     std::chrono::milliseconds retryAfter{ 0 };
     std::string_view reason;
--- a/src/gateway/placement_request.h
+++ b/src/gateway/placement_request.h
@@ -12,6 +12,7 @@
     std::int64_t promptTokens = 0;
     std::int64_t answerTokens = 0; ///< Maximum length of the answer.
     std::chrono::milliseconds eventGapTarget{ 0 };
+    std::chrono::milliseconds shortestEventGapTarget{ 0 }; ///< Of all streams that may run on the same engines; 0: unknown.
     time_point arrivedAt{};
     time_point firstEventDueAt{}; ///< Latest time at which the first event is on time.
     time_point callerTimeoutAt{}; ///< The caller disconnects at this time if no event has arrived.
--- a/src/gateway/route_table.h
+++ b/src/gateway/route_table.h
@@ -23,10 +23,13 @@
     bool needsKeys() const;
     /// Null when the service is not published.
     const service_profile *profileOf(const service_id &service) const;
+    /// Returns the shortest event gap target of the streams to the service; 0 without any.
+    std::chrono::milliseconds shortestEventGapTarget(const service_id &service) const;
 
 private:
     published_config m_config;
     std::unordered_map<std::string, std::vector<const route *>> m_byHost; ///< Longest prefix first.
+    std::map<service_id, std::chrono::milliseconds> m_shortestEventGapTarget;
 };
 
 /// Selects the service for one request of the route by weight. `point` is a random number, uniform over [0, 1).
--- a/src/programs/gateway/request_session.cpp
+++ b/src/programs/gateway/request_session.cpp
@@ -137,7 +137,7 @@
 placement_decision request_session::choosePlacement(time_point now)
 {
     const placement_decision near = choosePlacementIn(server_scope::own_cell, now);
-    if (near.isOnTime) {
+    if (!wouldLeaveCell(near)) {
         return near;
     }
     const bool isOneCell = m_context.state.peers.cells().cells().size() <= 1;
@@ -171,6 +171,7 @@
         work.promptTokens = *m_head.promptTokens;
         work.answerTokens = m_head.answerTokens;
         work.eventGapTarget = m_route->eventGapTarget;
+        work.shortestEventGapTarget = m_routes->shortestEventGapTarget(m_service);
         // For an interrupted stream the caller's wait counts from the last event.
         work.arrivedAt = m_firstEventAt ? m_lastEventAt : m_arrivedAt;
         work.firstEventDueAt = work.arrivedAt + m_route->latencyTarget;
@@ -188,9 +189,10 @@
         return decision;
     }
     decision.next = placement_decision::action::send;
-    decision.isOnTime = std::any_of(candidates.begin(), candidates.end(), [&](const placement_candidate &each) {
+    decision.isServerUnfit = std::none_of(candidates.begin(), candidates.end(), [&](const placement_candidate &each) {
         return each.key == *chosen && hasFreeSlot(each);
     });
+    decision.isOnTime = !decision.isServerUnfit;
     decision.parts.push_back({ *chosen, std::chrono::microseconds(0), 0, 0 });
     return decision;
 }
