--- a/src/gateway/internal/fleet_state.cpp
+++ b/src/gateway/internal/fleet_state.cpp
@@ -10,6 +10,7 @@
 namespace
 {
 
+constexpr double unseenShare = 0.3; // Of another cell's server: slots that its own cell may have taken since its summary.
 constexpr double otherCellsColdShare = 0.5; // Of a cold server's limit, for all other cells together; each knows only its own sends.
 
 constexpr std::chrono::seconds leavingReportTime{ 3 }; // Several reports; then the store's entry shows it too.
@@ -215,6 +216,7 @@
         if (scope == server_scope::own_cell) {
             continue;
         }
+        candidate.isOfOtherCell = true;
         candidate.isAtColdLimit = isAtColdLimit(*server, candidate.load.sentLastSecond, otherCellsColdShare / otherCells, now);
         if (!summarized.contains(cell)) {
             summarized[cell] = summaries.loadsOf(cell, now);
@@ -222,6 +224,7 @@
         const auto &loadsThere = summarized[cell];
         if (const auto load = loadsThere.find(candidate.key); load != loadsThere.end()) {
             candidate.load += load->second;
+            candidate.unseenRequests = static_cast<unsigned>(candidate.slots * unseenShare);
             found.push_back(std::move(candidate));
         } else {
             candidate.isSuspected = true;
--- a/src/gateway/internal/load_tracker.cpp
+++ b/src/gateway/internal/load_tracker.cpp
@@ -145,6 +145,13 @@
     return loads;
 }
 
+bool load_tracker::hasWorkOf(const peer_filter &counts) const
+{
+    return std::any_of(m_peers.begin(), m_peers.end(), [&](const auto &entry) {
+        return !entry.second.work.empty() && counts(entry.first);
+    });
+}
+
 const std::vector<server_work> &load_tracker::ownWork() const
 {
     return m_own;
--- a/src/gateway/internal/prompt_placement.cpp
+++ b/src/gateway/internal/prompt_placement.cpp
@@ -60,7 +60,7 @@
 
 bool canAnswer(const placement_candidate &candidate, std::int64_t tokens, const engine_profile &engine, int reserve)
 {
-    const int taken = static_cast<int>(candidate.load.requests) + reserve;
+    const int taken = static_cast<int>(candidate.load.requests + candidate.unseenRequests) + reserve;
     return !candidate.isAtColdLimit && taken < static_cast<int>(candidate.slots)
         && candidate.load.memoryTokens + tokens <= engine.memoryTokens;
 }
@@ -101,7 +101,9 @@
     const placement_candidate *best = nullptr;
     for (const placement_candidate *each : ordered) {
         const bool hasRoom = canAnswer(*each, tokens, engine, static_cast<int>(each->slots * consolidationFreeShare));
-        const bool isFastEnough = !each->isSuspected && stepTimeWith(*each, part, engine) <= consolidationStepLimit;
+        // Another cell consolidates its own streams; with these on the same engine it would be overrun before its summary shows it.
+        const bool mayConsolidate = !each->isSuspected && !each->isOfOtherCell;
+        const bool isFastEnough = mayConsolidate && stepTimeWith(*each, part, engine) <= consolidationStepLimit;
         if (hasRoom && isFastEnough && (!best || each->load.latencySensitiveRequests > best->load.latencySensitiveRequests)) {
             best = each;
         }
--- a/src/gateway/internal/report_exchange.cpp
+++ b/src/gateway/internal/report_exchange.cpp
@@ -256,6 +256,16 @@
     }
 }
 
+milliseconds report_exchange::timeToNextSummary() const
+{
+    const auto isOfOtherCell = [&](peer_address instance) {
+        return m_state.peers.cellOf(instance) != m_state.peers.ownCell();
+    };
+    const bool hasForeignWork = m_state.loads.hasWorkOf(isOfOtherCell);
+    const milliseconds usual = summaryInterval(m_state.peers.cells().cells().size() - 1);
+    return (hasForeignWork ? summaryIntervalWithForeignWork : usual) * static_cast<int>(speakersPerCell);
+}
+
 void report_exchange::addQuestions(std::vector<outgoing_report> &out, time_point now)
 {
     std::vector<peer_address> asked = m_state.peers.silentSeeds(now);
@@ -281,7 +291,7 @@
     }
     if (now >= m_nextSummaryAt) {
         addSummaries(out, now);
-        m_nextSummaryAt = now + summaryInterval(m_state.peers.cells().cells().size() - 1) * static_cast<int>(speakersPerCell);
+        m_nextSummaryAt = now + timeToNextSummary();
     }
     if (now >= m_nextQuestionAt) {
         addQuestions(out, now);
--- a/src/gateway/placement_candidate.h
+++ b/src/gateway/placement_candidate.h
@@ -10,8 +10,10 @@
     server_key key = 0;
     unsigned slots = 1;
     bool isSuspected = false; ///< Failed recently; not used as a helper.
+    bool isOfOtherCell = false; ///< Its load is known from a summary, some hundred ms old.
     bool isAtColdLimit = false; ///< Cold, and at its current limit of requests.
     server_load load;
+    unsigned unseenRequests = 0; ///< Of another cell's server: requests that it may have got since its summary.
 };
 
 } // namespace mustardtrail::gateway
--- a/src/gateway/report_exchange.h
+++ b/src/gateway/report_exchange.h
@@ -55,6 +55,9 @@
     static constexpr std::chrono::milliseconds firstQuestionDelay{ 300 }; ///< Doubles up to `maxQuestionDelay`.
     static constexpr std::chrono::milliseconds maxQuestionDelay{ 5'000 };
     static constexpr std::chrono::milliseconds instanceListInterval{ 1'000 }; ///< Between summaries that list the instances.
+    static constexpr std::chrono::milliseconds summaryIntervalWithForeignWork{
+        60
+    }; ///< While another cell has work here, it places more by the summary.
     static constexpr size_t speakersPerCell = 2; ///< That send the summaries for one other cell; the loss of one halves their rate.
     static constexpr size_t maxSummaryServers = 32; ///< Of one service; more than the parts of the longest prompt.
 
@@ -67,6 +70,7 @@
     void addReportsToOtherCells(std::vector<outgoing_report> &out, time_point now);
     void addSummaries(std::vector<outgoing_report> &out, time_point now);
     void addQuestions(std::vector<outgoing_report> &out, time_point now);
+    std::chrono::milliseconds timeToNextSummary() const;
     bool speaksTo(const cell_id &cell, time_point now) const;
     std::optional<peer_address> nextListener(const cell_id &cell, time_point now);
     cell_summary summaryFor(const cell_id &cell, time_point now) const;
--- a/src/gateway/tests/fleet_simulation.cpp
+++ b/src/gateway/tests/fleet_simulation.cpp
@@ -143,7 +143,7 @@
     }
 }
 
-void fleet_simulation::addWork(unsigned instance, server_key server, std::chrono::milliseconds prefillTime)
+std::uint64_t fleet_simulation::addWork(unsigned instance, server_key server, std::chrono::milliseconds prefillTime)
 {
     server_work work;
     work.request = ++m_requests;
@@ -151,11 +151,19 @@
     work.prefillTime = prefillTime;
     work.memoryTokens = 5'000;
     work.sentAt = m_now;
+    work.isLatencySensitive = true;
     m_nodes[instance].state->loads.add(work);
     send(instance, m_nodes[instance].exchange->reportWork(m_now));
+    return work.request;
 }
 
-void fleet_simulation::finishWork(unsigned instance)
+void fleet_simulation::finishWork(unsigned instance, std::uint64_t request)
+{
+    m_nodes[instance].state->loads.finish(request);
+    send(instance, m_nodes[instance].exchange->reportWork(m_now));
+}
+
+void fleet_simulation::finishAllWork(unsigned instance)
 {
     load_tracker &loads = m_nodes[instance].state->loads;
     while (!loads.ownWork().empty()) {
--- a/src/gateway/tests/fleet_simulation.h
+++ b/src/gateway/tests/fleet_simulation.h
@@ -33,9 +33,11 @@
     void restart(unsigned instance);
     /// Cuts the data centre off from the others, or ends that.
     void setCut(unsigned dataCentre, bool isCut);
-    /// Gives the instance one request at the server and reports it.
-    void addWork(unsigned instance, server_key server, std::chrono::milliseconds prefillTime);
-    void finishWork(unsigned instance);
+    /// Gives the instance one request at the server and reports it. Returns the request's number.
+    std::uint64_t addWork(unsigned instance, server_key server, std::chrono::milliseconds prefillTime);
+    void finishWork(unsigned instance, std::uint64_t request);
+    /// Ends all requests of the instance.
+    void finishAllWork(unsigned instance);
 
     fleet_state &state(unsigned instance);
     time_point now() const;
--- a/src/gateway/tests/report_exchange_test.cpp
+++ b/src/gateway/tests/report_exchange_test.cpp
@@ -47,7 +47,7 @@
         }
         fleet.runFor(milliseconds(500));
         for (unsigned instance = 0; instance < fleet.size(); ++instance) {
-            fleet.finishWork(instance);
+            fleet.finishAllWork(instance);
         }
     }
 }
@@ -128,7 +128,7 @@
     expectEqual(loadAt(fleet, 0, remote).requests, 1U);
     expectEqual(loadAt(fleet, 3, remote).requests, 1U);
     expectEqual(loadAt(fleet, 2, remote).requests, 1U);
-    fleet.finishWork(0);
+    fleet.finishAllWork(0);
     fleet.runFor(milliseconds(1'500));
     for (unsigned instance = 0; instance < 4; ++instance) {
         expectEqual(loadAt(fleet, instance, remote).requests, 0U);
