Requests that wait are tried in short rounds, and in other cells every 120 ms

Now a round stops after two failures of a kind, but for one full round each 100 ms, and other cells are tried again after two of their summaries. Test: placement_queue/fewRequestsOfAKindAreTriedBetweenFullRounds.

--- a/src/gateway/cell_id.h
+++ b/src/gateway/cell_id.h
@@ -12,6 +12,8 @@
     data_centre_id dataCentre; ///< Empty while the whole fleet is one cell.
     unsigned index = 0; ///< Numbers the cells of one data centre.
 
+    // clang-tidy 14 reads the generated comparison with 0 as a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     auto operator<=>(const cell_id &) const = default;
 };
 
--- a/src/gateway/internal/placement_queue.cpp
+++ b/src/gateway/internal/placement_queue.cpp
@@ -38,10 +38,25 @@
     std::stable_sort(order.begin(), order.end(), [&](ticket left, ticket right) {
         return orderOf(m_entries.at(left).priority, now) < orderOf(m_entries.at(right).priority, now);
     });
+    const bool isFullRound = now >= m_nextFullRoundAt;
+    if (isFullRound) {
+        m_nextFullRoundAt = now + fullRoundInterval;
+    }
+    std::map<std::pair<bool, std::chrono::milliseconds>, unsigned> failures;
     for (const ticket id : order) {
         const auto found = m_entries.find(id);
-        if (found != m_entries.end() && found->second.tryPlace(now)) {
+        if (found == m_entries.end()) {
+            continue;
+        }
+        const queue_priority &priority = found->second.priority;
+        unsigned &failed = failures[{ priority.isInterrupted, priority.latencyTarget }];
+        if (!isFullRound && failed >= failuresPerRound) {
+            continue;
+        }
+        if (found->second.tryPlace(now)) {
             m_entries.erase(id);
+        } else {
+            ++failed;
         }
     }
 }
--- a/src/gateway/placement_queue.h
+++ b/src/gateway/placement_queue.h
@@ -30,10 +30,14 @@
 
     ticket add(const queue_priority &priority, placement_attempt tryPlace);
     void remove(ticket id);
-    /// Tries every request in order and removes those that no longer wait.
+    /// Tries the requests in order and removes those that no longer wait. Once a few of one kind have failed, the rest of that kind
+    /// is tried only every `fullRoundInterval`: they would fail too, and on a small instance each try delays its streams.
     void tryAll(time_point now);
     size_t size() const;
 
+    static constexpr unsigned failuresPerRound = 2; ///< Of one kind; their sizes differ, so the first failure alone says little.
+    static constexpr std::chrono::milliseconds fullRoundInterval{ 100 }; ///< A fraction of the shortest latency target.
+
 private:
     struct entry {
         queue_priority priority;
@@ -42,6 +46,7 @@
 
     std::map<ticket, entry> m_entries;
     ticket m_last = 0;
+    time_point m_nextFullRoundAt{};
 };
 
 } // namespace mustardtrail::gateway
--- a/src/gateway/store_position.h
+++ b/src/gateway/store_position.h
@@ -12,6 +12,8 @@
     std::uint64_t era = 0; ///< 0 with a store that does not tell it.
     std::uint64_t revision = 0;
 
+    // clang-tidy 14 reads the generated comparison with 0 as a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     auto operator<=>(const store_position &) const = default;
 };
 
--- a/src/gateway/tests/placement_queue_test.cpp
+++ b/src/gateway/tests/placement_queue_test.cpp
@@ -95,3 +95,26 @@
     cr_assert_geq(served, 490);
     cr_assert_geq(onTime * 100, served * 95);
 }
+
+Test(placement_queue, fewRequestsOfAKindAreTriedBetweenFullRounds)
+{
+    placement_queue queue;
+    unsigned tries = 0;
+    for (int count = 0; count < 50; ++count) {
+        queue.add({ false, milliseconds(300), at(count) }, [&tries](time_point) {
+            ++tries;
+            return false;
+        });
+    }
+    queue.add({ false, milliseconds(3'000), at(0) }, [&tries](time_point) {
+        ++tries;
+        return false;
+    });
+    queue.tryAll(at(1'000));
+    expectEqual(tries, 51U);
+    queue.tryAll(at(1'010));
+    expectEqual(tries, 51U + placement_queue::failuresPerRound + 1U);
+    tries = 0;
+    queue.tryAll(at(1'100));
+    expectEqual(tries, 51U);
+}
--- a/src/programs/gateway/request_session.cpp
+++ b/src/programs/gateway/request_session.cpp
@@ -21,6 +21,7 @@
 {
 
 constexpr milliseconds defaultTimeLeft{ 30'000 }; ///< For a caller that sends no deadline.
+constexpr milliseconds fleetTryInterval{ 120 }; ///< Two summaries of a cell that takes work of others; before it nothing new is known.
 constexpr milliseconds quietSpread{ 300 }; ///< Over which callers return after servers asked for quiet, so that not all come at once.
 constexpr milliseconds noViewRetryAfter{ 500 }; ///< A starting or disconnected instance usually recovers within this time.
 
@@ -137,9 +138,11 @@
 placement_decision request_session::choosePlacement(time_point now)
 {
     const placement_decision near = choosePlacementIn(server_scope::own_cell, now);
-    if (!wouldLeaveCell(near)) {
+    const bool isWaiting = near.next == placement_decision::action::wait;
+    if (!wouldLeaveCell(near) || (isWaiting && now < m_nextFleetTryAt)) {
         return near;
     }
+    m_nextFleetTryAt = now + fleetTryInterval;
     const bool isOneCell = m_context.state.peers.cells().cells().size() <= 1;
     const placement_decision decision = isOneCell ? near : chooseCell(near, choosePlacementIn(server_scope::fleet, now));
     if (decision.next == placement_decision::action::refuse) {
--- a/src/programs/gateway/request_session.h
+++ b/src/programs/gateway/request_session.h
@@ -100,6 +100,7 @@
     std::uint64_t m_workId = 0; ///< Identifies the current placement in the fleet state; 0: none.
     std::set<backend_server_id> m_excluded; ///< Not eligible next: failed servers, and servers that refused since the last failure.
     std::set<backend_server_id> m_failed; ///< Servers that failed and may have run the request.
+    time_point m_nextFleetTryAt{}; ///< While it waits: when to look for a server in other cells again.
     server_key m_currentServer = 0; ///< Server of the current send.
     bool m_isStallExtended = false;
     std::string m_lastServer;
