A fleet of up to 96 instances is one cell; changes of the live instances are told to other cells at once

In a cell that spans data centres they come each 450 ms at most, as the silence of a data centre is noticed after 1 s.

A change is now told with the next summary.

--- a/src/gateway/cell_map.h
+++ b/src/gateway/cell_map.h
@@ -28,7 +28,8 @@
     /// all cells.
     cell_id cellOfServer(server_key server, const data_centre_id &dataCentre) const;
 
-    static constexpr size_t maxFleetInOneCell = 48; ///< Reports of all to all cost less than summaries up to about this size.
+    static constexpr size_t maxFleetInOneCell
+        = 96; ///< Up to about this size the pool of all servers is worth more than what reports to all cost.
     static constexpr size_t maxCellSize = 72; ///< Bounds the reports that an instance sends and receives.
 
 private:
--- a/src/gateway/cell_summaries.h
+++ b/src/gateway/cell_summaries.h
@@ -15,8 +15,6 @@
     bool record(cell_summary summary);
     /// Returns the expected load of the servers in the cell's summary, with the prefill done since; empty when it is too old.
     std::map<server_key, server_load> loadsOf(const cell_id &cell, time_point now) const;
-    /// Returns when the latest summary of the data centre's cells was measured.
-    std::optional<time_point> lastFrom(const data_centre_id &dataCentre) const;
     void expire(time_point now);
 
     static constexpr std::chrono::milliseconds maxAge{ 1'500 }; ///< Older ones say nothing about the load now.
--- a/src/gateway/internal/cell_summaries.cpp
+++ b/src/gateway/internal/cell_summaries.cpp
@@ -38,17 +38,6 @@
     return loads;
 }
 
-std::optional<time_point> cell_summaries::lastFrom(const data_centre_id &dataCentre) const
-{
-    std::optional<time_point> last;
-    for (const auto &[cell, summary] : m_latest) {
-        if (cell.dataCentre == dataCentre) {
-            last = std::max(last.value_or(summary.measuredAt), summary.measuredAt);
-        }
-    }
-    return last;
-}
-
 void cell_summaries::expire(time_point now)
 {
     std::erase_if(m_latest, [now](const auto &entry) {
--- a/src/gateway/internal/report_exchange.cpp
+++ b/src/gateway/internal/report_exchange.cpp
@@ -15,6 +15,7 @@
 
 constexpr milliseconds minReportInterval{ 300 };
 constexpr milliseconds maxReportInterval{ 900 }; ///< Three fit into the time after which an instance counts as unresponsive.
+constexpr milliseconds maxReportIntervalAcross{ 450 }; ///< Two fit into the time after which a silent data centre is suspected.
 constexpr milliseconds reportIntervalPerInstance{ 15 };
 constexpr milliseconds minSummaryInterval{ 250 }; ///< About one batch step of an engine.
 constexpr milliseconds summaryIntervalPerCell{ 60 };
@@ -26,9 +27,10 @@
 
 } // namespace
 
-milliseconds report_exchange::reportInterval(size_t cellSize)
+milliseconds report_exchange::reportInterval(const cell_id &cell, size_t cellSize)
 {
-    return std::clamp(reportIntervalPerInstance * static_cast<int>(cellSize), minReportInterval, maxReportInterval);
+    const milliseconds longest = cell.dataCentre.empty() ? maxReportIntervalAcross : maxReportInterval;
+    return std::clamp(reportIntervalPerInstance * static_cast<int>(cellSize), minReportInterval, longest);
 }
 
 milliseconds report_exchange::summaryInterval(size_t cells)
@@ -229,13 +231,13 @@
 void report_exchange::addSummaries(std::vector<outgoing_report> &out, time_point now)
 {
     const cell_id own = m_state.peers.ownCell();
-    const bool listsInstances = now >= m_nextInstanceListAt;
     std::vector<peer_address> alive{ m_self.address };
     for (const peer_address instance : m_state.peers.registered(own)) {
-        if (listsInstances && m_state.peers.isAlive(instance, now)) {
+        if (m_state.peers.isAlive(instance, now)) {
             alive.push_back(instance);
         }
     }
+    const bool listsInstances = now >= m_nextInstanceListAt || alive != m_listedInstances;
     for (const auto &[cell, members] : m_state.peers.cells().cells()) {
         if (cell == own || !speaksTo(cell, now)) {
             continue;
@@ -253,6 +255,7 @@
     }
     if (listsInstances) {
         m_nextInstanceListAt = now + instanceListInterval;
+        m_listedInstances = std::move(alive);
     }
 }
 
@@ -287,7 +290,7 @@
     if (now >= m_nextReportAt) {
         addCellReport(out, m_state.peers.registered(own), now);
         addReportsToOtherCells(out, now);
-        m_nextReportAt = now + reportInterval(m_state.peers.cells().members(own).size());
+        m_nextReportAt = now + reportInterval(own, m_state.peers.cells().members(own).size());
     }
     if (now >= m_nextSummaryAt) {
         addSummaries(out, now);
--- a/src/gateway/report_exchange.h
+++ b/src/gateway/report_exchange.h
@@ -47,14 +47,17 @@
     /// Returns a report to one instance only.
     load_report reportTo(peer_address target, time_point now);
 
-    /// Interval of the reports to the own cell without a change; they make up for lost ones.
-    static std::chrono::milliseconds reportInterval(size_t cellSize);
+    /// Interval of the reports to the own cell without a change; they make up for lost ones, and in a cell that spans data
+    /// centres they show that none is cut off.
+    static std::chrono::milliseconds reportInterval(const cell_id &cell, size_t cellSize);
     /// Interval between two summaries from one cell to another.
     static std::chrono::milliseconds summaryInterval(size_t cells);
 
     static constexpr std::chrono::milliseconds firstQuestionDelay{ 300 }; ///< Doubles up to `maxQuestionDelay`.
     static constexpr std::chrono::milliseconds maxQuestionDelay{ 5'000 };
-    static constexpr std::chrono::milliseconds instanceListInterval{ 1'000 }; ///< Between summaries that list the instances.
+    static constexpr std::chrono::milliseconds instanceListInterval{
+        1'000
+    }; ///< Between summaries that list the instances without a change.
     static constexpr std::chrono::milliseconds summaryIntervalWithForeignWork{
         60
     }; ///< While another cell has work here, it places more by the summary.
@@ -82,6 +85,7 @@
     time_point m_nextSummaryAt;
     time_point m_nextQuestionAt;
     time_point m_nextInstanceListAt;
+    std::vector<peer_address> m_listedInstances; ///< In the last summaries that listed instances.
     std::chrono::milliseconds m_questionDelay = firstQuestionDelay;
     std::set<cell_id> m_cellsWithWork; ///< Other cells that were last told of work at their servers.
     size_t m_listener = 0; ///< Counts the summaries sent, so that each goes to another instance.
