--- a/src/gateway/internal/prompt_placement.cpp
+++ b/src/gateway/internal/prompt_placement.cpp
@@ -219,7 +219,8 @@
     {
         placement_decision decision;
         decision.reason = "no_memory_or_slot";
-        decision.isWithoutCapacity = true;
+        // Others wait for the next slot near by: in overload there is none elsewhere either, and asking costs each instance time.
+        decision.isWithoutCapacity = exceedsOneEngine();
         decision.predictedFirstEvent = m_wholePrefill / static_cast<std::int64_t>(m_parts);
         return isOnTime(decision) || mayKeepWaiting() ? decision : refuse(decision.reason, noRoomRetryAfter);
     }
