A drain ends with a later entry of a server whose start is not known

Cause: its servers drain and are listed as ready again without the time of their start; the leaving of a start, kept since, then never ended.

--- a/src/gateway/internal/server_directory.cpp
+++ b/src/gateway/internal/server_directory.cpp
@@ -8,7 +8,9 @@
     auto [at, isNew] = m_servers.try_emplace(entry.id);
     known_server &server = at->second;
     const bool restarted = !isNew && server.entry.startedAt != entry.startedAt;
-    if (restarted) {
+    // Without a known start a later entry may be that of a new one.
+    const bool mayBeNewStart = entry.startedAt == 0 && !entry.isLeaving;
+    if (restarted || mayBeNewStart) {
         server.leavingSince.reset();
     }
     const bool startedDraining = entry.isLeaving && !server.leavingSince;
--- a/src/gateway/tests/server_directory_test.cpp
+++ b/src/gateway/tests/server_directory_test.cpp
@@ -160,3 +160,14 @@
     expectEqual(directory.usable(reading, at(1'999)).size(), 0U);
     expectEqual(directory.usable(reading, at(2'000)).size(), 1U);
 }
+
+Test(server_directory, laterEntryWithoutAKnownStartEndsTheDrain)
+{
+    server_directory directory;
+    listed_server server = serverNamed("a");
+    server.isLeaving = true;
+    directory.put(server, at(0));
+    server.isLeaving = false;
+    directory.put(server, at(100));
+    expectEqual(directory.usable(reading, at(100)).size(), 1U);
+}
