--- a/src/programs/gateway/gateway_host.cpp
+++ b/src/programs/gateway/gateway_host.cpp
@@ -175,11 +175,23 @@
 asio::awaitable<void> gateway_host::serveCaller(http::exchange &exchange)
 {
     ++m_activeRequests;
-    {
+    std::string problem;
+    try {
         request_session session(m_shared, exchange);
         co_await session.run();
+    } catch (const std::exception &thrown) {
+        problem = thrown.what();
     }
     --m_activeRequests;
+    if (problem.empty()) {
+        co_return;
+    }
+    m_log.write(
+        log_line("request_aborted").add("request", platform::readRequestHead(exchange.request()).attempt.str()).add("detail", problem));
+    if (!exchange.hasStarted()) {
+        auto answer = platform::localResponse(502, "may_have_run", std::nullopt);
+        co_await exchange.respond(std::move(answer));
+    }
 }
 
 asio::awaitable<void> gateway_host::serveReadiness(http::exchange &exchange)
--- a/src/programs/gateway/request_relay.cpp
+++ b/src/programs/gateway/request_relay.cpp
@@ -153,6 +153,7 @@
     m_isStallExtended = false;
     m_lastServer = server->entry.id.str();
     m_faultyServer.clear();
+    m_closedBecause = {};
     ++m_sends;
     if (m_sends == 1) {
         m_context.metrics.recordQueueTime(m_route->name, now - m_arrivedAt);
--- a/src/programs/gateway/request_retry.cpp
+++ b/src/programs/gateway/request_retry.cpp
@@ -51,6 +51,7 @@
             m_isStallExtended = true;
             watchStall(stallTimeout());
         } else {
+            m_closedBecause = "silent";
             m_closeConnection();
         }
     });
@@ -99,6 +100,7 @@
                             .add("request", m_head.attempt.str())
                             .add("server", m_lastServer)
                             .add("verdict", toString(failure.outcome))
+                            .add("why", m_closedBecause.empty() ? "server" : m_closedBecause)
                             .add("faulty", m_faultyServer)
                             .add("age", age(now)));
     bool helperFailed = false;
--- a/src/programs/gateway/request_session.cpp
+++ b/src/programs/gateway/request_session.cpp
@@ -312,6 +312,7 @@
 void request_session::interrupt()
 {
     m_placementTimer.cancel();
+    m_closedBecause = m_isCallerGone ? "caller_gone" : "deadline";
     if (m_closeConnection) {
         m_closeConnection();
     }
--- a/src/programs/gateway/request_session.h
+++ b/src/programs/gateway/request_session.h
@@ -105,6 +105,7 @@
     bool m_isStallExtended = false;
     std::string m_lastServer;
     std::string m_faultyServer;
+    std::string_view m_closedBecause; ///< Why this instance ended the current send itself; empty if it did not.
     event_splitter m_events;
     std::optional<std::uint64_t> m_lastEvent; ///< Last event that was delivered to the caller.
     std::optional<time_point> m_firstEventAt;
