Tests that fail: a stream is lost when its server pauses and the other cannot go on

The caller's stream ends after the second of three events. A plain request whose server pauses before its head gets 502.

--- /dev/null
+++ b/src/programs/gateway/tests/silent_server_test.cpp
@@ -0,0 +1,170 @@
+#include "programs/gateway/tests/fake_platform.h"
+
+#include "testing/expect.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+using namespace mustardtrail;
+using namespace mustardtrail::gateway::testing;
+using mustardtrail::testing::expectEqual;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+const std::string wholeStream = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n";
+
+// Criterion runs each test in its own process, so these counters start at zero in each test.
+int sends = 0;
+int runs = 0;
+
+http::header_list signedHeaders()
+{
+    return { { "Attempt-Id", "a1" }, { "Response-Stamp", "stamp" } };
+}
+
+boost::asio::awaitable<void> pauseFor(http::exchange &exchange, milliseconds time)
+{
+    boost::asio::steady_timer timer(exchange.executor(), time);
+    co_await timer.async_wait(boost::asio::use_awaitable);
+}
+
+boost::asio::awaitable<void> refuse(http::exchange &exchange)
+{
+    http::response_message answer;
+    answer.status = 503;
+    answer.headers.add("Not-Run", "1");
+    co_await exchange.respond(std::move(answer));
+}
+
+/// Silent for longer than any stall time-out after its second event, then goes on.
+boost::asio::awaitable<void> streamWithPause(http::exchange &exchange)
+{
+    ++runs;
+    auto head = signedHeaders();
+    co_await exchange.startStream(200, std::move(head));
+    co_await exchange.write("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    co_await pauseFor(exchange, milliseconds(1'500));
+    const bool isOpen = co_await exchange.write("id: 3\ndata: c\n\n");
+    if (isOpen) {
+        co_await exchange.finishStream();
+    }
+}
+
+boost::asio::awaitable<void> refuseAllButTheFirst(http::exchange &exchange)
+{
+    if (sends++ == 0) {
+        co_await streamWithPause(exchange);
+    } else {
+        co_await refuse(exchange);
+    }
+}
+
+boost::asio::awaitable<void> breakOffAllButTheFirst(http::exchange &exchange)
+{
+    if (sends++ == 0) {
+        co_await streamWithPause(exchange);
+        co_return;
+    }
+    ++runs;
+    auto head = signedHeaders();
+    co_await exchange.startStream(200, std::move(head));
+    co_await exchange.write("id: 3\nda");
+}
+
+boost::asio::awaitable<void> fallSilentTwice(http::exchange &exchange)
+{
+    if (sends++ == 0) {
+        co_await streamWithPause(exchange);
+        co_return;
+    }
+    ++runs;
+    co_await pauseFor(exchange, milliseconds(1'500));
+}
+
+boost::asio::awaitable<void> fallSilentForGood(http::exchange &exchange)
+{
+    ++runs;
+    auto head = signedHeaders();
+    co_await exchange.startStream(200, std::move(head));
+    if (sends++ == 0) {
+        co_await exchange.write("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+        co_await pauseFor(exchange, milliseconds(6'000));
+        co_return;
+    }
+    co_await exchange.write("id: 3\ndata: c\n\n");
+    co_await exchange.finishStream();
+}
+
+boost::asio::awaitable<void> pauseBeforeTheHead(http::exchange &exchange)
+{
+    if (sends++ > 0) {
+        co_await refuse(exchange);
+        co_return;
+    }
+    ++runs;
+    co_await pauseFor(exchange, milliseconds(1'000));
+    http::response_message answer{ 200, signedHeaders(), "whole" };
+    co_await exchange.respond(std::move(answer));
+}
+
+} // namespace
+
+Test(silent_server, aStreamIsNotLostWhenTheOtherServerRefusesToContinueIt)
+{
+    fake_platform platform;
+    platform.addServer("i-1", "reading", refuseAllButTheFirst);
+    platform.addServer("i-2", "reading", refuseAllButTheFirst);
+    platform.start();
+    const caller_answer answer = platform.call("/stream/x");
+    expectEqual(answer.body, wholeStream);
+    cr_assert(answer.isComplete);
+}
+
+Test(silent_server, aStreamIsNotLostWhenTheOtherServerBreaksItOff)
+{
+    fake_platform platform;
+    platform.addServer("i-1", "reading", breakOffAllButTheFirst);
+    platform.addServer("i-2", "reading", breakOffAllButTheFirst);
+    platform.start();
+    const caller_answer answer = platform.call("/stream/x");
+    expectEqual(answer.body, wholeStream);
+    cr_assert(answer.isComplete);
+    expectEqual(runs, 2);
+}
+
+Test(silent_server, aStreamIsNotLostWhenTheOtherServerIsSilentToo)
+{
+    fake_platform platform;
+    platform.addServer("i-1", "reading", fallSilentTwice);
+    platform.addServer("i-2", "reading", fallSilentTwice);
+    platform.start();
+    const caller_answer answer = platform.call("/stream/x");
+    expectEqual(answer.body, wholeStream);
+    cr_assert(answer.isComplete);
+    cr_assert_leq(runs, 2);
+}
+
+Test(silent_server, aStreamIsNotLostWhenItsServerNeverSpeaksAgain)
+{
+    fake_platform platform;
+    platform.addServer("i-1", "reading", fallSilentForGood);
+    platform.addServer("i-2", "reading", fallSilentForGood);
+    platform.start();
+    const caller_answer answer = platform.call("/stream/x");
+    expectEqual(answer.body, wholeStream);
+    cr_assert(answer.isComplete);
+    expectEqual(runs, 2);
+}
+
+Test(silent_server, aRequestWithoutAnswerYetIsNotFailedWhenTheOtherServerRefusesIt)
+{
+    fake_platform platform;
+    platform.addServer("i-1", "desk", pauseBeforeTheHead);
+    platform.addServer("i-2", "desk", pauseBeforeTheHead);
+    platform.start();
+    const caller_answer answer = platform.call("/again/x");
+    expectEqual(answer.status, 200);
+    expectEqual(answer.body, "whole");
+}
