A silent server keeps its request until another one has answered it

What callers saw: a stream, read whole and begun, ended without its last events; a plain request got 502 (LOST).

Cause: watchStall took a server's silence for its loss. It closed the connection to the server and only then looked for another place. If the placement refused, the budget was spent, the second server refused, broke off or was silent too, or there was no second server at all (the silent one counted as the other one), nothing was left to answer with, while the first server would have gone on. The stall timer also ran while the caller took the events, so a slow caller counted as a silent server.

Class of fault: a suspicion acted on as if it were certain, and a resource given up before its replacement is there.

Change: the request is sent to the second server beside the first one. The first that has something for the caller (an event, a whole plain answer) answers, the other is closed. A second send counts for the budget and for the servers of the route as before.

Ruled out: closing later (any limit is wrong for some pause); probing the server first (a connection can be silent for good while new ones work).

--- /dev/null
+++ b/src/programs/gateway/hedged_send.cpp
@@ -0,0 +1,177 @@
+#include "programs/gateway/hedged_send.h"
+
+#include "gateway/event_splitter.h"
+#include "platform/response_head.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <utility>
+
+namespace mustardtrail::gateway
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+/// Answer of which some bytes were read before.
+class prefetched_answer final : public http::response_stream
+{
+public:
+    prefetched_answer(std::unique_ptr<http::response_stream> rest, std::string prefetched)
+        : m_rest(std::move(rest))
+        , m_prefetched(std::move(prefetched))
+    {
+    }
+
+    int status() const override
+    {
+        return m_rest->status();
+    }
+    const http::header_list &headers() const override
+    {
+        return m_rest->headers();
+    }
+    asio::awaitable<result<std::string>> read() override
+    {
+        if (!m_prefetched.empty()) {
+            co_return std::exchange(m_prefetched, {});
+        }
+        co_return co_await m_rest->read();
+    }
+    void close() override
+    {
+        m_rest->close();
+    }
+
+private:
+    std::unique_ptr<http::response_stream> m_rest;
+    std::string m_prefetched;
+};
+
+} // namespace
+
+hedged_send::hedged_send(gateway_context &context, order sent)
+    : m_context(context)
+    , m_sent(std::move(sent))
+{
+}
+
+void hedged_send::start(asio::any_io_executor executor, done_hook onDone)
+{
+    m_onDone = std::move(onDone);
+    m_sent.limits.onConnection = [weak = weak_from_this()](std::function<void()> close) {
+        if (const auto self = weak.lock()) {
+            self->m_isDelivered = true;
+            self->m_closeConnection = std::move(close);
+        }
+    };
+    asio::co_spawn(executor, run(), asio::detached);
+}
+
+void hedged_send::cancel()
+{
+    m_isCancelled = true;
+    m_onDone = nullptr;
+    if (m_closeConnection) {
+        m_closeConnection();
+    }
+}
+
+asio::awaitable<void> hedged_send::run()
+{
+    const auto self = shared_from_this();
+    const auto failed = co_await receive();
+    m_outcome = failed.value_or(verdict::ran);
+    if (const auto onDone = std::exchange(m_onDone, nullptr)) {
+        onDone();
+    }
+}
+
+asio::awaitable<std::optional<verdict>> hedged_send::receive()
+{
+    if (m_sent.reservations) {
+        const bool isGranted = co_await m_sent.reservations->acquire();
+        if (!isGranted) {
+            co_return verdict::not_run;
+        }
+    }
+    if (m_isCancelled) {
+        co_return verdict::not_run;
+    }
+    auto message = std::move(m_sent.message);
+    auto limits = m_sent.limits;
+    auto answer = co_await m_context.client.open(m_sent.address, std::move(message), std::move(limits));
+    if (!answer) {
+        m_isDelivered = m_isDelivered && answer.error().outcome != verdict::not_run;
+        m_isUnreachable = answer.error().code == error_code::backend_connect_failed;
+        co_return answer.error().outcome;
+    }
+    const auto head = platform::readResponseHead((*answer)->status(), (*answer)->headers(), m_sent.attempt);
+    if (head.isForOtherRequest || !head.isSuccess) {
+        co_return head.isForOtherRequest ? verdict::may_have_run : head.outcome;
+    }
+    std::string received;
+    const bool isReadable = co_await readAhead(**answer, received);
+    if (!isReadable || m_isCancelled) {
+        co_return verdict::may_have_run;
+    }
+    m_answer = std::make_unique<prefetched_answer>(std::move(*answer), std::move(received));
+    co_return std::nullopt;
+}
+
+asio::awaitable<bool> hedged_send::readAhead(http::response_stream &answer, std::string &received) const
+{
+    event_splitter events;
+    while (true) {
+        const auto bytes = co_await answer.read();
+        if (!bytes || received.size() > m_sent.limits.bodyBytes) {
+            co_return false;
+        }
+        received += *bytes;
+        events.append(*bytes);
+        const bool hasEvent = m_sent.isStream && events.next().has_value();
+        if (bytes->empty() || hasEvent) {
+            co_return true;
+        }
+    }
+}
+
+const hedged_send::order &hedged_send::sent() const
+{
+    return m_sent;
+}
+
+bool hedged_send::hasAnswer() const
+{
+    return m_answer != nullptr;
+}
+
+bool hedged_send::isDelivered() const
+{
+    return m_isDelivered;
+}
+
+verdict hedged_send::outcome() const
+{
+    return m_outcome;
+}
+
+bool hedged_send::isUnreachable() const
+{
+    return m_isUnreachable;
+}
+
+std::unique_ptr<http::response_stream> hedged_send::takeAnswer()
+{
+    return std::move(m_answer);
+}
+
+std::function<void()> hedged_send::closer() const
+{
+    return m_closeConnection;
+}
+
+} // namespace mustardtrail::gateway
--- a/src/programs/gateway/request_relay.cpp
+++ b/src/programs/gateway/request_relay.cpp
@@ -78,7 +78,8 @@
     return limits;
 }
 
-http::request_message request_session::messageFor(const placement_decision &placed, time_point now) const
+http::request_message request_session::messageFor(
+    const placement_decision &placed, const reservation_set *reservations, time_point now) const
 {
     platform::forwarding_fields fields;
     fields.customer = m_customer;
@@ -91,8 +92,8 @@
         if (&part == &placed.parts.front()) {
             fields.expectedServer = server->entry.id;
         } else {
-            const bool isReserved = m_reservations && part.memoryTokens > 0;
-            fields.helpers.push_back({ server->entry.address, isReserved ? m_reservations->nameFor(part.server) : std::string() });
+            const bool isReserved = reservations && part.memoryTokens > 0;
+            fields.helpers.push_back({ server->entry.address, isReserved ? reservations->nameFor(part.server) : std::string() });
         }
     }
     if (m_firstEventAt) {
@@ -104,12 +105,12 @@
     return platform::forwardedRequest(m_exchange.request(), fields);
 }
 
-void request_session::registerWork(const placement_decision &placed, time_point now)
+std::uint64_t request_session::registerWork(const placement_decision &placed, time_point now)
 {
-    m_workId = 1 + m_context.random.below(~std::uint64_t{ 0 });
+    const std::uint64_t workId = 1 + m_context.random.below(~std::uint64_t{ 0 });
     for (const placed_part &part : placed.parts) {
         server_work work;
-        work.request = m_workId;
+        work.request = workId;
         work.server = part.server;
         work.prefillTime = part.prefillTime;
         work.memoryTokens = part.memoryTokens;
@@ -121,9 +122,10 @@
         m_context.state.loads.add(work);
     }
     m_context.scheduleReport();
+    return workId;
 }
 
-asio::awaitable<bool> request_session::reserve(const placement_decision &placed)
+std::shared_ptr<reservation_set> request_session::makeReservations(const placement_decision &placed, std::uint64_t workId)
 {
     std::vector<reservation_set::share> shares;
     for (const placed_part &part : placed.parts) {
@@ -134,9 +136,17 @@
         }
     }
     if (shares.empty()) {
+        return nullptr;
+    }
+    return std::make_shared<reservation_set>(m_context, m_exchange.executor(), workId, std::move(shares));
+}
+
+asio::awaitable<bool> request_session::reserve(const placement_decision &placed)
+{
+    m_reservations = makeReservations(placed, m_workId);
+    if (!m_reservations) {
         co_return true;
     }
-    m_reservations = std::make_shared<reservation_set>(m_context, m_exchange.executor(), m_workId, std::move(shares));
     const bool isGranted = co_await m_reservations->acquire();
     co_return isGranted;
 }
@@ -159,7 +169,7 @@
         m_context.metrics.recordQueueTime(m_route->name, now - m_arrivedAt);
     }
     if (m_workId == 0) {
-        registerWork(placed, now);
+        m_workId = registerWork(placed, now);
     }
     const bool isReserved = co_await reserve(placed);
     if (!isReserved || m_isCallerGone) {
@@ -173,7 +183,7 @@
                             .add("predicted", duration_cast<milliseconds>(placed.predictedFirstEvent))
                             .add("why", placed.reason)
                             .add("age", age(now)));
-    http::request_message message = messageFor(placed, now);
+    http::request_message message = messageFor(placed, m_reservations.get(), now);
     http::call_limits limits = limitsFor(now);
     watchStall(firstEventTimeout(placed));
     auto answer = co_await m_context.client.open(address, std::move(message), std::move(limits));
@@ -183,18 +193,23 @@
         co_return toFailure(answer.error());
     }
     ++m_deliveredSends;
-    m_context.state.recordAnswer(placed.parts.front().server);
-    const auto head = platform::readResponseHead((*answer)->status(), (*answer)->headers(), m_head.attempt);
+    co_return co_await relayAnswer(**answer);
+}
+
+asio::awaitable<std::optional<attempt_failure>> request_session::relayAnswer(http::response_stream &answer)
+{
+    m_context.state.recordAnswer(m_currentServer);
+    const auto head = platform::readResponseHead(answer.status(), answer.headers(), m_head.attempt);
     recordServerNotices(head);
     if (head.isForOtherRequest) {
         m_context.metrics.recordSendOutcome("other_request");
         co_return makeFailure(verdict::may_have_run);
     }
     if (head.isSuccess && m_route->isStream) {
-        m_context.state.serverSuspicion.recordSuccess(placed.parts.front().server);
-        co_return co_await relayStream(**answer);
+        m_context.state.serverSuspicion.recordSuccess(m_currentServer);
+        co_return co_await relayStream(answer);
     }
-    co_return co_await relayCompleteAnswer(**answer, head);
+    co_return co_await relayCompleteAnswer(answer, head);
 }
 
 void request_session::recordServerNotices(const platform::response_head &head)
@@ -222,6 +237,10 @@
             m_context.metrics.recordSendOutcome("stream_lost");
             co_return toFailure(bytes.error());
         }
+        // The hedged send goes on after the last event that was delivered; what arrives now would come twice.
+        if (m_hedge && m_hedge->hasAnswer()) {
+            co_return makeFailure(verdict::may_have_run);
+        }
         if (bytes->empty()) {
             break;
         }
@@ -237,6 +256,7 @@
         const bool open = co_await m_exchange.write(completeEvents);
         m_isCallerGone = m_isCallerGone || !open;
         m_lastEvent = m_events.lastId() ? m_events.lastId() : m_lastEvent;
+        watchStall(stallTimeout());
     }
     const bool isComplete = !m_isCallerGone && !m_events.hasPartialEvent();
     if (!isComplete) {
@@ -257,7 +277,8 @@
     }
     m_lastEventAt = now;
     m_context.state.serverSuspicion.recordBytes(m_currentServer, now);
-    watchStall(stallTimeout());
+    m_stallTimer.cancel(); // Until the caller has taken the events: its slowness is not the server's silence.
+    dropHedge("first_server_went_on");
     if (m_context.state.loads.recordFirstToken(m_workId)) {
         m_context.scheduleReport();
     }
@@ -280,6 +301,7 @@
     }
     m_faultyServer = head.faultyServer;
     if (head.isSuccess && !m_exchange.hasStarted()) {
+        dropHedge("first_server_answered");
         m_context.metrics.recordSendOutcome("served");
         co_await m_exchange.respond(std::move(message));
         co_return std::nullopt;
--- a/src/programs/gateway/request_retry.cpp
+++ b/src/programs/gateway/request_retry.cpp
@@ -26,42 +26,16 @@
     return state;
 }
 
-bool request_session::canFailOver()
+void request_session::countRun(const attempt_failure &failure)
 {
-    const time_point now = m_context.clock.now();
-    retry_state state = retryState(now);
-    state.mayHaveRun = true;
-    state.possibleRuns = m_possibleRuns + 1;
-    state.hasBudget
-        = m_context.state.resends.hasRoom(m_service, resend_budget::cause::interrupted, now, m_context.state.peers.largestFleetSize());
-    const attempt_failure lost = makeFailure(verdict::may_have_run);
-    return decideRetry(lost, state) == next_step::send_again;
-}
-
-void request_session::watchStall(milliseconds timeout)
-{
-    m_stallTimer.expires_after(timeout);
-    m_stallTimer.async_wait([this, alive = m_alive](boost::system::error_code failure) {
-        if (failure || !*alive || !m_closeConnection) {
-            return;
-        }
-        // A server that answers other requests is slow, not lost; a failover would only add load.
-        const bool isSlow = !m_isStallExtended && m_context.state.serverSuspicion.isResponding(m_currentServer, m_context.clock.now());
-        if (isSlow || !canFailOver()) {
-            m_isStallExtended = true;
-            watchStall(stallTimeout());
-        } else {
-            m_closedBecause = "silent";
-            m_closeConnection();
-        }
-    });
+    m_mayHaveRun = m_mayHaveRun || failure.outcome != verdict::not_run;
+    m_possibleRuns += failure.outcome != verdict::not_run ? 1 : 0;
 }
 
 next_step request_session::stepAfter(const attempt_failure &failure)
 {
     const time_point now = m_context.clock.now();
-    m_mayHaveRun = m_mayHaveRun || failure.outcome != verdict::not_run;
-    m_possibleRuns += failure.outcome != verdict::not_run ? 1 : 0;
+    countRun(failure);
     retry_state state = retryState(now);
     const next_step stepIfWithinBudget = decideRetry(failure, state);
     if (stepIfWithinBudget != next_step::send_again) {
--- a/src/programs/gateway/request_session.cpp
+++ b/src/programs/gateway/request_session.cpp
@@ -36,11 +36,13 @@
     , m_placementTimer(exchange.executor())
     , m_deadlineTimer(exchange.executor())
     , m_stallTimer(exchange.executor())
+    , m_hedgeTimer(exchange.executor())
 {
 }
 
 request_session::~request_session()
 {
+    dropHedge("request_ended");
     *m_alive = false;
 }
 
@@ -86,7 +88,7 @@
     watchCaller();
     watchDeadline();
     while (true) {
-        const placement_decision placed = co_await waitForPlacement();
+        placement_decision placed = co_await waitForPlacement();
         if (m_isCallerGone || placed.next != placement_decision::action::send) {
             unregisterWork();
         }
@@ -109,13 +111,15 @@
             co_await refuse(answer);
             co_return;
         }
-        const auto failure = co_await send(placed);
-        unregisterWork();
-        m_closeConnection = nullptr;
-        m_stallTimer.cancel();
-        if (m_reservations) {
-            m_reservations->release();
-            m_reservations.reset();
+        auto failure = co_await send(placed);
+        finishSend();
+        const bool hasHedge = failure && co_await waitForHedge();
+        if (hasHedge) {
+            recordFailure(placed, *failure);
+            countRun(*failure);
+            placed = m_hedge->sent().placed;
+            failure = co_await continueWithHedge();
+            finishSend();
         }
         if (!failure) {
             logOutcome("request_served", 200, m_lastServer);
@@ -224,7 +228,7 @@
             return false;
         }
         if (decision.next == placement_decision::action::send) {
-            registerWork(decision, now);
+            m_workId = registerWork(decision, now);
         }
         m_placementTimer.cancel();
         return true;
@@ -289,6 +293,17 @@
     m_context.queue.tryAll(m_context.clock.now());
 }
 
+void request_session::finishSend()
+{
+    unregisterWork();
+    m_closeConnection = nullptr;
+    m_stallTimer.cancel();
+    if (m_reservations) {
+        m_reservations->release();
+        m_reservations.reset();
+    }
+}
+
 void request_session::watchCaller()
 {
     m_exchange.onDisconnect([this] {
@@ -316,6 +331,8 @@
     if (m_closeConnection) {
         m_closeConnection();
     }
+    dropHedge(m_closedBecause);
+    m_hedgeTimer.cancel();
 }
 
 void request_session::logOutcome(std::string_view event, int status, std::string_view reason)
--- a/src/programs/gateway/request_session.h
+++ b/src/programs/gateway/request_session.h
@@ -8,6 +8,7 @@
 #include "platform/request_head.h"
 #include "platform/response_head.h"
 #include "programs/gateway/gateway_context.h"
+#include "programs/gateway/hedged_send.h"
 #include "programs/gateway/reservation_set.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -48,6 +49,9 @@
     /// Returns nothing when the caller has received the complete answer.
     boost::asio::awaitable<std::optional<attempt_failure>> send(const placement_decision &placed);
     boost::asio::awaitable<bool> reserve(const placement_decision &placed);
+    /// Null when the placement needs no reservation.
+    std::shared_ptr<reservation_set> makeReservations(const placement_decision &placed, std::uint64_t workId);
+    boost::asio::awaitable<std::optional<attempt_failure>> relayAnswer(http::response_stream &answer);
     boost::asio::awaitable<std::optional<attempt_failure>> relayStream(http::response_stream &answer);
     boost::asio::awaitable<std::optional<attempt_failure>> relayCompleteAnswer(
         http::response_stream &answer, const platform::response_head &head);
@@ -59,9 +63,19 @@
     attempt_failure toFailure(const error &problem) const;
     void watchCaller();
     void watchDeadline();
-    /// After the time-out ends the current send if another server can continue the request; otherwise waits again.
+    /// After the time-out sends the request also to another server that can continue it; otherwise waits again.
     void watchStall(std::chrono::milliseconds timeout);
-    bool canFailOver();
+    void onStall();
+    bool mayHedge();
+    void startHedge();
+    void onHedgeDone();
+    void dropHedge(std::string_view why);
+    /// Whether the hedged send has an answer; waits until that is known.
+    boost::asio::awaitable<bool> waitForHedge();
+    /// Makes the hedged send the current one and relays its answer.
+    boost::asio::awaitable<std::optional<attempt_failure>> continueWithHedge();
+    /// Releases what the current send holds.
+    void finishSend();
     retry_state retryState(time_point now);
     /// Records what the head of a server's answer says of the server itself.
     void recordServerNotices(const platform::response_head &head);
@@ -69,10 +83,13 @@
     std::chrono::milliseconds firstEventTimeout(const placement_decision &placed) const;
     std::chrono::milliseconds stallTimeout() const;
     http::call_limits limitsFor(time_point now);
-    http::request_message messageFor(const placement_decision &placed, time_point now) const;
+    http::request_message messageFor(const placement_decision &placed, const reservation_set *reservations, time_point now) const;
     void recordEvents(time_point now);
-    void registerWork(const placement_decision &placed, time_point now);
+    /// Returns the id of the work in the fleet state.
+    std::uint64_t registerWork(const placement_decision &placed, time_point now);
     void recordFailure(const placement_decision &placed, const attempt_failure &failure);
+    /// Counts a failed send among those that may have run.
+    void countRun(const attempt_failure &failure);
     void logResendDenied(std::string_view why);
     void logOutcome(std::string_view event, int status, std::string_view reason);
     std::chrono::milliseconds age(time_point now) const;
@@ -89,6 +106,7 @@
     boost::asio::steady_timer m_placementTimer;
     boost::asio::steady_timer m_deadlineTimer;
     boost::asio::steady_timer m_stallTimer;
+    boost::asio::steady_timer m_hedgeTimer; ///< Cancelled when the hedged send is done.
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
     std::function<void()> m_closeConnection;
     bool m_isCallerGone = false;
@@ -112,6 +130,7 @@
     time_point m_lastEventAt{};
     std::chrono::milliseconds m_longestGap{ 0 }; ///< Between two events.
     std::shared_ptr<reservation_set> m_reservations; ///< Null when the prompt fits on one engine.
+    std::shared_ptr<hedged_send> m_hedge; ///< Null while one send runs alone.
     std::optional<http::response_message> m_serverFailure; ///< Error answer of a server that may be passed on to the caller.
 };
 
--- a/src/programs/gateway/tests/silent_server_test.cpp
+++ b/src/programs/gateway/tests/silent_server_test.cpp
@@ -168,3 +168,14 @@
     expectEqual(answer.status, 200);
     expectEqual(answer.body, "whole");
 }
+
+Test(silent_server, aStreamIsNotLostWhenThereIsNoOtherServer)
+{
+    fake_platform platform;
+    platform.addServer("i-1", "reading", streamWithPause);
+    platform.start();
+    const caller_answer answer = platform.call("/stream/x");
+    expectEqual(answer.body, wholeStream);
+    cr_assert(answer.isComplete);
+    expectEqual(runs, 1);
+}
