--- a/src/programs/gateway/hedged_send.cpp
+++ b/src/programs/gateway/hedged_send.cpp
@@ -56,6 +56,7 @@
 hedged_send::hedged_send(gateway_context &context, order sent)
     : m_context(context)
     , m_sent(std::move(sent))
+    , m_sentAt(context.clock.now())
 {
 }
 
@@ -144,6 +145,11 @@
     return m_sent;
 }
 
+time_point hedged_send::sentAt() const
+{
+    return m_sentAt;
+}
+
 bool hedged_send::hasAnswer() const
 {
     return m_answer != nullptr;
--- a/src/programs/gateway/hedged_send.h
+++ b/src/programs/gateway/hedged_send.h
@@ -37,6 +37,7 @@
     void cancel();
 
     const order &sent() const;
+    time_point sentAt() const;
     bool hasAnswer() const;
     /// Whether bytes were sent to the server.
     bool isDelivered() const;
@@ -60,6 +61,7 @@
     std::function<void()> m_closeConnection;
     std::unique_ptr<http::response_stream> m_answer;
     verdict m_outcome = verdict::may_have_run;
+    time_point m_sentAt{};
     bool m_isDelivered = false;
     bool m_isUnreachable = false;
     bool m_isCancelled = false;
--- a/src/programs/gateway/request_hedge.cpp
+++ b/src/programs/gateway/request_hedge.cpp
@@ -154,6 +154,8 @@
     m_lastServer = hedge->sent().server.str();
     m_closeConnection = hedge->closer();
     m_closedBecause = {};
+    m_sentAt = hedge->sentAt();
+    m_firstEventOfSendAt.reset();
     m_faultyServer.clear();
     m_isStallExtended = false;
     m_events.discardPartialEvent();
--- a/src/programs/gateway/request_relay.cpp
+++ b/src/programs/gateway/request_relay.cpp
@@ -23,6 +23,15 @@
 
 } // namespace
 
+std::string request_session::sharedPartsText() const
+{
+    std::string text;
+    for (const std::string &part : m_head.sharedParts) {
+        text += (text.empty() ? "" : ",") + part;
+    }
+    return text;
+}
+
 attempt_failure request_session::makeFailure(verdict outcome) const
 {
     attempt_failure failure;
@@ -164,6 +173,8 @@
     m_lastServer = server->entry.id.str();
     m_faultyServer.clear();
     m_closedBecause = {};
+    m_sentAt = now;
+    m_firstEventOfSendAt.reset();
     ++m_sends;
     if (m_sends == 1) {
         m_context.metrics.recordQueueTime(m_route->name, now - m_arrivedAt);
@@ -180,6 +191,7 @@
                             .add("server", m_lastServer)
                             .add("parts", static_cast<std::int64_t>(placed.parts.size()))
                             .add("tokens", m_head.promptTokens.value_or(0))
+                            .add("shared", sharedPartsText())
                             .add("predicted", duration_cast<milliseconds>(placed.predictedFirstEvent))
                             .add("why", placed.reason)
                             .add("age", age(now)));
@@ -276,6 +288,7 @@
         m_longestGap = std::max(m_longestGap, duration_cast<milliseconds>(now - m_lastEventAt));
     }
     m_lastEventAt = now;
+    m_firstEventOfSendAt = m_firstEventOfSendAt.value_or(now);
     m_context.state.serverSuspicion.recordBytes(m_currentServer, now);
     m_stallTimer.cancel(); // Until the caller has taken the events: its slowness is not the server's silence.
     dropHedge("first_server_went_on");
--- a/src/programs/gateway/request_retry.cpp
+++ b/src/programs/gateway/request_retry.cpp
@@ -76,6 +76,8 @@
                             .add("verdict", toString(failure.outcome))
                             .add("why", m_closedBecause.empty() ? "server" : m_closedBecause)
                             .add("faulty", m_faultyServer)
+                            .add("shared", sharedPartsText())
+                            .add("answering", m_firstEventOfSendAt ? age(now) - age(*m_firstEventOfSendAt) : std::chrono::milliseconds(-1))
                             .add("age", age(now)));
     bool helperFailed = false;
     for (const placed_part &part : placed.parts) {
--- a/src/programs/gateway/request_session.h
+++ b/src/programs/gateway/request_session.h
@@ -90,6 +90,7 @@
     void recordFailure(const placement_decision &placed, const attempt_failure &failure);
     /// Counts a failed send among those that may have run.
     void countRun(const attempt_failure &failure);
+    std::string sharedPartsText() const;
     void logResendDenied(std::string_view why);
     void logOutcome(std::string_view event, int status, std::string_view reason);
     std::chrono::milliseconds age(time_point now) const;
@@ -128,6 +129,8 @@
     std::optional<std::uint64_t> m_lastEvent; ///< Last event that was delivered to the caller.
     std::optional<time_point> m_firstEventAt;
     time_point m_lastEventAt{};
+    time_point m_sentAt{}; ///< Of the current send.
+    std::optional<time_point> m_firstEventOfSendAt; ///< Of the current send.
     std::chrono::milliseconds m_longestGap{ 0 }; ///< Between two events.
     std::shared_ptr<reservation_set> m_reservations; ///< Null when the prompt fits on one engine.
     std::shared_ptr<hedged_send> m_hedge; ///< Null while one send runs alone.
