--- /dev/null
+++ b/src/programs/gateway/tests/crashing_part_test.cpp
@@ -0,0 +1,86 @@
+#include "programs/gateway/tests/fake_platform.h"
+
+#include "testing/expect.h"
+
+using namespace mustardtrail;
+using namespace mustardtrail::gateway::testing;
+using mustardtrail::testing::expectEqual;
+
+namespace
+{
+
+constexpr int serverCount = 12;
+constexpr int crashesAllowed = 5; // Of the users' rule: what reaches servers after the fifth crash counts.
+constexpr int sendsAllowedAfterThem = 3;
+
+// Criterion runs each test in its own process, so these counters start at zero in each test.
+int guiltySends = 0;
+
+bool isGuilty(const http::exchange &exchange)
+{
+    return exchange.request().headers.find("Prompt-Prefix").find("dead:") != std::string_view::npos;
+}
+
+http::header_list signedHeaders()
+{
+    return { { "Attempt-Id", "a1" }, { "Response-Stamp", "stamp" } };
+}
+
+/// Ends as soon as it begins to write an answer on the part "dead".
+boost::asio::awaitable<void> crashOnThePart(http::exchange &exchange)
+{
+    auto head = signedHeaders();
+    co_await exchange.startStream(200, std::move(head));
+    if (isGuilty(exchange)) {
+        ++guiltySends;
+        co_return;
+    }
+    co_await exchange.write("id: 1\ndata: a\n\n");
+    co_await exchange.finishStream();
+}
+
+void addServers(fake_platform &platform)
+{
+    for (int number = 1; number <= serverCount; ++number) {
+        platform.addServer("i-" + std::to_string(number), "reading", crashOnThePart);
+    }
+}
+
+} // namespace
+
+Test(crashing_part, requestsWithAPartThatEndsServerAfterServerAreSentNoMore)
+{
+    fake_platform platform;
+    addServers(platform);
+    platform.start();
+    for (int request = 0; request < 30; ++request) {
+        platform.callWithPrompt("/stream/x", "5c1e:40,dead:40,own" + std::to_string(request) + ":100");
+    }
+    cr_assert_leq(guiltySends, crashesAllowed + sendsAllowedAfterThem);
+}
+
+Test(crashing_part, aRequestThatIsHeldBackIsRefusedAtOnceAsNotRun)
+{
+    fake_platform platform;
+    addServers(platform);
+    platform.start();
+    caller_answer last;
+    for (int request = 0; request < 30; ++request) {
+        last = platform.callWithPrompt("/stream/x", "dead:40,own:100");
+    }
+    expectEqual(last.status, 503);
+    cr_assert_not(last.retryAfter.empty());
+}
+
+Test(crashing_part, soundRequestsThatShareTheOtherPartsAreServed)
+{
+    fake_platform platform;
+    addServers(platform);
+    platform.start();
+    for (int request = 0; request < 30; ++request) {
+        platform.callWithPrompt("/stream/x", "5c1e:40,dead:40,own:100");
+        const caller_answer sound = platform.callWithPrompt("/stream/x", "5c1e:40,own:100");
+        expectEqual(sound.status, 200);
+        cr_assert(sound.isComplete);
+    }
+}
--- a/src/programs/gateway/tests/fake_platform.cpp
+++ b/src/programs/gateway/tests/fake_platform.cpp
@@ -200,10 +200,22 @@
 }
 
 caller_answer fake_platform::call(const std::string &path, const std::string &key, milliseconds timeLeft)
+{
+    return complete(requestOf(path, key, timeLeft));
+}
+
+caller_answer fake_platform::callWithPrompt(const std::string &path, const std::string &parts)
+{
+    http::request_message message = requestOf(path, "secret", milliseconds(4'000));
+    message.headers.add("Prompt-Prefix", parts);
+    return complete(std::move(message));
+}
+
+caller_answer fake_platform::complete(http::request_message message)
 {
     caller_answer answer;
     bool isDone = false;
-    asio::co_spawn(m_context, callGateway(requestOf(path, key, timeLeft), answer), [&isDone](std::exception_ptr) {
+    asio::co_spawn(m_context, callGateway(std::move(message), answer), [&isDone](std::exception_ptr) {
         isDone = true;
     });
     for (int steps = 0; steps < 1'000 && !isDone; ++steps) {
--- a/src/programs/gateway/tests/fake_platform.h
+++ b/src/programs/gateway/tests/fake_platform.h
@@ -44,6 +44,8 @@
     void stopStore();
     caller_answer call(
         const std::string &path, const std::string &key = "secret", std::chrono::milliseconds timeLeft = std::chrono::milliseconds(4'000));
+    /// Calls with a prompt of these parts, written as on the wire.
+    caller_answer callWithPrompt(const std::string &path, const std::string &parts);
     void runFor(std::chrono::milliseconds time);
     int readiness();
 
@@ -51,6 +53,7 @@
     boost::asio::awaitable<void> serveStore(http::exchange &exchange);
     boost::asio::awaitable<void> callGateway(http::request_message message, caller_answer &answer);
     void openHost(platform::instance_settings settings);
+    caller_answer complete(http::request_message message);
     http::request_message requestOf(const std::string &path, const std::string &key, std::chrono::milliseconds timeLeft) const;
 
     boost::asio::io_context m_context;
