Parts of prompts that crash servers are found and kept away from them

Cause: nothing related a crash to what the requests held. Failures were counted by server and data centre, resends by service; a part that ends servers was new to each request, instance and retry.

Class of fault: a failure that follows the request, counted against what it hits.

Evidence, clearances and quarantines travel with the reports that instances exchange already.

Ruled out: suspicion of the servers (hits the victims); a limit on resends alone (most crashes were first sends).

--- /dev/null
+++ b/src/gateway/crash_evidence.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "base/clock.h"
+#include "gateway/prompt_part.h"
+#include "gateway/server_work.h"
+
+#include <map>
+#include <vector>
+
+namespace mustardtrail::gateway
+{
+
+/// End of one start of a backend server, with the parts of the prompts that it was reading or had just begun to answer.
+struct crash_evidence {
+    server_start_key server = 0;
+    time_point at{};
+    std::map<prompt_part, time_point> sentAt; ///< When a request with the part was sent to the server.
+};
+
+/// An answer was written on a part, which clears it of all earlier crashes.
+struct written_part {
+    prompt_part part = 0;
+    time_point at{};
+};
+
+/// A part that crashes the servers that begin to answer on it.
+struct quarantined_part {
+    prompt_part part = 0;
+    time_point since{}; ///< Of the latest crash that it is held responsible for.
+    unsigned failedTrials = 0;
+};
+
+/// What an instance tells the others about parts that crash servers. Merging is idempotent and independent of the order.
+struct quarantine_news {
+    std::vector<crash_evidence> crashes;
+    std::vector<written_part> written;
+    std::vector<quarantined_part> quarantined;
+};
+
+} // namespace mustardtrail::gateway
--- a/src/gateway/fleet_state.h
+++ b/src/gateway/fleet_state.h
@@ -7,6 +7,7 @@
 #include "gateway/load_tracker.h"
 #include "gateway/peer_registry.h"
 #include "gateway/placement_candidate.h"
+#include "gateway/prompt_quarantine.h"
 #include "gateway/published_change.h"
 #include "gateway/quiet_servers.h"
 #include "gateway/resend_budget.h"
@@ -66,6 +67,11 @@
     std::optional<time_point> quietUntil(const service_id &service, time_point now) const;
     /// Servers whose leaving became known lately, for the other instances.
     std::vector<server_start_key> leavingServers(time_point now) const;
+    /// Identifies shared parts of a prompt for the quarantine.
+    static std::vector<prompt_part> promptParts(const service_id &service, const std::vector<std::string> &ids);
+    /// Returns when the next request with these parts may be tried, unless this instance may try one now; nullopt if none of
+    /// them is quarantined.
+    std::optional<time_point> quarantinedUntil(const std::vector<prompt_part> &parts, time_point now) const;
     /// Records that an answer from the server has begun.
     void recordAnswer(server_key server);
     /// Whether requests may be served: a configuration is loaded and was confirmed once; if it requires API keys, it is fresh enough.
@@ -83,11 +89,14 @@
     cell_summaries summaries;
     server_suspicion serverSuspicion;
     quiet_servers quiet;
+    prompt_quarantine quarantine;
+    std::function<void(prompt_part)> onQuarantined; ///< Called when a part is quarantined.
     data_centre_suspicion dataCentreSuspicion;
     resend_budget resends;
     peer_registry peers;
 
 private:
+    bool isTrialInstance(prompt_part part, time_point now) const;
     void applyConfig(const config_published &published);
     void applyServer(const listed_server &server, time_point now);
     bool isAtColdLimit(const server_directory::known_server &server, unsigned sentLastSecond, double share, time_point now) const;
@@ -108,6 +117,7 @@
     };
 
     fleet_event_log m_log;
+    peer_address m_self;
     std::map<server_key, backend_server_id> m_idByKey;
     mutable std::map<server_scope, candidate_cache> m_candidates;
 };
@@ -115,4 +125,7 @@
 /// Returns the hash that stands for a backend server in messages between instances.
 server_key keyOf(const backend_server_id &id);
 
+/// Returns the hash that stands for one start of a backend server in messages between instances.
+server_start_key startKeyOf(const listed_server &server);
+
 } // namespace mustardtrail::gateway
--- a/src/gateway/internal/fleet_state.cpp
+++ b/src/gateway/internal/fleet_state.cpp
@@ -15,11 +15,6 @@
 
 constexpr std::chrono::seconds leavingReportTime{ 3 }; // Several reports; then the store's entry shows it too.
 
-server_start_key startKeyOf(const listed_server &server)
-{
-    return hash64(server.id.str(), server.startedAt);
-}
-
 std::string_view eventName(server_directory::change change)
 {
     switch (change) {
@@ -44,12 +39,24 @@
     return hash64(id.str());
 }
 
+server_start_key startKeyOf(const listed_server &server)
+{
+    return hash64(server.id.str(), server.startedAt);
+}
+
 fleet_state::fleet_state(peer_address self, data_centre_id ownDataCentre, const fleet_limits &fleetLimits, fleet_event_log log)
     : limits(fleetLimits)
     , freshness(fleetLimits.maxConfigAge)
+    , quarantine([this](prompt_part part, bool isQuarantined) {
+        m_log(isQuarantined ? "prompt_part_quarantined" : "prompt_part_released", std::to_string(part), {});
+        if (isQuarantined && onQuarantined) {
+            onQuarantined(part);
+        }
+    })
     , resends(fleetLimits.resend, fleetLimits.resendSlackFrom)
     , peers(self, std::move(ownDataCentre))
     , m_log(std::move(log))
+    , m_self(self)
 {
 }
 
@@ -132,6 +139,7 @@
     peers.expire(now);
     summaries.expire(now);
     quiet.expire(now);
+    quarantine.expire(now);
 }
 
 bool fleet_state::isAtColdLimit(const server_directory::known_server &server, unsigned sentLastSecond, double share, time_point now) const
@@ -301,6 +309,40 @@
     return keys;
 }
 
+std::vector<prompt_part> fleet_state::promptParts(const service_id &service, const std::vector<std::string> &ids)
+{
+    std::vector<prompt_part> parts;
+    for (const std::string &id : ids) {
+        parts.push_back(hash64(id, hash64(service.str())));
+    }
+    return parts;
+}
+
+std::optional<time_point> fleet_state::quarantinedUntil(const std::vector<prompt_part> &parts, time_point now) const
+{
+    const auto until = quarantine.quarantinedUntil(parts);
+    const bool isTrialDue = until && now >= *until;
+    return isTrialDue && isTrialInstance(parts.front(), now) ? std::nullopt : until;
+}
+
+// One instance of the fleet, so that a part that still crashes servers ends one server and not one for each instance.
+bool fleet_state::isTrialInstance(prompt_part part, time_point now) const
+{
+    const auto weightOf = [part](peer_address instance) {
+        return rendezvousWeight(std::to_string(part), std::to_string(instance));
+    };
+    const std::uint64_t own = weightOf(m_self);
+    for (const auto &[dataCentre, instances] : peers.alive(now)) {
+        const bool hasHeavier = std::any_of(instances.begin(), instances.end(), [&](peer_address instance) {
+            return instance != m_self && weightOf(instance) > own;
+        });
+        if (hasHeavier) {
+            return false;
+        }
+    }
+    return true;
+}
+
 void fleet_state::recordAnswer(server_key server)
 {
     if (const auto *known = findServer(server)) {
--- a/src/gateway/internal/load_report.cpp
+++ b/src/gateway/internal/load_report.cpp
@@ -141,6 +141,56 @@
     return summary;
 }
 
+std::uint32_t ageOf(time_point moment, time_point now)
+{
+    return clamped(std::chrono::duration_cast<std::chrono::milliseconds>(now - moment).count());
+}
+
+void write(const quarantine_news &news, time_point now, wire::Report &target)
+{
+    for (const crash_evidence &crash : news.crashes) {
+        wire::Crash &each = *target.add_crashes();
+        each.set_server_start(crash.server);
+        each.set_ms_ago(ageOf(crash.at, now));
+        for (const auto &[part, sentAt] : crash.sentAt) {
+            wire::CrashSuspect &suspect = *each.add_suspects();
+            suspect.set_part(part);
+            suspect.set_sent_ms_ago(ageOf(sentAt, now));
+        }
+    }
+    for (const written_part &written : news.written) {
+        wire::WrittenPart &each = *target.add_written_parts();
+        each.set_part(written.part);
+        each.set_ms_ago(ageOf(written.at, now));
+    }
+    for (const quarantined_part &part : news.quarantined) {
+        wire::QuarantinedPart &each = *target.add_quarantined_parts();
+        each.set_part(part.part);
+        each.set_since_ms(ageOf(part.since, now));
+        each.set_failed_trials(part.failedTrials);
+    }
+}
+
+quarantine_news readQuarantineNews(const wire::Report &source, time_point now)
+{
+    using std::chrono::milliseconds;
+    quarantine_news news;
+    for (const wire::Crash &each : source.crashes()) {
+        crash_evidence crash{ each.server_start(), now - milliseconds(each.ms_ago()), {} };
+        for (const wire::CrashSuspect &suspect : each.suspects()) {
+            crash.sentAt[suspect.part()] = now - milliseconds(suspect.sent_ms_ago());
+        }
+        news.crashes.push_back(std::move(crash));
+    }
+    for (const wire::WrittenPart &each : source.written_parts()) {
+        news.written.push_back({ each.part(), now - milliseconds(each.ms_ago()) });
+    }
+    for (const wire::QuarantinedPart &each : source.quarantined_parts()) {
+        news.quarantined.push_back({ each.part(), now - milliseconds(each.since_ms()), each.failed_trials() });
+    }
+    return news;
+}
+
 } // namespace
 
 std::string encodeLoadReport(const load_report &report, time_point now)
@@ -158,6 +208,7 @@
     message.set_store_era(report.storePosition.era);
     message.set_config_version(report.configVersion);
     message.mutable_leaving_servers()->Add(report.leavingServers.begin(), report.leavingServers.end());
+    write(report.quarantine, now, message);
     if (report.relay) {
         write(*report.relay, *message.mutable_relay());
     }
@@ -198,6 +249,7 @@
     report.storePosition = { message.store_era(), message.store_revision() };
     report.configVersion = message.config_version();
     report.leavingServers.assign(message.leaving_servers().begin(), message.leaving_servers().end());
+    report.quarantine = readQuarantineNews(message, now);
     if (message.has_relay()) {
         report.relay = read(message.relay());
     }
--- a/src/gateway/internal/report_exchange.cpp
+++ b/src/gateway/internal/report_exchange.cpp
@@ -19,6 +19,7 @@
 constexpr milliseconds reportIntervalPerInstance{ 15 };
 constexpr milliseconds minSummaryInterval{ 250 }; ///< About one batch step of an engine.
 constexpr milliseconds summaryIntervalPerCell{ 60 };
+constexpr milliseconds urgentNewsAge{ 100 }; ///< What each report tells; the periodic ones repeat it for longer.
 
 std::string nameOf(const cell_id &cell)
 {
@@ -84,6 +85,7 @@
     report.work = cell == m_state.peers.ownCell() ? m_state.loads.ownWork() : workAt(cell);
     report.suspectedServers = m_state.serverSuspicion.ownSuspects(now);
     report.leavingServers = m_state.leavingServers(now);
+    report.quarantine = m_state.quarantine.news(urgentNewsAge, now);
     return report;
 }
 
@@ -103,6 +105,7 @@
     m_state.loads.replacePeerWork(report.address, report.work, now);
     m_state.peers.addInstances(report.instances, now);
     m_state.recordLeavingServers(report.leavingServers, report.sender, now);
+    m_state.quarantine.merge(report.quarantine, now);
     std::vector<cell_summary> passedOn;
     for (const cell_summary &summary : report.summaries) {
         m_state.peers.recordSignOfLife(summary.cell.dataCentre, summary.measuredAt);
@@ -284,6 +287,15 @@
 }
 
 std::vector<outgoing_report> report_exchange::reportsDue(time_point now)
+{
+    std::vector<outgoing_report> out = reportsDueNow(now);
+    for (outgoing_report &each : out) {
+        each.report.quarantine = m_state.quarantine.news(prompt_quarantine::newsMaxAge, now);
+    }
+    return out;
+}
+
+std::vector<outgoing_report> report_exchange::reportsDueNow(time_point now)
 {
     std::vector<outgoing_report> out;
     const cell_id own = m_state.peers.ownCell();
--- /dev/null
+++ b/src/gateway/prompt_quarantine.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "gateway/crash_evidence.h"
+
+#include <functional>
+#include <optional>
+#include <set>
+
+namespace mustardtrail::gateway
+{
+
+/// Finds the parts of prompts that crash backend servers, and keeps requests with them away from the servers. Guards against a
+/// prompt that ends every server that begins to answer it, which retries and other callers would carry from server to server.
+///
+/// A part is a suspect of each crash during whose start of an answer it was there, until an answer is written on it. It is
+/// quarantined after several crashes in a row, each of a request that was sent after the crash before, unless another part
+/// explains the crashes as well.
+class prompt_quarantine
+{
+public:
+    /// Called when a part is quarantined or released, here or by news from another instance.
+    using change_hook = std::function<void(prompt_part part, bool isQuarantined)>;
+
+    explicit prompt_quarantine(change_hook onChange = {});
+
+    /// Records that the server ended while it was reading a request with these parts, or had just begun to answer it.
+    void recordCrash(server_start_key server, const std::vector<prompt_part> &parts, time_point sentAt, time_point now);
+    /// Records that an answer is being written on these parts.
+    void recordWritten(const std::vector<prompt_part> &parts, time_point now);
+    /// Returns when the next request with these parts may be tried; nullopt if none of them is quarantined.
+    std::optional<time_point> quarantinedUntil(const std::vector<prompt_part> &parts) const;
+    /// Whether this request may be sent to find out whether the parts still crash servers. One instance of the fleet may ask.
+    bool tryTrial(const std::vector<prompt_part> &parts, time_point now);
+
+    /// What is to be told to the other instances: evidence of at most this age, and all parts in quarantine or, for a shorter
+    /// age than `newsMaxAge`, those that changed within it.
+    quarantine_news news(std::chrono::milliseconds maxAge, time_point now) const;
+    void merge(const quarantine_news &news, time_point now);
+    void expire(time_point now);
+    size_t size() const;
+
+    static constexpr unsigned crashesRequired = 3;
+    static constexpr unsigned ambiguousCrashesRequired = 6; ///< While another part explains the crashes as well.
+    static constexpr std::chrono::seconds evidenceMaxAge{ 60 };
+    static constexpr std::chrono::seconds firstTrialDelay{ 10 }; ///< Trebled after each trial that crashes a server.
+    static constexpr std::chrono::minutes maxTrialDelay{ 10 };
+    static constexpr std::chrono::milliseconds newsMaxAge{ 2'000 }; ///< Several periodic reports, so that a lost one is no harm.
+    static constexpr std::chrono::minutes quarantineMaxAge{ 30 }; ///< Without a trial, as no request with the part came.
+    static constexpr size_t maxCrashes = 128;
+    static constexpr size_t maxPartsPerCrash = 32;
+    static constexpr size_t maxCrashesInNews = 32;
+    static constexpr size_t maxQuarantined = 256;
+
+private:
+    struct crash_record {
+        crash_evidence evidence;
+        time_point changedAt{};
+    };
+
+    struct written_record {
+        time_point at{};
+        time_point changedAt{};
+    };
+
+    struct quarantine_record {
+        time_point since{}; ///< Latest crash or trial.
+        unsigned failedTrials = 0;
+        time_point changedAt{};
+        bool isOnTrial = false; ///< Here; other instances do not know.
+    };
+
+    using part_set = std::set<prompt_part>;
+
+    /// Returns the suspects of the crash if it is news.
+    part_set addEvidence(const crash_evidence &evidence, time_point now);
+    /// Returns the parts that shared a crash with this one if it is news.
+    part_set addWritten(prompt_part part, time_point at, time_point now);
+    void quarantine(prompt_part part, time_point since, unsigned failedTrials, time_point now);
+    void release(prompt_part part);
+    void judge(const part_set &parts, time_point now);
+    /// Crashes that the part may have caused and no quarantined part explains, in the order of time.
+    std::vector<const crash_evidence *> unexplainedCrashes(prompt_part part) const;
+    bool hasOtherExplanation(prompt_part part, const std::vector<const crash_evidence *> &crashes) const;
+    bool isSuspectOf(prompt_part part, const crash_evidence &crash) const;
+    void dropOldestCrash();
+
+    change_hook m_onChange;
+    std::map<server_start_key, crash_record> m_crashes;
+    std::map<prompt_part, written_record> m_written;
+    std::map<prompt_part, quarantine_record> m_quarantined;
+};
+
+} // namespace mustardtrail::gateway
--- a/src/gateway/report_exchange.h
+++ b/src/gateway/report_exchange.h
@@ -65,6 +65,7 @@
     static constexpr size_t maxSummaryServers = 32; ///< Of one service; more than the parts of the longest prompt.
 
 private:
+    std::vector<outgoing_report> reportsDueNow(time_point now);
     load_report newReport(time_point now);
     load_report reportFor(const cell_id &cell, time_point now);
     std::vector<server_work> workAt(const cell_id &cell) const;
--- /dev/null
+++ b/src/gateway/tests/prompt_quarantine_test.cpp
@@ -0,0 +1,204 @@
+#include "gateway/prompt_quarantine.h"
+
+#include "gateway/tests/test_time.h"
+#include "testing/expect.h"
+
+using namespace mustardtrail;
+using namespace mustardtrail::gateway;
+using mustardtrail::testing::expectEqual;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+
+constexpr prompt_part guilty = 1;
+constexpr prompt_part popular = 2;
+constexpr prompt_part rare = 3;
+constexpr milliseconds crashDelay{ 300 }; // From the send to the end of the server.
+
+time_point at(milliseconds time)
+{
+    return time_point(seconds(100)) + time;
+}
+
+bool isQuarantined(const prompt_quarantine &quarantine, prompt_part part)
+{
+    return quarantine.quarantinedUntil({ part }).has_value();
+}
+
+/// Server number `server` ends at `time`, `crashDelay` after a request with these parts was sent to it.
+void crash(prompt_quarantine &quarantine, server_start_key server, const std::vector<prompt_part> &parts, milliseconds time)
+{
+    quarantine.recordCrash(server, parts, at(time - crashDelay), at(time));
+}
+
+void crashThreeServers(prompt_quarantine &quarantine, prompt_part part)
+{
+    for (int number = 1; number <= 3; ++number) {
+        crash(quarantine, static_cast<server_start_key>(number), { part }, milliseconds(400 * number));
+    }
+}
+
+} // namespace
+
+Test(prompt_quarantine, aPartUnderWhichServersEndOneAfterTheOtherIsSentNoMore)
+{
+    prompt_quarantine quarantine;
+    crash(quarantine, 1, { guilty }, milliseconds(400));
+    crash(quarantine, 2, { guilty }, milliseconds(800));
+    cr_assert_not(isQuarantined(quarantine, guilty));
+    crash(quarantine, 3, { guilty }, milliseconds(1'200));
+    cr_assert(isQuarantined(quarantine, guilty));
+    cr_assert_not(isQuarantined(quarantine, popular));
+}
+
+Test(prompt_quarantine, oneCrashSeenByManyRequestsCountsOnce)
+{
+    prompt_quarantine quarantine;
+    for (int count = 0; count < 10; ++count) {
+        crash(quarantine, 1, { guilty }, milliseconds(400 + count * 400));
+    }
+    cr_assert_not(isQuarantined(quarantine, guilty));
+}
+
+Test(prompt_quarantine, serversThatEndAtOneMomentConvictNoPart)
+{
+    prompt_quarantine quarantine;
+    for (server_start_key server = 1; server <= 20; ++server) {
+        crash(quarantine, server, { popular }, milliseconds(400 + static_cast<int>(server)));
+    }
+    cr_assert_not(isQuarantined(quarantine, popular));
+}
+
+Test(prompt_quarantine, aPartOnWhichAnswersAreWrittenIsNoSuspect)
+{
+    prompt_quarantine quarantine;
+    for (int number = 1; number <= 20; ++number) {
+        crash(quarantine, static_cast<server_start_key>(number), { guilty, popular }, milliseconds(400 * number));
+        quarantine.recordWritten({ popular }, at(milliseconds(400 * number + 50)));
+    }
+    cr_assert(isQuarantined(quarantine, guilty));
+    cr_assert_not(isQuarantined(quarantine, popular));
+}
+
+Test(prompt_quarantine, aPartThatIsThereAtSomeOfTheCrashesIsNotBlamedForThem)
+{
+    prompt_quarantine quarantine;
+    for (int number = 1; number <= 12; ++number) {
+        const bool isRareThere = number % 2 == 0;
+        const std::vector<prompt_part> parts = isRareThere ? std::vector<prompt_part>{ guilty, rare } : std::vector<prompt_part>{ guilty };
+        crash(quarantine, static_cast<server_start_key>(number), parts, milliseconds(400 * number));
+    }
+    cr_assert(isQuarantined(quarantine, guilty));
+    cr_assert_not(isQuarantined(quarantine, rare));
+}
+
+Test(prompt_quarantine, twoPartsThatCrashServersAreBothFound)
+{
+    constexpr prompt_part other = 9;
+    prompt_quarantine quarantine;
+    for (int number = 1; number <= 8; ++number) {
+        crash(quarantine, static_cast<server_start_key>(number), { number % 2 == 0 ? guilty : other }, milliseconds(400 * number));
+    }
+    cr_assert(isQuarantined(quarantine, guilty));
+    cr_assert(isQuarantined(quarantine, other));
+}
+
+Test(prompt_quarantine, partsThatAlwaysComeTogetherAreBothHeldBackInTheEnd)
+{
+    prompt_quarantine quarantine;
+    for (int number = 1; number <= 5; ++number) {
+        crash(quarantine, static_cast<server_start_key>(number), { guilty, rare }, milliseconds(400 * number));
+    }
+    cr_assert_not(isQuarantined(quarantine, guilty));
+    crash(quarantine, 6, { guilty, rare }, milliseconds(2'400));
+    cr_assert(isQuarantined(quarantine, guilty));
+}
+
+Test(prompt_quarantine, instancesThatEachSawOneCrashKnowThePartTogether)
+{
+    prompt_quarantine first;
+    prompt_quarantine second;
+    prompt_quarantine third;
+    crash(first, 1, { guilty }, milliseconds(400));
+    crash(second, 2, { guilty }, milliseconds(800));
+    crash(third, 3, { guilty }, milliseconds(1'200));
+    const time_point now = at(milliseconds(1'210));
+    for (int round = 0; round < 3; ++round) { // News that comes again changes nothing.
+        first.merge(second.news(prompt_quarantine::newsMaxAge, now), now);
+        first.merge(third.news(prompt_quarantine::newsMaxAge, now), now);
+    }
+    cr_assert(isQuarantined(first, guilty));
+    // An instance that has seen nothing hears of it from any other.
+    prompt_quarantine started;
+    started.merge(first.news(prompt_quarantine::newsMaxAge, at(seconds(8))), at(seconds(8)));
+    cr_assert(isQuarantined(started, guilty));
+}
+
+Test(prompt_quarantine, anAnswerThatAnotherInstanceRelaysClearsThePartHere)
+{
+    prompt_quarantine here;
+    prompt_quarantine there;
+    crash(here, 1, { popular }, milliseconds(400));
+    crash(here, 2, { popular }, milliseconds(800));
+    there.merge(here.news(prompt_quarantine::newsMaxAge, at(milliseconds(810))), at(milliseconds(810)));
+    there.recordWritten({ popular }, at(milliseconds(900)));
+    here.merge(there.news(prompt_quarantine::newsMaxAge, at(milliseconds(910))), at(milliseconds(910)));
+    crash(here, 3, { popular }, milliseconds(1'400));
+    cr_assert_not(isQuarantined(here, popular));
+}
+
+Test(prompt_quarantine, oneTrialAfterEachDelayAndALongerDelayAfterEachFailedOne)
+{
+    prompt_quarantine quarantine;
+    crashThreeServers(quarantine, guilty);
+    time_point now = at(milliseconds(1'200));
+    cr_assert_not(quarantine.tryTrial({ guilty }, now + seconds(9)));
+    int trials = 0;
+    for (int second = 0; second < 120; ++second) {
+        now += seconds(1);
+        if (quarantine.tryTrial({ guilty }, now)) {
+            ++trials;
+            quarantine.recordCrash(static_cast<server_start_key>(100 + trials), { guilty }, now, now + milliseconds(200));
+        }
+    }
+    expectEqual(trials, 2);
+}
+
+Test(prompt_quarantine, aTrialThatIsAnsweredReleasesThePartEverywhere)
+{
+    prompt_quarantine here;
+    crashThreeServers(here, guilty);
+    prompt_quarantine there;
+    there.merge(here.news(prompt_quarantine::newsMaxAge, at(seconds(2))), at(seconds(2)));
+    cr_assert(isQuarantined(there, guilty));
+    cr_assert(here.tryTrial({ guilty }, at(seconds(12))));
+    here.recordWritten({ guilty }, at(seconds(13)));
+    cr_assert_not(isQuarantined(here, guilty));
+    there.merge(here.news(prompt_quarantine::newsMaxAge, at(seconds(13))), at(seconds(13)));
+    cr_assert_not(isQuarantined(there, guilty));
+    // Old news from an instance that has not heard of it does not bring the quarantine back.
+    prompt_quarantine late;
+    crashThreeServers(late, guilty);
+    here.merge(late.news(prompt_quarantine::newsMaxAge, at(seconds(2))), at(milliseconds(13'100)));
+    cr_assert_not(isQuarantined(here, guilty));
+}
+
+Test(prompt_quarantine, partsThatNeverComeAgainDoNotFillTheMemory)
+{
+    prompt_quarantine quarantine;
+    for (int number = 1; number <= 2'000; ++number) {
+        std::vector<prompt_part> parts;
+        for (int part = 0; part < 200; ++part) {
+            parts.push_back(static_cast<prompt_part>(number) * 1'000 + static_cast<prompt_part>(part));
+        }
+        crash(quarantine, static_cast<server_start_key>(number), parts, milliseconds(400 + 10 * number));
+    }
+    const auto news = quarantine.news(prompt_quarantine::newsMaxAge, at(seconds(21)));
+    cr_assert_leq(news.crashes.size(), prompt_quarantine::maxCrashes);
+    for (const crash_evidence &each : news.crashes) {
+        cr_assert_leq(each.sentAt.size(), prompt_quarantine::maxPartsPerCrash);
+    }
+    expectEqual(quarantine.size(), 0U);
+}
--- a/src/programs/gateway/gateway_context.h
+++ b/src/programs/gateway/gateway_context.h
@@ -9,6 +9,7 @@
 #include "programs/gateway/rate_limited_log.h"
 
 #include <functional>
+#include <map>
 
 namespace mustardtrail::gateway
 {
@@ -27,6 +28,7 @@
     std::function<void(std::uint64_t era)> noteStoreEra; ///< Another instance has seen this era of the store.
     std::function<void(store_relay)> relayStoreChanges; ///< Forwards a store answer to the instances that rely on this one.
     std::function<void(peer_address)> requestMissingChanges; ///< Asks another instance for store changes that it relayed earlier.
+    std::map<std::uint64_t, std::function<void(prompt_part)>> onQuarantined; ///< Of the requests that are being served.
     placement_queue queue; ///< Requests that wait for capacity at a server.
     bool isStopping = false;
 };
--- a/src/programs/gateway/gateway_host.cpp
+++ b/src/programs/gateway/gateway_host.cpp
@@ -92,6 +92,7 @@
             m_peerLink.requestMissingChanges(from);
         },
         {},
+        {},
         false }
     , m_peerLink(context.get_executor(),
           m_shared,
@@ -124,6 +125,12 @@
           },
           badRequest)
 {
+    m_state.onQuarantined = [this](prompt_part part) {
+        for (const auto &[id, stopSending] : m_shared.onQuarantined) {
+            stopSending(part);
+        }
+        m_shared.scheduleReport();
+    };
 }
 
 void gateway_host::addSeeds(const std::vector<endpoint> &seeds)
--- a/src/programs/gateway/hedged_send.cpp
+++ b/src/programs/gateway/hedged_send.cpp
@@ -108,6 +108,7 @@
     if (!answer) {
         m_isDelivered = m_isDelivered && answer.error().outcome != verdict::not_run;
         m_isUnreachable = answer.error().code == error_code::backend_connect_failed;
+        m_isCutOff = answer.error().code == error_code::backend_connection_lost && m_isDelivered;
         co_return answer.error().outcome;
     }
     const auto head = platform::readResponseHead((*answer)->status(), (*answer)->headers(), m_sent.attempt);
@@ -117,6 +118,7 @@
     std::string received;
     const bool isReadable = co_await readAhead(**answer, received);
     if (!isReadable || m_isCancelled) {
+        m_isCutOff = !m_isCancelled;
         co_return verdict::may_have_run;
     }
     m_answer = std::make_unique<prefetched_answer>(std::move(*answer), std::move(received));
@@ -170,6 +172,11 @@
     return m_isUnreachable;
 }
 
+bool hedged_send::isCutOff() const
+{
+    return m_isCutOff;
+}
+
 std::unique_ptr<http::response_stream> hedged_send::takeAnswer()
 {
     return std::move(m_answer);
--- a/src/programs/gateway/hedged_send.h
+++ b/src/programs/gateway/hedged_send.h
@@ -21,6 +21,7 @@
         std::uint64_t workId = 0; ///< Identifies the placement in the fleet state.
         std::shared_ptr<reservation_set> reservations; ///< Null when the prompt fits on one engine.
         backend_server_id server;
+        server_start_key start = 0;
         endpoint address;
         http::request_message message;
         http::call_limits limits;
@@ -44,6 +45,8 @@
     /// Meaningful once the send has failed.
     verdict outcome() const;
     bool isUnreachable() const;
+    /// Whether the server ended the connection before the answer was complete.
+    bool isCutOff() const;
     /// The answer from its first byte on. Call once.
     std::unique_ptr<http::response_stream> takeAnswer();
     /// Closes the connection of the answer; safe to call after the answer is destroyed.
@@ -64,6 +67,7 @@
     time_point m_sentAt{};
     bool m_isDelivered = false;
     bool m_isUnreachable = false;
+    bool m_isCutOff = false;
     bool m_isCancelled = false;
 };
 
--- a/src/programs/gateway/request_hedge.cpp
+++ b/src/programs/gateway/request_hedge.cpp
@@ -61,7 +61,7 @@
     const placement_decision placed = choosePlacement(now);
     const auto *server = placed.parts.empty() ? nullptr : m_context.state.findServer(placed.parts.front().server);
     const auto cause = resend_budget::cause::interrupted;
-    if (placed.next != placement_decision::action::send || !server
+    if (placed.next != placement_decision::action::send || !server || m_context.state.quarantine.quarantinedUntil(m_parts)
         || !m_context.state.resends.tryTake(m_service, cause, now, m_context.state.peers.largestFleetSize())) {
         return;
     }
@@ -71,6 +71,7 @@
     sent.workId = registerWork(placed, now);
     sent.reservations = makeReservations(placed, sent.workId);
     sent.server = server->entry.id;
+    sent.start = startKeyOf(server->entry);
     sent.address = server->entry.address;
     sent.message = messageFor(placed, sent.reservations.get(), now);
     sent.limits = limitsFor(now);
@@ -102,6 +103,10 @@
         if (m_hedge->isUnreachable()) {
             m_context.state.recordFailure(m_hedge->sent().placed.parts.front().server, true, m_context.clock.now());
         }
+        if (m_hedge->isCutOff() && m_route->isStream) {
+            m_context.state.quarantine.recordCrash(m_hedge->sent().start, m_parts, m_hedge->sentAt(), m_context.clock.now());
+            m_context.scheduleReport();
+        }
         dropHedge("failed");
     }
     m_hedgeTimer.cancel();
@@ -155,6 +160,7 @@
     m_closeConnection = hedge->closer();
     m_closedBecause = {};
     m_sentAt = hedge->sentAt();
+    m_currentStart = hedge->sent().start;
     m_firstEventOfSendAt.reset();
     m_faultyServer.clear();
     m_isStallExtended = false;
--- /dev/null
+++ b/src/programs/gateway/request_quarantine.cpp
@@ -0,0 +1,46 @@
+#include "programs/gateway/request_session.h"
+
+#include <algorithm>
+
+namespace mustardtrail::gateway
+{
+
+void request_session::recordServerEnd(const attempt_failure &failure, time_point now)
+{
+    const bool isEndOfServer = failure.isCutOff && m_closedBecause.empty();
+    const bool hadAnswered = m_firstEventOfSendAt && now - *m_firstEventOfSendAt >= answerEstablishedAfter;
+    if (!m_route->isStream || !isEndOfServer || hadAnswered || m_parts.empty()) {
+        return;
+    }
+    m_context.state.quarantine.recordCrash(m_currentStart, m_parts, m_sentAt, now);
+    m_context.scheduleReport();
+}
+
+// What has not begun to be answered would end its server; an answer that is being written shows that it does not.
+void request_session::onQuarantined(prompt_part part)
+{
+    const bool isConcerned = std::find(m_parts.begin(), m_parts.end(), part) != m_parts.end();
+    const time_point now = m_context.clock.now();
+    const bool hasAnswered = m_firstEventOfSendAt && now - *m_firstEventOfSendAt >= answerEstablishedAfter;
+    if (!isConcerned || m_isTrial || hasAnswered || !m_closeConnection) {
+        return;
+    }
+    m_closedBecause = "quarantined";
+    m_closeConnection();
+    dropHedge(m_closedBecause);
+}
+
+std::optional<placement_decision> request_session::quarantineDecision(time_point now) const
+{
+    const auto until = m_context.state.quarantinedUntil(m_parts, now);
+    if (!until) {
+        return std::nullopt;
+    }
+    placement_decision decision;
+    decision.next = placement_decision::action::refuse;
+    decision.reason = "prompt_part_quarantined";
+    decision.retryAfter = std::max(std::chrono::duration_cast<std::chrono::milliseconds>(*until - now), std::chrono::milliseconds(0));
+    return decision;
+}
+
+} // namespace mustardtrail::gateway
--- a/src/programs/gateway/request_relay.cpp
+++ b/src/programs/gateway/request_relay.cpp
@@ -45,6 +45,7 @@
 {
     attempt_failure failure = makeFailure(problem.outcome);
     failure.isUnreachable = problem.code == error_code::backend_connect_failed;
+    failure.isCutOff = problem.code == error_code::backend_connection_lost && problem.outcome != verdict::not_run;
     return failure;
 }
 
@@ -169,6 +170,7 @@
     }
     const endpoint address = server->entry.address;
     m_currentServer = placed.parts.front().server;
+    m_currentStart = startKeyOf(server->entry);
     m_isStallExtended = false;
     m_lastServer = server->entry.id.str();
     m_faultyServer.clear();
@@ -272,8 +274,11 @@
     }
     const bool isComplete = !m_isCallerGone && !m_events.hasPartialEvent();
     if (!isComplete) {
-        co_return makeFailure(verdict::ran);
+        attempt_failure failure = makeFailure(verdict::ran);
+        failure.isCutOff = !m_isCallerGone;
+        co_return failure;
     }
+    m_context.state.quarantine.recordWritten(m_parts, m_context.clock.now());
     m_context.metrics.recordSendOutcome("served");
     co_await m_exchange.finishStream();
     co_return std::nullopt;
@@ -289,6 +294,9 @@
     }
     m_lastEventAt = now;
     m_firstEventOfSendAt = m_firstEventOfSendAt.value_or(now);
+    if (now - *m_firstEventOfSendAt >= answerEstablishedAfter) {
+        m_context.state.quarantine.recordWritten(m_parts, now);
+    }
     m_context.state.serverSuspicion.recordBytes(m_currentServer, now);
     m_stallTimer.cancel(); // Until the caller has taken the events: its slowness is not the server's silence.
     dropHedge("first_server_went_on");
--- a/src/programs/gateway/request_retry.cpp
+++ b/src/programs/gateway/request_retry.cpp
@@ -70,6 +70,7 @@
 {
     const time_point now = m_context.clock.now();
     const auto *primary = m_context.state.findServer(placed.parts.front().server);
+    recordServerEnd(failure, now);
     m_context.log.write(log_line("send_failed")
                             .add("request", m_head.attempt.str())
                             .add("server", m_lastServer)
--- a/src/programs/gateway/request_session.cpp
+++ b/src/programs/gateway/request_session.cpp
@@ -43,6 +43,7 @@
 request_session::~request_session()
 {
     dropHedge("request_ended");
+    m_context.onQuarantined.erase(m_quarantineHook);
     *m_alive = false;
 }
 
@@ -75,6 +76,13 @@
     m_deadlineAt = m_arrivedAt + limit;
     m_service = chooseServiceByWeight(*m_route, m_context.random.unit());
     m_lastEvent = m_head.lastEvent;
+    m_parts = fleet_state::promptParts(m_service, m_head.sharedParts);
+    if (!m_parts.empty()) {
+        m_quarantineHook = 1 + m_context.random.below(~std::uint64_t{ 0 });
+        m_context.onQuarantined[m_quarantineHook] = [this](prompt_part part) {
+            onQuarantined(part);
+        };
+    }
     m_context.state.resends.countRequest(m_service, m_arrivedAt);
     return std::nullopt;
 }
@@ -206,7 +214,13 @@
 
 placement_decision request_session::tryPlacement(time_point now)
 {
+    if (const auto held = quarantineDecision(now)) {
+        return *held;
+    }
     placement_decision decision = choosePlacement(now);
+    if (decision.next == placement_decision::action::send) {
+        m_isTrial = m_context.state.quarantine.tryTrial(m_parts, now);
+    }
     if (now >= m_deadlineAt) {
         decision.next = placement_decision::action::refuse;
         decision.reason = "deadline";
@@ -297,6 +311,7 @@
 {
     unregisterWork();
     m_closeConnection = nullptr;
+    m_isTrial = false;
     m_stallTimer.cancel();
     if (m_reservations) {
         m_reservations->release();
--- a/src/programs/gateway/request_session.h
+++ b/src/programs/gateway/request_session.h
@@ -29,6 +29,9 @@
 
     boost::asio::awaitable<void> run();
 
+    /// A server that a prompt crashes ends within this time of its first event.
+    static constexpr std::chrono::milliseconds answerEstablishedAfter{ 500 };
+
 private:
     struct refusal {
         int status = 0;
@@ -88,6 +91,11 @@
     /// Returns the id of the work in the fleet state.
     std::uint64_t registerWork(const placement_decision &placed, time_point now);
     void recordFailure(const placement_decision &placed, const attempt_failure &failure);
+    /// Takes the end of the server as evidence against the parts of the prompt.
+    void recordServerEnd(const attempt_failure &failure, time_point now);
+    void onQuarantined(prompt_part part);
+    /// Refuses a request whose parts are in quarantine; a trial of them is allowed once.
+    std::optional<placement_decision> quarantineDecision(time_point now) const;
     /// Counts a failed send among those that may have run.
     void countRun(const attempt_failure &failure);
     std::string sharedPartsText() const;
@@ -129,6 +137,10 @@
     std::optional<std::uint64_t> m_lastEvent; ///< Last event that was delivered to the caller.
     std::optional<time_point> m_firstEventAt;
     time_point m_lastEventAt{};
+    std::vector<prompt_part> m_parts; ///< Shared parts of the prompt; empty where the service reads none.
+    bool m_isTrial = false; ///< The current send finds out whether a part still crashes servers.
+    std::uint64_t m_quarantineHook = 0;
+    server_start_key m_currentStart = 0; ///< Start of the server of the current send.
     time_point m_sentAt{}; ///< Of the current send.
     std::optional<time_point> m_firstEventOfSendAt; ///< Of the current send.
     std::chrono::milliseconds m_longestGap{ 0 }; ///< Between two events.
