A stream's head waits for its first event

What callers saw: a stream was cut although nothing of it had reached them but the head, and other servers were free.

Cause: the head was passed on at once, which bound the request to a server that had not said anything yet; without an event id nothing could be resumed.

Now the head is passed on with the first event; until then another server may answer. Callers measure up to the first event, so nothing comes later.

Evidence: gateway/aStreamIsNotLostWhenItsServerEndsBetweenHeadAndFirstEvent failed before (15 tested, 1 failing); gateway_program_test: 28 passing.

--- a/src/programs/gateway/request_relay.cpp
+++ b/src/programs/gateway/request_relay.cpp
@@ -238,13 +238,19 @@
     }
 }
 
-asio::awaitable<std::optional<attempt_failure>> request_session::relayStream(http::response_stream &answer)
+// The head waits for the first event: until the caller has it, another server may answer instead.
+asio::awaitable<void> request_session::startStream(const http::response_stream &answer)
 {
-    if (!m_exchange.hasStarted()) {
-        auto headers = platform::endToEndHeaders(answer.headers());
-        const bool open = co_await m_exchange.startStream(answer.status(), std::move(headers));
-        m_isCallerGone = m_isCallerGone || !open;
+    if (m_exchange.hasStarted()) {
+        co_return;
     }
+    auto headers = platform::endToEndHeaders(answer.headers());
+    const bool open = co_await m_exchange.startStream(answer.status(), std::move(headers));
+    m_isCallerGone = m_isCallerGone || !open;
+}
+
+asio::awaitable<std::optional<attempt_failure>> request_session::relayStream(http::response_stream &answer)
+{
     while (!m_isCallerGone) {
         auto bytes = co_await answer.read();
         if (!bytes) {
@@ -267,6 +273,7 @@
             continue;
         }
         recordEvents(m_context.clock.now());
+        co_await startStream(answer);
         const bool open = co_await m_exchange.write(completeEvents);
         m_isCallerGone = m_isCallerGone || !open;
         m_lastEvent = m_events.lastId() ? m_events.lastId() : m_lastEvent;
@@ -280,6 +287,7 @@
     }
     m_context.state.quarantine.recordWritten(m_parts, m_context.clock.now());
     m_context.metrics.recordSendOutcome("served");
+    co_await startStream(answer);
     co_await m_exchange.finishStream();
     co_return std::nullopt;
 }
--- a/src/programs/gateway/request_session.h
+++ b/src/programs/gateway/request_session.h
@@ -55,6 +55,7 @@
     /// Null when the placement needs no reservation.
     std::shared_ptr<reservation_set> makeReservations(const placement_decision &placed, std::uint64_t workId);
     boost::asio::awaitable<std::optional<attempt_failure>> relayAnswer(http::response_stream &answer);
+    boost::asio::awaitable<void> startStream(const http::response_stream &answer);
     boost::asio::awaitable<std::optional<attempt_failure>> relayStream(http::response_stream &answer);
     boost::asio::awaitable<std::optional<attempt_failure>> relayCompleteAnswer(
         http::response_stream &answer, const platform::response_head &head);
--- a/src/programs/gateway/tests/gateway_test.cpp
+++ b/src/programs/gateway/tests/gateway_test.cpp
@@ -107,6 +107,17 @@
     co_await wait.async_wait(boost::asio::use_awaitable);
 }
 
+boost::asio::awaitable<void> endAfterTheFirstHead(http::exchange &exchange)
+{
+    auto head = signedHeaders();
+    co_await exchange.startStream(200, std::move(head));
+    if (servedRequests++ == 0) {
+        co_return;
+    }
+    co_await exchange.write("id: 1\ndata: a\n\n");
+    co_await exchange.finishStream();
+}
+
 } // namespace
 
 Test(gateway, forwardsRequestAndAnswerUnchanged)
@@ -201,6 +212,18 @@
     expectEqual(receivedLastEventId, "2");
 }
 
+Test(gateway, aStreamIsNotLostWhenItsServerEndsBetweenHeadAndFirstEvent)
+{
+    fake_platform platform;
+    platform.addServer("i-1", "reading", endAfterTheFirstHead);
+    platform.addServer("i-2", "reading", endAfterTheFirstHead);
+    platform.start();
+    const caller_answer answer = platform.call("/stream/x");
+    expectEqual(answer.status, 200);
+    expectEqual(answer.body, "id: 1\ndata: a\n\n");
+    cr_assert(answer.isComplete);
+}
+
 Test(gateway, cutsConnectionOfAStreamThatCannotBeResumed)
 {
     fake_platform platform;
