Plain requests whose prompt ends servers count as evidence too

Only streams were watched, so a part that ends servers on a route with plain answers was never found. An answer is taken as established after 1 s instead of 0.5 s: a slow server ends later, and a clearance by mistake keeps a guilty part free for good, while a suspect more costs nothing.

Evidence: crashing_part/plainRequestsWithAPart... failed before, passes after.

--- a/src/programs/gateway/request_hedge.cpp
+++ b/src/programs/gateway/request_hedge.cpp
@@ -103,7 +103,7 @@
         if (m_hedge->isUnreachable()) {
             m_context.state.recordFailure(m_hedge->sent().placed.parts.front().server, true, m_context.clock.now());
         }
-        if (m_hedge->isCutOff() && m_route->isStream) {
+        if (m_hedge->isCutOff()) {
             m_context.state.quarantine.recordCrash(m_hedge->sent().start, m_parts, m_hedge->sentAt(), m_context.clock.now());
             m_context.scheduleReport();
         }
--- a/src/programs/gateway/request_quarantine.cpp
+++ b/src/programs/gateway/request_quarantine.cpp
@@ -5,11 +5,15 @@
 namespace mustardtrail::gateway
 {
 
+bool request_session::isAnswerEstablished(time_point now) const
+{
+    return m_firstEventOfSendAt && now - *m_firstEventOfSendAt >= answerEstablishedAfter;
+}
+
 void request_session::recordServerEnd(const attempt_failure &failure, time_point now)
 {
     const bool isEndOfServer = failure.isCutOff && m_closedBecause.empty();
-    const bool hadAnswered = m_firstEventOfSendAt && now - *m_firstEventOfSendAt >= answerEstablishedAfter;
-    if (!m_route->isStream || !isEndOfServer || hadAnswered || m_parts.empty()) {
+    if (!isEndOfServer || isAnswerEstablished(now) || m_parts.empty()) {
         return;
     }
     m_context.state.quarantine.recordCrash(m_currentStart, m_parts, m_sentAt, now);
@@ -20,9 +24,7 @@
 void request_session::onQuarantined(prompt_part part)
 {
     const bool isConcerned = std::find(m_parts.begin(), m_parts.end(), part) != m_parts.end();
-    const time_point now = m_context.clock.now();
-    const bool hasAnswered = m_firstEventOfSendAt && now - *m_firstEventOfSendAt >= answerEstablishedAfter;
-    if (!isConcerned || m_isTrial || hasAnswered || !m_closeConnection) {
+    if (!isConcerned || m_isTrial || isAnswerEstablished(m_context.clock.now()) || !m_closeConnection) {
         return;
     }
     m_closedBecause = "quarantined";
--- a/src/programs/gateway/request_relay.cpp
+++ b/src/programs/gateway/request_relay.cpp
@@ -302,7 +302,7 @@
     }
     m_lastEventAt = now;
     m_firstEventOfSendAt = m_firstEventOfSendAt.value_or(now);
-    if (now - *m_firstEventOfSendAt >= answerEstablishedAfter) {
+    if (isAnswerEstablished(now)) {
         m_context.state.quarantine.recordWritten(m_parts, now);
     }
     m_context.state.serverSuspicion.recordBytes(m_currentServer, now);
@@ -321,7 +321,9 @@
         auto bytes = co_await answer.read();
         if (!bytes || message.body.size() > maxAnswerBytes) {
             m_context.metrics.recordSendOutcome("answer_lost");
-            co_return makeFailure(head.outcome == verdict::not_run ? verdict::not_run : verdict::may_have_run);
+            attempt_failure failure = makeFailure(head.outcome == verdict::not_run ? verdict::not_run : verdict::may_have_run);
+            failure.isCutOff = !bytes && failure.outcome != verdict::not_run;
+            co_return failure;
         }
         if (bytes->empty()) {
             break;
@@ -331,6 +333,7 @@
     m_faultyServer = head.faultyServer;
     if (head.isSuccess && !m_exchange.hasStarted()) {
         dropHedge("first_server_answered");
+        m_context.state.quarantine.recordWritten(m_parts, m_context.clock.now());
         m_context.metrics.recordSendOutcome("served");
         co_await m_exchange.respond(std::move(message));
         co_return std::nullopt;
--- a/src/programs/gateway/request_session.h
+++ b/src/programs/gateway/request_session.h
@@ -30,7 +30,7 @@
     boost::asio::awaitable<void> run();
 
     /// A server that a prompt crashes ends within this time of its first event.
-    static constexpr std::chrono::milliseconds answerEstablishedAfter{ 500 };
+    static constexpr std::chrono::milliseconds answerEstablishedAfter{ 1'000 };
 
 private:
     struct refusal {
@@ -94,6 +94,8 @@
     void recordFailure(const placement_decision &placed, const attempt_failure &failure);
     /// Takes the end of the server as evidence against the parts of the prompt.
     void recordServerEnd(const attempt_failure &failure, time_point now);
+    /// Whether the current send has been answered for so long that its prompt cannot be what crashes the server.
+    bool isAnswerEstablished(time_point now) const;
     void onQuarantined(prompt_part part);
     /// Refuses a request whose parts are in quarantine; a trial of them is allowed once.
     std::optional<placement_decision> quarantineDecision(time_point now) const;
--- a/src/programs/gateway/tests/crashing_part_test.cpp
+++ b/src/programs/gateway/tests/crashing_part_test.cpp
@@ -39,10 +39,10 @@
     co_await exchange.finishStream();
 }
 
-void addServers(fake_platform &platform)
+void addServers(fake_platform &platform, const std::string &service = "reading")
 {
     for (int number = 1; number <= serverCount; ++number) {
-        platform.addServer("i-" + std::to_string(number), "reading", crashOnThePart);
+        platform.addServer(service + std::to_string(number), service, crashOnThePart);
     }
 }
 
@@ -84,3 +84,14 @@
         cr_assert(sound.isComplete);
     }
 }
+
+Test(crashing_part, plainRequestsWithAPartThatEndsServersAreSentNoMoreEither)
+{
+    fake_platform platform;
+    addServers(platform, "desk");
+    platform.start();
+    for (int request = 0; request < 30; ++request) {
+        platform.callWithPrompt("/again/x", "dead:40,own:100");
+    }
+    cr_assert_leq(guiltySends, crashesAllowed + sendsAllowedAfterThem);
+}
