A part that crashes servers is held back from all services

Its key held the service, so that a route that moved to another service, which each new configuration may do, let the part end servers there anew.

Evidence: crashing_part/aPartIsHeldBackFromTheServersOfAnotherServiceToo failed before (another service was sent the part), passes after; gateway_program_test 30 and gateway_test 148 passing.

--- a/src/gateway/fleet_state.h
+++ b/src/gateway/fleet_state.h
@@ -67,8 +67,6 @@
     std::optional<time_point> quietUntil(const service_id &service, time_point now) const;
     /// Servers whose leaving became known lately, for the other instances.
     std::vector<server_start_key> leavingServers(time_point now) const;
-    /// Identifies shared parts of a prompt for the quarantine.
-    static std::vector<prompt_part> promptParts(const service_id &service, const std::vector<std::string> &ids);
     /// Returns when the next request with these parts may be tried, unless this instance may try one now; nullopt if none of
     /// them is quarantined.
     std::optional<time_point> quarantinedUntil(const std::vector<prompt_part> &parts, time_point now) const;
@@ -125,6 +123,9 @@
 /// Returns the hash that stands for a backend server in messages between instances.
 server_key keyOf(const backend_server_id &id);
 
+/// Returns the hashes that stand for shared parts of a prompt in messages between instances.
+std::vector<prompt_part> promptParts(const std::vector<std::string> &ids);
+
 /// Returns the hash that stands for one start of a backend server in messages between instances.
 server_start_key startKeyOf(const listed_server &server);
 
--- a/src/gateway/internal/fleet_state.cpp
+++ b/src/gateway/internal/fleet_state.cpp
@@ -39,6 +39,15 @@
     return hash64(id.str());
 }
 
+std::vector<prompt_part> promptParts(const std::vector<std::string> &ids)
+{
+    std::vector<prompt_part> parts;
+    for (const std::string &id : ids) {
+        parts.push_back(hash64(id));
+    }
+    return parts;
+}
+
 server_start_key startKeyOf(const listed_server &server)
 {
     return hash64(server.id.str(), server.startedAt);
@@ -309,15 +318,6 @@
     return keys;
 }
 
-std::vector<prompt_part> fleet_state::promptParts(const service_id &service, const std::vector<std::string> &ids)
-{
-    std::vector<prompt_part> parts;
-    for (const std::string &id : ids) {
-        parts.push_back(hash64(id, hash64(service.str())));
-    }
-    return parts;
-}
-
 std::optional<time_point> fleet_state::quarantinedUntil(const std::vector<prompt_part> &parts, time_point now) const
 {
     const auto until = quarantine.quarantinedUntil(parts);
--- a/src/programs/gateway/tests/crashing_part_test.cpp
+++ b/src/programs/gateway/tests/crashing_part_test.cpp
@@ -95,3 +95,17 @@
     }
     cr_assert_leq(guiltySends, crashesAllowed + sendsAllowedAfterThem);
 }
+
+Test(crashing_part, aPartIsHeldBackFromTheServersOfAnotherServiceToo)
+{
+    fake_platform platform;
+    addServers(platform, "reading");
+    addServers(platform, "desk");
+    platform.start();
+    for (int request = 0; request < 30; ++request) {
+        platform.callWithPrompt("/stream/x", "dead:40,own:100");
+    }
+    const int before = guiltySends;
+    expectEqual(platform.callWithPrompt("/again/x", "dead:40,own:100").status, 503);
+    expectEqual(guiltySends, before);
+}
