An instance that returns to the store does not use a server that its neighbours saw go

Cause: an instance cut off from the store until 13.84 s read the full list at 14.65 s. Servers missing in it are kept for 2 s, as an outage of the store may have lost their entries. This one had left at 14.17 s; the neighbours, which had the store all the time, saw the removal at 14.36 s, but nothing told them to say so.

Now periodic reports name the servers that went in the last 10 s, and an instance drops those that it only keeps for the grace.

Ruled out: no grace after an outage of one instance alone (it cannot tell that from an outage of the store).

--- a/src/gateway/fleet_state.h
+++ b/src/gateway/fleet_state.h
@@ -61,6 +61,9 @@
     void recordLeaving(server_key server, time_point now);
     /// Records the servers that another instance knows to leave, as returned by `leavingServers` there.
     void recordLeavingServers(const std::vector<server_start_key> &servers, const instance_id &source, time_point now);
+    /// Records the servers that another instance saw go, as returned by `departedServers` there. One that this instance only
+    /// keeps because an outage of the store may have lost its entry is not used any more.
+    void recordDepartedServers(const std::vector<server_start_key> &servers, const instance_id &source, time_point now);
     /// Records that the server wants nothing from this instance for a while.
     void recordQuiet(server_key server, std::chrono::milliseconds duration, time_point now);
     /// Returns when the first server of the service wants requests again, if all that could take them asked for quiet.
@@ -70,6 +73,8 @@
     /// Returns when the next request with these parts may be tried, unless this instance may try one now; nullopt if none of
     /// them is quarantined.
     std::optional<time_point> quarantinedUntil(const std::vector<prompt_part> &parts, time_point now) const;
+    /// Servers that this instance saw go lately, for the other instances.
+    std::vector<server_start_key> departedServers(time_point now) const;
     /// Records that an answer from the server has begun.
     void recordAnswer(server_key server);
     /// Whether requests may be served: a configuration is loaded and was confirmed once; if it requires API keys, it is fresh enough.
--- a/src/gateway/internal/fleet_state.cpp
+++ b/src/gateway/internal/fleet_state.cpp
@@ -13,6 +13,7 @@
 constexpr double unseenShare = 0.3; // Of another cell's server: slots that its own cell may have taken since its summary.
 constexpr double otherCellsColdShare = 0.5; // Of a cold server's limit, for all other cells together; each knows only its own sends.
 
+constexpr std::chrono::seconds departedReportTime{ 10 }; // Longer than most instances are away from the store.
 constexpr std::chrono::seconds leavingReportTime{ 3 }; // Several reports; then the store's entry shows it too.
 
 std::string_view eventName(server_directory::change change)
@@ -288,6 +289,26 @@
     }
 }
 
+void fleet_state::recordDepartedServers(const std::vector<server_start_key> &departed, const instance_id &source, time_point now)
+{
+    for (const server_directory::known_server *server : servers.kept()) {
+        const backend_server_id id = server->entry.id;
+        const bool isNamed = std::find(departed.begin(), departed.end(), startKeyOf(server->entry)) != departed.end();
+        if (isNamed && servers.removeKept(id, now)) {
+            m_log("server_removed", id.str(), "reason=seen_by_" + source.str());
+        }
+    }
+}
+
+std::vector<server_start_key> fleet_state::departedServers(time_point now) const
+{
+    std::vector<server_start_key> keys;
+    for (const auto &[id, startedAt] : servers.departed(departedReportTime, now)) {
+        keys.push_back(hash64(id.str(), startedAt));
+    }
+    return keys;
+}
+
 void fleet_state::recordQuiet(server_key server, std::chrono::milliseconds duration, time_point now)
 {
     quiet.record(server, now + duration);
--- a/src/gateway/internal/load_report.cpp
+++ b/src/gateway/internal/load_report.cpp
@@ -208,6 +208,7 @@
     message.set_store_era(report.storePosition.era);
     message.set_config_version(report.configVersion);
     message.mutable_leaving_servers()->Add(report.leavingServers.begin(), report.leavingServers.end());
+    message.mutable_departed_servers()->Add(report.departedServers.begin(), report.departedServers.end());
     write(report.quarantine, now, message);
     if (report.relay) {
         write(*report.relay, *message.mutable_relay());
@@ -249,6 +250,7 @@
     report.storePosition = { message.store_era(), message.store_revision() };
     report.configVersion = message.config_version();
     report.leavingServers.assign(message.leaving_servers().begin(), message.leaving_servers().end());
+    report.departedServers.assign(message.departed_servers().begin(), message.departed_servers().end());
     report.quarantine = readQuarantineNews(message, now);
     if (message.has_relay()) {
         report.relay = read(message.relay());
--- a/src/gateway/internal/report_exchange.cpp
+++ b/src/gateway/internal/report_exchange.cpp
@@ -105,6 +105,7 @@
     m_state.loads.replacePeerWork(report.address, report.work, now);
     m_state.peers.addInstances(report.instances, now);
     m_state.recordLeavingServers(report.leavingServers, report.sender, now);
+    m_state.recordDepartedServers(report.departedServers, report.sender, now);
     m_state.quarantine.merge(report.quarantine, now);
     std::vector<cell_summary> passedOn;
     for (const cell_summary &summary : report.summaries) {
@@ -291,6 +292,7 @@
     std::vector<outgoing_report> out = reportsDueNow(now);
     for (outgoing_report &each : out) {
         each.report.quarantine = m_state.quarantine.news(prompt_quarantine::newsMaxAge, now);
+        each.report.departedServers = m_state.departedServers(now);
     }
     return out;
 }
--- a/src/gateway/internal/server_directory.cpp
+++ b/src/gateway/internal/server_directory.cpp
@@ -50,6 +50,17 @@
     return change::removed;
 }
 
+bool server_directory::removeKept(const backend_server_id &id, time_point now)
+{
+    const auto found = m_servers.find(id);
+    if (found == m_servers.end() || !found->second.keptUntil) {
+        return false;
+    }
+    m_departed[id] = { found->second.entry.startedAt, now };
+    m_servers.erase(found);
+    return true;
+}
+
 bool server_directory::recordLeaving(const backend_server_id &id, time_point now)
 {
     const auto found = m_servers.find(id);
@@ -188,6 +199,28 @@
     return found;
 }
 
+std::vector<const server_directory::known_server *> server_directory::kept() const
+{
+    std::vector<const known_server *> found;
+    for (const auto &[id, server] : m_servers) {
+        if (server.keptUntil) {
+            found.push_back(&server);
+        }
+    }
+    return found;
+}
+
+std::vector<std::pair<backend_server_id, std::uint64_t>> server_directory::departed(std::chrono::milliseconds maxAge, time_point now) const
+{
+    std::vector<std::pair<backend_server_id, std::uint64_t>> found;
+    for (const auto &[id, each] : m_departed) {
+        if (now - each.at < maxAge) {
+            found.emplace_back(id, each.startedAt);
+        }
+    }
+    return found;
+}
+
 std::vector<const server_directory::known_server *> server_directory::staying() const
 {
     std::vector<const known_server *> found;
--- a/src/gateway/load_report.h
+++ b/src/gateway/load_report.h
@@ -31,6 +31,7 @@
     std::vector<server_work> work; ///< To the sender's cell all its work, to another cell the work at that cell's servers.
     std::vector<server_key> suspectedServers; ///< Backend servers that recently failed the sender's requests.
     std::vector<server_start_key> leavingServers; ///< Backend servers that announced lately that they leave.
+    std::vector<server_start_key> departedServers; ///< Backend servers that the sender saw go lately; in periodic reports only.
     quarantine_news quarantine; ///< Of the parts of prompts that crash backend servers.
     std::chrono::microseconds clock{ 0 }; ///< The sender's monotonic clock; the others only echo it.
     std::optional<store_relay> relay;
--- a/src/gateway/server_directory.h
+++ b/src/gateway/server_directory.h
@@ -39,6 +39,8 @@
     /// Removes the server at once when `keepUntil` has passed or the server is draining. Otherwise keeps it until `keepUntil`, and
     /// beyond when it is listed again by then.
     change remove(const backend_server_id &id, time_point now, time_point keepUntil);
+    /// Removes a server that is only kept because an outage of the store may have lost its entry. Returns false if it is not.
+    bool removeKept(const backend_server_id &id, time_point now);
     /// Applies a full listing. Servers that it lacks are kept until `keepUntil`, as servers register again after a store outage.
     void replaceAll(const std::vector<listed_server> &entries, time_point now, time_point keepUntil);
     /// While the list of a store is read that was restored from an older copy: a server in it that had left is not used until
@@ -58,6 +60,10 @@
     std::vector<const known_server *> lastResort(const service_id &service, time_point now) const;
     /// Returns the servers whose leaving became known at most `maxAge` ago.
     std::vector<const known_server *> leaving(std::chrono::milliseconds maxAge, time_point now) const;
+    /// Returns the servers that are missing in the list and kept for a while.
+    std::vector<const known_server *> kept() const;
+    /// Returns the servers that were removed at most `maxAge` ago, with the time of their start.
+    std::vector<std::pair<backend_server_id, std::uint64_t>> departed(std::chrono::milliseconds maxAge, time_point now) const;
     /// Returns the servers that are not known to leave.
     std::vector<const known_server *> staying() const;
     /// Returns the services that have a server.
