Tests that fail: ending one call closes the connection of the next one

The function that closes a call's connection still does so after the call has ended and its connection serves another request. A session keeps the function while its caller takes the answer.

--- a/src/http/tests/client_server_test.cpp
+++ b/src/http/tests/client_server_test.cpp
@@ -49,6 +49,22 @@
     answer = co_await caller.call(closedPort, request_message(), call_limits());
 }
 
+boost::asio::awaitable<void> closeAFinishedCallDuringTheNext(client &caller, endpoint to, std::optional<result<response_message>> &second)
+{
+    std::function<void()> closeFirst;
+    call_limits limits;
+    limits.onConnection = [&closeFirst](std::function<void()> close) {
+        closeFirst = std::move(close);
+    };
+    const auto first = co_await caller.call(to, request_message(), limits);
+    limits.onConnection = [&closeFirst](std::function<void()>) {
+        closeFirst();
+    };
+    if (first) {
+        second = co_await caller.call(to, request_message(), limits);
+    }
+}
+
 boost::asio::awaitable<void> countAndRespond(std::atomic<int> &served, exchange &incoming)
 {
     ++served;
@@ -188,3 +204,15 @@
     cr_assert(contains(answer, "\r\n\r\n1HTTP/1.1"));
     cr_assert(answer.ends_with("\r\n\r\n2"));
 }
+
+Test(http, closingAFinishedCallDoesNotCloseTheConnectionOfTheNextOne)
+{
+    http::testing::http_harness harness({}, echo);
+    boost::asio::io_context context;
+    client caller(context.get_executor());
+    std::optional<result<response_message>> second;
+    boost::asio::co_spawn(context, closeAFinishedCallDuringTheNext(caller, harness.address(), second), boost::asio::detached);
+    context.run();
+    cr_assert(second.has_value());
+    cr_assert(second->has_value(), "%s", second->error().detail.c_str());
+}
--- a/src/programs/gateway/tests/fake_platform.cpp
+++ b/src/programs/gateway/tests/fake_platform.cpp
@@ -175,7 +175,7 @@
     return message;
 }
 
-asio::awaitable<void> fake_platform::callGateway(http::request_message message, caller_answer &answer)
+asio::awaitable<void> fake_platform::callGateway(http::request_message message, caller_answer &answer, milliseconds pause)
 {
     const endpoint to = m_callerAddress;
     const http::call_limits limits;
@@ -186,6 +186,8 @@
     answer.status = (*opened)->status();
     answer.retryAfter = (*opened)->headers().find("Retry-After");
     answer.signature = (*opened)->headers().find("Response-Stamp");
+    asio::steady_timer wait(m_context, pause);
+    co_await wait.async_wait(asio::use_awaitable);
     while (true) {
         const auto bytes = co_await (*opened)->read();
         if (!bytes) {
@@ -211,11 +213,28 @@
     return complete(std::move(message));
 }
 
+caller_answer fake_platform::callBesideASlowCaller(const std::string &path, const std::string &slowCallersPath)
+{
+    caller_answer ignored;
+    bool isDone = false;
+    asio::co_spawn(m_context,
+        callGateway(requestOf(slowCallersPath, "secret", milliseconds(500)), ignored, milliseconds(1'500)),
+        [&isDone](std::exception_ptr) {
+            isDone = true;
+        });
+    runFor(milliseconds(200));
+    caller_answer answer = call(path);
+    for (int steps = 0; steps < 1'000 && !isDone; ++steps) {
+        runFor(milliseconds(10));
+    }
+    return answer;
+}
+
 caller_answer fake_platform::complete(http::request_message message)
 {
     caller_answer answer;
     bool isDone = false;
-    asio::co_spawn(m_context, callGateway(std::move(message), answer), [&isDone](std::exception_ptr) {
+    asio::co_spawn(m_context, callGateway(std::move(message), answer, milliseconds(0)), [&isDone](std::exception_ptr) {
         isDone = true;
     });
     for (int steps = 0; steps < 1'000 && !isDone; ++steps) {
--- a/src/programs/gateway/tests/fake_platform.h
+++ b/src/programs/gateway/tests/fake_platform.h
@@ -46,12 +46,14 @@
         const std::string &path, const std::string &key = "secret", std::chrono::milliseconds timeLeft = std::chrono::milliseconds(4'000));
     /// Calls with a prompt of these parts, written as on the wire.
     caller_answer callWithPrompt(const std::string &path, const std::string &parts);
+    /// Calls while another caller, which has half a second left, does not read the answer to its own request.
+    caller_answer callBesideASlowCaller(const std::string &path, const std::string &slowCallersPath);
     void runFor(std::chrono::milliseconds time);
     int readiness();
 
 private:
     boost::asio::awaitable<void> serveStore(http::exchange &exchange);
-    boost::asio::awaitable<void> callGateway(http::request_message message, caller_answer &answer);
+    boost::asio::awaitable<void> callGateway(http::request_message message, caller_answer &answer, std::chrono::milliseconds pause);
     void openHost(platform::instance_settings settings);
     caller_answer complete(http::request_message message);
     http::request_message requestOf(const std::string &path, const std::string &key, std::chrono::milliseconds timeLeft) const;
--- a/src/programs/gateway/tests/gateway_test.cpp
+++ b/src/programs/gateway/tests/gateway_test.cpp
@@ -101,6 +101,16 @@
     co_await exchange.respond(std::move(answer));
 }
 
+/// The long answer is larger than what the connection to a caller holds.
+boost::asio::awaitable<void> answerAtLengthOrSlowly(http::exchange &exchange)
+{
+    const bool isLong = exchange.request().path() == "/once/long";
+    boost::asio::steady_timer wait(exchange.executor(), milliseconds(isLong ? 0 : 700));
+    co_await wait.async_wait(boost::asio::use_awaitable);
+    http::response_message answer{ 200, signedHeaders(), std::string(isLong ? 7 * 1024 * 1024 : 5, 'x') };
+    co_await exchange.respond(std::move(answer));
+}
+
 boost::asio::awaitable<void> answerTooLate(http::exchange &exchange)
 {
     boost::asio::steady_timer wait(exchange.executor(), milliseconds(3'000));
@@ -298,3 +308,13 @@
     platform.start();
     expectEqual(platform.call("/once/x", "secret", milliseconds(300)).status, 504);
 }
+
+Test(gateway, aCallerThatDoesNotReadItsAnswerUntilItsDeadlineCostsNoOtherCallerTheirs)
+{
+    fake_platform platform;
+    platform.addServer("i-1", "desk", answerAtLengthOrSlowly);
+    platform.start();
+    const caller_answer answer = platform.callBesideASlowCaller("/once/x", "/once/long");
+    expectEqual(answer.status, 200);
+    expectEqual(answer.body, "xxxxx");
+}
