The end of one call no longer closes the connection of the next one

What callers saw: a request or stream that its sound server was answering ended with 502 or without its last events (LOST), because another caller's request had ended.

Cause: a session keeps the function that closes its connection until its caller has taken the answer. By then the connection is in the pool, or carries another request. A deadline or a caller that leaves in that time, or a second send that answers, closes it.

Change: a connection that goes back to the pool forgets the functions that close it.

--- a/src/http/internal/client_stream.cpp
+++ b/src/http/internal/client_stream.cpp
@@ -77,6 +77,7 @@
 {
     // Bytes after the response belong to no request, so a connection that received any is not reused.
     if (m_connection && m_source->keep_alive() && m_connection->buffer.size() == 0 && m_isReusable) {
+        m_connection->forgetClosers();
         m_connection->stream.expires_never();
         m_connection->idleLimit = idleLimitOf(m_headers.find("Keep-Alive"));
         m_pool->put(m_to, std::move(m_connection));
--- a/src/http/internal/connection_pool.h
+++ b/src/http/internal/connection_pool.h
@@ -28,6 +28,13 @@
     client_connection(const client_connection &) = delete;
     client_connection &operator=(const client_connection &) = delete;
 
+    /// Functions that close the connection for one call have no effect on the calls after it.
+    void forgetClosers()
+    {
+        *selfReference = nullptr;
+        selfReference = std::make_shared<client_connection *>(this);
+    }
+
     bool isPartitioned() const
     {
         return socketDuplicate && partitions->contains(socketDuplicate->peer());
@@ -38,7 +45,7 @@
     bool reused = false;
     std::chrono::steady_clock::time_point idleSince{};
     std::chrono::milliseconds idleLimit{ 60'000 }; ///< Not reused after being idle this long, as the server may close it.
-    std::shared_ptr<client_connection *> selfReference = std::make_shared<client_connection *>(this); ///< Set to null on destruction.
+    std::shared_ptr<client_connection *> selfReference = std::make_shared<client_connection *>(this); ///< Set to null when its call ends.
     std::shared_ptr<partitioned_links> partitions; ///< Null when forbidden.
     std::unique_ptr<duplicated_socket> socketDuplicate; ///< Null when forbidden.
 };
