A test that fails: an answer that ends within its first event replaces a silent server

Seen failing: silent_server::aStreamIsNotLostWhenTheOtherServerEndsItsAnswerWithinAnEvent: the caller gets events 1 and 2, the third is missing.

--- a/src/programs/gateway/tests/silent_server_test.cpp
+++ b/src/programs/gateway/tests/silent_server_test.cpp
@@ -97,6 +97,20 @@
     co_await exchange.finishStream();
 }
 
+/// Ends the second answer, as complete, within its first event.
+boost::asio::awaitable<void> endTheSecondAnswerWithinAnEvent(http::exchange &exchange)
+{
+    if (sends++ == 0) {
+        co_await streamWithPause(exchange);
+        co_return;
+    }
+    ++runs;
+    auto head = signedHeaders();
+    co_await exchange.startStream(200, std::move(head));
+    co_await exchange.write("id: 3\nda");
+    co_await exchange.finishStream();
+}
+
 boost::asio::awaitable<void> pauseBeforeTheHead(http::exchange &exchange)
 {
     if (sends++ > 0) {
@@ -179,3 +193,15 @@
     cr_assert(answer.isComplete);
     expectEqual(runs, 1);
 }
+
+Test(silent_server, aStreamIsNotLostWhenTheOtherServerEndsItsAnswerWithinAnEvent)
+{
+    fake_platform platform;
+    platform.addServer("i-1", "reading", endTheSecondAnswerWithinAnEvent);
+    platform.addServer("i-2", "reading", endTheSecondAnswerWithinAnEvent);
+    platform.start();
+    const caller_answer answer = platform.call("/stream/x");
+    expectEqual(answer.body, wholeStream);
+    cr_assert(answer.isComplete);
+    expectEqual(runs, 2);
+}
