A second answer that ends within its first event doesn't replace the first server

Cause: the end of a second answer counted as something for the caller, also where the stream ended within its first event (an answer without a length ends so when its server does). The connection to the first server was closed for it, and the stream was lost.

--- a/src/programs/gateway/hedged_send.cpp
+++ b/src/programs/gateway/hedged_send.cpp
@@ -136,7 +136,10 @@
         received += *bytes;
         events.append(*bytes);
         const bool hasEvent = m_sent.isStream && events.next().has_value();
-        if (bytes->empty() || hasEvent) {
+        if (bytes->empty()) {
+            co_return !m_sent.isStream || !events.hasPartialEvent();
+        }
+        if (hasEvent) {
             co_return true;
         }
     }
