A second send that was dropped while it connected sends nothing

Cause: a second send has no connection to close until it is connected (up to 250 ms). Dropped in that time, because the first server went on, or the deadline passed, or the caller left, it connected and sent the request all the same. The session had counted it as not run, so the request could go to one server more than its route allows (BUDGET), and run after its caller had left (GONE).

Change: it closes the connection before the first byte is sent.

--- a/src/programs/gateway/hedged_send.cpp
+++ b/src/programs/gateway/hedged_send.cpp
@@ -65,8 +65,11 @@
     m_onDone = std::move(onDone);
     m_sent.limits.onConnection = [weak = weak_from_this()](std::function<void()> close) {
         if (const auto self = weak.lock()) {
-            self->m_isDelivered = true;
+            self->m_isDelivered = !self->m_isCancelled;
             self->m_closeConnection = std::move(close);
+            if (self->m_isCancelled) {
+                self->m_closeConnection();
+            }
         }
     };
     asio::co_spawn(executor, run(), asio::detached);
