Memory that an engine grants after the release is released again

Cause: a second send that is dropped releases its reservations while one of them is still being asked for; a renewal can be under way as well. The engine then grants after the release, and the remaining engines were asked even so. The memory stayed set aside until the lease ended (3.5 s).

--- a/src/programs/gateway/reservation_set.cpp
+++ b/src/programs/gateway/reservation_set.cpp
@@ -41,6 +41,11 @@
     auto message = platform::reserveRequest(nameFor(target.server), target.tokens, leaseDuration);
     const auto answer = co_await m_context.client.call(target.address, std::move(message), limits);
     const int status = answer ? answer->status : 0;
+    if (m_isReleased) {
+        // The engine may have received the release first.
+        asio::co_spawn(m_executor, releaseAt(target), asio::detached);
+        co_return false;
+    }
     if (status == 200) {
         co_return true;
     }
