--- a/src/programs/gateway/tests/silent_server_test.cpp
+++ b/src/programs/gateway/tests/silent_server_test.cpp
@@ -18,6 +18,8 @@
 // Criterion runs each test in its own process, so these counters start at zero in each test.
 int sends = 0;
 int runs = 0;
+int refusals = 0;
+int pausingServer = 0;
 
 http::header_list signedHeaders()
 {
@@ -111,6 +113,29 @@
     co_await exchange.finishStream();
 }
 
+/// The server that is asked first pauses in its first stream; the other one always asks for quiet.
+boost::asio::awaitable<void> pauseOrAskForQuiet(int server, http::exchange &exchange)
+{
+    pausingServer = sends++ == 0 ? server : pausingServer;
+    if (server == pausingServer && sends == 1) {
+        co_await streamWithPause(exchange);
+        co_return;
+    }
+    if (server == pausingServer) {
+        auto head = signedHeaders();
+        co_await exchange.startStream(200, std::move(head));
+        co_await exchange.write(wholeStream);
+        co_await exchange.finishStream();
+        co_return;
+    }
+    ++refusals;
+    http::response_message answer;
+    answer.status = 503;
+    answer.headers.add("Not-Run", "1");
+    answer.headers.add("Retry-After", "5.0");
+    co_await exchange.respond(std::move(answer));
+}
+
 boost::asio::awaitable<void> pauseBeforeTheHead(http::exchange &exchange)
 {
     if (sends++ > 0) {
@@ -205,3 +230,18 @@
     cr_assert(answer.isComplete);
     expectEqual(runs, 2);
 }
+
+Test(silent_server, aSecondSendThatIsAskedForQuietIsHeeded)
+{
+    fake_platform platform;
+    for (int server = 1; server <= 2; ++server) {
+        platform.addServer("i-" + std::to_string(server), "reading", [server](http::exchange &exchange) {
+            return pauseOrAskForQuiet(server, exchange);
+        });
+    }
+    platform.start();
+    for (int count = 0; count < 20; ++count) {
+        expectEqual(platform.call("/stream/x").body, wholeStream);
+    }
+    expectEqual(refusals, 1);
+}
