A server that asks a second send for quiet, or announces its leaving, is heeded

Cause: only the answer that was relayed to the caller was read for what a server says of itself. A second send that a server refused told the instance nothing, so it went on sending there.

--- a/src/programs/gateway/hedged_send.cpp
+++ b/src/programs/gateway/hedged_send.cpp
@@ -1,7 +1,6 @@
 #include "programs/gateway/hedged_send.h"
 
 #include "gateway/event_splitter.h"
-#include "platform/response_head.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -114,9 +113,9 @@
         m_isCutOff = answer.error().code == error_code::backend_connection_lost && m_isDelivered;
         co_return answer.error().outcome;
     }
-    const auto head = platform::readResponseHead((*answer)->status(), (*answer)->headers(), m_sent.attempt);
-    if (head.isForOtherRequest || !head.isSuccess) {
-        co_return head.isForOtherRequest ? verdict::may_have_run : head.outcome;
+    m_head = platform::readResponseHead((*answer)->status(), (*answer)->headers(), m_sent.attempt);
+    if (m_head.isForOtherRequest || !m_head.isSuccess) {
+        co_return m_head.isForOtherRequest ? verdict::may_have_run : m_head.outcome;
     }
     std::string received;
     const bool isReadable = co_await readAhead(**answer, received);
@@ -178,6 +177,11 @@
     return m_isUnreachable;
 }
 
+const platform::response_head &hedged_send::head() const
+{
+    return m_head;
+}
+
 bool hedged_send::isCutOff() const
 {
     return m_isCutOff;
--- a/src/programs/gateway/hedged_send.h
+++ b/src/programs/gateway/hedged_send.h
@@ -3,6 +3,7 @@
 #include "gateway/attempt_failure.h"
 #include "gateway/placement_decision.h"
 #include "http/client.h"
+#include "platform/response_head.h"
 #include "programs/gateway/gateway_context.h"
 #include "programs/gateway/reservation_set.h"
 
@@ -45,6 +46,8 @@
     /// Meaningful once the send has failed.
     verdict outcome() const;
     bool isUnreachable() const;
+    /// Head of the server's answer; without content if there was none.
+    const platform::response_head &head() const;
     /// Whether the server ended the connection before the answer was complete.
     bool isCutOff() const;
     /// The answer from its first byte on. Call once.
@@ -63,6 +66,7 @@
     done_hook m_onDone;
     std::function<void()> m_closeConnection;
     std::unique_ptr<http::response_stream> m_answer;
+    platform::response_head m_head;
     verdict m_outcome = verdict::may_have_run;
     time_point m_sentAt{};
     bool m_isDelivered = false;
--- a/src/programs/gateway/request_hedge.cpp
+++ b/src/programs/gateway/request_hedge.cpp
@@ -100,6 +100,7 @@
         }
     } else {
         m_excluded.insert(m_hedge->sent().server);
+        recordServerNotices(m_hedge->head(), m_hedge->sent().placed.parts.front().server);
         if (m_hedge->isUnreachable()) {
             m_context.state.recordFailure(m_hedge->sent().placed.parts.front().server, true, m_context.clock.now());
         }
--- a/src/programs/gateway/request_relay.cpp
+++ b/src/programs/gateway/request_relay.cpp
@@ -214,7 +214,7 @@
 {
     m_context.state.recordAnswer(m_currentServer);
     const auto head = platform::readResponseHead(answer.status(), answer.headers(), m_head.attempt);
-    recordServerNotices(head);
+    recordServerNotices(head, m_currentServer);
     if (head.isForOtherRequest) {
         m_context.metrics.recordSendOutcome("other_request");
         co_return makeFailure(verdict::may_have_run);
@@ -226,14 +226,14 @@
     co_return co_await relayCompleteAnswer(answer, head);
 }
 
-void request_session::recordServerNotices(const platform::response_head &head)
+void request_session::recordServerNotices(const platform::response_head &head, server_key server)
 {
     const time_point now = m_context.clock.now();
     if (head.isServerLeaving) {
-        m_context.state.recordLeaving(m_currentServer, now);
+        m_context.state.recordLeaving(server, now);
     }
     if (head.quietFor) {
-        m_context.state.recordQuiet(m_currentServer, *head.quietFor, now);
+        m_context.state.recordQuiet(server, *head.quietFor, now);
         m_context.metrics.recordSendOutcome("asked_for_quiet");
     }
 }
--- a/src/programs/gateway/request_session.h
+++ b/src/programs/gateway/request_session.h
@@ -82,7 +82,7 @@
     void finishSend();
     retry_state retryState(time_point now);
     /// Records what the head of a server's answer says of the server itself.
-    void recordServerNotices(const platform::response_head &head);
+    void recordServerNotices(const platform::response_head &head, server_key server);
     void interrupt();
     std::chrono::milliseconds firstEventTimeout(const placement_decision &placed) const;
     std::chrono::milliseconds stallTimeout() const;
