A test that fails, known red: no third server is asked while a second send is silent

Cause: a request has one second send at most. While that one is silent, onStall only waits, and waitForHedge waits for it until the deadline, also when the first send has ended. Two servers that hang, or that are cut off, cost the request although its route allows a third.

--- a/src/programs/gateway/tests/fake_platform.cpp
+++ b/src/programs/gateway/tests/fake_platform.cpp
@@ -29,7 +29,9 @@
  {"name":"once","host":"h.example","path_prefix":"/once/","kind":"non_idempotent","timeout_ms":2000,"target_latency_ms":100,
   "service":"desk","max_attempts":2},
  {"name":"again","host":"h.example","path_prefix":"/again/","kind":"idempotent","timeout_ms":2000,"target_latency_ms":100,
-  "service":"desk","max_attempts":2}],
+  "service":"desk","max_attempts":2},
+ {"name":"thrice","host":"h.example","path_prefix":"/thrice/","kind":"idempotent","timeout_ms":2000,"target_latency_ms":100,
+  "service":"desk","max_attempts":3}],
  "services":[{"name":"reading"},{"name":"desk"}],"tenants":[{"name":"first","api_keys":["secret"]}]})";
 
 std::string base64(const std::string &text)
--- a/src/programs/gateway/tests/silent_server_test.cpp
+++ b/src/programs/gateway/tests/silent_server_test.cpp
@@ -113,6 +113,16 @@
     co_await exchange.finishStream();
 }
 
+boost::asio::awaitable<void> fallSilentTwiceForGood(http::exchange &exchange)
+{
+    if (sends++ < 2) {
+        co_await pauseFor(exchange, milliseconds(6'000));
+        co_return;
+    }
+    http::response_message answer{ 200, signedHeaders(), "whole" };
+    co_await exchange.respond(std::move(answer));
+}
+
 /// The server that is asked first pauses in its first stream; the other one always asks for quiet.
 boost::asio::awaitable<void> pauseOrAskForQuiet(int server, http::exchange &exchange)
 {
@@ -245,3 +255,15 @@
     }
     expectEqual(refusals, 1);
 }
+
+Test(silent_server, aThirdServerIsAskedWhenTheSecondIsSilentToo)
+{
+    fake_platform platform;
+    for (int server = 1; server <= 3; ++server) {
+        platform.addServer("i-" + std::to_string(server), "desk", fallSilentTwiceForGood);
+    }
+    platform.start();
+    const caller_answer answer = platform.call("/thrice/x");
+    expectEqual(answer.status, 200);
+    expectEqual(answer.body, "whole");
+}
