--- a/src/programs/gateway/tests/fake_platform.cpp
+++ b/src/programs/gateway/tests/fake_platform.cpp
@@ -220,11 +220,14 @@
     caller_answer ignored;
     bool isDone = false;
     asio::co_spawn(m_context,
-        callGateway(requestOf(slowCallersPath, "secret", milliseconds(500)), ignored, milliseconds(1'500)),
+        callGateway(requestOf(slowCallersPath, "secret", milliseconds(1'000)), ignored, milliseconds(1'500)),
         [&isDone](std::exception_ptr) {
             isDone = true;
         });
-    runFor(milliseconds(200));
+    // The head comes once the instance has read the whole answer.
+    for (int steps = 0; steps < 1'000 && ignored.status == 0; ++steps) {
+        runFor(milliseconds(10));
+    }
     caller_answer answer = call(path);
     for (int steps = 0; steps < 1'000 && !isDone; ++steps) {
         runFor(milliseconds(10));
--- a/src/programs/gateway/tests/fake_platform.h
+++ b/src/programs/gateway/tests/fake_platform.h
@@ -46,7 +46,7 @@
         const std::string &path, const std::string &key = "secret", std::chrono::milliseconds timeLeft = std::chrono::milliseconds(4'000));
     /// Calls with a prompt of these parts, written as on the wire.
     caller_answer callWithPrompt(const std::string &path, const std::string &parts);
-    /// Calls while another caller, which has half a second left, does not read the answer to its own request.
+    /// Calls while another caller, which has a second left, does not read the answer to its own request.
     caller_answer callBesideASlowCaller(const std::string &path, const std::string &slowCallersPath);
     void runFor(std::chrono::milliseconds time);
     int readiness();
--- a/src/programs/gateway/tests/gateway_test.cpp
+++ b/src/programs/gateway/tests/gateway_test.cpp
@@ -105,7 +105,7 @@
 boost::asio::awaitable<void> answerAtLengthOrSlowly(http::exchange &exchange)
 {
     const bool isLong = exchange.request().path() == "/once/long";
-    boost::asio::steady_timer wait(exchange.executor(), milliseconds(isLong ? 0 : 700));
+    boost::asio::steady_timer wait(exchange.executor(), milliseconds(isLong ? 0 : 1'200));
     co_await wait.async_wait(boost::asio::use_awaitable);
     http::response_message answer{ 200, signedHeaders(), std::string(isLong ? 7 * 1024 * 1024 : 5, 'x') };
     co_await exchange.respond(std::move(answer));
