A third server is asked when the second is silent too

Now each further stall adds a send within the servers of the route, also while only second sends are left.

Evidence: silent_server/aThirdServerIsAskedWhenTheSecondIsSilentToo failed before (504), passes after; gateway_program_test 36 passing.

--- a/src/programs/gateway/request_hedge.cpp
+++ b/src/programs/gateway/request_hedge.cpp
@@ -3,6 +3,9 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
+#include <utility>
+
 namespace mustardtrail::gateway
 {
 
@@ -31,13 +34,13 @@
 {
     // A server that answers other requests is slow, not lost; a hedge would only add load.
     const bool isSlow = !m_isStallExtended && m_context.state.serverSuspicion.isResponding(m_currentServer, m_context.clock.now());
-    if (m_hedge || isSlow || !mayHedge()) {
+    if (isSlow || !mayHedge()) {
         m_isStallExtended = true;
         watchStall(stallTimeout());
         return;
     }
-    startHedge();
-    watchStall(m_hedge ? stallTimeout() : hedgeRetryInterval);
+    const bool isSent = startHedge();
+    watchStall(isSent ? stallTimeout() : hedgeRetryInterval);
 }
 
 bool request_session::mayHedge()
@@ -48,14 +51,14 @@
     }
     retry_state state = retryState(now);
     state.mayHaveRun = true;
-    state.possibleRuns = m_possibleRuns + 1;
+    state.possibleRuns = m_possibleRuns + 1 + static_cast<unsigned>(m_hedges.size());
     state.hasBudget
         = m_context.state.resends.hasRoom(m_service, resend_budget::cause::interrupted, now, m_context.state.peers.largestFleetSize());
     const attempt_failure lost = makeFailure(verdict::may_have_run);
     return decideRetry(lost, state) == next_step::send_again;
 }
 
-void request_session::startHedge()
+bool request_session::startHedge()
 {
     const time_point now = m_context.clock.now();
     const placement_decision placed = choosePlacement(now);
@@ -63,7 +66,7 @@
     const auto cause = resend_budget::cause::interrupted;
     if (placed.next != placement_decision::action::send || !server || m_context.state.quarantine.quarantinedUntil(m_parts)
         || !m_context.state.resends.tryTake(m_service, cause, now, m_context.state.peers.largestFleetSize())) {
-        return;
+        return false;
     }
     hedged_send::order sent;
     sent.attempt = m_head.attempt;
@@ -83,77 +86,105 @@
                             .add("server", sent.server.str())
                             .add("lastEvent", m_lastEvent ? static_cast<std::int64_t>(*m_lastEvent) : -1)
                             .add("age", age(now)));
-    m_hedge = std::make_shared<hedged_send>(m_context, std::move(sent));
-    m_hedge->start(m_exchange.executor(), [this, alive = m_alive] {
+    m_excluded.insert(sent.server);
+    const auto hedge = std::make_shared<hedged_send>(m_context, std::move(sent));
+    m_hedges.push_back(hedge);
+    hedge->start(m_exchange.executor(), [this, alive = m_alive, id = hedge.get()] {
         if (*alive) {
-            onHedgeDone();
+            onHedgeDone(id);
         }
     });
+    return true;
 }
 
-void request_session::onHedgeDone()
+std::shared_ptr<hedged_send> request_session::answeredHedge() const
 {
-    if (m_hedge->hasAnswer()) {
+    const auto found = std::find_if(m_hedges.begin(), m_hedges.end(), [](const auto &hedge) {
+        return hedge->hasAnswer();
+    });
+    return found == m_hedges.end() ? nullptr : *found;
+}
+
+void request_session::onHedgeDone(const hedged_send *done)
+{
+    const auto found = std::find_if(m_hedges.begin(), m_hedges.end(), [done](const auto &hedge) {
+        return hedge.get() == done;
+    });
+    if (found == m_hedges.end()) {
+        return;
+    }
+    const auto hedge = *found;
+    if (hedge->hasAnswer()) {
         m_closedBecause = "silent";
         if (m_closeConnection) {
             m_closeConnection();
         }
     } else {
-        m_excluded.insert(m_hedge->sent().server);
-        recordServerNotices(m_hedge->head(), m_hedge->sent().placed.parts.front().server);
-        if (m_hedge->isUnreachable()) {
-            m_context.state.recordFailure(m_hedge->sent().placed.parts.front().server, true, m_context.clock.now());
+        const time_point now = m_context.clock.now();
+        const server_key server = hedge->sent().placed.parts.front().server;
+        recordServerNotices(hedge->head(), server);
+        if (hedge->isUnreachable()) {
+            m_context.state.recordFailure(server, true, now);
         }
-        if (m_hedge->isCutOff()) {
-            m_context.state.quarantine.recordCrash(m_hedge->sent().start, m_parts, m_hedge->sentAt(), m_context.clock.now());
+        if (hedge->isCutOff()) {
+            m_context.state.quarantine.recordCrash(hedge->sent().start, m_parts, hedge->sentAt(), now);
             m_context.scheduleReport();
         }
-        dropHedge("failed");
+        m_hedges.erase(found);
+        dropHedge(*hedge, "failed");
     }
     m_hedgeTimer.cancel();
 }
 
-void request_session::dropHedge(std::string_view why)
+void request_session::dropHedges(std::string_view why)
 {
-    const auto hedge = std::exchange(m_hedge, nullptr);
-    if (!hedge) {
-        return;
+    for (const auto &hedge : std::exchange(m_hedges, {})) {
+        dropHedge(*hedge, why);
     }
-    hedge->cancel();
-    const bool mayHaveRun = hedge->isDelivered() && hedge->outcome() != verdict::not_run;
+}
+
+void request_session::dropHedge(hedged_send &hedge, std::string_view why)
+{
+    hedge.cancel();
+    const bool mayHaveRun = hedge.isDelivered() && hedge.outcome() != verdict::not_run;
     m_mayHaveRun = m_mayHaveRun || mayHaveRun;
     m_possibleRuns += mayHaveRun ? 1 : 0;
-    m_deliveredSends += hedge->isDelivered() ? 1 : 0;
-    if (hedge->sent().reservations) {
-        hedge->sent().reservations->release();
+    m_deliveredSends += hedge.isDelivered() ? 1 : 0;
+    if (hedge.sent().reservations) {
+        hedge.sent().reservations->release();
     }
-    m_context.state.loads.finish(hedge->sent().workId);
+    m_context.state.loads.finish(hedge.sent().workId);
     m_context.scheduleReport();
     m_context.metrics.recordSendOutcome("hedge_dropped");
     m_context.log.write(log_line("hedge_dropped")
                             .add("request", m_head.attempt.str())
-                            .add("server", hedge->sent().server.str())
+                            .add("server", hedge.sent().server.str())
                             .add("why", why)
                             .add("verdict", toString(mayHaveRun ? verdict::may_have_run : verdict::not_run))
                             .add("age", age(m_context.clock.now())));
 }
 
+// The send before has ended, so no stall timer runs: servers that are silent here are made up for by others too.
 asio::awaitable<bool> request_session::waitForHedge()
 {
-    while (m_hedge && !m_hedge->hasAnswer()) {
-        m_hedgeTimer.expires_at(m_deadlineAt);
-        boost::system::error_code ignored;
-        co_await m_hedgeTimer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    while (!m_hedges.empty() && !answeredHedge()) {
+        m_hedgeTimer.expires_after(stallTimeout());
+        boost::system::error_code cancelled;
+        co_await m_hedgeTimer.async_wait(asio::redirect_error(asio::use_awaitable, cancelled));
         if (m_isCallerGone || m_isDeadlinePassed) {
-            dropHedge(m_closedBecause);
+            dropHedges(m_closedBecause);
+        } else if (!cancelled && mayHedge()) {
+            startHedge();
         }
     }
-    co_return m_hedge != nullptr;
+    co_return !m_hedges.empty();
 }
 
 asio::awaitable<std::optional<attempt_failure>> request_session::continueWithHedge()
 {
-    const auto hedge = std::exchange(m_hedge, nullptr);
+    const auto hedge = answeredHedge();
+    std::erase(m_hedges, hedge);
+    dropHedges("another_answered");
     m_workId = hedge->sent().workId;
     m_reservations = hedge->sent().reservations;
     m_currentServer = hedge->sent().placed.parts.front().server;
--- a/src/programs/gateway/request_quarantine.cpp
+++ b/src/programs/gateway/request_quarantine.cpp
@@ -29,7 +29,7 @@
     }
     m_closedBecause = "quarantined";
     m_closeConnection();
-    dropHedge(m_closedBecause);
+    dropHedges(m_closedBecause);
 }
 
 std::optional<placement_decision> request_session::quarantineDecision(time_point now) const
--- a/src/programs/gateway/request_relay.cpp
+++ b/src/programs/gateway/request_relay.cpp
@@ -258,7 +258,7 @@
             co_return toFailure(bytes.error());
         }
         // The hedged send goes on after the last event that was delivered; what arrives now would come twice.
-        if (m_hedge && m_hedge->hasAnswer()) {
+        if (answeredHedge()) {
             co_return makeFailure(verdict::may_have_run);
         }
         if (bytes->empty()) {
@@ -307,7 +307,7 @@
     }
     m_context.state.serverSuspicion.recordBytes(m_currentServer, now);
     m_stallTimer.cancel(); // Until the caller has taken the events: its slowness is not the server's silence.
-    dropHedge("first_server_went_on");
+    dropHedges("first_server_went_on");
     if (m_context.state.loads.recordFirstToken(m_workId)) {
         m_context.scheduleReport();
     }
@@ -332,7 +332,7 @@
     }
     m_faultyServer = head.faultyServer;
     if (head.isSuccess && !m_exchange.hasStarted()) {
-        dropHedge("first_server_answered");
+        dropHedges("first_server_answered");
         m_context.state.quarantine.recordWritten(m_parts, m_context.clock.now());
         m_context.metrics.recordSendOutcome("served");
         co_await m_exchange.respond(std::move(message));
--- a/src/programs/gateway/request_session.cpp
+++ b/src/programs/gateway/request_session.cpp
@@ -42,7 +42,7 @@
 
 request_session::~request_session()
 {
-    dropHedge("request_ended");
+    dropHedges("request_ended");
     m_context.onQuarantined.erase(m_quarantineHook);
     *m_alive = false;
 }
@@ -125,7 +125,7 @@
         if (hasHedge) {
             recordFailure(placed, *failure);
             countRun(*failure);
-            placed = m_hedge->sent().placed;
+            placed = answeredHedge()->sent().placed;
             failure = co_await continueWithHedge();
             finishSend();
         }
@@ -346,7 +346,7 @@
     if (m_closeConnection) {
         m_closeConnection();
     }
-    dropHedge(m_closedBecause);
+    dropHedges(m_closedBecause);
     m_hedgeTimer.cancel();
 }
 
--- a/src/programs/gateway/request_session.h
+++ b/src/programs/gateway/request_session.h
@@ -71,10 +71,14 @@
     void watchStall(std::chrono::milliseconds timeout);
     void onStall();
     bool mayHedge();
-    void startHedge();
-    void onHedgeDone();
-    void dropHedge(std::string_view why);
-    /// Whether the hedged send has an answer; waits until that is known.
+    /// Returns false while no other server can take the request.
+    bool startHedge();
+    void onHedgeDone(const hedged_send *done);
+    /// The hedged send that has something for the caller, or null.
+    std::shared_ptr<hedged_send> answeredHedge() const;
+    void dropHedges(std::string_view why);
+    void dropHedge(hedged_send &hedge, std::string_view why);
+    /// Whether a hedged send has an answer; waits until that is known.
     boost::asio::awaitable<bool> waitForHedge();
     /// Makes the hedged send the current one and relays its answer.
     boost::asio::awaitable<std::optional<attempt_failure>> continueWithHedge();
@@ -118,7 +122,7 @@
     boost::asio::steady_timer m_placementTimer;
     boost::asio::steady_timer m_deadlineTimer;
     boost::asio::steady_timer m_stallTimer;
-    boost::asio::steady_timer m_hedgeTimer; ///< Cancelled when the hedged send is done.
+    boost::asio::steady_timer m_hedgeTimer; ///< Cancelled when a hedged send is done.
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
     std::function<void()> m_closeConnection;
     bool m_isCallerGone = false;
@@ -148,7 +152,7 @@
     std::optional<time_point> m_firstEventOfSendAt; ///< Of the current send.
     std::chrono::milliseconds m_longestGap{ 0 }; ///< Between two events.
     std::shared_ptr<reservation_set> m_reservations; ///< Null when the prompt fits on one engine.
-    std::shared_ptr<hedged_send> m_hedge; ///< Null while one send runs alone.
+    std::vector<std::shared_ptr<hedged_send>> m_hedges; ///< Empty while one send runs alone.
     std::optional<http::response_message> m_serverFailure; ///< Error answer of a server that may be passed on to the caller.
 };
 
