An instance that stood still does not take its servers for silent

After a freeze, or beside a full event loop, stall timers that had expired ran although the servers' bytes lay in the sockets, and a timer that was due already ran in spite of its cancellation; each such stream was sent a second time, and a second send that began while the caller took an event could have repeated it.

Now a timer that fires late gives the bytes time to be read, and an outdated one does nothing.

Evidence: silent_server/aServerIsNotTakenForSilentWhenThisInstanceStoodStill failed before (3 of 3 runs: sent to 2 servers, 1 expected), passes after (3 of 3); gateway_program_test 37 passing.

--- a/src/programs/gateway/request_hedge.cpp
+++ b/src/programs/gateway/request_hedge.cpp
@@ -15,20 +15,37 @@
 namespace
 {
 
+constexpr milliseconds maxTimerDelay{ 50 }; ///< Of a timer in a process that runs undisturbed.
 constexpr milliseconds hedgeRetryInterval{ 120 }; ///< While no other server can take the request; about a batch step.
 
 } // namespace
 
 void request_session::watchStall(milliseconds timeout)
 {
+    const unsigned watch = ++m_stallWatch;
     m_stallTimer.expires_after(timeout);
-    m_stallTimer.async_wait([this, alive = m_alive](boost::system::error_code failure) {
-        if (!failure && *alive && m_closeConnection) {
+    m_stallTimer.async_wait([this, alive = m_alive, watch](boost::system::error_code failure) {
+        const bool isCurrent = !failure && *alive && watch == m_stallWatch;
+        if (!isCurrent || !m_closeConnection) {
+            return;
+        }
+        // This instance stood still: what the server sent meanwhile is still to be read.
+        const bool isLate = m_context.clock.now() - m_stallTimer.expiry() > maxTimerDelay;
+        if (isLate) {
+            watchStall(maxTimerDelay);
+        } else {
             onStall();
         }
     });
 }
 
+// A handler that is due already runs in spite of the cancellation, so it is told apart by its number.
+void request_session::stopWatchingStall()
+{
+    ++m_stallWatch;
+    m_stallTimer.cancel();
+}
+
 // Silence does not tell a lost server from one that pauses, so the connection to it stays open until another has answered.
 void request_session::onStall()
 {
--- a/src/programs/gateway/request_relay.cpp
+++ b/src/programs/gateway/request_relay.cpp
@@ -306,7 +306,7 @@
         m_context.state.quarantine.recordWritten(m_parts, now);
     }
     m_context.state.serverSuspicion.recordBytes(m_currentServer, now);
-    m_stallTimer.cancel(); // Until the caller has taken the events: its slowness is not the server's silence.
+    stopWatchingStall(); // Until the caller has taken the events: its slowness is not the server's silence.
     dropHedges("first_server_went_on");
     if (m_context.state.loads.recordFirstToken(m_workId)) {
         m_context.scheduleReport();
--- a/src/programs/gateway/request_session.cpp
+++ b/src/programs/gateway/request_session.cpp
@@ -312,7 +312,7 @@
     unregisterWork();
     m_closeConnection = nullptr;
     m_isTrial = false;
-    m_stallTimer.cancel();
+    stopWatchingStall();
     if (m_reservations) {
         m_reservations->release();
         m_reservations.reset();
--- a/src/programs/gateway/request_session.h
+++ b/src/programs/gateway/request_session.h
@@ -69,6 +69,7 @@
     void watchDeadline();
     /// After the time-out sends the request also to another server that can continue it; otherwise waits again.
     void watchStall(std::chrono::milliseconds timeout);
+    void stopWatchingStall();
     void onStall();
     bool mayHedge();
     /// Returns false while no other server can take the request.
@@ -137,6 +138,7 @@
     time_point m_nextFleetTryAt{}; ///< While it waits: when to look for a server in other cells again.
     server_key m_currentServer = 0; ///< Server of the current send.
     bool m_isStallExtended = false;
+    unsigned m_stallWatch = 0; ///< Number of the current watch for a stall.
     std::string m_lastServer;
     std::string m_faultyServer;
     std::string_view m_closedBecause; ///< Why this instance ended the current send itself; empty if it did not.
--- a/src/programs/gateway/tests/fake_platform.cpp
+++ b/src/programs/gateway/tests/fake_platform.cpp
@@ -11,6 +11,7 @@
 #include <boost/beast/core/detail/base64.hpp>
 
 #include <stdexcept>
+#include <thread>
 
 namespace mustardtrail::gateway::testing
 {
@@ -84,6 +85,19 @@
     auto server = std::make_unique<http::server>(m_context.get_executor(), http::server_limits(), std::move(serve), emptyAnswer);
     const endpoint address = *server->listen({ loopback, 0 });
     m_servers.push_back(std::move(server));
+    addServerAt(id, service, address);
+}
+
+void fake_platform::blockAfter(milliseconds delay, milliseconds time)
+{
+    const auto timer = std::make_shared<asio::steady_timer>(m_context, delay);
+    timer->async_wait([timer, time](boost::system::error_code) {
+        std::this_thread::sleep_for(time);
+    });
+}
+
+void fake_platform::addServerAt(const std::string &id, const std::string &service, const endpoint &address)
+{
     m_items += ","
         + storeItem("servers/" + id,
             R"({"service":")" + service + R"(","address":")" + toString(address) + R"(","zone":"dc","slots":4,"state":"ready"})");
--- a/src/programs/gateway/tests/fake_platform.h
+++ b/src/programs/gateway/tests/fake_platform.h
@@ -36,6 +36,10 @@
 
     /// Adds a backend server to the store; `service` is "reading" (resumable streams) or "desk" (complete answers).
     void addServer(const std::string &id, const std::string &service, backend serve);
+    /// Adds a backend server that runs elsewhere.
+    void addServerAt(const std::string &id, const std::string &service, const endpoint &address);
+    /// Keeps the gateway's event loop from running for `time`, from `delay` after now, like a machine that is slow or frozen.
+    void blockAfter(std::chrono::milliseconds delay, std::chrono::milliseconds time);
     /// Starts the gateway and runs the event loop until it is ready.
     void start();
     /// Makes the store go back to a copy that holds the configuration alone: its revisions go back, its era rises.
--- a/src/programs/gateway/tests/silent_server_test.cpp
+++ b/src/programs/gateway/tests/silent_server_test.cpp
@@ -5,6 +5,9 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <atomic>
+#include <thread>
+
 using namespace mustardtrail;
 using namespace mustardtrail::gateway::testing;
 using mustardtrail::testing::expectEqual;
@@ -17,7 +20,7 @@
 
 // Criterion runs each test in its own process, so these counters start at zero in each test.
 int sends = 0;
-int runs = 0;
+std::atomic<int> runs = 0;
 int refusals = 0;
 int pausingServer = 0;
 
@@ -158,8 +161,73 @@
     co_await exchange.respond(std::move(answer));
 }
 
+/// Never silent for long: an event every 300 ms.
+boost::asio::awaitable<void> streamSteadily(http::exchange &exchange)
+{
+    ++runs;
+    auto head = signedHeaders();
+    co_await exchange.startStream(200, std::move(head));
+    for (int id = 1; id <= 11; ++id) {
+        const std::string event = "id: " + std::to_string(id) + "\ndata: a\n\n";
+        co_await exchange.write(event);
+        co_await pauseFor(exchange, milliseconds(300));
+    }
+    co_await exchange.finishStream();
+}
+
+http::response_message emptyAnswer(int status, int, std::string_view)
+{
+    http::response_message message;
+    message.status = status;
+    return message;
+}
+
+/// Backend server on a thread of its own.
+class threaded_server
+{
+public:
+    explicit threaded_server(http::handler serve)
+        : m_server(m_context.get_executor(), http::server_limits(), std::move(serve), emptyAnswer)
+        , m_address(*m_server.listen({ "127.0.0.1", 0 }))
+        , m_thread([this] {
+            m_context.run();
+        })
+    {
+    }
+    ~threaded_server()
+    {
+        m_context.stop();
+        m_thread.join();
+    }
+    const endpoint &address() const
+    {
+        return m_address;
+    }
+
+private:
+    boost::asio::io_context m_context;
+    http::server m_server;
+    endpoint m_address;
+    std::thread m_thread;
+};
+
 } // namespace
 
+Test(silent_server, aServerIsNotTakenForSilentWhenThisInstanceStoodStill)
+{
+    const threaded_server first(streamSteadily);
+    const threaded_server second(streamSteadily);
+    fake_platform platform;
+    platform.addServerAt("i-1", "reading", first.address());
+    platform.addServerAt("i-2", "reading", second.address());
+    platform.start();
+    platform.blockAfter(milliseconds(200), milliseconds(1'200));
+    platform.blockAfter(milliseconds(1'700), milliseconds(1'200));
+    const caller_answer answer = platform.call("/stream/x");
+    cr_assert(answer.isComplete);
+    expectEqual(runs.load(), 1);
+}
+
 Test(silent_server, aStreamIsNotLostWhenTheOtherServerRefusesToContinueIt)
 {
     fake_platform platform;
@@ -180,7 +248,7 @@
     const caller_answer answer = platform.call("/stream/x");
     expectEqual(answer.body, wholeStream);
     cr_assert(answer.isComplete);
-    expectEqual(runs, 2);
+    expectEqual(runs.load(), 2);
 }
 
 Test(silent_server, aStreamIsNotLostWhenTheOtherServerIsSilentToo)
@@ -192,7 +260,7 @@
     const caller_answer answer = platform.call("/stream/x");
     expectEqual(answer.body, wholeStream);
     cr_assert(answer.isComplete);
-    cr_assert_leq(runs, 2);
+    cr_assert_leq(runs.load(), 2);
 }
 
 Test(silent_server, aStreamIsNotLostWhenItsServerNeverSpeaksAgain)
@@ -204,7 +272,7 @@
     const caller_answer answer = platform.call("/stream/x");
     expectEqual(answer.body, wholeStream);
     cr_assert(answer.isComplete);
-    expectEqual(runs, 2);
+    expectEqual(runs.load(), 2);
 }
 
 Test(silent_server, aRequestWithoutAnswerYetIsNotFailedWhenTheOtherServerRefusesIt)
@@ -226,7 +294,7 @@
     const caller_answer answer = platform.call("/stream/x");
     expectEqual(answer.body, wholeStream);
     cr_assert(answer.isComplete);
-    expectEqual(runs, 1);
+    expectEqual(runs.load(), 1);
 }
 
 Test(silent_server, aStreamIsNotLostWhenTheOtherServerEndsItsAnswerWithinAnEvent)
@@ -238,7 +306,7 @@
     const caller_answer answer = platform.call("/stream/x");
     expectEqual(answer.body, wholeStream);
     cr_assert(answer.isComplete);
-    expectEqual(runs, 2);
+    expectEqual(runs.load(), 2);
 }
 
 Test(silent_server, aSecondSendThatIsAskedForQuietIsHeeded)
