A send that its server ended is not logged as closed for silence

onHedgeDone named "silent" also when the first send had ended before, so that send_failed had the wrong why and the server's end was no evidence against the parts of its prompt. Found by review, from reading; no test of its own.

--- a/src/programs/gateway/request_hedge.cpp
+++ b/src/programs/gateway/request_hedge.cpp
@@ -132,8 +132,8 @@
     }
     const auto hedge = *found;
     if (hedge->hasAnswer()) {
-        m_closedBecause = "silent";
-        if (m_closeConnection) {
+        if (m_closeConnection) { // Else the first server ended the send itself.
+            m_closedBecause = "silent";
             m_closeConnection();
         }
     } else {
