Second sends with a part in quarantine are dropped also when they run alone

onQuarantined returned early once the first send had ended, so that a second send to the next server went on. Found by review, from reading; no test of its own.

--- a/src/programs/gateway/request_quarantine.cpp
+++ b/src/programs/gateway/request_quarantine.cpp
@@ -24,12 +24,15 @@
 void request_session::onQuarantined(prompt_part part)
 {
     const bool isConcerned = std::find(m_parts.begin(), m_parts.end(), part) != m_parts.end();
-    if (!isConcerned || m_isTrial || isAnswerEstablished(m_context.clock.now()) || !m_closeConnection) {
+    if (!isConcerned || m_isTrial || isAnswerEstablished(m_context.clock.now())) {
         return;
     }
-    m_closedBecause = "quarantined";
-    m_closeConnection();
-    dropHedges(m_closedBecause);
+    if (m_closeConnection) {
+        m_closedBecause = "quarantined";
+        m_closeConnection();
+    }
+    dropHedges("quarantined");
+    m_hedgeTimer.cancel();
 }
 
 std::optional<placement_decision> request_session::quarantineDecision(time_point now) const
