--- a/src/programs/gateway/hedged_send.cpp
+++ b/src/programs/gateway/hedged_send.cpp
@@ -86,7 +86,12 @@
 asio::awaitable<void> hedged_send::run()
 {
     const auto self = shared_from_this();
-    const auto failed = co_await receive();
+    std::optional<verdict> failed = verdict::may_have_run;
+    try {
+        failed = co_await receive();
+    } catch (const std::exception &thrown) {
+        m_context.log.write(log_line("hedge_aborted").add("request", m_sent.attempt.str()).add("detail", thrown.what()));
+    }
     m_outcome = failed.value_or(verdict::ran);
     if (const auto onDone = std::exchange(m_onDone, nullptr)) {
         onDone();
