Tests that fail: a server sends heads, chunk extensions or trailers without end

A stand-in answers with any bytes on a raw connection. A body without end, an answer without a length that is closed or reset, and a connection that ends before its head pass.

--- /dev/null
+++ b/src/http/tests/raw_server.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "base/endpoint.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <chrono>
+#include <functional>
+#include <string>
+
+namespace mustardtrail::http::testing
+{
+
+/// Connection of a raw_server, after one request has been read from it.
+class raw_connection
+{
+public:
+    explicit raw_connection(boost::asio::ip::tcp::socket socket);
+
+    /// Reads one request with its body; false when the peer has closed.
+    boost::asio::awaitable<bool> readRequest();
+    /// The request that was read last: head and body as received.
+    const std::string &request() const;
+    /// False when the peer has closed.
+    boost::asio::awaitable<bool> send(std::string bytes);
+    /// Sends the piece again and again until the peer closes or this many bytes were sent, then waits for the peer to close.
+    boost::asio::awaitable<void> sendUpTo(size_t bytes, std::string piece);
+    boost::asio::awaitable<void> waitUntilClosed();
+    boost::asio::awaitable<void> pause(std::chrono::milliseconds time);
+    /// Closes so that the peer sees a reset. Without it the connection is closed in order.
+    void reset();
+    size_t sentBytes() const;
+
+private:
+    boost::asio::ip::tcp::socket m_socket;
+    std::string m_received;
+    std::string m_request;
+    size_t m_sentBytes = 0;
+};
+
+/// Server on a free loopback port that answers with any bytes.
+class raw_server
+{
+public:
+    /// Serves one connection, whose first request has been read; the connection is closed when it returns.
+    using script = std::function<boost::asio::awaitable<void>(raw_connection &)>;
+
+    raw_server(boost::asio::any_io_executor executor, script serve);
+
+    endpoint address() const;
+
+private:
+    boost::asio::awaitable<void> acceptAll();
+    boost::asio::awaitable<void> serve(raw_connection connection);
+
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    script m_serve;
+};
+
+} // namespace mustardtrail::http::testing
--- /dev/null
+++ b/src/http/tests/unusual_answers_test.cpp
@@ -0,0 +1,203 @@
+#include "http/client.h"
+#include "http/tests/raw_server.h"
+
+#include "testing/expect.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+
+using namespace mustardtrail;
+using namespace mustardtrail::http;
+using mustardtrail::http::testing::raw_connection;
+using mustardtrail::http::testing::raw_server;
+using mustardtrail::testing::expectEqual;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+constexpr size_t megabyte = 1024 * 1024;
+constexpr size_t endless = 64 * megabyte;
+const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+const std::string unframedHead = "HTTP/1.1 200 OK\r\n\r\n";
+const std::string chunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+// Criterion runs each test in its own process, so these values start anew in each test.
+size_t sentBytes = 0;
+
+/// Answer of a server that serves each connection with this script.
+result<response_message> answerOf(raw_server::script serve, call_limits limits = call_limits::within(milliseconds(3'000)))
+{
+    boost::asio::io_context context;
+    const raw_server server(context.get_executor(), std::move(serve));
+    client caller(context.get_executor());
+    std::optional<result<response_message>> answer;
+    boost::asio::co_spawn(context,
+        caller.call(server.address(), request_message(), std::move(limits)),
+        [&](std::exception_ptr, result<response_message> got) {
+            answer = std::move(got);
+            context.stop();
+        });
+    context.run();
+    return *answer;
+}
+
+std::string bodyOrError(const result<response_message> &answer)
+{
+    return answer ? answer->body : toString(answer.error().code);
+}
+
+boost::asio::awaitable<void> interimThenAnswer(raw_connection &connection)
+{
+    const std::string hints = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
+    co_await connection.send(interim + hints + "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+}
+
+boost::asio::awaitable<void> interimForASecond(raw_connection &connection)
+{
+    for (int count = 0; count < 10; ++count) {
+        co_await connection.send(interim);
+        co_await connection.pause(milliseconds(100));
+    }
+    co_await connection.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+}
+
+boost::asio::awaitable<void> manyInterim(raw_connection &connection)
+{
+    std::string all;
+    for (int count = 0; count < 1'000; ++count) {
+        all += interim;
+    }
+    co_await connection.send(all + "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+}
+
+boost::asio::awaitable<void> endlessHead(raw_connection &connection)
+{
+    co_await connection.send("HTTP/1.1 200 OK\r\n");
+    co_await connection.sendUpTo(endless, "X-More: more\r\n");
+    sentBytes = connection.sentBytes();
+}
+
+boost::asio::awaitable<void> endlessChunkExtension(raw_connection &connection)
+{
+    co_await connection.send(chunkedHead + "2\r\nok\r\n2");
+    co_await connection.sendUpTo(endless, ";" + std::string(16 * 1024, 'x'));
+    sentBytes = connection.sentBytes();
+}
+
+boost::asio::awaitable<void> endlessTrailers(raw_connection &connection)
+{
+    co_await connection.send(chunkedHead + "2\r\nok\r\n0\r\n");
+    co_await connection.sendUpTo(endless, "X-More: " + std::string(16 * 1024, 'x') + "\r\n");
+    sentBytes = connection.sentBytes();
+}
+
+boost::asio::awaitable<void> endlessChunkSize(raw_connection &connection)
+{
+    co_await connection.send(chunkedHead + "2\r\nok\r\n");
+    co_await connection.sendUpTo(endless, std::string(16 * 1024, '0'));
+    sentBytes = connection.sentBytes();
+}
+
+boost::asio::awaitable<void> endlessBody(raw_connection &connection)
+{
+    co_await connection.send(unframedHead);
+    co_await connection.sendUpTo(endless, std::string(16 * 1024, 'x'));
+    sentBytes = connection.sentBytes();
+}
+
+boost::asio::awaitable<void> unframedAnswer(raw_connection &connection)
+{
+    co_await connection.send(unframedHead + "whole");
+}
+
+boost::asio::awaitable<void> unframedReset(raw_connection &connection)
+{
+    co_await connection.send(unframedHead + "half");
+    co_await connection.pause(milliseconds(50));
+    connection.reset();
+}
+
+boost::asio::awaitable<void> noAnswer(raw_connection &connection)
+{
+    co_await connection.send("SSH-2.0-OpenSSH_9.2\r\n\r\n");
+    co_await connection.waitUntilClosed();
+}
+
+boost::asio::awaitable<void> closeWithoutAnswer(raw_connection &)
+{
+    co_return;
+}
+
+boost::asio::awaitable<void> closeInHead(raw_connection &connection)
+{
+    co_await connection.send("HTTP/1.1 200 OK\r\nContent-");
+}
+
+} // namespace
+
+Test(unusual_answers, interimHeadsComeBeforeAnAnswer)
+{
+    expectEqual(bodyOrError(answerOf(interimThenAnswer)), "ok");
+}
+
+Test(unusual_answers, interimHeadsDoNotExtendTheTimeForTheHead)
+{
+    expectEqual(bodyOrError(answerOf(interimForASecond, call_limits::within(milliseconds(400)))), toString(error_code::backend_timeout));
+}
+
+Test(unusual_answers, interimHeadsWithoutEndAreNoAnswer)
+{
+    expectEqual(bodyOrError(answerOf(manyInterim)), toString(error_code::backend_answer_invalid));
+}
+
+Test(unusual_answers, aHeadWithoutEndIsNoAnswer)
+{
+    expectEqual(bodyOrError(answerOf(endlessHead)), toString(error_code::backend_answer_invalid));
+    cr_assert_lt(sentBytes, endless);
+}
+
+Test(unusual_answers, aChunkExtensionWithoutEndIsNoAnswer)
+{
+    expectEqual(bodyOrError(answerOf(endlessChunkExtension)), toString(error_code::backend_answer_invalid));
+    cr_assert_lt(sentBytes, endless);
+}
+
+Test(unusual_answers, trailersWithoutEndAreNoAnswer)
+{
+    expectEqual(bodyOrError(answerOf(endlessTrailers)), toString(error_code::backend_answer_invalid));
+    cr_assert_lt(sentBytes, endless);
+}
+
+Test(unusual_answers, aChunkSizeWithoutEndIsNoAnswer)
+{
+    expectEqual(bodyOrError(answerOf(endlessChunkSize)), toString(error_code::backend_answer_invalid));
+    cr_assert_lt(sentBytes, endless);
+}
+
+Test(unusual_answers, aBodyWithoutEndIsTooLarge)
+{
+    expectEqual(bodyOrError(answerOf(endlessBody)), toString(error_code::backend_answer_invalid));
+    cr_assert_lt(sentBytes, endless);
+}
+
+Test(unusual_answers, anUnframedAnswerIsCompleteWhenItsConnectionIsClosedInOrder)
+{
+    expectEqual(bodyOrError(answerOf(unframedAnswer)), "whole");
+}
+
+Test(unusual_answers, anUnframedAnswerIsNotCompleteWhenItsConnectionIsReset)
+{
+    expectEqual(bodyOrError(answerOf(unframedReset)), toString(error_code::backend_connection_lost));
+}
+
+Test(unusual_answers, bytesOfAnotherProtocolAreNoAnswer)
+{
+    expectEqual(bodyOrError(answerOf(noAnswer)), toString(error_code::backend_answer_invalid));
+}
+
+Test(unusual_answers, aConnectionThatEndsBeforeTheHeadIsLost)
+{
+    expectEqual(bodyOrError(answerOf(closeWithoutAnswer)), toString(error_code::backend_connection_lost));
+    expectEqual(bodyOrError(answerOf(closeInHead)), toString(error_code::backend_connection_lost));
+}
