The head of an answer has one time limit, and a bound of interim heads before it

Cause: client::open read 1xx heads in a loop, each with the time limit of the whole head, so a server that repeats "100 Continue" held a call for as long as it went on. The limit now counts from the last byte of the request, and 17 interim heads are no proper answer.

--- a/src/http/internal/client.cpp
+++ b/src/http/internal/client.cpp
@@ -20,6 +20,7 @@
 
 constexpr size_t writePieceBytes = 256 * 1024;
 constexpr std::chrono::milliseconds earlyResponseTimeout{ 200 }; ///< A response sent before a close has arrived or is lost.
+constexpr int maxInterimHeads = 16; ///< Before the head of one response; servers send one or two.
 
 error callError(error_code code, verdict outcome, const endpoint &to, std::string_view detail)
 {
@@ -111,9 +112,8 @@
 
 /// Reads the response header. During a simulated partition, waits until it heals and then sends the pending bytes.
 asio::awaitable<boost::system::error_code> readHeader(
-    client_connection &connection, endpoint to, client_stream::parser &source, std::chrono::milliseconds limit)
+    client_connection &connection, endpoint to, client_stream::parser &source, std::chrono::steady_clock::time_point end)
 {
-    const auto end = std::chrono::steady_clock::now() + limit;
     if (connection.isPartitioned()) {
         const bool isHealed = co_await connection.partitions->waitUntilHealed(to, end);
         if (!isHealed) {
@@ -132,6 +132,12 @@
     co_return failure;
 }
 
+bool isInterim(const client_stream::parser &source)
+{
+    const unsigned status = source.get().result_int();
+    return status < 200 && status != 101;
+}
+
 } // namespace
 
 call_limits call_limits::within(std::chrono::milliseconds limit)
@@ -190,14 +196,17 @@
         co_return tl::unexpected(sent.error());
     }
     // A server that rejects a large body may respond and close before it has read all of it.
-    const std::chrono::milliseconds headerLimit = sent ? limits.firstByte : earlyResponseTimeout;
+    const auto headerEnd = std::chrono::steady_clock::now() + (sent ? limits.firstByte : earlyResponseTimeout);
     auto source = std::make_unique<client_stream::parser>();
     source->body_limit(boost::none);
-    boost::system::error_code failure = co_await readHeader(*connection, to, *source, headerLimit);
-    while (!failure && source->get().result_int() < 200 && source->get().result_int() != 101) {
+    boost::system::error_code failure = co_await readHeader(*connection, to, *source, headerEnd);
+    for (int heads = 0; heads < maxInterimHeads && !failure && isInterim(*source); ++heads) {
         source = std::make_unique<client_stream::parser>();
         source->body_limit(boost::none);
-        failure = co_await readHeader(*connection, to, *source, headerLimit);
+        failure = co_await readHeader(*connection, to, *source, headerEnd);
+    }
+    if (!failure && isInterim(*source)) {
+        co_return tl::unexpected(callError(error_code::backend_answer_invalid, verdict::may_have_run, to, "interim heads without end"));
     }
     if (failure && !sent) {
         co_return tl::unexpected(sent.error());
