Bytes that are no proper response are told from a connection that ended

Cause: the client reported every read failure as a lost connection, bytes that break the protocol too.

--- a/src/http/internal/client.cpp
+++ b/src/http/internal/client.cpp
@@ -1,6 +1,7 @@
 #include "http/client.h"
 
 #include "http/internal/client_stream.h"
+#include "http/internal/read_failure.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -212,7 +213,7 @@
         co_return tl::unexpected(sent.error());
     }
     if (failure) {
-        const error_code code = failure == beast::error::timeout ? error_code::backend_timeout : error_code::backend_connection_lost;
+        const error_code code = failure == beast::error::timeout ? error_code::backend_timeout : codeOfReadFailure(failure);
         co_return tl::unexpected(callError(code, verdict::may_have_run, to, failure.message()));
     }
     co_return std::make_unique<client_stream>(pool, to, std::move(connection), std::move(source), limits.progress, sent.has_value());
--- a/src/http/internal/client_stream.cpp
+++ b/src/http/internal/client_stream.cpp
@@ -1,5 +1,7 @@
 #include "http/internal/client_stream.h"
 
+#include "http/internal/read_failure.h"
+
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/read.hpp>
@@ -17,9 +19,9 @@
 
 constexpr size_t pieceBytes = 16 * 1024;
 
-error connectionLost(const endpoint &to, std::string_view what)
+error readError(error_code code, const endpoint &to, std::string_view what)
 {
-    return error{ error_code::backend_connection_lost, verdict::may_have_run, "peer=" + toString(to) + " " + std::string(what), {} };
+    return error{ code, verdict::may_have_run, "peer=" + toString(to) + " " + std::string(what), {} };
 }
 
 // Half of the server's keep-alive time-out: the other half covers network latency and a late timer.
@@ -106,7 +108,7 @@
         }
         if (!m_connection || failure) {
             m_connection.reset();
-            co_return tl::unexpected(connectionLost(m_to, failure.message()));
+            co_return tl::unexpected(readError(codeOfReadFailure(failure), m_to, failure.message()));
         }
         const size_t count = piece.size() - body.size;
         if (count > 0) {
@@ -115,7 +117,7 @@
         }
     }
     if (!m_source->is_done()) {
-        co_return tl::unexpected(connectionLost(m_to, "closed"));
+        co_return tl::unexpected(readError(error_code::backend_connection_lost, m_to, "closed"));
     }
     returnToPool();
     co_return std::string();
