What a client connection has received and not parsed is bounded

Cause: the buffer of a connection grew while a chunk size, a chunk extension or trailers went on without end; only the time limit of the call ended it.

--- a/src/http/internal/connection_pool.h
+++ b/src/http/internal/connection_pool.h
@@ -33,8 +33,10 @@
         return socketDuplicate && partitions->contains(socketDuplicate->peer());
     }
 
+    static constexpr size_t maxUnparsedBytes = 64 * 1024; ///< Holds each head, chunk head and trailer part of a proper response.
+
     boost::beast::tcp_stream stream;
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer{ maxUnparsedBytes };
     bool reused = false;
     std::chrono::steady_clock::time_point idleSince{};
     std::chrono::milliseconds idleLimit{ 60'000 }; ///< Not reused after being idle this long, as the server may close it.
