--- a/src/programs/gateway/tests/fake_platform.cpp
+++ b/src/programs/gateway/tests/fake_platform.cpp
@@ -82,6 +82,17 @@
     auto server = std::make_unique<http::server>(m_context.get_executor(), http::server_limits(), std::move(serve), emptyAnswer);
     const endpoint address = *server->listen({ loopback, 0 });
     m_servers.push_back(std::move(server));
+    listServer(id, service, address);
+}
+
+void fake_platform::addRawServer(const std::string &id, const std::string &service, http::testing::raw_server::script serve)
+{
+    m_rawServers.push_back(std::make_unique<http::testing::raw_server>(m_context.get_executor(), std::move(serve)));
+    listServer(id, service, m_rawServers.back()->address());
+}
+
+void fake_platform::listServer(const std::string &id, const std::string &service, const endpoint &address)
+{
     m_items += ","
         + storeItem("servers/" + id,
             R"({"service":")" + service + R"(","address":")" + toString(address) + R"(","zone":"dc","slots":4,"state":"ready"})");
--- a/src/programs/gateway/tests/fake_platform.h
+++ b/src/programs/gateway/tests/fake_platform.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "http/server.h"
+#include "http/tests/raw_server.h"
 #include "programs/gateway/gateway_host.h"
 
 #include <boost/asio/io_context.hpp>
@@ -36,6 +37,8 @@
 
     /// Adds a backend server to the store; `service` is "reading" (resumable streams) or "desk" (complete answers).
     void addServer(const std::string &id, const std::string &service, backend serve);
+    /// Adds a backend server that answers with any bytes.
+    void addRawServer(const std::string &id, const std::string &service, http::testing::raw_server::script serve);
     /// Starts the gateway and runs the event loop until it is ready.
     void start();
     /// Makes the store go back to a copy that holds the configuration alone: its revisions go back, its era rises.
@@ -50,6 +53,7 @@
     int readiness();
 
 private:
+    void listServer(const std::string &id, const std::string &service, const endpoint &address);
     boost::asio::awaitable<void> serveStore(http::exchange &exchange);
     boost::asio::awaitable<void> callGateway(http::request_message message, caller_answer &answer);
     void openHost(platform::instance_settings settings);
@@ -58,6 +62,7 @@
 
     boost::asio::io_context m_context;
     std::vector<std::unique_ptr<http::server>> m_servers;
+    std::vector<std::unique_ptr<http::testing::raw_server>> m_rawServers;
     std::string m_items;
     std::unique_ptr<http::server> m_store;
     endpoint m_storeAddress;
