An event of a stream is bounded; a server that never ends one is treated as lost

Cause: the bytes of an incomplete event were kept without bound, and each piece searched all of them anew. Result: above 1 MiB the send ends as event_too_long, and the stream is continued elsewhere or cut.

--- a/src/gateway/event_splitter.h
+++ b/src/gateway/event_splitter.h
@@ -18,13 +18,18 @@
     std::optional<std::string> next();
     /// Last id among the events that next() has returned.
     std::optional<std::uint64_t> lastId() const;
+    /// Whether the incomplete event exceeds every proper one; its server may send it without end.
+    bool isEventTooLong() const;
     /// Whether bytes are buffered after the last complete event.
     bool hasPartialEvent() const;
     /// Discards these bytes, before another server continues the stream.
     void discardPartialEvent();
 
 private:
+    static constexpr size_t maxEventBytes = 1024 * 1024;
+
     std::string m_pending;
+    size_t m_searched = 0; ///< Pending bytes that are known to hold no end of an event.
     std::optional<std::uint64_t> m_lastId;
 };
 
--- a/src/gateway/internal/event_splitter.cpp
+++ b/src/gateway/internal/event_splitter.cpp
@@ -1,5 +1,6 @@
 #include "gateway/event_splitter.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace mustardtrail::gateway
@@ -38,18 +39,22 @@
 
 std::optional<std::string> event_splitter::next()
 {
-    size_t end = m_pending.find("\n\n");
+    constexpr size_t longestEnd = 4;
+    const size_t from = m_searched - std::min(m_searched, longestEnd - 1);
+    size_t end = m_pending.find("\n\n", from);
     size_t length = 2;
-    const size_t crlfEnd = m_pending.find("\r\n\r\n");
+    const size_t crlfEnd = m_pending.find("\r\n\r\n", from);
     if (crlfEnd < end) {
         end = crlfEnd;
-        length = 4;
+        length = longestEnd;
     }
     if (end == std::string::npos) {
+        m_searched = m_pending.size();
         return std::nullopt;
     }
     std::string event = m_pending.substr(0, end + length);
     m_pending.erase(0, end + length);
+    m_searched = 0;
     if (const auto id = idIn(event)) {
         m_lastId = id;
     }
@@ -61,6 +66,11 @@
     return m_lastId;
 }
 
+bool event_splitter::isEventTooLong() const
+{
+    return m_searched > maxEventBytes;
+}
+
 bool event_splitter::hasPartialEvent() const
 {
     return !m_pending.empty();
@@ -69,6 +79,7 @@
 void event_splitter::discardPartialEvent()
 {
     m_pending.clear();
+    m_searched = 0;
 }
 
 } // namespace mustardtrail::gateway
--- a/src/gateway/tests/event_splitter_test.cpp
+++ b/src/gateway/tests/event_splitter_test.cpp
@@ -46,3 +46,38 @@
     events.next();
     expectEqual(*events.lastId(), 3U);
 }
+
+Test(event_splitter, findsAnEventWhoseEndArrivesInPieces)
+{
+    for (const std::string end : { "\n\n", "\r\n\r\n" }) {
+        event_splitter events;
+        events.append("id: 9\ndata: a");
+        for (const char byte : end) {
+            cr_assert_not(events.next().has_value());
+            events.append(std::string_view(&byte, 1));
+        }
+        expectEqual(*events.next(), "id: 9\ndata: a" + end);
+        cr_assert_not(events.hasPartialEvent());
+    }
+}
+
+Test(event_splitter, tellsAnEventWithoutEndFromALongOne)
+{
+    const std::string piece(16 * 1024, 'x');
+    event_splitter events;
+    events.append("id: 1\ndata: ");
+    for (int count = 0; count < 60; ++count) {
+        events.append(piece);
+        cr_assert_not(events.next().has_value());
+        cr_assert_not(events.isEventTooLong());
+    }
+    events.append("\n\n");
+    cr_assert(events.next().has_value());
+    for (int count = 0; count < 65; ++count) {
+        events.append(piece);
+        cr_assert_not(events.next().has_value());
+    }
+    cr_assert(events.isEventTooLong());
+    events.discardPartialEvent();
+    cr_assert_not(events.isEventTooLong());
+}
--- a/src/programs/gateway/hedged_send.cpp
+++ b/src/programs/gateway/hedged_send.cpp
@@ -118,27 +118,32 @@
     std::string received;
     const bool isReadable = co_await readAhead(**answer, received);
     if (!isReadable || m_isCancelled) {
-        m_isCutOff = !m_isCancelled;
         co_return verdict::may_have_run;
     }
     m_answer = std::make_unique<prefetched_answer>(std::move(*answer), std::move(received));
     co_return std::nullopt;
 }
 
-asio::awaitable<bool> hedged_send::readAhead(http::response_stream &answer, std::string &received) const
+asio::awaitable<bool> hedged_send::readAhead(http::response_stream &answer, std::string &received)
 {
     event_splitter events;
     while (true) {
         const auto bytes = co_await answer.read();
-        if (!bytes || received.size() > m_sent.limits.bodyBytes) {
+        if (!bytes) {
+            m_isCutOff = !m_isCancelled && bytes.error().code == error_code::backend_connection_lost;
             co_return false;
         }
         received += *bytes;
-        events.append(*bytes);
+        if (m_sent.isStream) {
+            events.append(*bytes);
+        }
         const bool hasEvent = m_sent.isStream && events.next().has_value();
         if (bytes->empty() || hasEvent) {
             co_return true;
         }
+        if (events.isEventTooLong() || received.size() > m_sent.limits.bodyBytes) {
+            co_return false;
+        }
     }
 }
 
--- a/src/programs/gateway/hedged_send.h
+++ b/src/programs/gateway/hedged_send.h
@@ -56,7 +56,8 @@
     boost::asio::awaitable<void> run();
     /// Returns the outcome of a failed send, or nothing when the answer is ready.
     boost::asio::awaitable<std::optional<verdict>> receive();
-    boost::asio::awaitable<bool> readAhead(http::response_stream &answer, std::string &received) const;
+    /// False when the answer is lost or no proper one.
+    boost::asio::awaitable<bool> readAhead(http::response_stream &answer, std::string &received);
 
     gateway_context &m_context;
     order m_sent;
--- a/src/programs/gateway/request_relay.cpp
+++ b/src/programs/gateway/request_relay.cpp
@@ -263,6 +263,11 @@
         while (auto event = m_events.next()) {
             completeEvents += *event;
         }
+        if (m_events.isEventTooLong()) {
+            m_context.metrics.recordSendOutcome("event_too_long");
+            m_closedBecause = "event_too_long";
+            co_return makeFailure(verdict::may_have_run);
+        }
         if (completeEvents.empty()) {
             continue;
         }
