A stream without a length that ends before its first event is not complete

Cause: the end of the connection was taken for the end of the stream, also where no event had come; a hedged send that ended so, or inside its first event, took the place of a server that was only silent. Evidence: aStreamThatEndsBeforeItsFirstEventDoesNotLookComplete ("!(answer.isComplete && answer.status < 300) is false"), aHedgedSendWithoutEventsDoesNotReplaceTheSilentServer and aHedgedSendThatEndsInsideItsFirstEventDoesNotReplaceTheSilentServer (two events of three, then a cut). A stream that has a length or chunks may still be empty.

--- a/src/http/internal/client_stream.cpp
+++ b/src/http/internal/client_stream.cpp
@@ -75,6 +75,11 @@
     return m_headers;
 }
 
+bool client_stream::endsWithConnection() const
+{
+    return m_source->need_eof();
+}
+
 void client_stream::returnToPool()
 {
     // Bytes after the response belong to no request, so a connection that received any is not reused.
--- a/src/http/internal/client_stream.h
+++ b/src/http/internal/client_stream.h
@@ -24,6 +24,7 @@
 
     int status() const override;
     const header_list &headers() const override;
+    bool endsWithConnection() const override;
     boost::asio::awaitable<result<std::string>> read() override;
     void close() override;
 
--- a/src/programs/gateway/hedged_send.cpp
+++ b/src/programs/gateway/hedged_send.cpp
@@ -34,6 +34,10 @@
     {
         return m_rest->headers();
     }
+    bool endsWithConnection() const override
+    {
+        return m_rest->endsWithConnection();
+    }
     asio::awaitable<result<std::string>> read() override
     {
         if (!m_prefetched.empty()) {
@@ -138,9 +142,13 @@
             events.append(*bytes);
         }
         const bool hasEvent = m_sent.isStream && events.next().has_value();
-        if (bytes->empty() || hasEvent) {
+        if (hasEvent) {
             co_return true;
         }
+        if (bytes->empty()) {
+            m_isCutOff = m_sent.isStream && (events.hasPartialEvent() || answer.endsWithConnection());
+            co_return !m_isCutOff;
+        }
         if (events.isEventTooLong() || received.size() > m_sent.limits.bodyBytes) {
             co_return false;
         }
--- a/src/programs/gateway/request_relay.cpp
+++ b/src/programs/gateway/request_relay.cpp
@@ -277,7 +277,9 @@
         m_lastEvent = m_events.lastId() ? m_events.lastId() : m_lastEvent;
         watchStall(stallTimeout());
     }
-    const bool isComplete = !m_isCallerGone && !m_events.hasPartialEvent();
+    // A server that ends before its first event closes the connection as one without anything to say would.
+    const bool endedBeforeFirstEvent = !m_firstEventOfSendAt && answer.endsWithConnection();
+    const bool isComplete = !m_isCallerGone && !m_events.hasPartialEvent() && !endedBeforeFirstEvent;
     if (!isComplete) {
         attempt_failure failure = makeFailure(verdict::ran);
         failure.isCutOff = !m_isCallerGone;
