Tests: each kind of configuration change at each point of a request, one answer each, at the caller's socket

A newer version, a route that goes, a time-out that shrinks, a key or a customer that goes and a route that moves to another service, each while a request is in its body, waits for a server, is at a server before the head, in the middle of a stream, about to be continued, being continued, and about to be sent again. The store of the tests publishes configurations, and a raw caller counts the answers on its connection. A request keeps the configuration that was in force when its body was whole; one whose body is whole after the change gets the new one.

--- a/src/programs/gateway/tests/fake_platform.cpp
+++ b/src/programs/gateway/tests/fake_platform.cpp
@@ -29,8 +29,11 @@
  {"name":"once","host":"h.example","path_prefix":"/once/","kind":"non_idempotent","timeout_ms":2000,"target_latency_ms":100,
   "service":"desk","max_attempts":2},
  {"name":"again","host":"h.example","path_prefix":"/again/","kind":"idempotent","timeout_ms":2000,"target_latency_ms":100,
-  "service":"desk","max_attempts":2}],
- "services":[{"name":"reading"},{"name":"desk"}],"tenants":[{"name":"first","api_keys":["secret"]}]})";
+  "service":"desk","max_attempts":2},
+ {"name":"queue","host":"h.example","path_prefix":"/queue/","kind":"streaming","timeout_ms":5000,"target_latency_ms":3000,
+  "service":"batch","max_attempts":2,"resumable":true,"target_gap_ms":250}],
+ "services":[{"name":"reading"},{"name":"desk"},
+  {"name":"batch","engine":{"slots":4,"kv_cache_tokens":1000,"read_per_s":100000,"step_ms":1.0}}],"tenants":[{"name":"first","api_keys":["secret"]}]})";
 
 std::string base64(const std::string &text)
 {
@@ -40,9 +43,9 @@
     return encoded;
 }
 
-std::string storeItem(const std::string &key, const std::string &value)
+std::string storeItem(const std::string &key, const std::string &value, unsigned revision = 5)
 {
-    return R"({"key":")" + key + R"(","value":")" + base64(value) + R"(","revision":5})";
+    return R"({"key":")" + key + R"(","value":")" + base64(value) + R"(","revision":)" + std::to_string(revision) + "}";
 }
 
 http::response_message emptyAnswer(int status, int, std::string_view)
@@ -61,8 +64,7 @@
 } // namespace
 
 fake_platform::fake_platform()
-    : m_items(storeItem("op/config", configText))
-    , m_caller(m_context.get_executor())
+    : m_caller(m_context.get_executor())
 {
     host::openLog(host::log_level::warning, "gateway_test");
     m_store = std::make_unique<http::server>(
@@ -93,24 +95,29 @@
 
 void fake_platform::listServer(const std::string &id, const std::string &service, const endpoint &address)
 {
-    m_items += ","
+    m_serverItems += ","
         + storeItem("servers/" + id,
             R"({"service":")" + service + R"(","address":")" + toString(address) + R"(","zone":"dc","slots":4,"state":"ready"})");
 }
 
 asio::awaitable<void> fake_platform::serveStore(http::exchange &exchange)
 {
-    http::response_message answer;
+    constexpr int maxWaits = 10;
     const bool isList = exchange.request().path() == "/api/kv-range";
-    const std::string revision = R"("store_revision":)" + std::to_string(m_revision) + "}";
-    answer.body = isList ? R"({"items":[)" + m_items + R"(],"has_more":false,)" + revision : R"({"events":[],)" + revision;
-    answer.headers.add("Store-Era", std::to_string(m_era));
-    if (m_isStoreDown) {
-        answer.status = 503;
-    } else if (!isList) {
-        asio::steady_timer wait(exchange.executor(), milliseconds(100));
+    const auto isNew = [this, after = exchange.request().query("after")] {
+        return after.empty() || m_configRevision > std::stoul(std::string(after));
+    };
+    for (int waits = 0; !isList && !m_isStoreDown && !isNew() && waits < maxWaits; ++waits) {
+        asio::steady_timer wait(exchange.executor(), milliseconds(10));
         co_await wait.async_wait(asio::use_awaitable);
     }
+    http::response_message answer;
+    const std::string config = storeItem("op/config", m_config, m_configRevision);
+    const std::string revision = R"("store_revision":)" + std::to_string(m_revision) + "}";
+    answer.body = isList ? R"({"items":[)" + config + m_serverItems + R"(],"has_more":false,)" + revision
+                         : R"({"events":[)" + (isNew() ? config : std::string()) + "]," + revision;
+    answer.headers.add("Store-Era", std::to_string(m_era));
+    answer.status = m_isStoreDown ? 503 : 200;
     co_await exchange.respond(std::move(answer));
 }
 
@@ -160,7 +167,23 @@
 {
     ++m_era;
     m_revision = 6;
-    m_items = storeItem("op/config", configText);
+    m_serverItems.clear();
+}
+
+const std::string &fake_platform::firstConfig()
+{
+    return configText;
+}
+
+void fake_platform::publish(const std::string &config)
+{
+    m_config = config;
+    m_configRevision = ++m_revision;
+}
+
+raw_caller fake_platform::openCaller(std::string bytes)
+{
+    return { m_context.get_executor(), m_callerAddress, std::move(bytes) };
 }
 
 void fake_platform::stopStore()
--- a/src/programs/gateway/tests/fake_platform.h
+++ b/src/programs/gateway/tests/fake_platform.h
@@ -3,6 +3,7 @@
 #include "http/server.h"
 #include "http/tests/raw_server.h"
 #include "programs/gateway/gateway_host.h"
+#include "programs/gateway/tests/raw_caller.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -35,7 +36,8 @@
     fake_platform();
     ~fake_platform();
 
-    /// Adds a backend server to the store; `service` is "reading" (resumable streams) or "desk" (complete answers).
+    /// Adds a backend server to the store; `service` is "reading" (resumable streams), "desk" (complete answers) or
+    /// "batch" (resumable streams that wait while the server is full).
     void addServer(const std::string &id, const std::string &service, backend serve);
     /// Adds a backend server that answers with any bytes.
     void addRawServer(const std::string &id, const std::string &service, http::testing::raw_server::script serve);
@@ -43,12 +45,18 @@
     void start();
     /// Makes the store go back to a copy that holds the configuration alone: its revisions go back, its era rises.
     void restoreStoreWithoutServers();
+    /// Configuration before any other is published: routes /stream/, /once/, /again/ and /queue/, one customer with the key "secret".
+    static const std::string &firstConfig();
+    /// Writes a new configuration to the store.
+    void publish(const std::string &config);
     /// Makes the store answer 503 from now on.
     void stopStore();
     caller_answer call(
         const std::string &path, const std::string &key = "secret", std::chrono::milliseconds timeLeft = std::chrono::milliseconds(4'000));
     /// Calls with a prompt of these parts, written as on the wire.
     caller_answer callWithPrompt(const std::string &path, const std::string &parts);
+    /// Opens a connection as a caller and sends these bytes.
+    raw_caller openCaller(std::string bytes);
     void runFor(std::chrono::milliseconds time);
     int readiness();
 
@@ -63,7 +71,9 @@
     boost::asio::io_context m_context;
     std::vector<std::unique_ptr<http::server>> m_servers;
     std::vector<std::unique_ptr<http::testing::raw_server>> m_rawServers;
-    std::string m_items;
+    std::string m_config = firstConfig();
+    unsigned m_configRevision = 5;
+    std::string m_serverItems;
     std::unique_ptr<http::server> m_store;
     endpoint m_storeAddress;
     std::unique_ptr<gateway_host> m_host;
