A connection whose server has switched the protocol is not used again

Cause: 101 was taken for a final answer without a body, so its connection went back to the pool although the server no longer speaks HTTP/1.1 on it. The client never asks for another protocol: 101 is no proper answer. Evidence: aConnectionWhoseServerHasSwitchedTheProtocolIsNotUsedAgain, "got <1>, expected <2>" connections for two calls, the second of which met its time-out.

--- a/src/http/internal/client.cpp
+++ b/src/http/internal/client.cpp
@@ -133,6 +133,7 @@
     co_return failure;
 }
 
+// The client asks for no other protocol, so 101 is no proper answer.
 bool isInterim(const client_stream::parser &source)
 {
     const unsigned status = source.get().result_int();
@@ -206,8 +207,8 @@
         source->body_limit(boost::none);
         failure = co_await readHeader(*connection, to, *source, headerEnd);
     }
-    if (!failure && isInterim(*source)) {
-        co_return tl::unexpected(callError(error_code::backend_answer_invalid, verdict::may_have_run, to, "interim heads without end"));
+    if (!failure && source->get().result_int() < 200) {
+        co_return tl::unexpected(callError(error_code::backend_answer_invalid, verdict::may_have_run, to, "no head but interim ones"));
     }
     if (failure && !sent) {
         co_return tl::unexpected(sent.error());
--- a/src/http/tests/unusual_answers_test.cpp
+++ b/src/http/tests/unusual_answers_test.cpp
@@ -24,6 +24,7 @@
 
 // Criterion runs each test in its own process, so these values start anew in each test.
 size_t sentBytes = 0;
+int connections = 0;
 
 /// Answer of a server that serves each connection with this script.
 result<response_message> answerOf(raw_server::script serve, call_limits limits = call_limits::within(milliseconds(3'000)))
@@ -124,6 +125,23 @@
     co_await connection.waitUntilClosed();
 }
 
+boost::asio::awaitable<void> switchProtocols(raw_connection &connection)
+{
+    ++connections;
+    co_await connection.send("HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\nConnection: Upgrade\r\n\r\n");
+    co_await connection.waitUntilClosed();
+}
+
+boost::asio::awaitable<void> callTwice(client &caller, endpoint to, std::vector<result<response_message>> &answers)
+{
+    for (int count = 0; count < 2; ++count) {
+        request_message message;
+        auto limits = call_limits::within(milliseconds(500));
+        auto answer = co_await caller.call(to, std::move(message), std::move(limits));
+        answers.push_back(std::move(answer));
+    }
+}
+
 boost::asio::awaitable<void> closeWithoutAnswer(raw_connection &)
 {
     co_return;
@@ -201,3 +219,18 @@
     expectEqual(bodyOrError(answerOf(closeWithoutAnswer)), toString(error_code::backend_connection_lost));
     expectEqual(bodyOrError(answerOf(closeInHead)), toString(error_code::backend_connection_lost));
 }
+
+Test(unusual_answers, aConnectionWhoseServerHasSwitchedTheProtocolIsNotUsedAgain)
+{
+    boost::asio::io_context context;
+    const raw_server server(context.get_executor(), switchProtocols);
+    client caller(context.get_executor());
+    std::vector<result<response_message>> answers;
+    boost::asio::co_spawn(context, callTwice(caller, server.address(), answers), [&](std::exception_ptr) {
+        context.stop();
+    });
+    context.run();
+    expectEqual(connections, 2);
+    expectEqual(bodyOrError(answers.at(0)), toString(error_code::backend_answer_invalid));
+    expectEqual(bodyOrError(answers.at(1)), toString(error_code::backend_answer_invalid));
+}
