--- a/src/http/internal/client.cpp
+++ b/src/http/internal/client.cpp
@@ -1,6 +1,7 @@
 #include "http/client.h"
 
 #include "http/internal/client_stream.h"
+#include "http/internal/read_failure.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -20,6 +21,7 @@
 
 constexpr size_t writePieceBytes = 256 * 1024;
 constexpr std::chrono::milliseconds earlyResponseTimeout{ 200 }; ///< A response sent before a close has arrived or is lost.
+constexpr int maxInterimHeads = 16; ///< Before the head of one response; servers send one or two.
 
 error callError(error_code code, verdict outcome, const endpoint &to, std::string_view detail)
 {
@@ -111,9 +113,8 @@
 
 /// Reads the response header. During a simulated partition, waits until it heals and then sends the pending bytes.
 asio::awaitable<boost::system::error_code> readHeader(
-    client_connection &connection, endpoint to, client_stream::parser &source, std::chrono::milliseconds limit)
+    client_connection &connection, endpoint to, client_stream::parser &source, std::chrono::steady_clock::time_point end)
 {
-    const auto end = std::chrono::steady_clock::now() + limit;
     if (connection.isPartitioned()) {
         const bool isHealed = co_await connection.partitions->waitUntilHealed(to, end);
         if (!isHealed) {
@@ -132,6 +133,13 @@
     co_return failure;
 }
 
+// The client asks for no other protocol, so 101 is no proper answer.
+bool isInterim(const client_stream::parser &source)
+{
+    const unsigned status = source.get().result_int();
+    return status < 200 && status != 101;
+}
+
 } // namespace
 
 call_limits call_limits::within(std::chrono::milliseconds limit)
@@ -190,20 +198,23 @@
         co_return tl::unexpected(sent.error());
     }
     // A server that rejects a large body may respond and close before it has read all of it.
-    const std::chrono::milliseconds headerLimit = sent ? limits.firstByte : earlyResponseTimeout;
+    const auto headerEnd = std::chrono::steady_clock::now() + (sent ? limits.firstByte : earlyResponseTimeout);
     auto source = std::make_unique<client_stream::parser>();
     source->body_limit(boost::none);
-    boost::system::error_code failure = co_await readHeader(*connection, to, *source, headerLimit);
-    while (!failure && source->get().result_int() < 200 && source->get().result_int() != 101) {
+    boost::system::error_code failure = co_await readHeader(*connection, to, *source, headerEnd);
+    for (int heads = 0; heads < maxInterimHeads && !failure && isInterim(*source); ++heads) {
         source = std::make_unique<client_stream::parser>();
         source->body_limit(boost::none);
-        failure = co_await readHeader(*connection, to, *source, headerLimit);
+        failure = co_await readHeader(*connection, to, *source, headerEnd);
+    }
+    if (!failure && source->get().result_int() < 200) {
+        co_return tl::unexpected(callError(error_code::backend_answer_invalid, verdict::may_have_run, to, "no head but interim ones"));
     }
     if (failure && !sent) {
         co_return tl::unexpected(sent.error());
     }
     if (failure) {
-        const error_code code = failure == beast::error::timeout ? error_code::backend_timeout : error_code::backend_connection_lost;
+        const error_code code = failure == beast::error::timeout ? error_code::backend_timeout : codeOfReadFailure(failure);
         co_return tl::unexpected(callError(code, verdict::may_have_run, to, failure.message()));
     }
     co_return std::make_unique<client_stream>(pool, to, std::move(connection), std::move(source), limits.progress, sent.has_value());
--- a/src/programs/gateway/hedged_send.cpp
+++ b/src/programs/gateway/hedged_send.cpp
@@ -33,6 +33,10 @@
     {
         return m_rest->headers();
     }
+    bool endsWithConnection() const override
+    {
+        return m_rest->endsWithConnection();
+    }
     asio::awaitable<result<std::string>> read() override
     {
         if (!m_prefetched.empty()) {
@@ -125,30 +129,36 @@
     std::string received;
     const bool isReadable = co_await readAhead(**answer, received);
     if (!isReadable || m_isCancelled) {
-        m_isCutOff = !m_isCancelled;
         co_return verdict::may_have_run;
     }
     m_answer = std::make_unique<prefetched_answer>(std::move(*answer), std::move(received));
     co_return std::nullopt;
 }
 
-asio::awaitable<bool> hedged_send::readAhead(http::response_stream &answer, std::string &received) const
+asio::awaitable<bool> hedged_send::readAhead(http::response_stream &answer, std::string &received)
 {
     event_splitter events;
     while (true) {
         const auto bytes = co_await answer.read();
-        if (!bytes || received.size() > m_sent.limits.bodyBytes) {
+        if (!bytes) {
+            m_isCutOff = !m_isCancelled && bytes.error().code == error_code::backend_connection_lost;
             co_return false;
         }
         received += *bytes;
-        events.append(*bytes);
-        const bool hasEvent = m_sent.isStream && events.next().has_value();
-        if (bytes->empty()) {
-            co_return !m_sent.isStream || !events.hasPartialEvent();
+        if (m_sent.isStream) {
+            events.append(*bytes);
         }
+        const bool hasEvent = m_sent.isStream && events.next().has_value();
         if (hasEvent) {
             co_return true;
         }
+        if (bytes->empty()) {
+            m_isCutOff = m_sent.isStream && (events.hasPartialEvent() || answer.endsWithConnection());
+            co_return !m_isCutOff;
+        }
+        if (events.isEventTooLong() || received.size() > m_sent.limits.bodyBytes) {
+            co_return false;
+        }
     }
 }
 
