An answer that ends with its connection does not clear a part that crashes servers

A stream without a length or chunks whose server ends between two events looks complete. It was taken as proof that its prompt does not crash servers, which cleared the part each time.

--- a/src/programs/gateway/request_relay.cpp
+++ b/src/programs/gateway/request_relay.cpp
@@ -292,7 +292,10 @@
         failure.isCutOff = !m_isCallerGone;
         co_return failure;
     }
-    m_context.state.quarantine.recordWritten(m_parts, m_context.clock.now());
+    // The end of a connection is no proof that the server lives on.
+    if (!answer.endsWithConnection()) {
+        m_context.state.quarantine.recordWritten(m_parts, m_context.clock.now());
+    }
     m_context.metrics.recordSendOutcome("served");
     co_await startStream(answer);
     co_await m_exchange.finishStream();
@@ -340,7 +343,9 @@
     m_faultyServer = head.faultyServer;
     if (head.isSuccess && !m_exchange.hasStarted()) {
         dropHedges("first_server_answered");
-        m_context.state.quarantine.recordWritten(m_parts, m_context.clock.now());
+        if (!answer.endsWithConnection()) {
+            m_context.state.quarantine.recordWritten(m_parts, m_context.clock.now());
+        }
         m_context.metrics.recordSendOutcome("served");
         co_await m_exchange.respond(std::move(message));
         co_return std::nullopt;
--- a/src/programs/gateway/tests/crashing_part_test.cpp
+++ b/src/programs/gateway/tests/crashing_part_test.cpp
@@ -39,6 +39,15 @@
     co_await exchange.finishStream();
 }
 
+/// Ends like crashOnThePart; each second time the answer has no length and looks complete.
+boost::asio::awaitable<void> crashBetweenEvents(http::testing::raw_connection &connection)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nResponse-Stamp: stamp\r\n";
+    const bool looksComplete = ++guiltySends % 2 == 0;
+    const std::string bytes = looksComplete ? head + "\r\nid: 1\ndata: a\n\n" : head + "Transfer-Encoding: chunked\r\n\r\n";
+    co_await connection.send(bytes);
+}
+
 void addServers(fake_platform &platform, const std::string &service = "reading")
 {
     for (int number = 1; number <= serverCount; ++number) {
@@ -85,6 +94,19 @@
     }
 }
 
+Test(crashing_part, anAnswerThatEndsWithItsConnectionDoesNotClearThePart)
+{
+    fake_platform platform;
+    for (int number = 1; number <= serverCount; ++number) {
+        platform.addRawServer("i-" + std::to_string(number), "reading", crashBetweenEvents);
+    }
+    platform.start();
+    for (int request = 0; request < 30; ++request) {
+        platform.callWithPrompt("/stream/x", "dead:40,own:100");
+    }
+    cr_assert_leq(guiltySends, crashesAllowed + sendsAllowedAfterThem);
+}
+
 Test(crashing_part, plainRequestsWithAPartThatEndsServersAreSentNoMoreEither)
 {
     fake_platform platform;
