Leases at healthy engines no longer run out while others are silent

Cause: reservation_set renewed one engine after the other. A silent engine holds its call for 300 ms, so eight of sixteen put 2.4 s beside the interval of 1.2 s, and a lease lasts 3.5 s.

Evidence: reservation_set::silentEnginesDoNotEndTheLeasesAtTheOthers, before: "reservation_set_test.cpp:141: got <8>, expected <0>" (the leases at all eight healthy engines ran out).

Result: the renewals run beside each other; both tests of reservation_set pass, as do all 29 of gateway_program_test.

--- a/src/programs/gateway/reservation_set.cpp
+++ b/src/programs/gateway/reservation_set.cpp
@@ -74,15 +74,24 @@
         timer.expires_after(renewalInterval);
         boost::system::error_code ignored;
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        if (m_isReleased) {
+            co_return;
+        }
+        // Beside each other: one after the other, silent engines would hold up the renewals at the rest until leases expire.
         for (const share &each : m_shares) {
-            if (m_isReleased) {
-                co_return;
-            }
-            co_await reserveAt(each);
+            asio::co_spawn(m_executor, renewAt(each), asio::detached);
         }
     }
 }
 
+asio::awaitable<void> reservation_set::renewAt(share target)
+{
+    const auto self = shared_from_this();
+    if (!m_isReleased) {
+        co_await reserveAt(target);
+    }
+}
+
 void reservation_set::release()
 {
     if (m_isReleased) {
--- a/src/programs/gateway/reservation_set.h
+++ b/src/programs/gateway/reservation_set.h
@@ -39,6 +39,7 @@
 private:
     boost::asio::awaitable<bool> reserveAt(const share &target);
     boost::asio::awaitable<void> renew();
+    boost::asio::awaitable<void> renewAt(share target);
     boost::asio::awaitable<void> releaseAt(share target);
 
     gateway_context &m_context;
