A released part is not held back again by an instance that missed the release

Cause: an answer on a part in quarantine was told for 2 s and remembered for 60 s. An instance that was cut off in those 2 s kept the part in quarantine and told of it in each report; after 60 s the others took it from there.

Result: an instance that hears of a quarantine that an answer has ended tells of the answer again, and keeps it for as long as quarantines last.

--- a/src/gateway/internal/prompt_quarantine.cpp
+++ b/src/gateway/internal/prompt_quarantine.cpp
@@ -146,7 +146,10 @@
     if (!isNews) {
         return {};
     }
-    m_written[part] = { at, now };
+    written_record &written = m_written[part];
+    written.at = at;
+    written.changedAt = now;
+    written.hasReleased = written.hasReleased || quarantined != m_quarantined.end();
     if (quarantined != m_quarantined.end()) {
         release(part);
     }
@@ -266,6 +269,7 @@
     for (const quarantined_part &each : news.quarantined) {
         const auto written = m_written.find(each.part);
         if (written != m_written.end() && written->second.at > each.since) {
+            written->second.changedAt = now;
             continue;
         }
         const auto known = m_quarantined.find(each.part);
@@ -286,7 +290,7 @@
         return now - entry.second.evidence.at > evidenceMaxAge;
     });
     std::erase_if(m_written, [now](const auto &entry) {
-        return now - entry.second.at > evidenceMaxAge;
+        return now - entry.second.at > (entry.second.hasReleased ? milliseconds(quarantineMaxAge) : milliseconds(evidenceMaxAge));
     });
     std::erase_if(m_quarantined, [now](const auto &entry) {
         return now - entry.second.since > quarantineMaxAge;
--- a/src/gateway/prompt_quarantine.h
+++ b/src/gateway/prompt_quarantine.h
@@ -59,7 +59,8 @@
 
     struct written_record {
         time_point at{};
-        time_point changedAt{};
+        time_point changedAt{}; ///< Or told again to an instance that did not know.
+        bool hasReleased = false; ///< The part was in quarantine; instances that were cut off still hold it back.
     };
 
     struct quarantine_record {
--- a/src/gateway/tests/prompt_quarantine_test.cpp
+++ b/src/gateway/tests/prompt_quarantine_test.cpp
@@ -202,3 +202,35 @@
     }
     expectEqual(quarantine.size(), 0U);
 }
+
+Test(prompt_quarantine, aReleaseReachesAnInstanceThatWasCutOffWhenItWasTold)
+{
+    prompt_quarantine here;
+    prompt_quarantine cutOff;
+    crashThreeServers(here, guilty);
+    crashThreeServers(cutOff, guilty);
+    cr_assert(here.tryTrial({ guilty }, at(seconds(12))));
+    here.recordWritten({ guilty }, at(seconds(13)));
+    const time_point met = at(seconds(20));
+    here.merge(cutOff.news(prompt_quarantine::newsMaxAge, met), met);
+    cutOff.merge(here.news(prompt_quarantine::newsMaxAge, met), met);
+    cr_assert_not(isQuarantined(here, guilty));
+    cr_assert_not(isQuarantined(cutOff, guilty));
+}
+
+Test(prompt_quarantine, aReleasedPartIsNotHeldBackAgainByInstancesThatHeardNothingForMinutes)
+{
+    prompt_quarantine here;
+    prompt_quarantine cutOff;
+    crashThreeServers(here, guilty);
+    crashThreeServers(cutOff, guilty);
+    cr_assert(here.tryTrial({ guilty }, at(seconds(12))));
+    here.recordWritten({ guilty }, at(seconds(13)));
+    const time_point met = at(seconds(300));
+    here.expire(met);
+    cutOff.expire(met);
+    here.merge(cutOff.news(prompt_quarantine::newsMaxAge, met), met);
+    cutOff.merge(here.news(prompt_quarantine::newsMaxAge, met), met);
+    cr_assert_not(isQuarantined(here, guilty));
+    cr_assert_not(isQuarantined(cutOff, guilty));
+}
