A part is not blamed before the other instances have told what else was at a crash

Cause: an instance judged a crash by what it had seen of it alone. Where a guilty part of another instance was at the same server, the sound part was the only suspect for some milliseconds, was quarantined, and then explained the crashes for the guilty one.

Evidence: found by the search over small histories, without loss or delay: "ga at 1 beside a; ga at 1 beside a; ga at 1 beside a: instance 1 holds sound part 2 back after 3 crashes in a row since its last answer". Its own test, before: "prompt_quarantine_test.cpp:245: The expression !(isQuarantined(here, rare)) is false".

Result: until 0.1 s after a crash another part that explains the rest counts as there; then it is judged again, with the next report at the latest that comes in. A part that nothing else explains is held back at once, as before. prompt_quarantine 16 of 16, quarantine_spread 4 of 4, gateway_program_test 29 of 29, and the search everyGuiltyPartIsFoundInTime (335,922 histories) pass.

--- a/src/gateway/internal/prompt_quarantine.cpp
+++ b/src/gateway/internal/prompt_quarantine.cpp
@@ -202,12 +202,13 @@
     return found;
 }
 
-bool prompt_quarantine::hasOtherExplanation(prompt_part part, const std::vector<const crash_evidence *> &crashes) const
+bool prompt_quarantine::hasOtherExplanation(prompt_part part, const std::vector<const crash_evidence *> &crashes, time_point now) const
 {
     const auto &others = crashes.front()->sentAt;
     return std::any_of(others.begin(), others.end(), [&](const auto &entry) {
         return entry.first != part && std::all_of(crashes.begin(), crashes.end(), [&](const crash_evidence *crash) {
-            return isSuspectOf(entry.first, *crash);
+            const bool isSettled = now - crash->at >= settleTime;
+            return !isSettled || isSuspectOf(entry.first, *crash);
         });
     });
 }
@@ -220,7 +221,7 @@
         }
         const auto crashes = unexplainedCrashes(part);
         const unsigned count = crashesInARow(part, crashes);
-        if (count < crashesRequired || (count < ambiguousCrashesRequired && hasOtherExplanation(part, crashes))) {
+        if (count < crashesRequired || (count < ambiguousCrashesRequired && hasOtherExplanation(part, crashes, now))) {
             continue;
         }
         if (m_quarantined.size() < maxQuarantined) {
@@ -229,6 +230,21 @@
     }
 }
 
+void prompt_quarantine::judgeSettled(time_point now)
+{
+    part_set affected;
+    for (auto &[server, record] : m_crashes) {
+        if (record.isSettled || now - record.evidence.at < settleTime) {
+            continue;
+        }
+        record.isSettled = true;
+        for (const auto &[part, sentAt] : record.evidence.sentAt) {
+            affected.insert(part);
+        }
+    }
+    judge(affected, now);
+}
+
 quarantine_news prompt_quarantine::news(milliseconds maxAge, time_point now) const
 {
     quarantine_news news;
@@ -282,10 +298,12 @@
         }
     }
     judge(affected, now);
+    judgeSettled(now);
 }
 
 void prompt_quarantine::expire(time_point now)
 {
+    judgeSettled(now);
     std::erase_if(m_crashes, [now](const auto &entry) {
         return now - entry.second.evidence.at > evidenceMaxAge;
     });
--- a/src/gateway/prompt_quarantine.h
+++ b/src/gateway/prompt_quarantine.h
@@ -46,6 +46,7 @@
     static constexpr std::chrono::minutes maxTrialDelay{ 10 };
     static constexpr std::chrono::milliseconds newsMaxAge{ 2'000 }; ///< Several periodic reports, so that a lost one is no harm.
     static constexpr std::chrono::minutes quarantineMaxAge{ 30 }; ///< Without a trial, as no request with the part came.
+    static constexpr std::chrono::milliseconds settleTime{ 100 }; ///< By then the others have told what else was at a crash.
     static constexpr size_t maxCrashes = 128;
     static constexpr size_t maxPartsPerCrash = 32;
     static constexpr size_t maxCrashesInNews = 32;
@@ -55,6 +56,7 @@
     struct crash_record {
         crash_evidence evidence;
         time_point changedAt{};
+        bool isSettled = false; ///< Judged with what the other instances had seen of it.
     };
 
     struct written_record {
@@ -79,9 +81,11 @@
     void quarantine(prompt_part part, time_point since, unsigned failedTrials, time_point now);
     void release(prompt_part part);
     void judge(const part_set &parts, time_point now);
+    /// Judges again by the crashes of which all instances have now told.
+    void judgeSettled(time_point now);
     /// Crashes that the part may have caused and no quarantined part explains, in the order of time.
     std::vector<const crash_evidence *> unexplainedCrashes(prompt_part part) const;
-    bool hasOtherExplanation(prompt_part part, const std::vector<const crash_evidence *> &crashes) const;
+    bool hasOtherExplanation(prompt_part part, const std::vector<const crash_evidence *> &crashes, time_point now) const;
     bool isSuspectOf(prompt_part part, const crash_evidence &crash) const;
     void dropOldestCrash();
 
--- a/src/gateway/tests/prompt_quarantine_test.cpp
+++ b/src/gateway/tests/prompt_quarantine_test.cpp
@@ -234,3 +234,28 @@
     cr_assert_not(isQuarantined(here, guilty));
     cr_assert_not(isQuarantined(cutOff, guilty));
 }
+
+Test(prompt_quarantine, aPartIsNotBlamedBeforeTheOtherInstancesHaveToldWhatElseWasThere)
+{
+    prompt_quarantine here;
+    prompt_quarantine there;
+    crash(here, 1, { guilty, rare }, milliseconds(400));
+    crash(here, 2, { guilty, rare }, milliseconds(800));
+    crash(here, 3, { rare }, milliseconds(1'200));
+    cr_assert_not(isQuarantined(here, rare));
+    crash(there, 3, { guilty }, milliseconds(1'200));
+    here.merge(there.news(prompt_quarantine::newsMaxAge, at(milliseconds(1'205))), at(milliseconds(1'205)));
+    here.expire(at(seconds(2)));
+    cr_assert_not(isQuarantined(here, rare));
+}
+
+Test(prompt_quarantine, aPartThatNothingElseExplainsIsHeldBackOnceTheOtherInstancesHaveTold)
+{
+    prompt_quarantine quarantine;
+    crash(quarantine, 1, { guilty, rare }, milliseconds(400));
+    crash(quarantine, 2, { guilty, rare }, milliseconds(800));
+    crash(quarantine, 3, { guilty }, milliseconds(1'200));
+    quarantine.merge({}, at(milliseconds(1'200) + milliseconds(100)));
+    cr_assert(isQuarantined(quarantine, guilty));
+    cr_assert_not(isQuarantined(quarantine, rare));
+}
