A part in quarantine becomes due for a trial beside a slow link

Cause: each instance reads the time of a quarantine as later by the delay of the report. A time more than a second later counted as a new trial, so two instances a second there and back apart renewed the quarantine of each other without end, and the part was never tried again.

Evidence: quarantine_news::aLinkOfMoreThanASecondDoesNotRenewAQuarantineWithoutEnd, before: "quarantine_news_test.cpp:106: The expression mayBeTriedInTheEnd(milliseconds(600)) is false". Delays of 1 to 450 ms passed before as well.

Delays of 600 ms and 2 s pass. Two tests say what was looked for and is sound: a hook that calls the quarantine, and answers on parts that were at no crash, which are not kept.

--- a/src/gateway/internal/prompt_quarantine.cpp
+++ b/src/gateway/internal/prompt_quarantine.cpp
@@ -11,7 +11,8 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds sameMoment{ 1'000 }; // A time from another instance is off by the network's delay, which is no news.
+// A time from another instance is off by the network's delay, which is no news. Two trials are further apart.
+constexpr milliseconds sameMoment = prompt_quarantine::firstTrialDelay / 2;
 constexpr int trialDelayFactor = 3;
 
 milliseconds trialDelay(unsigned failedTrials)
--- /dev/null
+++ b/src/gateway/tests/quarantine_news_test.cpp
@@ -0,0 +1,108 @@
+#include "gateway/prompt_quarantine.h"
+#include "gateway/tests/test_time.h"
+#include "testing/expect.h"
+
+using namespace mustardtrail;
+using namespace mustardtrail::gateway;
+using namespace mustardtrail::gateway::testing;
+using mustardtrail::testing::expectEqual;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+
+constexpr prompt_part guilty = 1;
+constexpr prompt_part popular = 2;
+constexpr prompt_part rare = 3;
+
+quarantine_news answerNews(prompt_part part, int time)
+{
+    quarantine_news news;
+    news.written.push_back({ part, at(time) });
+    return news;
+}
+
+/// The news as the other instance reads it, which does not know how long it was on its way.
+quarantine_news received(quarantine_news news, milliseconds delay)
+{
+    for (crash_evidence &crash : news.crashes) {
+        crash.at += delay;
+        for (auto &[part, sentAt] : crash.sentAt) {
+            sentAt += delay;
+        }
+    }
+    for (written_part &each : news.written) {
+        each.at += delay;
+    }
+    for (quarantined_part &each : news.quarantined) {
+        each.since += delay;
+    }
+    return news;
+}
+
+/// Two instances tell each other of a part for 40 s over a link of this delay. Whether it may be tried after that.
+bool mayBeTriedInTheEnd(milliseconds delay)
+{
+    prompt_quarantine here;
+    prompt_quarantine there;
+    for (int number = 1; number <= 3; ++number) {
+        here.recordCrash(static_cast<server_start_key>(number), { guilty }, at(400 * number - 300), at(400 * number));
+    }
+    const time_point end = at(40'000);
+    for (time_point now = at(1'500); now < end; now += 2 * delay) {
+        there.merge(received(here.news(prompt_quarantine::newsMaxAge, now), delay), now + delay);
+        here.merge(received(there.news(prompt_quarantine::newsMaxAge, now + delay), delay), now + 2 * delay);
+    }
+    return *here.quarantinedUntil({ guilty }) <= end;
+}
+
+} // namespace
+
+Test(quarantine_news, twoInstancesDoNotRenewAQuarantineBetweenThem)
+{
+    for (const int delay : { 1, 50, 200, 450 }) {
+        cr_assert(mayBeTriedInTheEnd(milliseconds(delay)), "delay %d ms", delay);
+    }
+}
+
+Test(quarantine_news, aLinkOfMoreThanASecondDoesNotRenewAQuarantineWithoutEnd)
+{
+    for (const int delay : { 600, 2'000 }) {
+        cr_assert(mayBeTriedInTheEnd(milliseconds(delay)), "delay %d ms", delay);
+    }
+}
+
+Test(quarantine_news, whatAHookDoesToTheQuarantineIsSafe)
+{
+    prompt_quarantine *reached = nullptr;
+    unsigned changes = 0;
+    prompt_quarantine quarantine([&](prompt_part part, bool isHeldBack) {
+        ++changes;
+        const time_point now = at(20'000);
+        if (isHeldBack) {
+            reached->recordCrash(50 + part, { part, 77 }, at(19'000), now);
+        } else {
+            reached->expire(at(200'000));
+        }
+        reached->merge(reached->news(prompt_quarantine::newsMaxAge, now), now);
+    });
+    reached = &quarantine;
+    for (int number = 1; number <= 6; ++number) {
+        const auto server = static_cast<server_start_key>(number);
+        quarantine.recordCrash(server, { guilty, popular, rare }, at(400 * number - 300), at(400 * number));
+    }
+    cr_assert(changes > 0);
+    quarantine.recordWritten({ guilty, popular, rare }, at(30'000));
+    expectEqual(quarantine.size(), 0U);
+}
+
+Test(quarantine_news, answersOnPartsThatWereAtNoCrashAreNotKept)
+{
+    prompt_quarantine quarantine;
+    for (int number = 0; number < 100'000; ++number) {
+        quarantine.recordWritten({ static_cast<prompt_part>(number) }, at(1'000));
+        quarantine.merge(answerNews(static_cast<prompt_part>(number), 1'000), at(1'000));
+    }
+    expectEqual(quarantine.news(prompt_quarantine::newsMaxAge, at(1'000)).written.size(), 0U);
+}
