A report fits a datagram after an outage of many servers

Cause: the crashes in a report are bounded, the answered parts were not: after an outage of 128 servers with 32 parts each all 4,096 parts that are answered again are told for 2 s, in a report that no link between instances carries. The instances would lose each other just then.

Evidence: quarantine_news::aReportFitsADatagramAfterAnOutageOfManyServers, before: "quarantine_news_test.cpp:161: The expression (encodeLoadReport(report, at(11'500)).size()) <= (maxDatagramBytes) is false".

Result: the latest 1,024 answered parts are told; the test passes, and the quarantine's suites do, 25 of 25.

--- a/src/gateway/internal/prompt_quarantine.cpp
+++ b/src/gateway/internal/prompt_quarantine.cpp
@@ -38,6 +38,18 @@
     return count;
 }
 
+template<typename event> void keepLatest(std::vector<event> &events, size_t count)
+{
+    if (events.size() <= count) {
+        return;
+    }
+    const auto isLater = [](const event &left, const event &right) {
+        return left.at > right.at;
+    };
+    std::nth_element(events.begin(), events.begin() + static_cast<std::ptrdiff_t>(count), events.end(), isLater);
+    events.resize(count);
+}
+
 } // namespace
 
 prompt_quarantine::prompt_quarantine(change_hook onChange)
@@ -254,18 +266,13 @@
             news.crashes.push_back(record.evidence);
         }
     }
-    if (news.crashes.size() > maxCrashesInNews) {
-        const auto isLater = [](const crash_evidence &left, const crash_evidence &right) {
-            return left.at > right.at;
-        };
-        std::nth_element(news.crashes.begin(), news.crashes.begin() + maxCrashesInNews, news.crashes.end(), isLater);
-        news.crashes.resize(maxCrashesInNews);
-    }
+    keepLatest(news.crashes, maxCrashesInNews);
     for (const auto &[part, record] : m_written) {
         if (now - record.changedAt <= maxAge) {
             news.written.push_back({ part, record.at });
         }
     }
+    keepLatest(news.written, maxWrittenInNews);
     for (const auto &[part, record] : m_quarantined) {
         if (maxAge >= newsMaxAge || now - record.changedAt <= maxAge) {
             news.quarantined.push_back({ part, record.since, record.failedTrials });
--- a/src/gateway/prompt_quarantine.h
+++ b/src/gateway/prompt_quarantine.h
@@ -50,6 +50,7 @@
     static constexpr size_t maxCrashes = 128;
     static constexpr size_t maxPartsPerCrash = 32;
     static constexpr size_t maxCrashesInNews = 32;
+    static constexpr size_t maxWrittenInNews = 1'024; ///< So that a report fits a datagram; others stay suspects for longer.
     static constexpr size_t maxQuarantined = 256;
 
 private:
--- a/src/gateway/tests/quarantine_news_test.cpp
+++ b/src/gateway/tests/quarantine_news_test.cpp
@@ -1,3 +1,4 @@
+#include "gateway/load_report.h"
 #include "gateway/prompt_quarantine.h"
 #include "gateway/tests/test_time.h"
 #include "testing/expect.h"
@@ -15,6 +16,7 @@
 constexpr prompt_part guilty = 1;
 constexpr prompt_part popular = 2;
 constexpr prompt_part rare = 3;
+constexpr size_t maxDatagramBytes = 60'000; // Of the link between instances.
 
 quarantine_news answerNews(prompt_part part, int time)
 {
@@ -73,6 +75,24 @@
     }
 }
 
+Test(quarantine_news, aReportFitsADatagramAfterAnOutageOfManyServers)
+{
+    prompt_quarantine quarantine;
+    std::vector<prompt_part> all;
+    for (server_start_key server = 1; server <= prompt_quarantine::maxCrashes; ++server) {
+        std::vector<prompt_part> parts;
+        for (size_t index = 0; index < prompt_quarantine::maxPartsPerCrash; ++index) {
+            parts.push_back(server * 1'000 + index);
+        }
+        quarantine.recordCrash(server, parts, at(9'500), at(10'000));
+        all.insert(all.end(), parts.begin(), parts.end());
+    }
+    quarantine.recordWritten(all, at(11'000));
+    load_report report;
+    report.quarantine = quarantine.news(prompt_quarantine::newsMaxAge, at(11'500));
+    cr_assert_leq(encodeLoadReport(report, at(11'500)).size(), maxDatagramBytes);
+}
+
 Test(quarantine_news, whatAHookDoesToTheQuarantineIsSafe)
 {
     prompt_quarantine *reached = nullptr;
