--- a/src/gateway/tests/quarantine_news_test.cpp
+++ b/src/gateway/tests/quarantine_news_test.cpp
@@ -90,7 +90,7 @@
     quarantine.recordWritten(all, at(11'000));
     load_report report;
     report.quarantine = quarantine.news(prompt_quarantine::newsMaxAge, at(11'500));
-    cr_assert_leq(encodeLoadReport(report, at(11'500)).size(), maxDatagramBytes);
+    cr_assert(encodeLoadReport(report, at(11'500)).size() <= maxDatagramBytes);
 }
 
 Test(quarantine_news, whatAHookDoesToTheQuarantineIsSafe)
