An answer clears a part also when the news of the crash comes after it

Cause: an answer was noted only if a crash of the part was known where it was written. An instance that answered a part just after a crash elsewhere, before it heard of that, forgot the answer, and the part stayed a suspect.

--- a/src/gateway/internal/prompt_quarantine.cpp
+++ b/src/gateway/internal/prompt_quarantine.cpp
@@ -73,6 +73,7 @@
 void prompt_quarantine::recordWritten(const std::vector<prompt_part> &parts, time_point now)
 {
     for (const prompt_part part : parts) {
+        m_ownAnswers.record(part, now);
         judge(addWritten(part, now, now), now);
     }
 }
@@ -129,6 +130,11 @@
     for (const auto &[part, sentAt] : record.evidence.sentAt) {
         suspects.insert(part);
     }
+    for (const prompt_part part : part_set(suspects)) {
+        if (const auto answeredAt = m_ownAnswers.find(part)) {
+            suspects.merge(addWritten(part, *answeredAt, now));
+        }
+    }
     if (m_crashes.size() > maxCrashes) {
         dropOldestCrash();
     }
--- a/src/gateway/prompt_quarantine.h
+++ b/src/gateway/prompt_quarantine.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/crash_evidence.h"
+#include "gateway/recent_answers.h"
 
 #include <functional>
 #include <optional>
@@ -92,7 +93,8 @@
 
     change_hook m_onChange;
     std::map<server_start_key, crash_record> m_crashes;
-    std::map<prompt_part, written_record> m_written;
+    std::map<prompt_part, written_record> m_written; ///< Answers that cleared a part.
+    recent_answers m_ownAnswers;
     std::map<prompt_part, quarantine_record> m_quarantined;
 };
 
--- a/src/gateway/tests/quarantine_news_test.cpp
+++ b/src/gateway/tests/quarantine_news_test.cpp
@@ -18,6 +18,11 @@
 constexpr prompt_part rare = 3;
 constexpr size_t maxDatagramBytes = 60'000; // Of the link between instances.
 
+bool isQuarantined(const prompt_quarantine &quarantine, prompt_part part)
+{
+    return quarantine.quarantinedUntil({ part }).has_value();
+}
+
 quarantine_news answerNews(prompt_part part, int time)
 {
     quarantine_news news;
@@ -126,3 +131,30 @@
     }
     expectEqual(quarantine.news(prompt_quarantine::newsMaxAge, at(1'000)).written.size(), 0U);
 }
+
+Test(quarantine_news, anAnswerBeforeTheNewsOfTheCrashClearsThePart)
+{
+    prompt_quarantine here;
+    prompt_quarantine there;
+    here.recordCrash(1, { rare }, at(100), at(400));
+    there.recordWritten({ rare }, at(450));
+    there.merge(here.news(prompt_quarantine::newsMaxAge, at(460)), at(460));
+    here.merge(there.news(prompt_quarantine::newsMaxAge, at(470)), at(470));
+    here.recordCrash(2, { rare }, at(500), at(800));
+    here.recordCrash(3, { rare }, at(900), at(1'200));
+    cr_assert_not(isQuarantined(here, rare));
+}
+
+Test(quarantine_news, answersOnPartsThatNeverRepeatAreForgotten)
+{
+    recent_answers answers;
+    for (int number = 0; number < 100'000; ++number) {
+        answers.record(static_cast<prompt_part>(number), at(1'000));
+    }
+    cr_assert(answers.find(recent_answers::maxPartsPerPeriod - 1).has_value());
+    cr_assert_not(answers.find(recent_answers::maxPartsPerPeriod).has_value());
+    answers.record(guilty, at(3'500));
+    cr_assert(answers.find(popular).has_value());
+    answers.record(guilty, at(6'000));
+    cr_assert_not(answers.find(popular).has_value());
+}
