--- a/src/gateway/internal/prompt_quarantine.cpp
+++ b/src/gateway/internal/prompt_quarantine.cpp
@@ -11,7 +11,8 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds sameMoment{ 1'000 }; // A time from another instance is off by the network's delay, which is no news.
+// A time from another instance is off by the network's delay, which is no news. Two trials are further apart.
+constexpr milliseconds sameMoment = prompt_quarantine::firstTrialDelay / 2;
 constexpr int trialDelayFactor = 3;
 
 milliseconds trialDelay(unsigned failedTrials)
@@ -37,6 +38,18 @@
     return count;
 }
 
+template<typename event> void keepLatest(std::vector<event> &events, size_t count)
+{
+    if (events.size() <= count) {
+        return;
+    }
+    const auto isLater = [](const event &left, const event &right) {
+        return left.at > right.at;
+    };
+    std::nth_element(events.begin(), events.begin() + static_cast<std::ptrdiff_t>(count), events.end(), isLater);
+    events.resize(count);
+}
+
 } // namespace
 
 prompt_quarantine::prompt_quarantine(change_hook onChange)
@@ -60,6 +73,7 @@
 void prompt_quarantine::recordWritten(const std::vector<prompt_part> &parts, time_point now)
 {
     for (const prompt_part part : parts) {
+        m_ownAnswers.record(part, now);
         judge(addWritten(part, now, now), now);
     }
 }
@@ -116,6 +130,11 @@
     for (const auto &[part, sentAt] : record.evidence.sentAt) {
         suspects.insert(part);
     }
+    for (const prompt_part part : part_set(suspects)) {
+        if (const auto answeredAt = m_ownAnswers.find(part)) {
+            suspects.merge(addWritten(part, *answeredAt, now));
+        }
+    }
     if (m_crashes.size() > maxCrashes) {
         dropOldestCrash();
     }
@@ -146,7 +165,10 @@
     if (!isNews) {
         return {};
     }
-    m_written[part] = { at, now };
+    written_record &written = m_written[part];
+    written.at = at;
+    written.changedAt = now;
+    written.hasReleased = written.hasReleased || quarantined != m_quarantined.end();
     if (quarantined != m_quarantined.end()) {
         release(part);
     }
@@ -186,10 +208,13 @@
     std::vector<const crash_evidence *> found;
     for (const auto &[server, record] : m_crashes) {
         const crash_evidence &crash = record.evidence;
+        if (!isSuspectOf(part, crash)) {
+            continue;
+        }
         const bool isExplained = std::any_of(crash.sentAt.begin(), crash.sentAt.end(), [&](const auto &entry) {
             return entry.first != part && m_quarantined.contains(entry.first);
         });
-        if (!isExplained && isSuspectOf(part, crash)) {
+        if (!isExplained) {
             found.push_back(&crash);
         }
     }
@@ -199,12 +224,13 @@
     return found;
 }
 
-bool prompt_quarantine::hasOtherExplanation(prompt_part part, const std::vector<const crash_evidence *> &crashes) const
+bool prompt_quarantine::hasOtherExplanation(prompt_part part, const std::vector<const crash_evidence *> &crashes, time_point now) const
 {
     const auto &others = crashes.front()->sentAt;
     return std::any_of(others.begin(), others.end(), [&](const auto &entry) {
         return entry.first != part && std::all_of(crashes.begin(), crashes.end(), [&](const crash_evidence *crash) {
-            return isSuspectOf(entry.first, *crash);
+            const bool isSettled = now - crash->at >= settleTime;
+            return !isSettled || isSuspectOf(entry.first, *crash);
         });
     });
 }
@@ -217,7 +243,7 @@
         }
         const auto crashes = unexplainedCrashes(part);
         const unsigned count = crashesInARow(part, crashes);
-        if (count < crashesRequired || (count < ambiguousCrashesRequired && hasOtherExplanation(part, crashes))) {
+        if (count < crashesRequired || (count < ambiguousCrashesRequired && hasOtherExplanation(part, crashes, now))) {
             continue;
         }
         if (m_quarantined.size() < maxQuarantined) {
@@ -226,6 +252,21 @@
     }
 }
 
+void prompt_quarantine::judgeSettled(time_point now)
+{
+    part_set affected;
+    for (auto &[server, record] : m_crashes) {
+        if (record.isSettled || now - record.evidence.at < settleTime) {
+            continue;
+        }
+        record.isSettled = true;
+        for (const auto &[part, sentAt] : record.evidence.sentAt) {
+            affected.insert(part);
+        }
+    }
+    judge(affected, now);
+}
+
 quarantine_news prompt_quarantine::news(milliseconds maxAge, time_point now) const
 {
     quarantine_news news;
@@ -234,18 +275,13 @@
             news.crashes.push_back(record.evidence);
         }
     }
-    if (news.crashes.size() > maxCrashesInNews) {
-        const auto isLater = [](const crash_evidence &left, const crash_evidence &right) {
-            return left.at > right.at;
-        };
-        std::nth_element(news.crashes.begin(), news.crashes.begin() + maxCrashesInNews, news.crashes.end(), isLater);
-        news.crashes.resize(maxCrashesInNews);
-    }
+    keepLatest(news.crashes, maxCrashesInNews);
     for (const auto &[part, record] : m_written) {
         if (now - record.changedAt <= maxAge) {
             news.written.push_back({ part, record.at });
         }
     }
+    keepLatest(news.written, maxWrittenInNews);
     for (const auto &[part, record] : m_quarantined) {
         if (maxAge >= newsMaxAge || now - record.changedAt <= maxAge) {
             news.quarantined.push_back({ part, record.since, record.failedTrials });
@@ -266,6 +302,7 @@
     for (const quarantined_part &each : news.quarantined) {
         const auto written = m_written.find(each.part);
         if (written != m_written.end() && written->second.at > each.since) {
+            written->second.changedAt = now;
             continue;
         }
         const auto known = m_quarantined.find(each.part);
@@ -278,15 +315,17 @@
         }
     }
     judge(affected, now);
+    judgeSettled(now);
 }
 
 void prompt_quarantine::expire(time_point now)
 {
+    judgeSettled(now);
     std::erase_if(m_crashes, [now](const auto &entry) {
         return now - entry.second.evidence.at > evidenceMaxAge;
     });
     std::erase_if(m_written, [now](const auto &entry) {
-        return now - entry.second.at > evidenceMaxAge;
+        return now - entry.second.at > (entry.second.hasReleased ? milliseconds(quarantineMaxAge) : milliseconds(evidenceMaxAge));
     });
     std::erase_if(m_quarantined, [now](const auto &entry) {
         return now - entry.second.since > quarantineMaxAge;
--- a/src/gateway/prompt_quarantine.h
+++ b/src/gateway/prompt_quarantine.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/crash_evidence.h"
+#include "gateway/recent_answers.h"
 
 #include <functional>
 #include <optional>
@@ -46,20 +47,24 @@
     static constexpr std::chrono::minutes maxTrialDelay{ 10 };
     static constexpr std::chrono::milliseconds newsMaxAge{ 2'000 }; ///< Several periodic reports, so that a lost one is no harm.
     static constexpr std::chrono::minutes quarantineMaxAge{ 30 }; ///< Without a trial, as no request with the part came.
+    static constexpr std::chrono::milliseconds settleTime{ 100 }; ///< By then the others have told what else was at a crash.
     static constexpr size_t maxCrashes = 128;
     static constexpr size_t maxPartsPerCrash = 32;
     static constexpr size_t maxCrashesInNews = 32;
+    static constexpr size_t maxWrittenInNews = 1'024; ///< So that a report fits a datagram; others stay suspects for longer.
     static constexpr size_t maxQuarantined = 256;
 
 private:
     struct crash_record {
         crash_evidence evidence;
         time_point changedAt{};
+        bool isSettled = false; ///< Judged with what the other instances had seen of it.
     };
 
     struct written_record {
         time_point at{};
-        time_point changedAt{};
+        time_point changedAt{}; ///< Or told again to an instance that did not know.
+        bool hasReleased = false; ///< The part was in quarantine; instances that were cut off still hold it back.
     };
 
     struct quarantine_record {
@@ -78,15 +83,18 @@
     void quarantine(prompt_part part, time_point since, unsigned failedTrials, time_point now);
     void release(prompt_part part);
     void judge(const part_set &parts, time_point now);
+    /// Judges again by the crashes of which all instances have now told.
+    void judgeSettled(time_point now);
     /// Crashes that the part may have caused and no quarantined part explains, in the order of time.
     std::vector<const crash_evidence *> unexplainedCrashes(prompt_part part) const;
-    bool hasOtherExplanation(prompt_part part, const std::vector<const crash_evidence *> &crashes) const;
+    bool hasOtherExplanation(prompt_part part, const std::vector<const crash_evidence *> &crashes, time_point now) const;
     bool isSuspectOf(prompt_part part, const crash_evidence &crash) const;
     void dropOldestCrash();
 
     change_hook m_onChange;
     std::map<server_start_key, crash_record> m_crashes;
-    std::map<prompt_part, written_record> m_written;
+    std::map<prompt_part, written_record> m_written; ///< Answers that cleared a part.
+    recent_answers m_ownAnswers;
     std::map<prompt_part, quarantine_record> m_quarantined;
 };
 
