A started instance keeps no socket of its parent open

Cause: sockets of the process that starts instances were inherited by each of them. A listener that the soak closed stayed open in an instance started meanwhile, and a connection that it closed or reset stayed open for the gateway.

--- a/src/proof/fleet/managed_process.cpp
+++ b/src/proof/fleet/managed_process.cpp
@@ -6,6 +6,7 @@
 #include <boost/process/io.hpp>
 
 #include <sys/prctl.h>
+#include <unistd.h>
 
 #include <chrono>
 #include <csignal>
@@ -29,6 +30,14 @@
     }
 };
 
+/// The child keeps none of the parent's sockets open.
+struct without_files_of_parent : process::extend::handler {
+    template<typename executor> void on_exec_setup(executor &) const // NOLINT(readability-identifier-naming)
+    {
+        ::close_range(STDERR_FILENO + 1, ~0U, CLOSE_RANGE_CLOEXEC);
+    }
+};
+
 } // namespace
 
 struct managed_process::child_state {
@@ -47,7 +56,8 @@
         process::args(arguments),
         (process::std_out & process::std_err) > logFile,
         process::std_in < process::null,
-        end_with_parent());
+        end_with_parent(),
+        without_files_of_parent());
 }
 
 managed_process::managed_process(managed_process &&) noexcept = default;
