An outage is one crash also when its reports are not equally late

Cause: an instance reads the times of another as later by the delay of the report. Where the reports of an outage differed in delay by more than the age of the requests, servers that ended at one moment counted as crashes in a row, and a part that was at all of them was held back.

Evidence: the history as a test of its own, quarantine_news::anOutageIsOneCrashAlsoWhenItsReportsAreNotEquallyLate (requests sent 5 ms before the outage, reports 10 ms apart), before: "The expression !(isQuarantined(quarantine, popular)) is false". A trial before: with requests 1 ms old, reports 2 ms apart were enough.

Result: a crash that another instance saw counts only if its request was sent at least 20 ms after the crash before; own times are exact and count as they did. A guilty part whose crashes are all seen elsewhere and follow each other faster is found a crash later. gateway_test 166 of 166, gateway_program_test 29 of 29. Not measured: the bench.

--- a/src/gateway/internal/prompt_quarantine.cpp
+++ b/src/gateway/internal/prompt_quarantine.cpp
@@ -14,6 +14,7 @@
 // A time from another instance is off by the network's delay, which is no news. Two trials are further apart.
 constexpr milliseconds sameMoment = prompt_quarantine::firstTrialDelay / 2;
 constexpr int trialDelayFactor = 3;
+constexpr milliseconds reportDelay{ 20 }; // By which the times of others are late, one more than another.
 
 milliseconds trialDelay(unsigned failedTrials)
 {
@@ -24,20 +25,6 @@
     return std::min<milliseconds>(delay, prompt_quarantine::maxTrialDelay);
 }
 
-// Counts the crashes of requests that were each sent after the crash before: servers that end at one moment count once.
-unsigned crashesInARow(prompt_part part, const std::vector<const crash_evidence *> &crashes)
-{
-    unsigned count = 0;
-    time_point last = time_point::min();
-    for (const crash_evidence *crash : crashes) {
-        if (crash->sentAt.at(part) > last) {
-            ++count;
-            last = crash->at;
-        }
-    }
-    return count;
-}
-
 template<typename event> void keepLatest(std::vector<event> &events, size_t count)
 {
     if (events.size() <= count) {
@@ -67,7 +54,11 @@
             quarantine(part, now, found->second.failedTrials + (wasTrial ? 1 : 0), now);
         }
     }
-    judge(addEvidence(evidence, now), now);
+    const part_set suspects = addEvidence(evidence, now);
+    if (const auto known = m_crashes.find(server); known != m_crashes.end()) {
+        known->second.isOwn = true;
+    }
+    judge(suspects, now);
 }
 
 void prompt_quarantine::recordWritten(const std::vector<prompt_part> &parts, time_point now)
@@ -203,9 +194,9 @@
     return written == m_written.end() || written->second.at <= crash.at;
 }
 
-std::vector<const crash_evidence *> prompt_quarantine::unexplainedCrashes(prompt_part part) const
+std::vector<const prompt_quarantine::crash_record *> prompt_quarantine::unexplainedCrashes(prompt_part part) const
 {
-    std::vector<const crash_evidence *> found;
+    std::vector<const crash_record *> found;
     for (const auto &[server, record] : m_crashes) {
         const crash_evidence &crash = record.evidence;
         if (!isSuspectOf(part, crash)) {
@@ -215,22 +206,36 @@
             return entry.first != part && m_quarantined.contains(entry.first);
         });
         if (!isExplained) {
-            found.push_back(&crash);
+            found.push_back(&record);
         }
     }
-    std::sort(found.begin(), found.end(), [](const crash_evidence *left, const crash_evidence *right) {
-        return left->at < right->at;
+    std::sort(found.begin(), found.end(), [](const crash_record *left, const crash_record *right) {
+        return left->evidence.at < right->evidence.at;
     });
     return found;
 }
 
-bool prompt_quarantine::hasOtherExplanation(prompt_part part, const std::vector<const crash_evidence *> &crashes, time_point now) const
+unsigned prompt_quarantine::crashesInARow(prompt_part part, const std::vector<const crash_record *> &crashes)
+{
+    unsigned count = 0;
+    std::optional<time_point> last;
+    for (const crash_record *crash : crashes) {
+        const milliseconds uncertainty = crash->isOwn ? milliseconds(0) : reportDelay;
+        if (!last || crash->evidence.sentAt.at(part) > *last + uncertainty) {
+            ++count;
+            last = crash->evidence.at;
+        }
+    }
+    return count;
+}
+
+bool prompt_quarantine::hasOtherExplanation(prompt_part part, const std::vector<const crash_record *> &crashes, time_point now) const
 {
-    const auto &others = crashes.front()->sentAt;
+    const auto &others = crashes.front()->evidence.sentAt;
     return std::any_of(others.begin(), others.end(), [&](const auto &entry) {
-        return entry.first != part && std::all_of(crashes.begin(), crashes.end(), [&](const crash_evidence *crash) {
-            const bool isSettled = now - crash->at >= settleTime;
-            return !isSettled || isSuspectOf(entry.first, *crash);
+        return entry.first != part && std::all_of(crashes.begin(), crashes.end(), [&](const crash_record *crash) {
+            const bool isSettled = now - crash->evidence.at >= settleTime;
+            return !isSettled || isSuspectOf(entry.first, crash->evidence);
         });
     });
 }
@@ -247,7 +252,7 @@
             continue;
         }
         if (m_quarantined.size() < maxQuarantined) {
-            quarantine(part, crashes.back()->at, 0, now);
+            quarantine(part, crashes.back()->evidence.at, 0, now);
         }
     }
 }
--- a/src/gateway/prompt_quarantine.h
+++ b/src/gateway/prompt_quarantine.h
@@ -58,6 +58,7 @@
     struct crash_record {
         crash_evidence evidence;
         time_point changedAt{};
+        bool isOwn = false; ///< Seen by this instance, whose times are exact.
         bool isSettled = false; ///< Judged with what the other instances had seen of it.
     };
 
@@ -86,8 +87,10 @@
     /// Judges again by the crashes of which all instances have now told.
     void judgeSettled(time_point now);
     /// Crashes that the part may have caused and no quarantined part explains, in the order of time.
-    std::vector<const crash_evidence *> unexplainedCrashes(prompt_part part) const;
-    bool hasOtherExplanation(prompt_part part, const std::vector<const crash_evidence *> &crashes, time_point now) const;
+    std::vector<const crash_record *> unexplainedCrashes(prompt_part part) const;
+    /// Counts the crashes of requests that were each sent after the crash before: servers that end at one moment count once.
+    static unsigned crashesInARow(prompt_part part, const std::vector<const crash_record *> &crashes);
+    bool hasOtherExplanation(prompt_part part, const std::vector<const crash_record *> &crashes, time_point now) const;
     bool isSuspectOf(prompt_part part, const crash_evidence &crash) const;
     void dropOldestCrash();
 
--- a/src/gateway/tests/quarantine_news_test.cpp
+++ b/src/gateway/tests/quarantine_news_test.cpp
@@ -158,3 +158,17 @@
     answers.record(guilty, at(6'000));
     cr_assert_not(answers.find(popular).has_value());
 }
+
+Test(quarantine_news, anOutageIsOneCrashAlsoWhenItsReportsAreNotEquallyLate)
+{
+    prompt_quarantine quarantine;
+    constexpr int sentBeforeOutage = 5;
+    for (int report = 0; report < 3; ++report) {
+        const time_point heard = at(10'000 + 10 * report);
+        quarantine_news news;
+        news.crashes.push_back(
+            { static_cast<server_start_key>(report) + 1, heard, { { popular, heard - milliseconds(sentBeforeOutage) } } });
+        quarantine.merge(news, heard);
+    }
+    cr_assert_not(isQuarantined(quarantine, popular));
+}
