One instance tries a part again, whatever parts stand before it in the prompt

Cause: the instance that may try was chosen by the first part of the request, not by the one in quarantine. Prompts that differ in what stands before it let several instances try it when its delay was over.

Evidence: quarantine_spread::oneInstanceTriesThePartAgainWhateverStandsBeforeIt (66 instances, twenty parts before it), before: "quarantine_spread_test.cpp:92: got <18>, expected <1>" instances.

Not covered: prompts that hold two parts in quarantine in different order.

--- a/src/gateway/internal/fleet_state.cpp
+++ b/src/gateway/internal/fleet_state.cpp
@@ -342,8 +342,13 @@
 std::optional<time_point> fleet_state::quarantinedUntil(const std::vector<prompt_part> &parts, time_point now) const
 {
     const auto until = quarantine.quarantinedUntil(parts);
-    const bool isTrialDue = until && now >= *until;
-    return isTrialDue && isTrialInstance(parts.front(), now) ? std::nullopt : until;
+    if (!until || now < *until) {
+        return until;
+    }
+    const auto held = std::find_if(parts.begin(), parts.end(), [this](prompt_part part) {
+        return quarantine.quarantinedUntil({ part }).has_value();
+    });
+    return isTrialInstance(*held, now) ? std::nullopt : until;
 }
 
 // One instance of the fleet, so that a part that still crashes servers ends one server and not one for each instance.
--- a/src/gateway/tests/quarantine_spread_test.cpp
+++ b/src/gateway/tests/quarantine_spread_test.cpp
@@ -73,6 +73,25 @@
     expectEqual(mayTry(fleet), 1U);
 }
 
+Test(quarantine_spread, oneInstanceTriesThePartAgainWhateverStandsBeforeIt)
+{
+    fleet_simulation fleet(66, 3, 4, {}, 15);
+    fleet.runFor(seconds(6));
+    for (unsigned number = 0; number < 3; ++number) {
+        crash(fleet, number * 22, 100 + number);
+    }
+    fleet.runFor(seconds(3) + prompt_quarantine::firstTrialDelay);
+    unsigned count = 0;
+    for (unsigned instance = 0; instance < fleet.size(); ++instance) {
+        bool mayTryIt = false;
+        for (prompt_part before = 100; before < 120; ++before) {
+            mayTryIt = mayTryIt || !fleet.state(instance).quarantinedUntil({ before, guilty }, fleet.now());
+        }
+        count += mayTryIt ? 1 : 0;
+    }
+    expectEqual(count, 1U);
+}
+
 Test(quarantine_spread, aRestartedInstanceHearsOfThePart)
 {
     fleet_simulation fleet(8, 3, 4, {}, 13);
