--- a/src/programs/gateway/tests/unframed_answers_test.cpp
+++ b/src/programs/gateway/tests/unframed_answers_test.cpp
@@ -20,7 +20,7 @@
 // Criterion runs each test in its own process, so this counter starts at zero in each test.
 int sends = 0;
 
-enum class ending { inOrder, reset };
+enum class ending { in_order, reset };
 
 boost::asio::awaitable<void> sendAndEnd(raw_connection &connection, std::string bytes, ending end)
 {
@@ -60,7 +60,7 @@
 http::testing::raw_server::script secondEndsAfter(std::string bytes)
 {
     return [bytes = std::move(bytes)](raw_connection &connection) {
-        return sends++ == 0 ? pauseAfterTwoEvents(connection) : sendAndEnd(connection, bytes, ending::inOrder);
+        return sends++ == 0 ? pauseAfterTwoEvents(connection) : sendAndEnd(connection, bytes, ending::in_order);
     };
 }
 
@@ -79,7 +79,7 @@
 
 Test(unframed_answers, aPlainAnswerIsCompleteWhenItsConnectionIsClosedInOrder)
 {
-    const caller_answer answer = answerOf("/once/x", firstEndsAfter(unframedHead + "whole", ending::inOrder));
+    const caller_answer answer = answerOf("/once/x", firstEndsAfter(unframedHead + "whole", ending::in_order));
     expectEqual(answer.status, 200);
     expectEqual(answer.body, "whole");
     cr_assert(answer.isComplete);
@@ -100,7 +100,7 @@
 
 Test(unframed_answers, aStreamIsCompleteWhenItsConnectionIsClosedInOrder)
 {
-    const caller_answer answer = answerOf("/stream/x", firstEndsAfter(unframedHead + firstEvents + lastEvent, ending::inOrder));
+    const caller_answer answer = answerOf("/stream/x", firstEndsAfter(unframedHead + firstEvents + lastEvent, ending::in_order));
     expectEqual(answer.body, firstEvents + lastEvent);
     cr_assert(answer.isComplete);
     expectEqual(sends, 1);
@@ -108,7 +108,7 @@
 
 Test(unframed_answers, aStreamThatEndsInsideAnEventIsContinuedElsewhere)
 {
-    const caller_answer answer = answerOf("/stream/x", firstEndsAfter(unframedHead + firstEvents + "id: 3\nda", ending::inOrder));
+    const caller_answer answer = answerOf("/stream/x", firstEndsAfter(unframedHead + firstEvents + "id: 3\nda", ending::in_order));
     expectEqual(answer.body, firstEvents + lastEvent);
     cr_assert(answer.isComplete);
     expectEqual(sends, 2);
@@ -124,20 +124,20 @@
 
 Test(unframed_answers, aStreamThatEndsInsideAnEventIsNotCompleteWhereNoOtherServerCanContinueIt)
 {
-    const caller_answer answer = answerOf("/stream/x", firstEndsAfter(unframedHead + firstEvents + "id: 3\nda", ending::inOrder), 1);
+    const caller_answer answer = answerOf("/stream/x", firstEndsAfter(unframedHead + firstEvents + "id: 3\nda", ending::in_order), 1);
     expectEqual(answer.body, firstEvents);
     cr_assert_not(answer.isComplete);
 }
 
 Test(unframed_answers, aStreamThatEndsBeforeItsFirstEventDoesNotLookComplete)
 {
-    const caller_answer answer = answerOf("/stream/x", firstEndsAfter(unframedHead, ending::inOrder), 1);
+    const caller_answer answer = answerOf("/stream/x", firstEndsAfter(unframedHead, ending::in_order), 1);
     cr_assert_not(answer.isComplete && answer.status < 300);
 }
 
 Test(unframed_answers, aFramedStreamWithoutEventsIsComplete)
 {
-    const caller_answer answer = answerOf("/stream/x", firstEndsAfter(emptyFramedAnswer, ending::inOrder), 1);
+    const caller_answer answer = answerOf("/stream/x", firstEndsAfter(emptyFramedAnswer, ending::in_order), 1);
     expectEqual(answer.status, 200);
     cr_assert(answer.isComplete);
 }
