--- a/src/http/tests/unusual_answers_test.cpp
+++ b/src/http/tests/unusual_answers_test.cpp
@@ -172,31 +172,31 @@
 Test(unusual_answers, aHeadWithoutEndIsNoAnswer)
 {
     expectEqual(bodyOrError(answerOf(endlessHead)), toString(error_code::backend_answer_invalid));
-    cr_assert_lt(sentBytes, endless);
+    cr_assert(sentBytes < endless);
 }
 
 Test(unusual_answers, aChunkExtensionWithoutEndIsNoAnswer)
 {
     expectEqual(bodyOrError(answerOf(endlessChunkExtension)), toString(error_code::backend_answer_invalid));
-    cr_assert_lt(sentBytes, endless);
+    cr_assert(sentBytes < endless);
 }
 
 Test(unusual_answers, trailersWithoutEndAreNoAnswer)
 {
     expectEqual(bodyOrError(answerOf(endlessTrailers)), toString(error_code::backend_answer_invalid));
-    cr_assert_lt(sentBytes, endless);
+    cr_assert(sentBytes < endless);
 }
 
 Test(unusual_answers, aChunkSizeWithoutEndIsNoAnswer)
 {
     expectEqual(bodyOrError(answerOf(endlessChunkSize)), toString(error_code::backend_answer_invalid));
-    cr_assert_lt(sentBytes, endless);
+    cr_assert(sentBytes < endless);
 }
 
 Test(unusual_answers, aBodyWithoutEndIsTooLarge)
 {
     expectEqual(bodyOrError(answerOf(endlessBody)), toString(error_code::backend_answer_invalid));
-    cr_assert_lt(sentBytes, endless);
+    cr_assert(sentBytes < endless);
 }
 
 Test(unusual_answers, anUnframedAnswerIsCompleteWhenItsConnectionIsClosedInOrder)
