Log and measure how long engines' memory is reserved, and whether a request used it

`reservation_released` says now how long it was held, whether an event showed its use, and how many orders went unanswered; `unused_reservation_seconds` counts the time until the first event. No decision changes.

--- a/src/programs/gateway/gateway_metrics.cpp
+++ b/src/programs/gateway/gateway_metrics.cpp
@@ -51,6 +51,8 @@
     prometheus::Family<prometheus::Histogram> &answers = histogram(registry, "answer_seconds", "Arrival to final answer");
     prometheus::Family<prometheus::Histogram> &firstEvents = histogram(registry, "first_event_seconds", "Arrival to first event");
     prometheus::Family<prometheus::Histogram> &waits = histogram(registry, "wait_seconds", "Arrival to first send");
+    prometheus::Histogram &unusedReservations
+        = histogram(registry, "unused_reservation_seconds", "Memory reserved at engines and not yet used").Add({}, latencyBuckets());
     prometheus::Family<prometheus::Counter> &sends = counter(registry, "sends_total", "Sends to backend servers by outcome");
     prometheus::Family<prometheus::Counter> &refusals = counter(registry, "refusals_total", "Requests refused here by reason");
     prometheus::Family<prometheus::Counter> &storeCalls
@@ -85,6 +87,11 @@
     m_families->waits.Add({ { "route", route } }, latencyBuckets()).Observe(toSeconds(duration));
 }
 
+void gateway_metrics::recordUnusedReservation(std::chrono::nanoseconds duration)
+{
+    m_families->unusedReservations.Observe(toSeconds(duration));
+}
+
 void gateway_metrics::recordSendOutcome(const std::string &outcome)
 {
     m_families->sends.Add({ { "outcome", outcome } }).Increment();
--- a/src/programs/gateway/gateway_metrics.h
+++ b/src/programs/gateway/gateway_metrics.h
@@ -21,6 +21,8 @@
     void recordFirstEvent(const std::string &route, std::chrono::nanoseconds duration);
     /// Time from a request's arrival to its first send to a server.
     void recordQueueTime(const std::string &route, std::chrono::nanoseconds duration);
+    /// Time that memory was reserved at engines before a request used it, or until it was released.
+    void recordUnusedReservation(std::chrono::nanoseconds duration);
     void recordSendOutcome(const std::string &outcome);
     void recordRefusal(const std::string &reason);
     void recordStoreCall(const std::string &outcome);
--- a/src/programs/gateway/hedged_send.cpp
+++ b/src/programs/gateway/hedged_send.cpp
@@ -131,6 +131,9 @@
     if (!isReadable || m_isCancelled) {
         co_return verdict::may_have_run;
     }
+    if (m_sent.reservations) {
+        m_sent.reservations->recordUse();
+    }
     m_answer = std::make_unique<prefetched_answer>(std::move(*answer), std::move(received));
     co_return std::nullopt;
 }
--- a/src/programs/gateway/request_relay.cpp
+++ b/src/programs/gateway/request_relay.cpp
@@ -148,7 +148,7 @@
     if (shares.empty()) {
         return nullptr;
     }
-    return std::make_shared<reservation_set>(m_context, m_exchange.executor(), workId, std::move(shares));
+    return std::make_shared<reservation_set>(m_context, m_exchange.executor(), workId, std::move(shares), m_head.attempt);
 }
 
 asio::awaitable<bool> request_session::reserve(const placement_decision &placed)
@@ -311,6 +311,9 @@
         m_longestGap = std::max(m_longestGap, duration_cast<milliseconds>(now - m_lastEventAt));
     }
     m_lastEventAt = now;
+    if (m_reservations) {
+        m_reservations->recordUse();
+    }
     m_firstEventOfSendAt = m_firstEventOfSendAt.value_or(now);
     if (isAnswerEstablished(now)) {
         m_context.state.quarantine.recordWritten(m_parts, now);
--- a/src/programs/gateway/reservation_set.cpp
+++ b/src/programs/gateway/reservation_set.cpp
@@ -22,17 +22,50 @@
 
 } // namespace
 
-reservation_set::reservation_set(gateway_context &context, asio::any_io_executor executor, std::uint64_t request, std::vector<share> shares)
+reservation_set::reservation_set(
+    gateway_context &context, asio::any_io_executor executor, std::uint64_t work, std::vector<share> shares, attempt_id attempt)
     : m_context(context)
     , m_executor(std::move(executor))
-    , m_request(request)
+    , m_work(work)
     , m_shares(std::move(shares))
+    , m_attempt(std::move(attempt))
 {
 }
 
 std::string reservation_set::nameFor(server_key server) const
 {
-    return "mt" + std::to_string(m_request) + "-" + std::to_string(server);
+    return "mt" + std::to_string(m_work) + "-" + std::to_string(server);
+}
+
+milliseconds reservation_set::heldFor() const
+{
+    const time_point now = m_context.clock.now();
+    return std::chrono::duration_cast<milliseconds>(now - m_reservedAt.value_or(now));
+}
+
+void reservation_set::recordUse()
+{
+    m_usedAt = m_usedAt.value_or(m_context.clock.now());
+}
+
+void reservation_set::recordRelease()
+{
+    if (!m_reservedAt) {
+        return;
+    }
+    std::int64_t tokens = 0;
+    for (const share &each : m_shares) {
+        tokens += each.tokens;
+    }
+    m_context.metrics.recordUnusedReservation(m_usedAt.value_or(m_context.clock.now()) - *m_reservedAt);
+    m_context.log.write(log_line("reservation_released")
+                            .add("request", m_attempt.str())
+                            .add("work", std::to_string(m_work))
+                            .add("servers", static_cast<std::int64_t>(m_shares.size()))
+                            .add("tokens", tokens)
+                            .add("held", heldFor())
+                            .add("used", m_usedAt ? "yes" : "no")
+                            .add("unanswered", m_unanswered));
 }
 
 asio::awaitable<bool> reservation_set::reserveAt(const share &target)
@@ -41,6 +74,7 @@
     auto message = platform::reserveRequest(nameFor(target.server), target.tokens, leaseDuration);
     const auto answer = co_await m_context.client.call(target.address, std::move(message), limits);
     const int status = answer ? answer->status : 0;
+    m_unanswered += answer ? 0 : 1;
     if (m_isReleased) {
         // The engine may have received the release first.
         asio::co_spawn(m_executor, releaseAt(target), asio::detached);
@@ -50,9 +84,11 @@
         co_return true;
     }
     m_context.log.write(log_line("reservation_refused")
+                            .add("request", m_attempt.str())
                             .add("name", nameFor(target.server))
                             .add("server", target.id.str())
                             .add("tokens", target.tokens)
+                            .add("held", heldFor())
                             .add("status", status));
     co_return false;
 }
@@ -60,6 +96,7 @@
 asio::awaitable<bool> reservation_set::acquire()
 {
     const auto self = shared_from_this();
+    m_reservedAt = m_context.clock.now();
     for (const share &each : m_shares) {
         const bool granted = co_await reserveAt(each);
         if (!granted) {
@@ -103,6 +140,7 @@
         return;
     }
     m_isReleased = true;
+    recordRelease();
     for (const share &each : m_shares) {
         asio::co_spawn(m_executor, releaseAt(each), asio::detached);
     }
--- a/src/programs/gateway/reservation_set.h
+++ b/src/programs/gateway/reservation_set.h
@@ -6,6 +6,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace mustardtrail::gateway
@@ -24,12 +25,19 @@
         std::int64_t tokens = 0;
     };
 
-    reservation_set(gateway_context &context, boost::asio::any_io_executor executor, std::uint64_t request, std::vector<share> shares);
+    /// `work` identifies the send in the fleet state, `attempt` its request in the log.
+    reservation_set(gateway_context &context,
+        boost::asio::any_io_executor executor,
+        std::uint64_t work,
+        std::vector<share> shares,
+        attempt_id attempt = {});
 
     /// Returns false when an engine had no room; the reservations granted by the others are then released.
     boost::asio::awaitable<bool> acquire();
     /// Releases all reservations in the background.
     void release();
+    /// Records that the request has begun to run, so that it uses the memory.
+    void recordUse();
     /// Name of the reservation at this server.
     std::string nameFor(server_key server) const;
 
@@ -41,11 +49,17 @@
     boost::asio::awaitable<void> renew();
     boost::asio::awaitable<void> renewAt(share target);
     boost::asio::awaitable<void> releaseAt(share target);
+    std::chrono::milliseconds heldFor() const;
+    void recordRelease();
 
     gateway_context &m_context;
     boost::asio::any_io_executor m_executor;
-    std::uint64_t m_request;
+    std::uint64_t m_work;
     std::vector<share> m_shares;
+    attempt_id m_attempt;
+    std::optional<time_point> m_reservedAt; ///< When the first order was sent.
+    std::optional<time_point> m_usedAt;
+    unsigned m_unanswered = 0; ///< Orders that an engine may still carry out.
     bool m_isReleased = false;
 };
 
