--- /dev/null
+++ b/src/programs/gateway/tests/engine_memory.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "base/clock.h"
+#include "http/exchange.h"
+
+#include <map>
+#include <string>
+
+namespace mustardtrail::gateway::testing
+{
+
+/// The KV cache reservations of engines in a test, as the engines keep them: with a lease each, until their release.
+class engine_memory
+{
+public:
+    /// Carries out a reserve or release order, or answers a report, of an engine that begins no request.
+    boost::asio::awaitable<void> serve(http::exchange &exchange);
+    static bool isOrder(const http::exchange &exchange);
+
+    /// A restarted engine knows nothing of its reservations.
+    void forgetAll();
+    size_t heldCount() const;
+    /// The longest time for which one reservation has been held without a break.
+    std::chrono::milliseconds longestHold() const;
+
+private:
+    struct reservation {
+        time_point since{};
+        time_point leaseEndsAt{};
+    };
+    void noteHold(const reservation &held);
+
+    system_monotonic_clock m_clock;
+    std::map<std::string, reservation> m_reservations;
+    std::chrono::milliseconds m_longestEnded{ 0 };
+};
+
+} // namespace mustardtrail::gateway::testing
--- a/src/programs/gateway/tests/fake_platform.cpp
+++ b/src/programs/gateway/tests/fake_platform.cpp
@@ -23,6 +23,7 @@
 {
 
 const std::string loopback = "127.0.0.1";
+constexpr milliseconds maxAnswerTime{ 15'000 }; ///< Longer than any route's time-out.
 
 const std::string configText = R"({"version":1,"routes":[
  {"name":"stream","host":"h.example","path_prefix":"/stream/","kind":"streaming","timeout_ms":5000,"target_latency_ms":300,
@@ -223,7 +224,8 @@
 asio::awaitable<void> fake_platform::callGateway(http::request_message message, caller_answer &answer, milliseconds pause)
 {
     const endpoint to = m_callerAddress;
-    const http::call_limits limits;
+    http::call_limits limits;
+    limits.firstByte = limits.progress = maxAnswerTime;
     auto opened = co_await m_caller.open(to, std::move(message), limits);
     if (!opened) {
         co_return;
@@ -258,6 +260,13 @@
     return complete(std::move(message));
 }
 
+caller_answer fake_platform::callWithTokens(const std::string &path, const std::string &tokens, milliseconds timeLeft)
+{
+    http::request_message message = requestOf(path, "secret", timeLeft);
+    message.headers.add("Token-Counts", tokens);
+    return complete(std::move(message));
+}
+
 caller_answer fake_platform::callBesideASlowCaller(const std::string &path, const std::string &slowCallersPath)
 {
     caller_answer ignored;
@@ -285,7 +294,7 @@
     asio::co_spawn(m_context, callGateway(std::move(message), answer, milliseconds(0)), [&isDone](std::exception_ptr) {
         isDone = true;
     });
-    for (int steps = 0; steps < 1'000 && !isDone; ++steps) {
+    for (milliseconds waited{ 0 }; waited < maxAnswerTime && !isDone; waited += milliseconds(10)) {
         runFor(milliseconds(10));
     }
     return answer;
--- a/src/programs/gateway/tests/fake_platform.h
+++ b/src/programs/gateway/tests/fake_platform.h
@@ -59,6 +59,8 @@
         const std::string &path, const std::string &key = "secret", std::chrono::milliseconds timeLeft = std::chrono::milliseconds(4'000));
     /// Calls with a prompt of these parts, written as on the wire.
     caller_answer callWithPrompt(const std::string &path, const std::string &parts);
+    /// Calls with a prompt of this size, "PROMPT,ANSWER" in tokens.
+    caller_answer callWithTokens(const std::string &path, const std::string &tokens, std::chrono::milliseconds timeLeft);
     /// Calls while another caller, which has a second left, does not read the answer to its own request.
     caller_answer callBesideASlowCaller(const std::string &path, const std::string &slowCallersPath);
     /// Opens a connection as a caller and sends these bytes.
