The end of a send releases the memory that it reserved at engines, whichever way it ends

Callers saw prompts beyond one engine refused while engines' memory stood reserved for nobody. Cause: the renewal kept itself alive and ended only by a call of release(), which a session that ends by an exception (request_aborted) never makes; its leases were renewed until the process ended, and its work stayed in the loads. Class of fault: a resource whose release depends on each path remembering it. Now reservation_set is the owner and releases in its destructor; the orders moved to reservation_renewal, which lives on only while an order is under way. ~request_session also finishes its work. Failed before: unused_reservation/aSendThatEndsWithoutAReleaseKeepsNoMemory (held 1, expected 0).

--- a/src/programs/gateway/request_session.cpp
+++ b/src/programs/gateway/request_session.cpp
@@ -43,6 +43,9 @@
 request_session::~request_session()
 {
     dropHedges("request_ended");
+    if (m_workId != 0) { // An exception ended the session in the middle of a send.
+        m_context.state.loads.finish(m_workId);
+    }
     m_context.onQuarantined.erase(m_quarantineHook);
     *m_alive = false;
 }
--- /dev/null
+++ b/src/programs/gateway/reservation_renewal.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "programs/gateway/reservation_set.h"
+
+#include <optional>
+
+namespace mustardtrail::gateway
+{
+
+/// The orders of a reservation_set to the engines. Lives on while an order is under way; renews nothing after the release.
+class reservation_renewal : public std::enable_shared_from_this<reservation_renewal>
+{
+public:
+    using share = reservation_set::share;
+
+    reservation_renewal(
+        gateway_context &context, boost::asio::any_io_executor executor, std::uint64_t work, std::vector<share> shares, attempt_id attempt);
+
+    boost::asio::awaitable<bool> acquire();
+    void release();
+    void recordUse();
+    std::string nameFor(server_key server) const;
+
+private:
+    boost::asio::awaitable<bool> reserveAt(const share &target);
+    boost::asio::awaitable<void> renew();
+    boost::asio::awaitable<void> renewAt(share target);
+    boost::asio::awaitable<void> releaseAt(share target);
+    std::chrono::milliseconds heldFor() const;
+    void recordRelease();
+
+    gateway_context &m_context;
+    boost::asio::any_io_executor m_executor;
+    std::uint64_t m_work;
+    std::vector<share> m_shares;
+    attempt_id m_attempt;
+    std::optional<time_point> m_reservedAt; ///< When the first order was sent.
+    std::optional<time_point> m_usedAt;
+    unsigned m_unanswered = 0; ///< Orders that an engine may still carry out.
+    bool m_isReleased = false;
+};
+
+} // namespace mustardtrail::gateway
--- a/src/programs/gateway/reservation_set.cpp
+++ b/src/programs/gateway/reservation_set.cpp
@@ -1,167 +1,39 @@
 #include "programs/gateway/reservation_set.h"
 
-#include "platform/reservation.h"
-
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
+#include "programs/gateway/reservation_renewal.h"
 
 namespace mustardtrail::gateway
 {
 
-namespace asio = boost::asio;
-using std::chrono::milliseconds;
-
-namespace
-{
-
-constexpr milliseconds callTimeout{ 300 }; ///< A healthy engine answers these calls within milliseconds.
-constexpr int maxReleaseAttempts = 4; ///< By the end of these attempts the lease is about to expire anyway.
-
-} // namespace
-
 reservation_set::reservation_set(
-    gateway_context &context, asio::any_io_executor executor, std::uint64_t work, std::vector<share> shares, attempt_id attempt)
-    : m_context(context)
-    , m_executor(std::move(executor))
-    , m_work(work)
-    , m_shares(std::move(shares))
-    , m_attempt(std::move(attempt))
-{
-}
-
-std::string reservation_set::nameFor(server_key server) const
+    gateway_context &context, boost::asio::any_io_executor executor, std::uint64_t work, std::vector<share> shares, attempt_id attempt)
+    : m_renewal(std::make_shared<reservation_renewal>(context, std::move(executor), work, std::move(shares), std::move(attempt)))
 {
-    return "mt" + std::to_string(m_work) + "-" + std::to_string(server);
 }
 
-milliseconds reservation_set::heldFor() const
-{
-    const time_point now = m_context.clock.now();
-    return std::chrono::duration_cast<milliseconds>(now - m_reservedAt.value_or(now));
-}
-
-void reservation_set::recordUse()
+reservation_set::~reservation_set()
 {
-    m_usedAt = m_usedAt.value_or(m_context.clock.now());
+    m_renewal->release();
 }
 
-void reservation_set::recordRelease()
+boost::asio::awaitable<bool> reservation_set::acquire()
 {
-    if (!m_reservedAt) {
-        return;
-    }
-    std::int64_t tokens = 0;
-    for (const share &each : m_shares) {
-        tokens += each.tokens;
-    }
-    m_context.metrics.recordUnusedReservation(m_usedAt.value_or(m_context.clock.now()) - *m_reservedAt);
-    m_context.log.write(log_line("reservation_released")
-                            .add("request", m_attempt.str())
-                            .add("work", std::to_string(m_work))
-                            .add("servers", static_cast<std::int64_t>(m_shares.size()))
-                            .add("tokens", tokens)
-                            .add("held", heldFor())
-                            .add("used", m_usedAt ? "yes" : "no")
-                            .add("unanswered", m_unanswered));
+    return m_renewal->acquire();
 }
 
-asio::awaitable<bool> reservation_set::reserveAt(const share &target)
-{
-    const auto limits = http::call_limits::within(callTimeout);
-    auto message = platform::reserveRequest(nameFor(target.server), target.tokens, leaseDuration);
-    const auto answer = co_await m_context.client.call(target.address, std::move(message), limits);
-    const int status = answer ? answer->status : 0;
-    m_unanswered += answer ? 0 : 1;
-    if (m_isReleased) {
-        // The engine may have received the release first.
-        asio::co_spawn(m_executor, releaseAt(target), asio::detached);
-        co_return false;
-    }
-    if (status == 200) {
-        co_return true;
-    }
-    m_context.log.write(log_line("reservation_refused")
-                            .add("request", m_attempt.str())
-                            .add("name", nameFor(target.server))
-                            .add("server", target.id.str())
-                            .add("tokens", target.tokens)
-                            .add("held", heldFor())
-                            .add("status", status));
-    co_return false;
-}
-
-asio::awaitable<bool> reservation_set::acquire()
-{
-    const auto self = shared_from_this();
-    m_reservedAt = m_context.clock.now();
-    for (const share &each : m_shares) {
-        const bool granted = co_await reserveAt(each);
-        if (!granted) {
-            release();
-            co_return false;
-        }
-    }
-    asio::co_spawn(m_executor, renew(), asio::detached);
-    co_return true;
-}
-
-asio::awaitable<void> reservation_set::renew()
-{
-    const auto self = shared_from_this();
-    asio::steady_timer timer(m_executor);
-    while (true) {
-        timer.expires_after(renewalInterval);
-        boost::system::error_code ignored;
-        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-        if (m_isReleased) {
-            co_return;
-        }
-        // Beside each other: one after the other, silent engines would hold up the renewals at the rest until leases expire.
-        for (const share &each : m_shares) {
-            asio::co_spawn(m_executor, renewAt(each), asio::detached);
-        }
-    }
-}
-
-asio::awaitable<void> reservation_set::renewAt(share target)
+void reservation_set::release()
 {
-    const auto self = shared_from_this();
-    if (!m_isReleased) {
-        co_await reserveAt(target);
-    }
+    m_renewal->release();
 }
 
-void reservation_set::release()
+void reservation_set::recordUse()
 {
-    if (m_isReleased) {
-        return;
-    }
-    m_isReleased = true;
-    recordRelease();
-    for (const share &each : m_shares) {
-        asio::co_spawn(m_executor, releaseAt(each), asio::detached);
-    }
+    m_renewal->recordUse();
 }
 
-asio::awaitable<void> reservation_set::releaseAt(share target)
+std::string reservation_set::nameFor(server_key server) const
 {
-    const auto self = shared_from_this();
-    asio::steady_timer timer(m_executor);
-    for (int attempt = 0; attempt < maxReleaseAttempts; ++attempt) {
-        const auto limits = http::call_limits::within(callTimeout);
-        auto message = platform::releaseRequest(nameFor(target.server));
-        const auto answer = co_await m_context.client.call(target.address, std::move(message), limits);
-        if (answer) {
-            co_return;
-        }
-        timer.expires_after(callTimeout);
-        boost::system::error_code ignored;
-        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-    }
-    m_context.log.write(log_line("reservation_not_released").add("name", nameFor(target.server)).add("server", target.id.str()));
+    return m_renewal->nameFor(server);
 }
 
 } // namespace mustardtrail::gateway
--- a/src/programs/gateway/reservation_set.h
+++ b/src/programs/gateway/reservation_set.h
@@ -6,15 +6,16 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <memory>
-#include <optional>
 #include <vector>
 
 namespace mustardtrail::gateway
 {
 
-/// KV cache memory that one request has reserved at several engines, all or nothing. The leases are renewed while the
-/// request runs and are short, so that the reservations of a crashed instance expire soon.
-class reservation_set : public std::enable_shared_from_this<reservation_set>
+class reservation_renewal;
+
+/// KV cache memory that one send has reserved at several engines, all or nothing. The leases are renewed while the
+/// send lasts and are short, so that the reservations of a crashed instance expire soon. The end of this object releases them.
+class reservation_set
 {
 public:
     /// Memory to reserve at one engine.
@@ -31,6 +32,9 @@
         std::uint64_t work,
         std::vector<share> shares,
         attempt_id attempt = {});
+    ~reservation_set();
+    reservation_set(const reservation_set &) = delete;
+    reservation_set &operator=(const reservation_set &) = delete;
 
     /// Returns false when an engine had no room; the reservations granted by the others are then released.
     boost::asio::awaitable<bool> acquire();
@@ -45,22 +49,7 @@
     static constexpr std::chrono::milliseconds renewalInterval{ 1'200 }; ///< Two renewals may fail before the lease expires.
 
 private:
-    boost::asio::awaitable<bool> reserveAt(const share &target);
-    boost::asio::awaitable<void> renew();
-    boost::asio::awaitable<void> renewAt(share target);
-    boost::asio::awaitable<void> releaseAt(share target);
-    std::chrono::milliseconds heldFor() const;
-    void recordRelease();
-
-    gateway_context &m_context;
-    boost::asio::any_io_executor m_executor;
-    std::uint64_t m_work;
-    std::vector<share> m_shares;
-    attempt_id m_attempt;
-    std::optional<time_point> m_reservedAt; ///< When the first order was sent.
-    std::optional<time_point> m_usedAt;
-    unsigned m_unanswered = 0; ///< Orders that an engine may still carry out.
-    bool m_isReleased = false;
+    std::shared_ptr<reservation_renewal> m_renewal;
 };
 
 } // namespace mustardtrail::gateway
