A renewal reserves nothing anew at an engine that has started again

Memory of a restarted engine stood reserved for a request that its former start had lost. Cause: a renewal is the same order as the reservation and went to an address; an engine that knows nothing of it reserves the memory anew. Class of fault: an order to one start of a server carried out by another.

--- a/src/programs/gateway/reservation_renewal.cpp
+++ b/src/programs/gateway/reservation_renewal.cpp
@@ -68,10 +68,23 @@
                             .add("unanswered", m_unanswered));
 }
 
+server_start_key reservation_renewal::startOf(const share &target) const
+{
+    const auto *server = m_context.state.findServer(target.server);
+    return server ? startKeyOf(server->entry) : 0;
+}
+
+bool reservation_renewal::hasRestarted(const share &target) const
+{
+    const auto granted = m_starts.find(target.server);
+    const server_start_key start = startOf(target);
+    return granted != m_starts.end() && start != 0 && start != granted->second;
+}
+
 asio::awaitable<bool> reservation_renewal::reserveAt(const share &target)
 {
     const auto limits = http::call_limits::within(callTimeout);
-    auto message = platform::reserveRequest(nameFor(target.server), target.tokens, reservation_set::leaseDuration);
+    auto message = platform::reserveRequest(target.id, nameFor(target.server), target.tokens, reservation_set::leaseDuration);
     const auto answer = co_await m_context.client.call(target.address, std::move(message), limits);
     const int status = answer ? answer->status : 0;
     m_unanswered += answer ? 0 : 1;
@@ -97,6 +110,11 @@
 {
     const auto self = shared_from_this();
     m_reservedAt = m_context.clock.now();
+    for (const share &each : m_shares) {
+        if (const server_start_key start = startOf(each); start != 0) {
+            m_starts[each.server] = start;
+        }
+    }
     for (const share &each : m_shares) {
         const bool granted = co_await reserveAt(each);
         if (!granted) {
@@ -129,9 +147,22 @@
 asio::awaitable<void> reservation_renewal::renewAt(share target)
 {
     const auto self = shared_from_this();
-    if (!m_isReleased) {
-        co_await reserveAt(target);
+    if (m_isReleased) {
+        co_return;
+    }
+    if (hasRestarted(target)) {
+        // The memory is gone with the former start; a renewal would reserve it anew, for nobody.
+        m_context.log.write(log_line("reservation_lost")
+                                .add("request", m_attempt.str())
+                                .add("name", nameFor(target.server))
+                                .add("server", target.id.str())
+                                .add("held", heldFor()));
+        std::erase_if(m_shares, [&](const share &each) {
+            return each.server == target.server;
+        });
+        co_return;
     }
+    co_await reserveAt(target);
 }
 
 void reservation_renewal::release()
--- a/src/programs/gateway/reservation_renewal.h
+++ b/src/programs/gateway/reservation_renewal.h
@@ -2,6 +2,7 @@
 
 #include "programs/gateway/reservation_set.h"
 
+#include <map>
 #include <optional>
 
 namespace mustardtrail::gateway
@@ -26,6 +27,9 @@
     boost::asio::awaitable<void> renew();
     boost::asio::awaitable<void> renewAt(share target);
     boost::asio::awaitable<void> releaseAt(share target);
+    /// Identifies the running start of the engine; 0 while it is not listed.
+    server_start_key startOf(const share &target) const;
+    bool hasRestarted(const share &target) const;
     std::chrono::milliseconds heldFor() const;
     void recordRelease();
 
@@ -33,6 +37,7 @@
     boost::asio::any_io_executor m_executor;
     std::uint64_t m_work;
     std::vector<share> m_shares;
+    std::map<server_key, server_start_key> m_starts; ///< Of the engines, when the memory was reserved.
     attempt_id m_attempt;
     std::optional<time_point> m_reservedAt; ///< When the first order was sent.
     std::optional<time_point> m_usedAt;
