--- a/src/programs/gateway/tests/engine_memory.cpp
+++ b/src/programs/gateway/tests/engine_memory.cpp
@@ -23,6 +23,28 @@
 {
     const time_point end = std::min(m_clock.now(), held.leaseEndsAt);
     m_longestEnded = std::max(m_longestEnded, duration_cast<milliseconds>(end - held.since));
+    m_longestEndedAfterUse = std::max(m_longestEndedAfterUse, holdAfterUse(held));
+}
+
+milliseconds engine_memory::holdAfterUse(const reservation &held) const
+{
+    const time_point end = std::min(m_clock.now(), held.leaseEndsAt);
+    return held.usedUntil ? duration_cast<milliseconds>(end - *held.usedUntil) : milliseconds(0);
+}
+
+void engine_memory::beginUse()
+{
+    for (auto &[name, held] : m_reservations) {
+        held.isUsed = true;
+    }
+}
+
+void engine_memory::endUse()
+{
+    for (auto &[name, held] : m_reservations) {
+        held.usedUntil = held.isUsed ? m_clock.now() : held.usedUntil;
+        held.isUsed = false;
+    }
 }
 
 boost::asio::awaitable<void> engine_memory::serve(http::exchange &exchange)
@@ -37,7 +59,9 @@
     if (exchange.request().path() == "/api/report") {
         json::array tickets;
         for (const auto &[name, held] : m_reservations) {
-            tickets.push_back({ { "id", name }, { "state", "held" }, { "age_ms", duration_cast<milliseconds>(now - held.since).count() } });
+            tickets.push_back({ { "id", name },
+                { "state", held.isUsed ? "used" : "held" },
+                { "age_ms", duration_cast<milliseconds>(now - held.since).count() } });
         }
         answer.body = json::serialize(json::object{ { "tickets", std::move(tickets) } });
         co_await exchange.respond(std::move(answer));
@@ -68,6 +92,15 @@
     }));
 }
 
+milliseconds engine_memory::longestHoldAfterUse() const
+{
+    milliseconds longest = m_longestEndedAfterUse;
+    for (const auto &[name, held] : m_reservations) {
+        longest = std::max(longest, holdAfterUse(held));
+    }
+    return longest;
+}
+
 milliseconds engine_memory::longestHold() const
 {
     milliseconds longest = m_longestEnded;
--- a/src/programs/gateway/tests/engine_memory.h
+++ b/src/programs/gateway/tests/engine_memory.h
@@ -4,6 +4,7 @@
 #include "http/exchange.h"
 
 #include <map>
+#include <optional>
 #include <string>
 
 namespace mustardtrail::gateway::testing
@@ -19,20 +20,29 @@
 
     /// A restarted engine knows nothing of its reservations.
     void forgetAll();
+    /// A request begins to use all reservations, or has ended.
+    void beginUse();
+    void endUse();
     size_t heldCount() const;
     /// The longest time for which one reservation has been held without a break.
     std::chrono::milliseconds longestHold() const;
+    /// The longest time for which one was held after its use.
+    std::chrono::milliseconds longestHoldAfterUse() const;
 
 private:
     struct reservation {
         time_point since{};
         time_point leaseEndsAt{};
+        bool isUsed = false;
+        std::optional<time_point> usedUntil;
     };
     void noteHold(const reservation &held);
+    std::chrono::milliseconds holdAfterUse(const reservation &held) const;
 
     system_monotonic_clock m_clock;
     std::map<std::string, reservation> m_reservations;
     std::chrono::milliseconds m_longestEnded{ 0 };
+    std::chrono::milliseconds m_longestEndedAfterUse{ 0 };
 };
 
 } // namespace mustardtrail::gateway::testing
--- a/src/programs/gateway/tests/unused_reservation_test.cpp
+++ b/src/programs/gateway/tests/unused_reservation_test.cpp
@@ -22,6 +22,7 @@
 {
 
 constexpr milliseconds unusedLimit{ 9'000 }; // `idle_max_ms` of all deployments.
+constexpr milliseconds freedLimit{ 4'000 }; // `free_ms` of all deployments.
 constexpr milliseconds leaseTime = reservation_set::leaseDuration;
 
 const std::string longRoute = R"({"name":"long","host":"h.example","path_prefix":"/long/","kind":"streaming","timeout_ms":12000,
@@ -48,6 +49,26 @@
     };
 }
 
+/// Engines that begin to answer, then end the request and never say so.
+http::handler engineThatFallsSilent(engine_memory &memory)
+{
+    return [&memory](http::exchange &exchange) -> asio::awaitable<void> {
+        if (engine_memory::isOrder(exchange)) {
+            co_await memory.serve(exchange);
+            co_return;
+        }
+        memory.beginUse();
+        http::header_list head{ { "Attempt-Id", "a1" }, { "Response-Stamp", "stamp" } };
+        co_await exchange.startStream(200, std::move(head));
+        co_await exchange.write("id: 1\ndata: a\n\n");
+        asio::steady_timer timer(exchange.executor(), milliseconds(1'500));
+        co_await timer.async_wait(asio::use_awaitable);
+        memory.endUse();
+        timer.expires_after(seconds(60));
+        co_await timer.async_wait(asio::use_awaitable);
+    };
+}
+
 listed_server engineAt(const endpoint &address, std::uint64_t startedAt)
 {
     listed_server server;
@@ -119,3 +140,17 @@
     bench.runFor(2 * reservation_set::renewalInterval);
     expectEqual(memory.heldCount(), size_t{ 0 });
 }
+
+Test(unused_reservation, aSilentEngineKeepsNoMemoryForAPromptThatHasEndedThere)
+{
+    engine_memory memory;
+    fake_platform platform;
+    for (int number = 1; number <= 4; ++number) {
+        platform.addServer("i-" + std::to_string(number), "batch", engineThatFallsSilent(memory));
+    }
+    platform.publish(configWithLongRoute());
+    platform.start();
+    platform.callWithTokens("/long/x", "1500,10", milliseconds(12'000));
+    cr_assert_gt(memory.longestHoldAfterUse().count(), 0);
+    cr_assert_leq(memory.longestHoldAfterUse().count(), freedLimit.count());
+}
