Memory at engines is renewed only while something shows that a request uses it

Callers saw prompts beyond one engine refused for want of memory, and the users' rule STUCK broken: memory stood reserved for 9 s and more while no request used it. Class of fault: a resource held on the strength of an open connection.

Now reservation_rule decides before each renewal whether proof is needed: no event for the first 5 s (the last lease then ends before idle_max_ms), or no event since the renewal before. The engine's own report is the proof: `used` renews, `held` gives the memory up and ends the send (`reservation_given_up`, `send_failed why=memory_unused`), so the caller's prompt is placed again. Lease and limits come from the deployment's idle_max_ms and free_ms, which were a constant of 3.5 s.

Failed before: unused_reservation/aSilentEngineKeepsNoMemoryForAPromptThatItNeverBegins (12.0 s, limit 9 s), .../aSilentEngineKeepsNoMemoryForAPromptThatHasEndedThere (limit 4 s). New tests of the rule and of the report's reader; tests that named reservation_set's lease name the limits' default, the same figure.

--- a/src/programs/gateway/gateway_context.h
+++ b/src/programs/gateway/gateway_context.h
@@ -4,6 +4,7 @@
 #include "base/random_source.h"
 #include "gateway/fleet_state.h"
 #include "gateway/placement_queue.h"
+#include "gateway/reservation_rule.h"
 #include "http/client.h"
 #include "programs/gateway/gateway_metrics.h"
 #include "programs/gateway/rate_limited_log.h"
@@ -31,6 +32,7 @@
     std::map<std::uint64_t, std::function<void(prompt_part)>> onQuarantined; ///< Of the requests that are being served.
     placement_queue queue; ///< Requests that wait for capacity at a server.
     bool isStopping = false;
+    reservation_limits reservations;
 };
 
 } // namespace mustardtrail::gateway
--- a/src/programs/gateway/gateway_host.cpp
+++ b/src/programs/gateway/gateway_host.cpp
@@ -93,7 +93,8 @@
         },
         {},
         {},
-        false }
+        false,
+        reservation_limits::within(m_settings.unusedMemoryLimit, m_settings.freedMemoryLimit) }
     , m_peerLink(context.get_executor(),
           m_shared,
           m_settings.instance,
--- a/src/programs/gateway/hedged_send.cpp
+++ b/src/programs/gateway/hedged_send.cpp
@@ -105,6 +105,12 @@
 asio::awaitable<std::optional<verdict>> hedged_send::receive()
 {
     if (m_sent.reservations) {
+        m_sent.reservations->onGivenUp([weak = weak_from_this()] {
+            const auto self = weak.lock();
+            if (self && self->m_closeConnection) {
+                self->m_closeConnection();
+            }
+        });
         const bool isGranted = co_await m_sent.reservations->acquire();
         if (!isGranted) {
             co_return verdict::not_run;
--- a/src/programs/gateway/request_hedge.cpp
+++ b/src/programs/gateway/request_hedge.cpp
@@ -204,6 +204,13 @@
     dropHedges("another_answered");
     m_workId = hedge->sent().workId;
     m_reservations = hedge->sent().reservations;
+    if (m_reservations) {
+        m_reservations->onGivenUp([this, alive = m_alive] {
+            if (*alive) {
+                onReservationGivenUp();
+            }
+        });
+    }
     m_currentServer = hedge->sent().placed.parts.front().server;
     m_lastServer = hedge->sent().server.str();
     m_closeConnection = hedge->closer();
--- a/src/programs/gateway/request_relay.cpp
+++ b/src/programs/gateway/request_relay.cpp
@@ -157,6 +157,11 @@
     if (!m_reservations) {
         co_return true;
     }
+    m_reservations->onGivenUp([this, alive = m_alive] {
+        if (*alive) {
+            onReservationGivenUp();
+        }
+    });
     const bool isGranted = co_await m_reservations->acquire();
     co_return isGranted;
 }
--- a/src/programs/gateway/request_session.cpp
+++ b/src/programs/gateway/request_session.cpp
@@ -353,6 +353,14 @@
     m_hedgeTimer.cancel();
 }
 
+void request_session::onReservationGivenUp()
+{
+    if (m_closeConnection) {
+        m_closedBecause = "memory_unused";
+        m_closeConnection();
+    }
+}
+
 void request_session::logOutcome(std::string_view event, int status, std::string_view reason)
 {
     const time_point now = m_context.clock.now();
--- a/src/programs/gateway/request_session.h
+++ b/src/programs/gateway/request_session.h
@@ -89,6 +89,8 @@
     /// Records what the head of a server's answer says of the server itself.
     void recordServerNotices(const platform::response_head &head, server_key server);
     void interrupt();
+    /// Ends the current send: its prompt has no memory at the engines any more.
+    void onReservationGivenUp();
     std::chrono::milliseconds firstEventTimeout(const placement_decision &placed) const;
     std::chrono::milliseconds stallTimeout() const;
     http::call_limits limitsFor(time_point now);
--- a/src/programs/gateway/reservation_renewal.cpp
+++ b/src/programs/gateway/reservation_renewal.cpp
@@ -1,5 +1,6 @@
 #include "programs/gateway/reservation_renewal.h"
 
+#include "platform/engine_report.h"
 #include "platform/reservation.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -8,6 +9,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <utility>
+
 namespace mustardtrail::gateway
 {
 
@@ -40,24 +43,33 @@
 milliseconds reservation_renewal::heldFor() const
 {
     const time_point now = m_context.clock.now();
-    return std::chrono::duration_cast<milliseconds>(now - m_reservedAt.value_or(now));
+    return m_age ? std::chrono::duration_cast<milliseconds>(now - m_age->reservedAt) : milliseconds(0);
 }
 
 void reservation_renewal::recordUse()
 {
-    m_usedAt = m_usedAt.value_or(m_context.clock.now());
+    const time_point now = m_context.clock.now();
+    m_usedAt = m_usedAt.value_or(now);
+    if (m_age) {
+        m_age->lastEventAt = now;
+    }
+}
+
+void reservation_renewal::onGivenUp(std::function<void()> hook)
+{
+    m_onGivenUp = std::move(hook);
 }
 
 void reservation_renewal::recordRelease()
 {
-    if (!m_reservedAt) {
+    if (!m_age) {
         return;
     }
     std::int64_t tokens = 0;
     for (const share &each : m_shares) {
         tokens += each.tokens;
     }
-    m_context.metrics.recordUnusedReservation(m_usedAt.value_or(m_context.clock.now()) - *m_reservedAt);
+    m_context.metrics.recordUnusedReservation(m_usedAt.value_or(m_context.clock.now()) - m_age->reservedAt);
     m_context.log.write(log_line("reservation_released")
                             .add("request", m_attempt.str())
                             .add("work", std::to_string(m_work))
@@ -84,7 +96,7 @@
 asio::awaitable<bool> reservation_renewal::reserveAt(const share &target)
 {
     const auto limits = http::call_limits::within(callTimeout);
-    auto message = platform::reserveRequest(target.id, nameFor(target.server), target.tokens, reservation_set::leaseDuration);
+    auto message = platform::reserveRequest(target.id, nameFor(target.server), target.tokens, m_context.reservations.lease);
     const auto answer = co_await m_context.client.call(target.address, std::move(message), limits);
     const int status = answer ? answer->status : 0;
     m_unanswered += answer ? 0 : 1;
@@ -109,7 +121,7 @@
 asio::awaitable<bool> reservation_renewal::acquire()
 {
     const auto self = shared_from_this();
-    m_reservedAt = m_context.clock.now();
+    m_age = reservation_age{ m_context.clock.now(), std::nullopt };
     for (const share &each : m_shares) {
         if (const server_start_key start = startOf(each); start != 0) {
             m_starts[each.server] = start;
@@ -131,7 +143,7 @@
     const auto self = shared_from_this();
     asio::steady_timer timer(m_executor);
     while (true) {
-        timer.expires_after(reservation_set::renewalInterval);
+        timer.expires_after(m_context.reservations.renewalInterval);
         boost::system::error_code ignored;
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
         if (m_isReleased) {
@@ -162,9 +174,44 @@
         });
         co_return;
     }
+    if (needsProofOfUse(*m_age, m_context.reservations, m_context.clock.now())) {
+        const memory_use use = co_await askForUse(target);
+        const renewal_step step = renewalStep(use, *m_age);
+        if (step == renewal_step::give_up) {
+            giveUp(target);
+        }
+        if (step != renewal_step::renew || m_isReleased) {
+            co_return;
+        }
+    }
     co_await reserveAt(target);
 }
 
+asio::awaitable<memory_use> reservation_renewal::askForUse(const share &target)
+{
+    const auto limits = http::call_limits::within(callTimeout);
+    auto message = platform::engineReportRequest(target.id);
+    const auto answer = co_await m_context.client.call(target.address, std::move(message), limits);
+    co_return answer ? platform::readMemoryUse(*answer, nameFor(target.server)) : memory_use::unknown;
+}
+
+void reservation_renewal::giveUp(const share &target)
+{
+    if (m_isReleased) {
+        return;
+    }
+    m_context.log.write(log_line("reservation_given_up")
+                            .add("request", m_attempt.str())
+                            .add("name", nameFor(target.server))
+                            .add("server", target.id.str())
+                            .add("held", heldFor())
+                            .add("used", m_usedAt ? "yes" : "no"));
+    release();
+    if (const auto hook = std::exchange(m_onGivenUp, nullptr)) {
+        hook();
+    }
+}
+
 void reservation_renewal::release()
 {
     if (m_isReleased) {
--- a/src/programs/gateway/reservation_renewal.h
+++ b/src/programs/gateway/reservation_renewal.h
@@ -20,12 +20,15 @@
     boost::asio::awaitable<bool> acquire();
     void release();
     void recordUse();
+    void onGivenUp(std::function<void()> hook);
     std::string nameFor(server_key server) const;
 
 private:
     boost::asio::awaitable<bool> reserveAt(const share &target);
     boost::asio::awaitable<void> renew();
     boost::asio::awaitable<void> renewAt(share target);
+    boost::asio::awaitable<memory_use> askForUse(const share &target);
+    void giveUp(const share &target);
     boost::asio::awaitable<void> releaseAt(share target);
     /// Identifies the running start of the engine; 0 while it is not listed.
     server_start_key startOf(const share &target) const;
@@ -39,8 +42,9 @@
     std::vector<share> m_shares;
     std::map<server_key, server_start_key> m_starts; ///< Of the engines, when the memory was reserved.
     attempt_id m_attempt;
-    std::optional<time_point> m_reservedAt; ///< When the first order was sent.
+    std::optional<reservation_age> m_age; ///< From the first order on.
     std::optional<time_point> m_usedAt;
+    std::function<void()> m_onGivenUp;
     unsigned m_unanswered = 0; ///< Orders that an engine may still carry out.
     bool m_isReleased = false;
 };
--- a/src/programs/gateway/reservation_set.cpp
+++ b/src/programs/gateway/reservation_set.cpp
@@ -13,6 +13,7 @@
 
 reservation_set::~reservation_set()
 {
+    m_renewal->onGivenUp(nullptr);
     m_renewal->release();
 }
 
@@ -31,6 +32,11 @@
     m_renewal->recordUse();
 }
 
+void reservation_set::onGivenUp(std::function<void()> hook)
+{
+    m_renewal->onGivenUp(std::move(hook));
+}
+
 std::string reservation_set::nameFor(server_key server) const
 {
     return m_renewal->nameFor(server);
--- a/src/programs/gateway/reservation_set.h
+++ b/src/programs/gateway/reservation_set.h
@@ -5,6 +5,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 
+#include <functional>
 #include <memory>
 #include <vector>
 
@@ -40,14 +41,14 @@
     boost::asio::awaitable<bool> acquire();
     /// Releases all reservations in the background.
     void release();
-    /// Records that the request has begun to run, so that it uses the memory.
+    /// Records an event of the answer: the request uses the memory.
     void recordUse();
+    /// Sets a hook that runs when an engine reports that no request uses the memory, or none has begun to use it for too long.
+    /// Nothing is renewed any more then, so the send has to end.
+    void onGivenUp(std::function<void()> hook);
     /// Name of the reservation at this server.
     std::string nameFor(server_key server) const;
 
-    static constexpr std::chrono::milliseconds leaseDuration{ 3'500 }; ///< Below the time after which unused memory counts as leaked.
-    static constexpr std::chrono::milliseconds renewalInterval{ 1'200 }; ///< Two renewals may fail before the lease expires.
-
 private:
     std::shared_ptr<reservation_renewal> m_renewal;
 };
--- a/src/programs/gateway/tests/fake_platform.cpp
+++ b/src/programs/gateway/tests/fake_platform.cpp
@@ -165,6 +165,8 @@
     settings.stopGrace = milliseconds(8'000);
     settings.keyRevocationLimit = milliseconds(1'000);
     settings.stallTimeout = milliseconds(500);
+    settings.unusedMemoryLimit = milliseconds(9'000);
+    settings.freedMemoryLimit = milliseconds(4'000);
     settings.retryBudgetRatio = 0.2;
     settings.retryBudgetSlack = 100;
     settings.retryBudgetWindow = milliseconds(10'000);
--- a/src/programs/gateway/tests/reservation_renewal_test.cpp
+++ b/src/programs/gateway/tests/reservation_renewal_test.cpp
@@ -47,7 +47,7 @@
         : m_client(m_loop.get_executor())
         , m_log(m_clock)
         , m_state({}, data_centre_id("dc"), {}, [](std::string_view, std::string_view, std::string_view) {})
-        , m_context{ m_state, m_client, m_clock, m_random, m_log, m_metrics, milliseconds(1'000), {}, {}, {}, {}, {}, {}, {}, false }
+        , m_context{ m_state, m_client, m_clock, m_random, m_log, m_metrics, milliseconds(1'000), {}, {}, {}, {}, {}, {}, {}, false, {} }
         , m_engines(engineCount)
     {
         host::openLog(host::log_level::warning, "reservation_set_test");
@@ -114,7 +114,7 @@
         }
         const time_point now = m_clock.now();
         engine.hasLostLease = engine.hasLostLease || (engine.leaseEndsAt != time_point() && now >= engine.leaseEndsAt);
-        engine.leaseEndsAt = now + reservation_set::leaseDuration;
+        engine.leaseEndsAt = now + reservation_limits().lease;
         http::response_message answer;
         answer.status = 200;
         co_await exchange.respond(std::move(answer));
--- a/src/programs/gateway/tests/send_bench.cpp
+++ b/src/programs/gateway/tests/send_bench.cpp
@@ -40,7 +40,8 @@
         nullptr,
         {},
         {},
-        false }
+        false,
+        {} }
 {
     host::openLog(host::log_level::warning, "gateway_test");
 }
--- a/src/programs/gateway/tests/unused_reservation_test.cpp
+++ b/src/programs/gateway/tests/unused_reservation_test.cpp
@@ -23,7 +23,7 @@
 
 constexpr milliseconds unusedLimit{ 9'000 }; // `idle_max_ms` of all deployments.
 constexpr milliseconds freedLimit{ 4'000 }; // `free_ms` of all deployments.
-constexpr milliseconds leaseTime = reservation_set::leaseDuration;
+constexpr milliseconds leaseTime = reservation_limits().lease;
 
 const std::string longRoute = R"({"name":"long","host":"h.example","path_prefix":"/long/","kind":"streaming","timeout_ms":12000,
  "target_latency_ms":3000,"service":"batch","max_attempts":2,"resumable":true,"target_gap_ms":1000},)";
@@ -137,7 +137,7 @@
     cr_assert(acquire(bench, *reservations));
     memory.forgetAll();
     bench.context().state.apply(server_listed{ engineAt(address, 2) }, now, now);
-    bench.runFor(2 * reservation_set::renewalInterval);
+    bench.runFor(2 * reservation_limits().renewalInterval);
     expectEqual(memory.heldCount(), size_t{ 0 });
 }
 
