Requests of all instances together stay within the limit that a server names

Cause: nobody read Server-Limit. Class of fault: news of a server that no decision knows.

Now server_rate_limits counts the sends of all instances, told in every report, and gives the instances turns for each free place (docs/design/rate-limits.md). Placement takes a server at its limit as one without a slot.

--- a/src/gateway/fleet_state.h
+++ b/src/gateway/fleet_state.h
@@ -13,6 +13,7 @@
 #include "gateway/resend_budget.h"
 #include "gateway/route_table.h"
 #include "gateway/server_directory.h"
+#include "gateway/server_rate_limits.h"
 #include "gateway/server_suspicion.h"
 
 #include <functional>
@@ -75,6 +76,13 @@
     std::optional<time_point> quarantinedUntil(const std::vector<prompt_part> &parts, time_point now) const;
     /// Servers that this instance saw go lately, for the other instances.
     std::vector<server_start_key> departedServers(time_point now) const;
+    /// Records the limit that a server named in an answer to this instance; nullopt if it named none.
+    void recordRateLimit(server_key server, server_start_key start, std::optional<double> requestsPerSecond, time_point now);
+    /// Records what another instance told of servers that named a limit.
+    void recordRateLimits(peer_address from, const std::vector<rate_limit_news> &news);
+    /// Returns when this instance may send the next request to a server of the service, if all that could take one are at the limit
+    /// that they named.
+    std::optional<time_point> atLimitUntil(const service_id &service, time_point now) const;
     /// Records that an answer from the server has begun.
     void recordAnswer(server_key server);
     /// Whether requests may be served: a configuration is loaded and was confirmed once; if it requires API keys, it is fresh enough.
@@ -92,6 +100,7 @@
     cell_summaries summaries;
     server_suspicion serverSuspicion;
     quiet_servers quiet;
+    server_rate_limits rateLimits;
     prompt_quarantine quarantine;
     std::function<void(prompt_part)> onQuarantined; ///< Called when a part is quarantined.
     data_centre_suspicion dataCentreSuspicion;
@@ -102,6 +111,7 @@
     bool isTrialInstance(prompt_part part, time_point now) const;
     void applyConfig(const config_published &published);
     void applyServer(const listed_server &server, time_point now);
+    bool isAtRateLimit(const server_directory::known_server &server, time_point now) const;
     bool isAtColdLimit(const server_directory::known_server &server, unsigned sentLastSecond, double share, time_point now) const;
     placement_candidate candidateFor(const server_directory::known_server &server, time_point now) const;
     std::vector<const server_directory::known_server *> eligible(const service_id &service, time_point now) const;
--- a/src/gateway/internal/fleet_state.cpp
+++ b/src/gateway/internal/fleet_state.cpp
@@ -57,6 +57,7 @@
 fleet_state::fleet_state(peer_address self, data_centre_id ownDataCentre, const fleet_limits &fleetLimits, fleet_event_log log)
     : limits(fleetLimits)
     , freshness(fleetLimits.maxConfigAge)
+    , rateLimits(self)
     , quarantine([this](prompt_part part, bool isQuarantined) {
         m_log(isQuarantined ? "prompt_part_quarantined" : "prompt_part_released", std::to_string(part), {});
         if (isQuarantined && onQuarantined) {
@@ -149,6 +150,7 @@
     peers.expire(now);
     summaries.expire(now);
     quiet.expire(now);
+    rateLimits.expire(now);
     quarantine.expire(now);
 }
 
@@ -224,6 +226,7 @@
     std::vector<placement_candidate> unknown;
     for (const server_directory::known_server *server : eligible) {
         placement_candidate candidate = candidateFor(*server, now);
+        candidate.isAtRateLimit = isAtRateLimit(*server, now);
         candidate.isSuspected = candidate.isSuspected || unresponsive.contains(server->entry.dataCentre);
         const cell_id cell = cells.cellOfServer(candidate.key, server->entry.dataCentre);
         if (cell == ownCell) {
--- a/src/gateway/internal/load_report.cpp
+++ b/src/gateway/internal/load_report.cpp
@@ -3,6 +3,7 @@
 #include "load_report.pb.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace mustardtrail::gateway
@@ -191,6 +192,26 @@
     return news;
 }
 
+void write(const rate_limit_news &news, time_point now, wire::RateLimit &target)
+{
+    target.set_server_start(news.server);
+    target.set_requests_per_second(news.requestsPerSecond);
+    target.set_heard_ms_ago(ageOf(news.heardAt, now));
+    for (const time_point sentAt : news.sentAt) {
+        target.add_sent_ms_ago(ageOf(sentAt, now));
+    }
+}
+
+rate_limit_news read(const wire::RateLimit &source, time_point now)
+{
+    const auto ago = [now](std::uint32_t ms) {
+        return now - std::chrono::milliseconds(ms);
+    };
+    rate_limit_news news{ source.server_start(), source.requests_per_second(), ago(source.heard_ms_ago()), {} };
+    std::transform(source.sent_ms_ago().begin(), source.sent_ms_ago().end(), std::back_inserter(news.sentAt), ago);
+    return news;
+}
+
 } // namespace
 
 std::string encodeLoadReport(const load_report &report, time_point now)
@@ -210,6 +231,9 @@
     message.mutable_leaving_servers()->Add(report.leavingServers.begin(), report.leavingServers.end());
     message.mutable_departed_servers()->Add(report.departedServers.begin(), report.departedServers.end());
     write(report.quarantine, now, message);
+    for (const rate_limit_news &news : report.rateLimits) {
+        write(news, now, *message.add_rate_limits());
+    }
     if (report.relay) {
         write(*report.relay, *message.mutable_relay());
     }
@@ -252,6 +276,13 @@
     report.leavingServers.assign(message.leaving_servers().begin(), message.leaving_servers().end());
     report.departedServers.assign(message.departed_servers().begin(), message.departed_servers().end());
     report.quarantine = readQuarantineNews(message, now);
+    for (const wire::RateLimit &news : message.rate_limits()) {
+        const bool isLimit = std::isfinite(news.requests_per_second()) && news.requests_per_second() >= 0.0;
+        if (!isLimit) {
+            return invalidPeerField("rate_limits");
+        }
+        report.rateLimits.push_back(read(news, now));
+    }
     if (message.has_relay()) {
         report.relay = read(message.relay());
     }
--- a/src/gateway/internal/load_tracker.cpp
+++ b/src/gateway/internal/load_tracker.cpp
@@ -157,6 +157,13 @@
     return m_own;
 }
 
+size_t load_tracker::busyInstances() const
+{
+    return 1 + static_cast<size_t>(std::count_if(m_peers.begin(), m_peers.end(), [](const auto &entry) {
+        return !entry.second.work.empty();
+    }));
+}
+
 size_t load_tracker::peerCount() const
 {
     return m_peers.size();
--- a/src/gateway/internal/prompt_placement.cpp
+++ b/src/gateway/internal/prompt_placement.cpp
@@ -61,7 +61,7 @@
 bool canAnswer(const placement_candidate &candidate, std::int64_t tokens, const engine_profile &engine, int reserve)
 {
     const int taken = static_cast<int>(candidate.load.requests + candidate.unseenRequests) + reserve;
-    return !candidate.isAtColdLimit && taken < static_cast<int>(candidate.slots)
+    return !candidate.isAtColdLimit && !candidate.isAtRateLimit && taken < static_cast<int>(candidate.slots)
         && candidate.load.memoryTokens + tokens <= engine.memoryTokens;
 }
 
--- a/src/gateway/internal/report_exchange.cpp
+++ b/src/gateway/internal/report_exchange.cpp
@@ -86,6 +86,7 @@
     report.suspectedServers = m_state.serverSuspicion.ownSuspects(now);
     report.leavingServers = m_state.leavingServers(now);
     report.quarantine = m_state.quarantine.news(urgentNewsAge, now);
+    report.rateLimits = m_state.rateLimits.news(now);
     return report;
 }
 
@@ -107,6 +108,7 @@
     m_state.recordLeavingServers(report.leavingServers, report.sender, now);
     m_state.recordDepartedServers(report.departedServers, report.sender, now);
     m_state.quarantine.merge(report.quarantine, now);
+    m_state.recordRateLimits(report.address, report.rateLimits);
     std::vector<cell_summary> passedOn;
     for (const cell_summary &summary : report.summaries) {
         m_state.peers.recordSignOfLife(summary.cell.dataCentre, summary.measuredAt);
--- a/src/gateway/internal/server_choice.cpp
+++ b/src/gateway/internal/server_choice.cpp
@@ -8,7 +8,7 @@
 
 bool hasFreeSlot(const placement_candidate &candidate)
 {
-    return !candidate.isSuspected && !candidate.isAtColdLimit && candidate.load.requests < candidate.slots;
+    return !candidate.isSuspected && !candidate.isAtColdLimit && !candidate.isAtRateLimit && candidate.load.requests < candidate.slots;
 }
 
 std::optional<server_key> chooseServer(const std::vector<placement_candidate> &candidates, double point)
@@ -18,7 +18,7 @@
     };
     std::vector<const placement_candidate *> best;
     for (const placement_candidate &each : candidates) {
-        if (!best.empty() && rank(each) > rank(*best.front())) {
+        if (each.isAtRateLimit || (!best.empty() && rank(each) > rank(*best.front()))) {
             continue;
         }
         if (!best.empty() && rank(each) < rank(*best.front())) {
--- a/src/gateway/load_report.h
+++ b/src/gateway/load_report.h
@@ -4,6 +4,7 @@
 #include "base/ids.h"
 #include "gateway/cell_summary.h"
 #include "gateway/crash_evidence.h"
+#include "gateway/rate_limit_news.h"
 #include "gateway/server_work.h"
 #include "gateway/store_position.h"
 #include "gateway/store_relay.h"
@@ -33,6 +34,7 @@
     std::vector<server_start_key> leavingServers; ///< Backend servers that announced lately that they leave.
     std::vector<server_start_key> departedServers; ///< Backend servers that the sender saw go lately; in periodic reports only.
     quarantine_news quarantine; ///< Of the parts of prompts that crash backend servers.
+    std::vector<rate_limit_news> rateLimits; ///< Of servers that name a limit.
     std::chrono::microseconds clock{ 0 }; ///< The sender's monotonic clock; the others only echo it.
     std::optional<store_relay> relay;
     store_position storePosition; ///< Latest change of the platform's store that the sender has.
--- a/src/gateway/load_tracker.h
+++ b/src/gateway/load_tracker.h
@@ -50,6 +50,8 @@
     /// Counts the changes of the known work.
     std::uint64_t changes() const;
     size_t peerCount() const;
+    /// Instances that have work at any server, this one included.
+    size_t busyInstances() const;
 
     /// A few times the interval between load reports.
     static constexpr std::chrono::milliseconds peerExpiry{ 2'500 };
--- a/src/gateway/placement_candidate.h
+++ b/src/gateway/placement_candidate.h
@@ -12,6 +12,7 @@
     bool isSuspected = false; ///< Failed recently; not used as a helper.
     bool isOfOtherCell = false; ///< Its load is known from a summary, some hundred ms old.
     bool isAtColdLimit = false; ///< Cold, and at its current limit of requests.
+    bool isAtRateLimit = false; ///< Named a limit of requests a second, which all instances together have reached.
     server_load load;
     unsigned unseenRequests = 0; ///< Of another cell's server: requests that it may have got since its summary.
 };
--- a/src/programs/gateway/request_hedge.cpp
+++ b/src/programs/gateway/request_hedge.cpp
@@ -139,7 +139,7 @@
     } else {
         const time_point now = m_context.clock.now();
         const server_key server = hedge->sent().placed.parts.front().server;
-        recordServerNotices(hedge->head(), server);
+        recordServerNotices(hedge->head(), server, hedge->sent().start);
         if (hedge->isUnreachable()) {
             m_context.state.recordFailure(server, true, now);
         }
--- a/src/programs/gateway/request_relay.cpp
+++ b/src/programs/gateway/request_relay.cpp
@@ -131,6 +131,9 @@
         work.sentAt = now;
         m_context.state.loads.add(work);
     }
+    if (const auto *server = m_context.state.findServer(placed.parts.front().server)) {
+        m_context.state.rateLimits.recordSend(startKeyOf(server->entry), now);
+    }
     m_context.scheduleReport();
     return workId;
 }
@@ -219,7 +222,7 @@
 {
     m_context.state.recordAnswer(m_currentServer);
     const auto head = platform::readResponseHead(answer.status(), answer.headers(), m_head.attempt);
-    recordServerNotices(head, m_currentServer);
+    recordServerNotices(head, m_currentServer, m_currentStart);
     if (head.isForOtherRequest) {
         m_context.metrics.recordSendOutcome("other_request");
         co_return makeFailure(verdict::may_have_run);
@@ -231,9 +234,14 @@
     co_return co_await relayCompleteAnswer(answer, head);
 }
 
-void request_session::recordServerNotices(const platform::response_head &head, server_key server)
+void request_session::recordServerNotices(const platform::response_head &head, server_key server, server_start_key start)
 {
     const time_point now = m_context.clock.now();
+    // Only a success shows that a limit has ended; other answers need not come from the server itself.
+    const bool saysLimit = head.requestsPerSecond || (head.isSuccess && !head.isForOtherRequest);
+    if (saysLimit && !head.isMisdirected) {
+        m_context.state.recordRateLimit(server, start, head.requestsPerSecond, now);
+    }
     if (head.isServerLeaving) {
         m_context.state.recordLeaving(server, now);
     }
--- a/src/programs/gateway/request_session.cpp
+++ b/src/programs/gateway/request_session.cpp
@@ -161,18 +161,21 @@
     const bool isOneCell = m_context.state.peers.cells().cells().size() <= 1;
     const placement_decision decision = isOneCell ? near : chooseCell(near, choosePlacementIn(server_scope::fleet, now));
     if (decision.next == placement_decision::action::refuse) {
+        if (const auto atLimitUntil = m_context.state.atLimitUntil(m_service, now)) {
+            return placementWhileQuiet("servers_at_limit", *atLimitUntil, now);
+        }
         if (const auto quietUntil = m_context.state.quietUntil(m_service, now)) {
-            return placementWhileQuiet(*quietUntil, now);
+            return placementWhileQuiet("servers_want_quiet", *quietUntil, now);
         }
     }
     return decision;
 }
 
 // Nothing may be sent now. A stream that the caller has in part is lost if it is refused, so it waits.
-placement_decision request_session::placementWhileQuiet(time_point quietUntil, time_point now) const
+placement_decision request_session::placementWhileQuiet(std::string_view reason, time_point quietUntil, time_point now) const
 {
     placement_decision decision;
-    decision.reason = "servers_want_quiet";
+    decision.reason = reason;
     if (!m_firstEventAt || quietUntil >= m_deadlineAt) {
         decision.next = placement_decision::action::refuse;
         decision.retryAfter = duration_cast<milliseconds>(quietUntil - now) + milliseconds(m_context.random.below(quietSpread.count()));
--- a/src/programs/gateway/request_session.h
+++ b/src/programs/gateway/request_session.h
@@ -45,7 +45,8 @@
     boost::asio::awaitable<placement_decision> waitForPlacement();
     placement_decision choosePlacement(time_point now);
     placement_decision choosePlacementIn(server_scope scope, time_point now);
-    placement_decision placementWhileQuiet(time_point quietUntil, time_point now) const;
+    /// Decision while the servers want nothing until then.
+    placement_decision placementWhileQuiet(std::string_view reason, time_point quietUntil, time_point now) const;
     placement_decision tryPlacement(time_point now);
     /// Removes the load of the current placement, if any, from the fleet state.
     void unregisterWork();
@@ -87,7 +88,7 @@
     void finishSend();
     retry_state retryState(time_point now);
     /// Records what the head of a server's answer says of the server itself.
-    void recordServerNotices(const platform::response_head &head, server_key server);
+    void recordServerNotices(const platform::response_head &head, server_key server, server_start_key start);
     void interrupt();
     /// Ends the current send: its prompt has no memory at the engines any more.
     void onReservationGivenUp();
