A verdict on a part of prompts does not go back and forth between the instances

A play with logs shows 25,131 releases and 20,530 convictions of one part within the second 6, several a millisecond on each instance, each told at once. Cause: an answer on the part within some milliseconds of the crash that convicts it. Times travel as ages, so each hop moves them by the network's delay; the news of the verdict and that of the answer overtook each other in every report. Class of fault: an order of events by times that retelling changes. A verdict from elsewhere now counts against a known answer only if it is later by the time in which news settle (100 ms). 5 s in its place is too long: the search everyGuiltyPartIsFoundInTime then finds sound parts held back. Failed before: quarantine_oscillation/anAnswerBesideAVerdictChangesItAFewTimesOnly, 753 changes in 3 s (two instances, offset 0).

--- a/src/gateway/internal/prompt_quarantine.cpp
+++ b/src/gateway/internal/prompt_quarantine.cpp
@@ -306,7 +306,8 @@
     }
     for (const quarantined_part &each : news.quarantined) {
         const auto written = m_written.find(each.part);
-        if (written != m_written.end() && written->second.at > each.since) {
+        // Both times grow by the network's delay at each hop; compared to the millisecond, they would overtake each other for ever.
+        if (written != m_written.end() && written->second.at + settleTime > each.since) {
             written->second.changedAt = now;
             continue;
         }
