A prompt or request that comes again and ends its servers is held back at the third crash

Cause: the last part of Prompt-Prefix was not read, and it is the only thing that the guilty requests have in common; answers to sound prompts cleared the shared one. Class of fault: evidence counted by a key that is wider than the cause. The last part is a suspect too, marked as own; a request without parts is one as a whole (method, target, body). An own part goes before the shared ones beside it, so that it is convicted at the third crash and sound prompts with its first parts are served; crashes under different own parts convict the shared one as before.

--- a/src/gateway/internal/fleet_state.cpp
+++ b/src/gateway/internal/fleet_state.cpp
@@ -40,15 +40,23 @@
     return hash64(id.str());
 }
 
-std::vector<prompt_part> promptParts(const std::vector<std::string> &ids)
+std::vector<prompt_part> promptParts(const std::vector<std::string> &shared, const std::string &own)
 {
     std::vector<prompt_part> parts;
-    for (const std::string &id : ids) {
-        parts.push_back(hash64(id));
+    for (const std::string &id : shared) {
+        parts.push_back(asSharedPart(hash64(id)));
+    }
+    if (!own.empty()) {
+        parts.push_back(asOwnPart(hash64(own)));
     }
     return parts;
 }
 
+prompt_part wholeRequestPart(std::string_view method, std::string_view target, std::string_view body)
+{
+    return asOwnPart(hash64(body, hash64(target, hash64(method))));
+}
+
 server_start_key startKeyOf(const listed_server &server)
 {
     return hash64(server.id.str(), server.startedAt);
--- a/src/gateway/internal/prompt_quarantine.cpp
+++ b/src/gateway/internal/prompt_quarantine.cpp
@@ -233,7 +233,9 @@
 {
     const auto &others = crashes.front()->evidence.sentAt;
     return std::any_of(others.begin(), others.end(), [&](const auto &entry) {
-        return entry.first != part && std::all_of(crashes.begin(), crashes.end(), [&](const crash_record *crash) {
+        // Of a prompt's own part and a shared one beside it, the own one is the narrower explanation: fewer prompts are held back.
+        const bool isWider = isOwnPart(part) && !isOwnPart(entry.first);
+        return entry.first != part && !isWider && std::all_of(crashes.begin(), crashes.end(), [&](const crash_record *crash) {
             const bool isSettled = now - crash->evidence.at >= settleTime;
             return !isSettled || isSuspectOf(entry.first, crash->evidence);
         });
--- a/src/gateway/prompt_quarantine.h
+++ b/src/gateway/prompt_quarantine.h
@@ -15,7 +15,7 @@
 ///
 /// A part is a suspect of each crash during whose start of an answer it was there, until an answer is written on it. It is
 /// quarantined after several crashes in a row, each of a request that was sent after the crash before, unless another part
-/// explains the crashes as well.
+/// explains the crashes as well. An own part goes before the shared ones beside it, so that fewer prompts are held back.
 class prompt_quarantine
 {
 public:
--- a/src/gateway/tests/prompt_quarantine_test.cpp
+++ b/src/gateway/tests/prompt_quarantine_test.cpp
@@ -259,3 +259,41 @@
     cr_assert(isQuarantined(quarantine, guilty));
     cr_assert_not(isQuarantined(quarantine, rare));
 }
+
+Test(prompt_quarantine, aPromptsOwnPartIsConvictedAtTheThirdCrashAndNotTheSharedOneBesideIt)
+{
+    const prompt_part own = asOwnPart(5);
+    prompt_quarantine quarantine;
+    for (int number = 1; number <= 3; ++number) {
+        crash(quarantine, static_cast<server_start_key>(number), { popular, own }, milliseconds(400 * number));
+    }
+    cr_assert(isQuarantined(quarantine, own));
+    cr_assert_not(isQuarantined(quarantine, popular));
+}
+
+Test(prompt_quarantine, crashesUnderOtherOwnPartsConvictTheSharedOne)
+{
+    prompt_quarantine quarantine;
+    for (int number = 1; number <= 6; ++number) {
+        const prompt_part own = asOwnPart(number <= 3 ? 5 : static_cast<prompt_part>(10 + number));
+        crash(quarantine, static_cast<server_start_key>(number), { popular, own }, milliseconds(400 * number));
+    }
+    cr_assert(isQuarantined(quarantine, popular));
+}
+
+Test(prompt_quarantine, twoOwnPartsAtTheSameCrashesAreToldApartByTheNext)
+{
+    const prompt_part guiltyOwn = asOwnPart(5);
+    const prompt_part bystander = asOwnPart(6);
+    prompt_quarantine quarantine;
+    for (int number = 1; number <= 4; ++number) {
+        auto parts = std::vector<prompt_part>{ popular, guiltyOwn };
+        if (number <= 3) {
+            parts.push_back(bystander);
+        }
+        crash(quarantine, static_cast<server_start_key>(number), parts, milliseconds(400 * number));
+    }
+    quarantine.expire(at(milliseconds(1'600) + prompt_quarantine::settleTime));
+    cr_assert(isQuarantined(quarantine, guiltyOwn));
+    cr_assert_not(isQuarantined(quarantine, bystander));
+}
--- a/src/programs/gateway/request_relay.cpp
+++ b/src/programs/gateway/request_relay.cpp
@@ -202,6 +202,7 @@
                             .add("parts", static_cast<std::int64_t>(placed.parts.size()))
                             .add("tokens", m_head.promptTokens.value_or(0))
                             .add("shared", sharedPartsText())
+                            .add("own", m_head.ownPart)
                             .add("predicted", duration_cast<milliseconds>(placed.predictedFirstEvent))
                             .add("why", placed.reason)
                             .add("age", age(now)));
--- a/src/programs/gateway/request_retry.cpp
+++ b/src/programs/gateway/request_retry.cpp
@@ -78,6 +78,7 @@
                             .add("why", m_closedBecause.empty() ? "server" : m_closedBecause)
                             .add("faulty", m_faultyServer)
                             .add("shared", sharedPartsText())
+                            .add("own", m_head.ownPart)
                             .add("answering", m_firstEventOfSendAt ? age(now) - age(*m_firstEventOfSendAt) : std::chrono::milliseconds(-1))
                             .add("age", age(now)));
     bool helperFailed = false;
--- a/src/programs/gateway/request_session.cpp
+++ b/src/programs/gateway/request_session.cpp
@@ -79,13 +79,14 @@
     m_deadlineAt = m_arrivedAt + limit;
     m_service = chooseServiceByWeight(*m_route, m_context.random.unit());
     m_lastEvent = m_head.lastEvent;
-    m_parts = promptParts(m_head.sharedParts);
-    if (!m_parts.empty()) {
-        m_quarantineHook = 1 + m_context.random.below(~std::uint64_t{ 0 });
-        m_context.onQuarantined[m_quarantineHook] = [this](prompt_part part) {
-            onQuarantined(part);
-        };
+    m_parts = promptParts(m_head.sharedParts, m_head.ownPart);
+    if (m_parts.empty()) {
+        m_parts.push_back(wholeRequestPart(request.method, request.target, *request.body));
     }
+    m_quarantineHook = 1 + m_context.random.below(~std::uint64_t{ 0 });
+    m_context.onQuarantined[m_quarantineHook] = [this](prompt_part part) {
+        onQuarantined(part);
+    };
     m_context.state.resends.countRequest(m_service, m_arrivedAt);
     return std::nullopt;
 }
--- a/src/programs/gateway/request_session.h
+++ b/src/programs/gateway/request_session.h
@@ -149,7 +149,7 @@
     std::optional<std::uint64_t> m_lastEvent; ///< Last event that was delivered to the caller.
     std::optional<time_point> m_firstEventAt;
     time_point m_lastEventAt{};
-    std::vector<prompt_part> m_parts; ///< Shared parts of the prompt; empty where the service reads none.
+    std::vector<prompt_part> m_parts; ///< Parts of the prompt; of a request without parts, the request as a whole.
     bool m_isTrial = false; ///< The current send finds out whether a part still crashes servers.
     std::uint64_t m_quarantineHook = 0;
     server_start_key m_currentStart = 0; ///< Start of the server of the current send.
