--- a/src/programs/gateway/tests/server_limit_test.cpp
+++ b/src/programs/gateway/tests/server_limit_test.cpp
@@ -15,9 +15,8 @@
 namespace
 {
 
-constexpr double limitPerSecond = 1.0;
 constexpr seconds window{ 4 };
-constexpr size_t allowedInWindow = 11; // 1.5 x the limit x 4 s, + 5: the users' rule.
+constexpr size_t allowedInWindow = 11; // 1.5 x the limit of 1 a second x 4 s, + 5: the users' rule.
 
 /// Arrivals at a server that names its limit in each answer.
 class limited_server
