A renewal at a restarted engine does not change the list that is being walked

Found in reading: renew() starts a renewal for each share of the list from which a renewal may take its own, so the walk was right only while coroutines do not start at once. It walks a copy.

--- a/src/programs/gateway/reservation_renewal.cpp
+++ b/src/programs/gateway/reservation_renewal.cpp
@@ -150,7 +150,8 @@
             co_return;
         }
         // Beside each other: one after the other, silent engines would hold up the renewals at the rest until leases expire.
-        for (const share &each : m_shares) {
+        const std::vector<share> targets = m_shares; // A renewal takes its engine out when that has started again.
+        for (const share &each : targets) {
             asio::co_spawn(m_executor, renewAt(each), asio::detached);
         }
     }
