--- a/src/gateway/internal/prompt_quarantine.cpp
+++ b/src/gateway/internal/prompt_quarantine.cpp
@@ -242,6 +242,12 @@
     });
 }
 
+part_suspicion prompt_quarantine::suspicionOf(prompt_part part, time_point now) const
+{
+    const auto crashes = unexplainedCrashes(part);
+    return { crashesInARow(part, crashes), !crashes.empty() && hasOtherExplanation(part, crashes, now), m_quarantined.contains(part) };
+}
+
 void prompt_quarantine::judge(const part_set &parts, time_point now)
 {
     for (const prompt_part part : parts) {
--- a/src/gateway/prompt_quarantine.h
+++ b/src/gateway/prompt_quarantine.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/crash_evidence.h"
+#include "gateway/part_suspicion.h"
 #include "gateway/recent_answers.h"
 
 #include <functional>
@@ -30,6 +31,8 @@
     void recordWritten(const std::vector<prompt_part> &parts, time_point now);
     /// Returns when the next request with these parts may be tried; nullopt if none of them is quarantined.
     std::optional<time_point> quarantinedUntil(const std::vector<prompt_part> &parts) const;
+    /// What the evidence says of a part now; for the log.
+    part_suspicion suspicionOf(prompt_part part, time_point now) const;
     /// Whether this request may be sent to find out whether the parts still crash servers. One instance of the fleet may ask.
     bool tryTrial(const std::vector<prompt_part> &parts, time_point now);
 
--- a/src/programs/gateway/request_hedge.cpp
+++ b/src/programs/gateway/request_hedge.cpp
@@ -144,8 +144,7 @@
             m_context.state.recordFailure(server, true, now);
         }
         if (hedge->isCutOff()) {
-            m_context.state.quarantine.recordCrash(hedge->sent().start, m_parts, hedge->sentAt(), now);
-            m_context.scheduleReport();
+            recordCrash(hedge->sent().start, hedge->sent().server.str(), hedge->sentAt(), now);
         }
         m_hedges.erase(found);
         dropHedge(*hedge, "failed");
--- a/src/programs/gateway/request_relay.cpp
+++ b/src/programs/gateway/request_relay.cpp
@@ -203,6 +203,7 @@
                             .add("tokens", m_head.promptTokens.value_or(0))
                             .add("shared", sharedPartsText())
                             .add("own", m_head.ownPart)
+                            .add("part", std::to_string(m_parts.back()))
                             .add("predicted", duration_cast<milliseconds>(placed.predictedFirstEvent))
                             .add("why", placed.reason)
                             .add("age", age(now)));
--- a/src/programs/gateway/request_retry.cpp
+++ b/src/programs/gateway/request_retry.cpp
@@ -79,6 +79,7 @@
                             .add("faulty", m_faultyServer)
                             .add("shared", sharedPartsText())
                             .add("own", m_head.ownPart)
+                            .add("part", std::to_string(m_parts.back()))
                             .add("answering", m_firstEventOfSendAt ? age(now) - age(*m_firstEventOfSendAt) : std::chrono::milliseconds(-1))
                             .add("age", age(now)));
     bool helperFailed = false;
