Answers to another customer do not clear a request that ends its servers

What callers saw: a request that ends each server which runs it is sent on without end while another customer's request on the same path is answered.

Cause: the identity of a request without prompt parts held its method, target and body, but not whose it is. The other customer's answers cleared it after each crash; had they not come, that customer would have been refused for it.

--- a/src/gateway/fleet_state.h
+++ b/src/gateway/fleet_state.h
@@ -140,8 +140,8 @@
 
 /// Returns the hashes that stand for the parts of a prompt in messages between instances. `own` may be empty.
 std::vector<prompt_part> promptParts(const std::vector<std::string> &shared, const std::string &own);
-/// Returns the hash that stands for a request without parts, which comes again only as a whole.
-prompt_part wholeRequestPart(std::string_view method, std::string_view target, std::string_view body);
+/// Returns the hash that stands for a request without parts, which comes again only as a whole, from the same customer.
+prompt_part wholeRequestPart(std::string_view customer, std::string_view method, std::string_view target, std::string_view body);
 
 /// Returns the hash that stands for one start of a backend server in messages between instances.
 server_start_key startKeyOf(const listed_server &server);
--- a/src/gateway/internal/fleet_state.cpp
+++ b/src/gateway/internal/fleet_state.cpp
@@ -52,9 +52,9 @@
     return parts;
 }
 
-prompt_part wholeRequestPart(std::string_view method, std::string_view target, std::string_view body)
+prompt_part wholeRequestPart(std::string_view customer, std::string_view method, std::string_view target, std::string_view body)
 {
-    return asOwnPart(hash64(body, hash64(target, hash64(method))));
+    return asOwnPart(hash64(body, hash64(target, hash64(method, hash64(customer)))));
 }
 
 server_start_key startKeyOf(const listed_server &server)
--- a/src/programs/gateway/request_session.cpp
+++ b/src/programs/gateway/request_session.cpp
@@ -81,7 +81,7 @@
     m_lastEvent = m_head.lastEvent;
     m_parts = promptParts(m_head.sharedParts, m_head.ownPart);
     if (m_parts.empty()) {
-        m_parts.push_back(wholeRequestPart(request.method, request.target, *request.body));
+        m_parts.push_back(wholeRequestPart(m_customer.str(), request.method, request.target, *request.body));
     }
     m_quarantineHook = 1 + m_context.random.below(~std::uint64_t{ 0 });
     m_context.onQuarantined[m_quarantineHook] = [this](prompt_part part) {
--- a/src/programs/gateway/tests/repeated_prompt_test.cpp
+++ b/src/programs/gateway/tests/repeated_prompt_test.cpp
@@ -20,8 +20,9 @@
 
 bool isGuilty(const http::exchange &exchange)
 {
+    const bool isOfGuiltyCustomer = exchange.request().path() == "/again/shared" && exchange.request().headers.find("Tenant") == "second";
     const bool hasGuiltyPart = exchange.request().headers.find("Prompt-Prefix").find("dead:") != std::string_view::npos;
-    return hasGuiltyPart || exchange.request().path() == "/again/dead";
+    return isOfGuiltyCustomer || hasGuiltyPart || exchange.request().path() == "/again/dead";
 }
 
 /// Ends as soon as it begins to write an answer to a guilty request.
@@ -44,6 +45,17 @@
     }
 }
 
+std::string configWithSecondCustomer()
+{
+    std::string config = fake_platform::firstConfig();
+    const std::string version = "\"version\":1";
+    cr_assert_neq(config.find(version), std::string::npos);
+    config.replace(config.find(version), version.size(), "\"version\":2");
+    const std::string first = R"({"name":"first","api_keys":["secret"]})";
+    config.replace(config.find(first), first.size(), first + R"(,{"name":"second","api_keys":["other"]})");
+    return config;
+}
+
 } // namespace
 
 Test(repeated_prompt, aPromptThatComesAgainIsSentNoMoreAndSoundOnesWithItsFirstPartAreServed)
@@ -97,3 +109,17 @@
     expectEqual(platform.callWithPrompt("/stream/x", "own:100").status, 200);
     expectEqual(platform.callWithPrompt("/stream/x", "5c1e:40,own:100").status, 200);
 }
+
+Test(repeated_prompt, answersToAnotherCustomerOnTheSamePathDoNotClearARequestThatComesAgain)
+{
+    fake_platform platform;
+    addServers(platform, "desk");
+    platform.start();
+    platform.publish(configWithSecondCustomer());
+    platform.runFor(std::chrono::milliseconds(500));
+    for (int request = 0; request < 30; ++request) {
+        platform.call("/again/shared", "other");
+        expectEqual(platform.call("/again/shared").status, 200);
+    }
+    cr_assert_leq(guiltySends, crashesRequired + sendsAllowedAfterThem);
+}
