Copies of one request that end servers one by one count as crashes each

What callers saw: while the copies of one request are in flight together at the servers of a small service, their ends count as one crash in a row; nine servers end before the third.

Cause: a crash counted only if its request was sent after the crash before, which tells a cause that follows the request from one event that ends many servers. For an own part the moments of the ends tell that too: servers that one event ends, end together.

Evidence: prompt_quarantine/copiesOfARequestInFlightTogetherThatEndServersOneByOneCountEach failed before and passes; copiesOfARequestAtServersThatEndAtOneMomentConvictNoRequest passes before and after. Shared parts are judged as before.

--- a/src/gateway/internal/prompt_quarantine.cpp
+++ b/src/gateway/internal/prompt_quarantine.cpp
@@ -15,6 +15,7 @@
 constexpr milliseconds sameMoment = prompt_quarantine::firstTrialDelay / 2;
 constexpr int trialDelayFactor = 3;
 constexpr milliseconds reportDelay{ 20 }; // By which the times of others are late, one more than another.
+constexpr milliseconds commonCauseSpan{ 50 }; // Servers that one event ends, as a loss of power, are seen to end within it.
 
 milliseconds trialDelay(unsigned failedTrials)
 {
@@ -221,7 +222,10 @@
     std::optional<time_point> last;
     for (const crash_record *crash : crashes) {
         const milliseconds uncertainty = crash->isOwn ? milliseconds(0) : reportDelay;
-        if (!last || crash->evidence.sentAt.at(part) > *last + uncertainty) {
+        const bool isSentAfterLast = !last || crash->evidence.sentAt.at(part) > *last + uncertainty;
+        // Copies of one request are rarely in flight together, so what ends their servers one by one is most likely the request.
+        const bool endsApart = last && isOwnPart(part) && crash->evidence.at > *last + commonCauseSpan + uncertainty;
+        if (isSentAfterLast || endsApart) {
             ++count;
             last = crash->evidence.at;
         }
--- a/src/gateway/prompt_quarantine.h
+++ b/src/gateway/prompt_quarantine.h
@@ -91,7 +91,8 @@
     void judgeSettled(time_point now);
     /// Crashes that the part may have caused and no quarantined part explains, in the order of time.
     std::vector<const crash_record *> unexplainedCrashes(prompt_part part) const;
-    /// Counts the crashes of requests that were each sent after the crash before: servers that end at one moment count once.
+    /// Counts the crashes of requests that were each sent after the crash before, for an own part also those that came later than
+    /// one event could explain: servers that end at one moment count once.
     static unsigned crashesInARow(prompt_part part, const std::vector<const crash_record *> &crashes);
     bool hasOtherExplanation(prompt_part part, const std::vector<const crash_record *> &crashes, time_point now) const;
     bool isSuspectOf(prompt_part part, const crash_evidence &crash) const;
--- a/src/gateway/tests/prompt_quarantine_test.cpp
+++ b/src/gateway/tests/prompt_quarantine_test.cpp
@@ -15,6 +15,7 @@
 constexpr prompt_part guilty = 1;
 constexpr prompt_part popular = 2;
 constexpr prompt_part rare = 3;
+constexpr prompt_part repeated = asOwnPart(4);
 constexpr milliseconds crashDelay{ 300 }; // From the send to the end of the server.
 
 time_point at(milliseconds time)
@@ -71,6 +72,24 @@
     cr_assert_not(isQuarantined(quarantine, popular));
 }
 
+Test(prompt_quarantine, copiesOfARequestInFlightTogetherThatEndServersOneByOneCountEach)
+{
+    prompt_quarantine quarantine;
+    for (const int endsAt : { 400, 520, 700 }) {
+        quarantine.recordCrash(static_cast<server_start_key>(endsAt), { repeated }, at(milliseconds(300)), at(milliseconds(endsAt)));
+    }
+    cr_assert(isQuarantined(quarantine, repeated));
+}
+
+Test(prompt_quarantine, copiesOfARequestAtServersThatEndAtOneMomentConvictNoRequest)
+{
+    prompt_quarantine quarantine;
+    for (server_start_key server = 1; server <= 20; ++server) {
+        crash(quarantine, server, { repeated }, milliseconds(400 + static_cast<int>(server)));
+    }
+    cr_assert_not(isQuarantined(quarantine, repeated));
+}
+
 Test(prompt_quarantine, aPartOnWhichAnswersAreWrittenIsNoSuspect)
 {
     prompt_quarantine quarantine;
