A part that has ended its servers at two trials is tried again after ten minutes

What callers saw: a part that ends servers for good ends one more after 10, 30, 90 and 270 s, and every ten minutes from then on: four within 400 s after the three that convicted it.

Cause: each failed trial trebled the delay, without regard to how many engines a request may end in all. After two failed trials it is known to be guilty; what may have changed since is the servers' program, which takes longer than minutes.

Evidence: prompt_quarantine/aPartThatEndsServersForGoodReachesAtMostThreeMoreInTenMinutes failed before (4) and passes. Sound parts are released by their first trial as before. oneTrialAfterEachDelayAndALongerDelayAfterEachFailedOne holds unchanged.

--- a/src/gateway/internal/prompt_quarantine.cpp
+++ b/src/gateway/internal/prompt_quarantine.cpp
@@ -17,13 +17,17 @@
 constexpr milliseconds reportDelay{ 20 }; // By which the times of others are late, one more than another.
 constexpr milliseconds commonCauseSpan{ 50 }; // Servers that one event ends, as a loss of power, are seen to end within it.
 
+// A part that ended its servers at two trials is mended with the servers' program at the earliest.
 milliseconds trialDelay(unsigned failedTrials)
 {
-    milliseconds delay = prompt_quarantine::firstTrialDelay;
-    for (unsigned trial = 0; trial < failedTrials && delay < prompt_quarantine::maxTrialDelay; ++trial) {
-        delay *= trialDelayFactor;
+    switch (failedTrials) {
+    case 0:
+        return prompt_quarantine::firstTrialDelay;
+    case 1:
+        return prompt_quarantine::firstTrialDelay * trialDelayFactor;
+    default:
+        return prompt_quarantine::maxTrialDelay;
     }
-    return std::min<milliseconds>(delay, prompt_quarantine::maxTrialDelay);
 }
 
 template<typename event> void keepLatest(std::vector<event> &events, size_t count)
--- a/src/gateway/prompt_quarantine.h
+++ b/src/gateway/prompt_quarantine.h
@@ -46,8 +46,8 @@
     static constexpr unsigned crashesRequired = 3;
     static constexpr unsigned ambiguousCrashesRequired = 6; ///< While another part explains the crashes as well.
     static constexpr std::chrono::seconds evidenceMaxAge{ 60 };
-    static constexpr std::chrono::seconds firstTrialDelay{ 10 }; ///< Trebled after each trial that crashes a server.
-    static constexpr std::chrono::minutes maxTrialDelay{ 10 };
+    static constexpr std::chrono::seconds firstTrialDelay{ 10 }; ///< Three times as long after a failed trial.
+    static constexpr std::chrono::minutes maxTrialDelay{ 10 }; ///< After two or more failed trials.
     static constexpr std::chrono::milliseconds newsMaxAge{ 2'000 }; ///< Several periodic reports, so that a lost one is no harm.
     static constexpr std::chrono::minutes quarantineMaxAge{ 30 }; ///< Without a trial, as no request with the part came.
     static constexpr std::chrono::milliseconds settleTime{ 100 }; ///< By then the others have told what else was at a crash.
--- a/src/gateway/tests/prompt_quarantine_test.cpp
+++ b/src/gateway/tests/prompt_quarantine_test.cpp
@@ -185,6 +185,20 @@
     expectEqual(trials, 2);
 }
 
+Test(prompt_quarantine, aPartThatEndsServersForGoodReachesAtMostThreeMoreInTenMinutes)
+{
+    prompt_quarantine quarantine;
+    crashThreeServers(quarantine, guilty);
+    int trials = 0;
+    for (time_point now = at(seconds(2)); now < at(prompt_quarantine::maxTrialDelay); now += milliseconds(500)) {
+        if (quarantine.tryTrial({ guilty }, now)) {
+            ++trials;
+            quarantine.recordCrash(static_cast<server_start_key>(100 + trials), { guilty }, now, now + milliseconds(200));
+        }
+    }
+    cr_assert_leq(trials, 3);
+}
+
 Test(prompt_quarantine, aTrialThatIsAnsweredReleasesThePartEverywhere)
 {
     prompt_quarantine here;
