--- a/src/gateway/attempt_failure.h
+++ b/src/gateway/attempt_failure.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <string>
 
 namespace mustardtrail::gateway
 {
@@ -17,6 +18,7 @@
     bool hasAnswer = false; ///< The server sent an error response, which can be relayed to the caller.
     std::optional<std::uint64_t> lastEventId; ///< Id of the last stream event delivered to the caller.
     bool hasStarted = false; ///< The head of the answer has been sent to the caller.
+    std::string detail; ///< Key=value facts for the log.
 };
 
 } // namespace mustardtrail::gateway
--- a/src/programs/gateway/request_relay.cpp
+++ b/src/programs/gateway/request_relay.cpp
@@ -44,6 +44,7 @@
 attempt_failure request_session::toFailure(const error &problem) const
 {
     attempt_failure failure = makeFailure(problem.outcome);
+    failure.detail = std::string(toString(problem.code)) + ' ' + problem.detail;
     failure.isUnreachable = problem.code == error_code::backend_connect_failed;
     failure.isCutOff = problem.code == error_code::backend_connection_lost && problem.outcome != verdict::not_run;
     return failure;
--- a/src/programs/gateway/request_retry.cpp
+++ b/src/programs/gateway/request_retry.cpp
@@ -76,6 +76,7 @@
                             .add("server", m_lastServer)
                             .add("verdict", toString(failure.outcome))
                             .add("why", m_closedBecause.empty() ? "server" : m_closedBecause)
+                            .add("error", failure.detail)
                             .add("faulty", m_faultyServer)
                             .add("shared", sharedPartsText())
                             .add("own", m_head.ownPart)
