--- a/src/programs/gateway/gateway_host.cpp
+++ b/src/programs/gateway/gateway_host.cpp
@@ -57,12 +57,12 @@
 
 } // namespace
 
-gateway_host::gateway_host(asio::io_context &context, platform::instance_settings settings)
+gateway_host::gateway_host(asio::io_context &context, platform::instance_settings settings, http::simulated_partitions allowed)
     : m_context(context)
     , m_settings(std::move(settings))
     , m_random(std::random_device{}())
     , m_log(m_clock)
-    , m_client(context.get_executor())
+    , m_client(context.get_executor(), allowed)
     , m_state(peerAddressOf(m_settings.address),
           m_settings.dataCentre,
           limitsFrom(m_settings, m_clock.now()),
@@ -169,6 +169,11 @@
     asio::co_spawn(m_context, retryPlacements(), rethrowFailure);
 }
 
+bool gateway_host::setPartitionedEndpoints(std::set<endpoint> endpoints)
+{
+    return m_client.setPartitionedEndpoints(std::move(endpoints));
+}
+
 void gateway_host::reload(const platform::instance_settings &settings)
 {
     addSeeds(settings.seeds);
--- a/src/programs/gateway/gateway_host.h
+++ b/src/programs/gateway/gateway_host.h
@@ -14,7 +14,9 @@
 class gateway_host
 {
 public:
-    gateway_host(boost::asio::io_context &context, platform::instance_settings settings);
+    gateway_host(boost::asio::io_context &context,
+        platform::instance_settings settings,
+        http::simulated_partitions allowed = http::simulated_partitions::forbidden);
 
     /// Binds all addresses.
     result<void> open();
@@ -24,6 +26,8 @@
     /// Drains, then stops the event loop: accepts connections until the load balancer has had time to remove this instance,
     /// then finishes running requests within the stop grace period.
     boost::asio::awaitable<void> stop();
+    /// Simulates the loss of this instance's own paths to these endpoints, for tests. False when this is forbidden.
+    bool setPartitionedEndpoints(std::set<endpoint> endpoints);
 
 private:
     boost::asio::awaitable<void> serveCaller(http::exchange &exchange);
--- a/src/programs/gateway/tests/fake_platform.cpp
+++ b/src/programs/gateway/tests/fake_platform.cpp
@@ -107,6 +107,7 @@
 
 void fake_platform::addServerAt(const std::string &id, const std::string &service, const endpoint &address)
 {
+    m_serverAddresses.insert(address);
     m_serverItems += ","
         + storeItem("servers/" + id,
             R"({"service":")" + service + R"(","address":")" + toString(address) + R"(","zone":"dc","slots":4,"state":"ready"})");
@@ -142,9 +143,10 @@
         m_readinessAddress = settings.readiness = unusedAddress(m_context);
         settings.peerPort = unusedAddress(m_context).port;
         settings.metricsPort = unusedAddress(m_context).port;
-        m_host = std::make_unique<gateway_host>(m_context, settings);
+        m_host = std::make_unique<gateway_host>(m_context, settings, http::simulated_partitions::allowed);
         const auto opened = m_host->open();
         if (opened) {
+            m_settings = settings;
             return;
         }
         if (attempt == maxAttempts) {
@@ -153,7 +155,7 @@
     }
 }
 
-void fake_platform::start()
+platform::instance_settings fake_platform::baseSettings() const
 {
     platform::instance_settings settings;
     settings.instance = instance_id("one");
@@ -170,13 +172,45 @@
     settings.retryBudgetRatio = 0.2;
     settings.retryBudgetSlack = 100;
     settings.retryBudgetWindow = milliseconds(10'000);
-    openHost(settings);
+    return settings;
+}
+
+void fake_platform::start()
+{
+    openHost(baseSettings());
     m_host->start();
     for (int attempt = 0; attempt < 200 && readiness() != 200; ++attempt) {
         runFor(milliseconds(20));
     }
 }
 
+// Instances are told apart by their addresses and share their ports.
+void fake_platform::startSecondInstance()
+{
+    constexpr auto secondAddress = "127.0.0.2";
+    platform::instance_settings settings = baseSettings();
+    settings.instance = instance_id("two");
+    settings.address = secondAddress;
+    settings.callers = unusedAddress(m_context);
+    settings.readiness = unusedAddress(m_context);
+    settings.peerPort = m_settings.peerPort;
+    settings.metricsPort = m_settings.metricsPort;
+    settings.seeds = { { m_settings.address, m_settings.peerPort } };
+    m_secondHost = std::make_unique<gateway_host>(m_context, settings);
+    if (const auto opened = m_secondHost->open(); !opened) {
+        throw std::runtime_error(opened.error().detail);
+    }
+    m_secondHost->start();
+    runFor(milliseconds(1'000));
+}
+
+void fake_platform::cutFirstInstanceFromServers()
+{
+    if (!m_host->setPartitionedEndpoints(m_serverAddresses)) {
+        throw std::logic_error("partitions are not allowed");
+    }
+}
+
 void fake_platform::restoreStoreWithoutServers()
 {
     ++m_era;
--- a/src/programs/gateway/tests/fake_platform.h
+++ b/src/programs/gateway/tests/fake_platform.h
@@ -47,6 +47,10 @@
     void addRawServer(const std::string &id, const std::string &service, http::testing::raw_server::script serve);
     /// Starts the gateway and runs the event loop until it is ready.
     void start();
+    /// Starts another gateway instance beside the first one, and runs the event loop until they know each other.
+    void startSecondInstance();
+    /// The first instance loses its paths to all backend servers, on open connections and for new ones; the second does not.
+    void cutFirstInstanceFromServers();
     /// Makes the store go back to a copy that holds the configuration alone: its revisions go back, its era rises.
     void restoreStoreWithoutServers();
     /// Configuration before any other is published: routes /stream/, /once/, /again/ and /queue/, one customer with the key "secret".
@@ -72,6 +76,7 @@
     boost::asio::awaitable<void> serveStore(http::exchange &exchange);
     boost::asio::awaitable<void> callGateway(http::request_message message, caller_answer &answer, std::chrono::milliseconds pause);
     void openHost(platform::instance_settings settings);
+    platform::instance_settings baseSettings() const;
     caller_answer complete(http::request_message message);
     http::request_message requestOf(const std::string &path, const std::string &key, std::chrono::milliseconds timeLeft) const;
 
@@ -84,6 +89,9 @@
     std::unique_ptr<http::server> m_store;
     endpoint m_storeAddress;
     std::unique_ptr<gateway_host> m_host;
+    std::unique_ptr<gateway_host> m_secondHost;
+    platform::instance_settings m_settings; ///< Of the first instance.
+    std::set<endpoint> m_serverAddresses;
     http::client m_caller;
     endpoint m_callerAddress;
     endpoint m_readinessAddress;
--- /dev/null
+++ b/src/programs/gateway/tests/instance_without_servers_test.cpp
@@ -0,0 +1,90 @@
+// An instance that reached no server spent each request on one dead path after the other and served nobody.
+
+#include "programs/gateway/tests/fake_platform.h"
+
+#include "testing/expect.h"
+
+using namespace mustardtrail;
+using namespace mustardtrail::gateway::testing;
+using mustardtrail::testing::expectEqual;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+constexpr int callsBeforeTheVerdict = 6;
+constexpr int callsAfterIt = 12;
+
+// Criterion runs each test in its own process, so this is empty at first in each test.
+std::map<std::string, int> runsByPath;
+
+boost::asio::awaitable<void> answer(http::exchange &exchange)
+{
+    ++runsByPath[std::string(exchange.request().path())];
+    http::response_message message = http::makeResponse(200, "done", "text/plain");
+    message.headers.add("Attempt-Id", "a1");
+    message.headers.add("Response-Stamp", "stamp");
+    co_await exchange.respond(std::move(message));
+}
+
+boost::asio::awaitable<void> answerInEvents(http::exchange &exchange)
+{
+    http::header_list head{ { "Attempt-Id", "a1" }, { "Response-Stamp", "stamp" } };
+    co_await exchange.startStream(200, std::move(head));
+    co_await exchange.write("id: 1\ndata: a\n\n");
+    co_await exchange.write("id: 2\ndata: b\n\n");
+    co_await exchange.finishStream();
+}
+
+void startTwoInstances(fake_platform &platform, const std::string &service, const fake_platform::backend &serve)
+{
+    for (int number = 1; number <= 4; ++number) {
+        platform.addServer(service + std::to_string(number), service, serve);
+    }
+    platform.start();
+    platform.startSecondInstance();
+}
+
+int servedOf(fake_platform &platform, const std::string &path, int calls)
+{
+    int served = 0;
+    for (int call = 0; call < calls; ++call) {
+        const caller_answer got = platform.call(path + std::to_string(call), "secret", milliseconds(1'000));
+        served += got.status == 200 && got.isComplete ? 1 : 0;
+    }
+    return served;
+}
+
+} // namespace
+
+Test(instance_without_servers, servesItsCallersThroughAnotherInstance)
+{
+    fake_platform platform;
+    startTwoInstances(platform, "desk", answer);
+    expectEqual(servedOf(platform, "/again/before", 4), 4);
+    platform.cutFirstInstanceFromServers();
+    servedOf(platform, "/again/early", callsBeforeTheVerdict);
+    expectEqual(servedOf(platform, "/again/late", callsAfterIt), callsAfterIt);
+}
+
+Test(instance_without_servers, streamsEventsThroughAnotherInstance)
+{
+    fake_platform platform;
+    startTwoInstances(platform, "reading", answerInEvents);
+    platform.cutFirstInstanceFromServers();
+    servedOf(platform, "/stream/early", callsBeforeTheVerdict);
+    expectEqual(servedOf(platform, "/stream/late", callsAfterIt), callsAfterIt);
+}
+
+Test(instance_without_servers, runsARequestOnceThatMayNotRunTwice)
+{
+    fake_platform platform;
+    startTwoInstances(platform, "desk", answer);
+    servedOf(platform, "/once/before", 4);
+    platform.cutFirstInstanceFromServers();
+    servedOf(platform, "/once/early", callsBeforeTheVerdict);
+    expectEqual(servedOf(platform, "/once/late", callsAfterIt), callsAfterIt);
+    for (const auto &[path, runs] : runsByPath) {
+        expectEqual(runs, 1);
+    }
+}
