--- a/src/http/client.h
+++ b/src/http/client.h
@@ -29,6 +29,8 @@
     std::chrono::milliseconds maxIdleForReuse{ 60'000 }; ///< Pooled connections idle for longer are not reused.
     /// Receives a function that closes the connection of this call; it may be called at any time on the client's executor.
     std::function<void(std::function<void()>)> onConnection;
+    /// Called when a new connection was opened for this call; not for a pooled one.
+    std::function<void()> onOpened;
     /// Called just before the first byte is sent; a returned error ends the call and nothing is sent.
     std::function<std::optional<error>()> beforeSend;
 
@@ -64,6 +66,10 @@
 
     boost::asio::awaitable<result<response_message>> call(endpoint to, request_message message, call_limits limits);
     boost::asio::awaitable<result<std::unique_ptr<response_stream>>> open(endpoint to, request_message message, call_limits limits);
+    /// Opens a connection and keeps it for a later call.
+    boost::asio::awaitable<result<void>> openIdle(endpoint to, std::chrono::milliseconds limit);
+    /// Closes the pooled connections to the endpoint.
+    void closeIdle(const endpoint &to);
 
     /// Simulates a network partition for tests: until the next call nothing is sent to or read from these endpoints, and
     /// neither side detects that the other closes a connection. False, without effect, when this is forbidden.
@@ -78,4 +84,7 @@
     std::shared_ptr<partitioned_links> m_partitions; ///< Null when forbidden.
 };
 
+/// Reads the rest of a response. The error is `backend_answer_invalid` when its body is longer than `maxBytes`.
+boost::asio::awaitable<result<response_message>> readWhole(response_stream &source, size_t maxBytes);
+
 } // namespace mustardtrail::http
--- a/src/http/internal/client.cpp
+++ b/src/http/internal/client.cpp
@@ -21,6 +21,7 @@
 
 constexpr size_t writePieceBytes = 256 * 1024;
 constexpr std::chrono::milliseconds earlyResponseTimeout{ 200 }; ///< A response sent before a close has arrived or is lost.
+constexpr std::chrono::milliseconds unusedIdleLimit{ 1'000 }; ///< Before a first response the server's time-out is not known.
 constexpr int maxInterimHeads = 16; ///< Before the head of one response; servers send one or two.
 
 error callError(error_code code, verdict outcome, const endpoint &to, std::string_view detail)
@@ -184,6 +185,9 @@
             co_return tl::unexpected(connected.error());
         }
         connection = std::move(*connected);
+        if (limits.onOpened) {
+            limits.onOpened();
+        }
     }
     if (limits.beforeSend) {
         if (const auto refusal = limits.beforeSend()) {
@@ -220,17 +224,40 @@
     co_return std::make_unique<client_stream>(pool, to, std::move(connection), std::move(source), limits.progress, sent.has_value());
 }
 
+asio::awaitable<result<void>> client::openIdle(endpoint to, std::chrono::milliseconds limit)
+{
+    const auto pool = m_pool;
+    auto connected = co_await connect(m_executor, to, limit, m_partitions);
+    if (!connected) {
+        co_return tl::unexpected(connected.error());
+    }
+    (*connected)->stream.expires_never();
+    (*connected)->idleLimit = unusedIdleLimit;
+    pool->put(to, std::move(*connected));
+    co_return result<void>{};
+}
+
+void client::closeIdle(const endpoint &to)
+{
+    m_pool->drop(to);
+}
+
 asio::awaitable<result<response_message>> client::call(endpoint to, request_message message, call_limits limits)
 {
     auto opened = co_await open(to, std::move(message), limits);
     if (!opened) {
         co_return tl::unexpected(opened.error());
     }
+    co_return co_await readWhole(**opened, limits.bodyBytes);
+}
+
+asio::awaitable<result<response_message>> readWhole(response_stream &source, size_t maxBytes)
+{
     response_message answer;
-    answer.status = (*opened)->status();
-    answer.headers = (*opened)->headers();
+    answer.status = source.status();
+    answer.headers = source.headers();
     while (true) {
-        auto piece = co_await (*opened)->read();
+        auto piece = co_await source.read();
         if (!piece) {
             co_return tl::unexpected(piece.error());
         }
@@ -238,8 +265,8 @@
             co_return answer;
         }
         answer.body += *piece;
-        if (answer.body.size() > limits.bodyBytes) {
-            co_return tl::unexpected(callError(error_code::backend_answer_invalid, verdict::ran, to, "answer too large"));
+        if (answer.body.size() > maxBytes) {
+            co_return tl::unexpected(error{ error_code::backend_answer_invalid, verdict::ran, "answer too large", {} });
         }
     }
 }
--- a/src/http/internal/connection_pool.cpp
+++ b/src/http/internal/connection_pool.cpp
@@ -38,6 +38,11 @@
     return nullptr;
 }
 
+void client::connection_pool::drop(const endpoint &to)
+{
+    m_idle.erase(to);
+}
+
 void client::connection_pool::put(const endpoint &to, std::unique_ptr<client_connection> connection)
 {
     auto &kept = m_idle[to];
--- a/src/http/internal/connection_pool.h
+++ b/src/http/internal/connection_pool.h
@@ -59,6 +59,8 @@
     /// Returns a connection that was idle for less than `idle` and that the server has not closed, or null.
     std::unique_ptr<client_connection> take(const endpoint &to, std::chrono::milliseconds idle);
     void put(const endpoint &to, std::unique_ptr<client_connection> connection);
+    /// Closes the idle connections to the endpoint.
+    void drop(const endpoint &to);
 
 private:
     static constexpr size_t idlePerEndpoint = 64;
