Decisions on lost paths to servers: when a path or all of them are lost, what is probed, which instance relays

No caller yet: the gateway sends as before. An instance reports that it has lost paths, so that nobody relays through it, and no suspects while all its paths are lost.

--- a/src/gateway/fleet_state.h
+++ b/src/gateway/fleet_state.h
@@ -13,6 +13,7 @@
 #include "gateway/resend_budget.h"
 #include "gateway/route_table.h"
 #include "gateway/server_directory.h"
+#include "gateway/server_paths.h"
 #include "gateway/server_rate_limits.h"
 #include "gateway/server_suspicion.h"
 
@@ -85,6 +86,8 @@
     std::optional<time_point> atLimitUntil(const service_id &service, time_point now) const;
     /// Records that an answer from the server has begun.
     void recordAnswer(server_key server);
+    /// Records that the server answers through another instance while this instance's own path to it failed.
+    void recordLostPath(const endpoint &server, time_point now);
     /// Whether requests may be served: a configuration is loaded and was confirmed once; if it requires API keys, it is fresh enough.
     bool mayServe(time_point now) const;
     /// Records that the configuration in force includes all that was published before `queriedAt`, unless an instance nearby
@@ -104,6 +107,7 @@
     prompt_quarantine quarantine;
     std::function<void(prompt_part)> onQuarantined; ///< Called when a part is quarantined.
     data_centre_suspicion dataCentreSuspicion;
+    server_paths paths;
     resend_budget resends;
     peer_registry peers;
 
--- a/src/gateway/internal/fleet_state.cpp
+++ b/src/gateway/internal/fleet_state.cpp
@@ -160,6 +160,7 @@
     quiet.expire(now);
     rateLimits.expire(now);
     quarantine.expire(now);
+    paths.expire(now);
 }
 
 bool fleet_state::isAtColdLimit(const server_directory::known_server &server, unsigned sentLastSecond, double share, time_point now) const
@@ -278,6 +279,17 @@
     }
 }
 
+void fleet_state::recordLostPath(const endpoint &server, time_point now)
+{
+    const bool wereAllLost = paths.areAllLost();
+    paths.recordLost(server, now);
+    if (!wereAllLost && paths.areAllLost()) {
+        // What failed lately was reached over paths that are lost.
+        serverSuspicion.forgetOwnFailures();
+        m_log("server_paths_lost", toString(server), {});
+    }
+}
+
 void fleet_state::recordLeaving(server_key server, time_point now)
 {
     const auto *known = findServer(server);
--- a/src/gateway/internal/load_report.cpp
+++ b/src/gateway/internal/load_report.cpp
@@ -230,6 +230,7 @@
     message.set_config_version(report.configVersion);
     message.mutable_leaving_servers()->Add(report.leavingServers.begin(), report.leavingServers.end());
     message.mutable_departed_servers()->Add(report.departedServers.begin(), report.departedServers.end());
+    message.set_lost_server_paths(report.hasLostServerPaths);
     write(report.quarantine, now, message);
     for (const rate_limit_news &news : report.rateLimits) {
         write(news, now, *message.add_rate_limits());
@@ -275,6 +276,7 @@
     report.configVersion = message.config_version();
     report.leavingServers.assign(message.leaving_servers().begin(), message.leaving_servers().end());
     report.departedServers.assign(message.departed_servers().begin(), message.departed_servers().end());
+    report.hasLostServerPaths = message.lost_server_paths();
     report.quarantine = readQuarantineNews(message, now);
     for (const wire::RateLimit &news : message.rate_limits()) {
         const bool isLimit = std::isfinite(news.requests_per_second()) && news.requests_per_second() >= 0.0;
--- a/src/gateway/internal/peer_registry.cpp
+++ b/src/gateway/internal/peer_registry.cpp
@@ -50,6 +50,7 @@
     sender.lastReportAt = now;
     sender.clock = report.clock;
     sender.configVersion = report.configVersion;
+    sender.hasLostServerPaths = report.hasLostServerPaths;
     recordSignOfLife(report.dataCentre, now);
     updateFleetSize();
     if (report.isLeaving) {
@@ -238,6 +239,18 @@
     return unresponsive;
 }
 
+std::vector<relay_candidate> peer_registry::relayCandidates(time_point now) const
+{
+    const auto cutOff = unresponsiveDataCentres(now);
+    std::vector<relay_candidate> candidates;
+    for (const auto &[address, each] : m_peers) {
+        if (isHeard(each, now) && !cutOff.contains(each.dataCentre)) {
+            candidates.push_back({ address, each.dataCentre == m_ownDataCentre, each.hasLostServerPaths, false });
+        }
+    }
+    return candidates;
+}
+
 std::uint64_t peer_registry::newestConfig(time_point now) const
 {
     std::uint64_t newest = 0;
--- a/src/gateway/internal/report_exchange.cpp
+++ b/src/gateway/internal/report_exchange.cpp
@@ -83,7 +83,10 @@
 {
     load_report report = newReport(now);
     report.work = cell == m_state.peers.ownCell() ? m_state.loads.ownWork() : workAt(cell);
-    report.suspectedServers = m_state.serverSuspicion.ownSuspects(now);
+    report.hasLostServerPaths = m_state.paths.hasLostPaths();
+    if (!m_state.paths.areAllLost()) {
+        report.suspectedServers = m_state.serverSuspicion.ownSuspects(now);
+    }
     report.leavingServers = m_state.leavingServers(now);
     report.quarantine = m_state.quarantine.news(urgentNewsAge, now);
     report.rateLimits = m_state.rateLimits.news(now);
--- a/src/gateway/internal/server_directory.cpp
+++ b/src/gateway/internal/server_directory.cpp
@@ -129,6 +129,13 @@
     }
 }
 
+bool server_directory::isKnownAddress(const endpoint &address) const
+{
+    return std::any_of(m_servers.begin(), m_servers.end(), [&address](const auto &entry) {
+        return entry.second.entry.address == address;
+    });
+}
+
 bool server_directory::isInService(const data_centre_id &dataCentre, time_point now) const
 {
     const auto kept = m_keptOutOfServiceUntil.find(dataCentre);
--- a/src/gateway/internal/server_suspicion.cpp
+++ b/src/gateway/internal/server_suspicion.cpp
@@ -20,6 +20,11 @@
     m_failures.erase(server);
 }
 
+void server_suspicion::forgetOwnFailures()
+{
+    m_failures.clear();
+}
+
 void server_suspicion::updatePeerSuspects(const instance_id &peer, const std::vector<server_key> &suspects, time_point now)
 {
     m_peerReports[peer] = { suspects, now };
--- a/src/gateway/load_report.h
+++ b/src/gateway/load_report.h
@@ -33,6 +33,7 @@
     std::vector<server_key> suspectedServers; ///< Backend servers that recently failed the sender's requests.
     std::vector<server_start_key> leavingServers; ///< Backend servers that announced lately that they leave.
     std::vector<server_start_key> departedServers; ///< Backend servers that the sender saw go lately; in periodic reports only.
+    bool hasLostServerPaths = false; ///< The sender has lost its own paths to backend servers, so it is no good relay.
     quarantine_news quarantine; ///< Of the parts of prompts that crash backend servers.
     std::vector<rate_limit_news> rateLimits; ///< Of servers that name a limit.
     std::chrono::microseconds clock{ 0 }; ///< The sender's monotonic clock; the others only echo it.
--- a/src/gateway/peer_registry.h
+++ b/src/gateway/peer_registry.h
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "gateway/cell_map.h"
 #include "gateway/load_report.h"
+#include "gateway/relay_choice.h"
 
 #include <map>
 #include <optional>
@@ -52,6 +53,9 @@
     std::vector<peer_address> storeRelayTargets(time_point now) const;
     /// Returns the timestamps of the last reports of `storeRelayTargets`.
     std::vector<clock_echo> storeRelayClocks(time_point now) const;
+    /// Returns the live instances through which a request may be sent to a backend server, without those of data centres that are
+    /// probably cut off.
+    std::vector<relay_candidate> relayCandidates(time_point now) const;
     /// Returns the newest configuration version that an instance reported within `peerTimeout`.
     std::uint64_t newestConfig(time_point now) const;
     /// Returns the largest number of instances known at one time since the start, this one included. Fleet-wide limits are
@@ -75,6 +79,7 @@
         std::optional<time_point> lastListedAt; ///< In a summary of its cell.
         std::chrono::microseconds clock{ 0 };
         std::uint64_t configVersion = 0;
+        bool hasLostServerPaths = false;
         time_point discoveredAt{};
         bool isSeed = false;
     };
--- /dev/null
+++ b/src/gateway/relay_choice.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "gateway/peer_address.h"
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace mustardtrail::gateway
+{
+
+/// Another instance through which a request may be sent to a backend server.
+struct relay_candidate {
+    peer_address instance = 0;
+    bool isNear = false; ///< In the own data centre.
+    bool hasLostPaths = false; ///< Has lost paths to backend servers itself.
+    bool hasFailed = false; ///< A send through it failed lately.
+};
+
+/// Returns at most `maxRelays` instances in the order in which to try them. The same for the same server and sender, spread
+/// evenly over servers and senders.
+std::vector<peer_address> chooseRelays(std::vector<relay_candidate> candidates, const std::string &server, peer_address sender);
+
+inline constexpr size_t maxRelays = 2; ///< For each send; the caller's time is short.
+
+} // namespace mustardtrail::gateway
--- a/src/gateway/server_directory.h
+++ b/src/gateway/server_directory.h
@@ -69,6 +69,8 @@
     /// Returns the services that have a server.
     std::set<service_id> services() const;
     const known_server *find(const backend_server_id &id) const;
+    /// Whether a known server has this address.
+    bool isKnownAddress(const endpoint &address) const;
     bool isInService(const data_centre_id &dataCentre, time_point now) const;
     bool mayTakeWork(const known_server &server, time_point now) const;
     size_t size() const;
--- /dev/null
+++ b/src/gateway/server_paths.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/endpoint.h"
+
+#include <map>
+#include <optional>
+
+namespace mustardtrail::gateway
+{
+
+/// What this instance knows of its own network paths to the backend servers. A path is lost when this instance cannot open a
+/// connection, or hears nothing on an open one, while the server answers through another instance. Guards against spending
+/// each request on paths that were found dead moments ago.
+class server_paths
+{
+public:
+    /// Whether to send to the server over this instance's own path, not through another instance.
+    bool mayUseOwnPath(const endpoint &server, time_point now);
+    /// Records a connection that this instance opened to the server.
+    void recordConnected(const endpoint &server);
+    /// Records that the server was reached through another instance while the own path failed.
+    void recordLost(const endpoint &server, time_point now);
+    /// Records that an open connection to the server has been silent for too long.
+    void recordSilent(const endpoint &server, time_point now);
+    /// Whether all paths count as lost: several were within a short time, and no connection has been opened since.
+    bool areAllLost() const;
+    /// Whether other instances had better not send through this one.
+    bool hasLostPaths() const;
+    /// Returns a path to try, and starts its backoff; nullopt while none is due.
+    std::optional<endpoint> takeProbe(time_point now);
+    void expire(time_point now);
+
+    static constexpr size_t minLostPaths = 2; ///< For the verdict that all are lost: one may be lost by itself.
+    static constexpr std::chrono::milliseconds lossWindow{ 1'000 }; ///< In which they were lost; covers a few requests.
+    static constexpr std::chrono::milliseconds firstProbeDelay{ 500 }; ///< Doubled after each failed probe.
+    static constexpr std::chrono::milliseconds maxProbeDelay{ 4'000 };
+    static constexpr std::chrono::seconds unusedMaxAge{ 30 }; ///< A path that no request wanted for so long is forgotten.
+
+private:
+    struct lost_path {
+        bool isConfirmed = false; ///< The server was reached in another way.
+        time_point lostAt{};
+        time_point wantedAt{};
+        time_point probeAt{};
+        std::chrono::milliseconds probeDelay{ firstProbeDelay };
+    };
+
+    lost_path &markLost(const endpoint &server, time_point now);
+
+    std::map<endpoint, lost_path> m_lost;
+    bool m_areAllLost = false;
+    std::chrono::milliseconds m_probeDelay{ firstProbeDelay }; ///< While all are lost: of one path for all.
+    time_point m_probeAt{};
+    std::optional<endpoint> m_lastProbed;
+};
+
+} // namespace mustardtrail::gateway
--- a/src/gateway/server_suspicion.h
+++ b/src/gateway/server_suspicion.h
@@ -19,6 +19,8 @@
     /// Suspects the server for the current backoff. Failures while it is already suspected do not count again.
     void recordFailure(server_key server, time_point now);
     void recordSuccess(server_key server);
+    /// Forgets all failures that this instance has seen.
+    void forgetOwnFailures();
     /// Records that bytes of an answer arrived from the server.
     void recordBytes(server_key server, time_point now);
     /// Whether bytes arrived from the server within `responseMaxAge`: then an unanswered request is no sign that it has failed.
--- /dev/null
+++ b/src/gateway/tests/server_paths_test.cpp
@@ -0,0 +1,101 @@
+#include "gateway/server_paths.h"
+
+#include "gateway/tests/test_time.h"
+#include "testing/expect.h"
+
+#include <set>
+#include <vector>
+
+using namespace mustardtrail;
+using namespace mustardtrail::gateway;
+using mustardtrail::gateway::testing::at;
+using mustardtrail::testing::expectEqual;
+
+namespace
+{
+
+const endpoint first{ "10.0.0.1", 80 };
+const endpoint second{ "10.0.0.2", 80 };
+const endpoint third{ "10.0.0.3", 80 };
+
+server_paths allLost(int now)
+{
+    server_paths paths;
+    paths.recordLost(first, at(now));
+    paths.recordLost(second, at(now + 100));
+    return paths;
+}
+
+} // namespace
+
+Test(server_paths, aLostPathIsNotUsedAndTheOthersAre)
+{
+    server_paths paths;
+    paths.recordLost(first, at(0));
+    cr_assert_not(paths.mayUseOwnPath(first, at(10)));
+    cr_assert(paths.mayUseOwnPath(second, at(10)));
+    cr_assert_not(paths.areAllLost());
+}
+
+Test(server_paths, severalPathsLostTogetherMeanThatAllAre)
+{
+    server_paths paths = allLost(0);
+    cr_assert(paths.areAllLost());
+    cr_assert(paths.hasLostPaths());
+    cr_assert_not(paths.mayUseOwnPath(third, at(200)));
+}
+
+Test(server_paths, pathsLostFarApartAreLostOneByOne)
+{
+    server_paths paths;
+    paths.recordLost(first, at(0));
+    paths.recordLost(second, at(1'500));
+    cr_assert_not(paths.areAllLost());
+    cr_assert(paths.mayUseOwnPath(third, at(1'500)));
+}
+
+// A sound server may fall silent for a second or so.
+Test(server_paths, silentServersAreNoSignThatAllPathsAreLost)
+{
+    server_paths paths;
+    paths.recordSilent(first, at(0));
+    paths.recordSilent(second, at(10));
+    cr_assert_not(paths.mayUseOwnPath(first, at(20)));
+    cr_assert_not(paths.areAllLost());
+    cr_assert_not(paths.hasLostPaths());
+}
+
+Test(server_paths, aConnectionThatOpensEndsTheVerdict)
+{
+    server_paths paths = allLost(0);
+    paths.recordConnected(first);
+    cr_assert_not(paths.areAllLost());
+    cr_assert(paths.mayUseOwnPath(first, at(200)));
+    cr_assert(paths.mayUseOwnPath(third, at(200)));
+    cr_assert_not(paths.mayUseOwnPath(second, at(200)));
+}
+
+Test(server_paths, onePathIsProbedWhileAllAreLostEachTimeAnotherAndLessAndLessOften)
+{
+    server_paths paths = allLost(0);
+    std::vector<int> probedAt;
+    std::set<endpoint> probed;
+    for (int now = 0; now < 11'000; now += 100) {
+        if (const auto probe = paths.takeProbe(at(now))) {
+            probedAt.push_back(now);
+            probed.insert(*probe);
+        }
+    }
+    expectEqual(probedAt.size(), size_t{ 4 }); // After 0.5, 1, 2 and 4 s.
+    expectEqual(probed.size(), size_t{ 2 });
+}
+
+Test(server_paths, aPathThatNoRequestWantsIsForgotten)
+{
+    server_paths paths = allLost(0);
+    paths.expire(at(20'000));
+    cr_assert(paths.areAllLost());
+    paths.expire(at(40'000));
+    cr_assert_not(paths.areAllLost());
+    cr_assert(paths.mayUseOwnPath(first, at(40'000)));
+}
