An instance that has lost its paths to the servers sends through another instance

Cause: there was one way to a server, and what a request learned of it was lost with the request (hypotheses 1 and 2 of docs/incidents/recover-instance-without-servers.md).

Why this works: a connection that fails is tried through another instance at once; if that reaches the server, the path is at fault and not the server. All decisions on the request stay here; the relay passes bytes on (docs/design/server-paths.md).

--- a/src/programs/gateway/gateway_context.h
+++ b/src/programs/gateway/gateway_context.h
@@ -8,6 +8,7 @@
 #include "http/client.h"
 #include "programs/gateway/gateway_metrics.h"
 #include "programs/gateway/rate_limited_log.h"
+#include "programs/gateway/server_client.h"
 
 #include <functional>
 #include <map>
@@ -18,7 +19,8 @@
 /// State and services that all requests of one process share. Used only on the thread of its event loop.
 struct gateway_context {
     fleet_state &state;
-    http::client &client;
+    http::client &client; ///< For the store.
+    server_client &servers;
     const monotonic_clock &clock;
     random_source &random;
     rate_limited_log &log;
--- a/src/programs/gateway/gateway_host.cpp
+++ b/src/programs/gateway/gateway_host.cpp
@@ -42,6 +42,11 @@
     return limits;
 }
 
+size_t relayBytes(const platform::instance_settings &settings)
+{
+    return callerLimits(settings).totalBodyBytes / 2;
+}
+
 http::response_message badRequest(int status, int, std::string_view detail)
 {
     return platform::localResponse(status, std::string(detail), std::nullopt);
@@ -69,8 +74,10 @@
           [this](std::string_view event, std::string_view subject, std::string_view detail) {
               m_log.write(log_line(event).add("subject", subject).add("detail", detail));
           })
+    , m_servers(context.get_executor(), m_client, m_state, m_clock, m_log, peerAddressOf(m_settings.address), m_settings.peerPort)
     , m_shared{ m_state,
         m_client,
+        m_servers,
         m_clock,
         m_random,
         m_log,
@@ -125,6 +132,7 @@
               return serveMetrics(exchange);
           },
           badRequest)
+    , m_relayService(context.get_executor(), m_client, m_state, m_log, relayBytes(m_settings))
 {
     m_state.onQuarantined = [this](prompt_part part) {
         for (const auto &[id, stopSending] : m_shared.onQuarantined) {
@@ -155,6 +163,9 @@
     if (auto bound = m_metricsServer.listen({ m_settings.address, m_settings.metricsPort }); !bound) {
         return tl::unexpected(bound.error());
     }
+    if (auto bound = m_relayService.listen({ m_settings.address, m_settings.peerPort }); !bound) {
+        return bound;
+    }
     if (auto bound = m_callerServer.listen(m_settings.callers); !bound) {
         return tl::unexpected(bound.error());
     }
@@ -167,6 +178,7 @@
     asio::co_spawn(m_context, m_peerLink.receiveReports(), rethrowFailure);
     asio::co_spawn(m_context, m_peerLink.reportPeriodically(), rethrowFailure);
     asio::co_spawn(m_context, retryPlacements(), rethrowFailure);
+    asio::co_spawn(m_context, m_servers.probeLostPaths(), rethrowFailure);
 }
 
 bool gateway_host::setPartitionedEndpoints(std::set<endpoint> endpoints)
@@ -245,13 +257,18 @@
     const time_point end = m_clock.now() + m_settings.stopGrace - stopMargin;
     m_shared.isStopping = true;
     m_callerServer.disableKeepAlive();
+    m_relayService.refuseRequests();
     m_log.write(log_line("stop_begins").add("running", static_cast<std::int64_t>(m_activeRequests)));
     asio::steady_timer timer(m_context);
     boost::system::error_code ignored;
     timer.expires_after(balancerRemovalDelay);
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     m_callerServer.stop();
-    while (m_clock.now() < end && (m_activeRequests > 0 || m_callerServer.openConnections() > 0)) {
+    m_relayService.stop();
+    const auto isBusy = [this] {
+        return m_activeRequests > 0 || m_callerServer.openConnections() > 0 || m_relayService.running() > 0;
+    };
+    while (m_clock.now() < end && isBusy()) {
         timer.expires_after(drainPollInterval);
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
--- a/src/programs/gateway/gateway_host.h
+++ b/src/programs/gateway/gateway_host.h
@@ -3,6 +3,7 @@
 #include "http/server.h"
 #include "platform/instance_settings.h"
 #include "programs/gateway/peer_link.h"
+#include "programs/gateway/relay_service.h"
 #include "programs/gateway/store_reader.h"
 
 #include <boost/asio/io_context.hpp>
@@ -45,12 +46,14 @@
     gateway_metrics m_metrics;
     http::client m_client;
     fleet_state m_state;
+    server_client m_servers;
     gateway_context m_shared;
     peer_link m_peerLink;
     store_reader m_storeReader;
     http::server m_callerServer;
     http::server m_readinessServer;
     http::server m_metricsServer;
+    relay_service m_relayService;
     size_t m_activeRequests = 0; ///< Requests without a final answer.
     bool m_wasReady = false;
 };
--- a/src/programs/gateway/hedged_send.cpp
+++ b/src/programs/gateway/hedged_send.cpp
@@ -121,7 +121,7 @@
     }
     auto message = std::move(m_sent.message);
     auto limits = m_sent.limits;
-    auto answer = co_await m_context.client.open(m_sent.address, std::move(message), std::move(limits));
+    auto answer = co_await m_context.servers.open(m_sent.address, std::move(message), std::move(limits), m_sent.attempt);
     if (!answer) {
         m_isDelivered = m_isDelivered && answer.error().outcome != verdict::not_run;
         m_isUnreachable = answer.error().code == error_code::backend_connect_failed;
--- /dev/null
+++ b/src/programs/gateway/relay_service.cpp
@@ -0,0 +1,165 @@
+#include "programs/gateway/relay_service.h"
+
+#include "platform/response_head.h"
+#include "programs/gateway/relay_fields.h"
+
+namespace mustardtrail::gateway
+{
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+constexpr milliseconds connectTimeout{ 150 }; ///< The sender's caller has waited for the sender's own attempt already.
+constexpr milliseconds progressLimit{ 60'000 }; ///< The sender knows the request's time and closes its connection in time.
+
+http::server_limits limitsFor(size_t maxBodyBytes)
+{
+    http::server_limits limits;
+    limits.totalBodyBytes = maxBodyBytes;
+    return limits;
+}
+
+http::response_message refusal(int status, std::string_view outcome)
+{
+    http::response_message message;
+    message.status = status;
+    message.headers.add(std::string(relay_field::outcome), std::string(outcome));
+    return message;
+}
+
+http::response_message refuseUnread(int status, int, std::string_view)
+{
+    return refusal(status, relay_field::notRun);
+}
+
+http::request_message withoutRelayField(const http::request_message &request)
+{
+    http::request_message message;
+    message.method = request.method;
+    message.target = request.target;
+    message.body = request.body;
+    message.headers = withoutFirst(relay_field::server, platform::endToEndHeaders(request.headers));
+    return message;
+}
+
+// The fields of the relay go before the server's own, which may have the same names.
+http::header_list relayedHeaders(const http::response_stream &answer)
+{
+    const std::string_view body = answer.endsWithConnection() ? relay_field::endsWithConnection : relay_field::isFramed;
+    http::header_list headers{ { std::string(relay_field::outcome), std::string(relay_field::passedOn) },
+        { std::string(relay_field::body), std::string(body) } };
+    const http::header_list serverFields = platform::endToEndHeaders(answer.headers());
+    for (const auto &[name, value] : serverFields.fields()) {
+        headers.add(name, value);
+    }
+    return headers;
+}
+
+} // namespace
+
+relay_service::relay_service(
+    asio::any_io_executor executor, http::client &servers, const fleet_state &state, rate_limited_log &log, size_t maxBodyBytes)
+    : m_client(servers)
+    , m_state(state)
+    , m_log(log)
+    , m_server(
+          std::move(executor),
+          limitsFor(maxBodyBytes),
+          [this](http::exchange &exchange) {
+              return serve(exchange);
+          },
+          refuseUnread)
+{
+}
+
+result<void> relay_service::listen(const endpoint &address)
+{
+    if (const auto bound = m_server.listen(address); !bound) {
+        return tl::unexpected(bound.error());
+    }
+    return {};
+}
+
+void relay_service::refuseRequests()
+{
+    m_isStopping = true;
+    m_server.disableKeepAlive();
+}
+
+void relay_service::stop()
+{
+    m_server.stop();
+}
+
+size_t relay_service::running() const
+{
+    return m_running;
+}
+
+asio::awaitable<void> relay_service::serve(http::exchange &exchange)
+{
+    const auto server = endpointFromString(exchange.request().headers.find(relay_field::server));
+    if (m_isStopping || !server || !m_state.servers.isKnownAddress(*server)) {
+        co_await exchange.respond(refusal(503, relay_field::notRun));
+        co_return;
+    }
+    ++m_running;
+    try {
+        co_await passOn(exchange, *server);
+    } catch (const std::exception &thrown) {
+        // Without a finished answer the connection closes: the sender takes the request as one that may have run.
+        m_log.write(log_line("relay_aborted").add("server", toString(*server)).add("detail", thrown.what()));
+    }
+    --m_running;
+}
+
+asio::awaitable<void> relay_service::passOn(http::exchange &exchange, endpoint server)
+{
+    const auto close = std::make_shared<std::function<void()>>();
+    const auto isSenderGone = std::make_shared<bool>(false);
+    exchange.onDisconnect([close, isSenderGone] {
+        *isSenderGone = true;
+        if (*close) {
+            (*close)();
+        }
+    });
+    http::call_limits limits;
+    limits.connect = connectTimeout;
+    limits.firstByte = limits.progress = progressLimit;
+    limits.onConnection = [close, isSenderGone](std::function<void()> closer) {
+        *close = std::move(closer);
+        if (*isSenderGone) {
+            (*close)();
+        }
+    };
+    auto answer = co_await m_client.open(server, withoutRelayField(exchange.request()), std::move(limits));
+    m_log.write(log_line("request_relayed")
+                    .add("server", toString(server))
+                    .add("outcome", answer ? "answered" : toString(answer.error().outcome))
+                    .add("error", answer ? "" : answer.error().detail));
+    if (!answer) {
+        const bool isUnsent = answer.error().outcome == verdict::not_run;
+        co_await exchange.respond(refusal(502, isUnsent ? relay_field::notRun : relay_field::mayHaveRun));
+        co_return;
+    }
+    http::header_list headers = relayedHeaders(**answer);
+    bool isOpen = co_await exchange.startStream((*answer)->status(), std::move(headers));
+    while (isOpen) {
+        const auto bytes = co_await (*answer)->read();
+        if (!bytes) {
+            co_return; // The sender sees an answer that is cut off, as over its own path.
+        }
+        if (bytes->empty()) {
+            break;
+        }
+        isOpen = co_await exchange.write(*bytes);
+    }
+    if (isOpen) {
+        co_await exchange.finishStream();
+    }
+}
+
+} // namespace mustardtrail::gateway
--- /dev/null
+++ b/src/programs/gateway/relay_service.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "gateway/fleet_state.h"
+#include "http/client.h"
+#include "http/server.h"
+#include "programs/gateway/rate_limited_log.h"
+
+namespace mustardtrail::gateway
+{
+
+/// Passes requests of other instances on to backend servers that those cannot reach. Decides nothing about a request and never
+/// relays through a third instance.
+class relay_service
+{
+public:
+    relay_service(
+        boost::asio::any_io_executor executor, http::client &servers, const fleet_state &state, rate_limited_log &log, size_t maxBodyBytes);
+
+    result<void> listen(const endpoint &address);
+    /// From now on no request is passed on, and the others are told so; those that are being answered go on.
+    void refuseRequests();
+    /// Stops accepting connections.
+    void stop();
+    size_t running() const;
+
+private:
+    boost::asio::awaitable<void> serve(http::exchange &exchange);
+    boost::asio::awaitable<void> passOn(http::exchange &exchange, endpoint server);
+
+    http::client &m_client;
+    const fleet_state &m_state;
+    rate_limited_log &m_log;
+    size_t m_running = 0;
+    bool m_isStopping = false;
+    http::server m_server;
+};
+
+} // namespace mustardtrail::gateway
--- a/src/programs/gateway/request_hedge.cpp
+++ b/src/programs/gateway/request_hedge.cpp
@@ -51,6 +51,9 @@
 {
     // A server that answers other requests is slow, not lost; a hedge would only add load.
     const bool isSlow = !m_isStallExtended && m_context.state.serverSuspicion.isResponding(m_currentServer, m_context.clock.now());
+    if (!isSlow) {
+        recordSilence();
+    }
     if (isSlow || !mayHedge()) {
         m_isStallExtended = true;
         watchStall(stallTimeout());
@@ -60,6 +63,13 @@
     watchStall(isSent ? stallTimeout() : hedgeRetryInterval);
 }
 
+void request_session::recordSilence()
+{
+    if (const auto *silent = m_context.state.findServer(m_currentServer)) {
+        m_context.servers.recordSilence(silent->entry.address);
+    }
+}
+
 bool request_session::mayHedge()
 {
     const time_point now = m_context.clock.now();
--- a/src/programs/gateway/request_relay.cpp
+++ b/src/programs/gateway/request_relay.cpp
@@ -211,7 +211,7 @@
     http::request_message message = messageFor(placed, m_reservations.get(), now);
     http::call_limits limits = limitsFor(now);
     watchStall(firstEventTimeout(placed));
-    auto answer = co_await m_context.client.open(address, std::move(message), std::move(limits));
+    auto answer = co_await m_context.servers.open(address, std::move(message), std::move(limits), m_head.attempt);
     if (!answer) {
         m_deliveredSends += answer.error().outcome == verdict::not_run ? 0 : 1;
         m_context.metrics.recordSendOutcome(std::string(toString(answer.error().code)));
--- a/src/programs/gateway/request_session.h
+++ b/src/programs/gateway/request_session.h
@@ -72,6 +72,7 @@
     void watchStall(std::chrono::milliseconds timeout);
     void stopWatchingStall();
     void onStall();
+    void recordSilence();
     bool mayHedge();
     /// Returns false while no other server can take the request.
     bool startHedge();
--- a/src/programs/gateway/reservation_renewal.cpp
+++ b/src/programs/gateway/reservation_renewal.cpp
@@ -97,7 +97,7 @@
 {
     const auto limits = http::call_limits::within(callTimeout);
     auto message = platform::reserveRequest(target.id, nameFor(target.server), target.tokens, m_context.reservations.lease);
-    const auto answer = co_await m_context.client.call(target.address, std::move(message), limits);
+    const auto answer = co_await m_context.servers.call(target.address, std::move(message), limits, m_attempt);
     const int status = answer ? answer->status : 0;
     m_unanswered += answer ? 0 : 1;
     if (m_isReleased) {
@@ -192,7 +192,7 @@
 {
     const auto limits = http::call_limits::within(callTimeout);
     auto message = platform::engineReportRequest(target.id);
-    const auto answer = co_await m_context.client.call(target.address, std::move(message), limits);
+    const auto answer = co_await m_context.servers.call(target.address, std::move(message), limits, m_attempt);
     co_return answer ? platform::readMemoryUse(*answer, nameFor(target.server)) : memory_use::unknown;
 }
 
@@ -232,7 +232,7 @@
     for (int attempt = 0; attempt < maxReleaseAttempts; ++attempt) {
         const auto limits = http::call_limits::within(callTimeout);
         auto message = platform::releaseRequest(nameFor(target.server));
-        const auto answer = co_await m_context.client.call(target.address, std::move(message), limits);
+        const auto answer = co_await m_context.servers.call(target.address, std::move(message), limits, m_attempt);
         if (answer) {
             co_return;
         }
--- /dev/null
+++ b/src/programs/gateway/server_client.cpp
@@ -0,0 +1,209 @@
+#include "programs/gateway/server_client.h"
+
+#include "programs/gateway/relay_fields.h"
+#include "programs/gateway/relayed_answer.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/address_v4.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace mustardtrail::gateway
+{
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+constexpr milliseconds relayConnectTimeout{ 100 }; ///< Other instances are near, and known to be alive.
+constexpr milliseconds relayAvoidance{ 1'000 }; ///< A few reports, which tell whether the instance is alive.
+constexpr milliseconds probeTimeout{ 250 };
+constexpr milliseconds probeInterval{ 100 }; ///< Between looks for a path that is due.
+
+bool isUnsent(const error &problem)
+{
+    return problem.outcome == verdict::not_run;
+}
+
+// The field goes before the caller's own, one of which may have the same name.
+http::request_message addressedTo(const endpoint &server, const http::request_message &message)
+{
+    http::request_message addressed = message;
+    addressed.headers = { { std::string(relay_field::server), toString(server) } };
+    for (const auto &[name, value] : message.headers.fields()) {
+        addressed.headers.add(name, value);
+    }
+    return addressed;
+}
+
+std::string textOf(peer_address instance)
+{
+    return asio::ip::address_v4(instance).to_string();
+}
+
+} // namespace
+
+server_client::server_client(asio::any_io_executor executor,
+    http::client &direct,
+    fleet_state &state,
+    const monotonic_clock &clock,
+    rate_limited_log &log,
+    peer_address self,
+    std::uint16_t relayPort)
+    : m_executor(std::move(executor))
+    , m_direct(direct)
+    , m_state(state)
+    , m_clock(clock)
+    , m_log(log)
+    , m_self(self)
+    , m_relayPort(relayPort)
+{
+}
+
+asio::awaitable<server_client::opened_answer> server_client::open(
+    endpoint server, http::request_message message, http::call_limits limits, attempt_id attempt)
+{
+    const bool triesOwnPath = m_state.paths.mayUseOwnPath(server, m_clock.now());
+    if (triesOwnPath) {
+        auto answer = co_await openDirectly(server, message, limits);
+        const bool isPathFailure = !answer && answer.error().code == error_code::backend_connect_failed;
+        if (!isPathFailure) {
+            co_return answer;
+        }
+        auto relayed = co_await openThroughOthers(server, message, limits, attempt);
+        const bool isUnreachable = !relayed && isUnsent(relayed.error());
+        if (isUnreachable) {
+            co_return answer;
+        }
+        m_direct.closeIdle(server);
+        m_state.recordLostPath(server, m_clock.now());
+        co_return relayed;
+    }
+    auto relayed = co_await openThroughOthers(server, message, limits, attempt);
+    const bool isUnreachable = !relayed && isUnsent(relayed.error());
+    if (!isUnreachable) {
+        co_return relayed;
+    }
+    co_return co_await openDirectly(server, std::move(message), std::move(limits));
+}
+
+asio::awaitable<server_client::opened_answer> server_client::openDirectly(
+    endpoint server, http::request_message message, http::call_limits limits)
+{
+    limits.onOpened = [this, server] {
+        m_state.paths.recordConnected(server);
+    };
+    co_return co_await m_direct.open(server, std::move(message), std::move(limits));
+}
+
+std::vector<peer_address> server_client::relaysFor(const endpoint &server, time_point now) const
+{
+    auto candidates = m_state.peers.relayCandidates(now);
+    for (relay_candidate &each : candidates) {
+        const auto avoided = m_avoidedUntil.find(each.instance);
+        each.hasFailed = avoided != m_avoidedUntil.end() && now < avoided->second;
+    }
+    return chooseRelays(std::move(candidates), toString(server), m_self);
+}
+
+asio::awaitable<server_client::opened_answer> server_client::openThroughOthers(
+    endpoint server, const http::request_message &message, const http::call_limits &limits, attempt_id attempt)
+{
+    for (const peer_address relay : relaysFor(server, m_clock.now())) {
+        auto answer = co_await openThrough(relay, server, message, limits);
+        m_log.write(log_line("send_relayed")
+                        .add("request", attempt.str())
+                        .add("server", toString(server))
+                        .add("relay", textOf(relay))
+                        .add("allPathsLost", m_state.paths.areAllLost() ? "yes" : "no")
+                        .add("outcome", answer ? "answered" : toString(answer.error().outcome))
+                        .add("error", answer ? "" : answer.error().detail));
+        if (answer || !isUnsent(answer.error())) {
+            co_return answer;
+        }
+        m_avoidedUntil[relay] = m_clock.now() + relayAvoidance;
+    }
+    co_return tl::unexpected(
+        error{ error_code::backend_connect_failed, verdict::not_run, "peer=" + toString(server) + " no relay reached it", {} });
+}
+
+asio::awaitable<server_client::opened_answer> server_client::openThrough(
+    peer_address relay, endpoint server, const http::request_message &message, http::call_limits limits)
+{
+    http::request_message relayed = addressedTo(server, message);
+    const endpoint relayAddress{ textOf(relay), m_relayPort };
+    limits.connect = std::min(limits.connect, relayConnectTimeout);
+    auto answer = co_await m_direct.open(relayAddress, std::move(relayed), std::move(limits));
+    if (!answer) {
+        co_return answer;
+    }
+    const std::string_view outcome = (*answer)->headers().find(relay_field::outcome);
+    if (outcome == relay_field::passedOn) {
+        co_return std::make_unique<relayed_answer>(std::move(*answer));
+    }
+    if (outcome == relay_field::notRun) {
+        co_return tl::unexpected(
+            error{ error_code::backend_connect_failed, verdict::not_run, "peer=" + toString(server) + " relay=" + textOf(relay), {} });
+    }
+    co_return tl::unexpected(
+        error{ error_code::backend_connection_lost, verdict::may_have_run, "peer=" + toString(server) + " relay=" + textOf(relay), {} });
+}
+
+asio::awaitable<result<http::response_message>> server_client::call(
+    endpoint server, http::request_message message, http::call_limits limits, attempt_id attempt)
+{
+    const size_t maxBytes = limits.bodyBytes;
+    auto opened = co_await open(std::move(server), std::move(message), std::move(limits), std::move(attempt));
+    if (!opened) {
+        co_return tl::unexpected(opened.error());
+    }
+    co_return co_await http::readWhole(**opened, maxBytes);
+}
+
+void server_client::recordSilence(const endpoint &server)
+{
+    const time_point now = m_clock.now();
+    if (m_state.paths.mayUseOwnPath(server, now)) {
+        m_direct.closeIdle(server);
+        m_state.paths.recordSilent(server, now);
+        return;
+    }
+    if (const auto relays = relaysFor(server, now); !relays.empty()) {
+        m_avoidedUntil[relays.front()] = now + relayAvoidance;
+    }
+}
+
+asio::awaitable<void> server_client::probeLostPaths()
+{
+    asio::steady_timer timer(m_executor);
+    while (true) {
+        timer.expires_after(probeInterval);
+        boost::system::error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        if (const auto due = m_state.paths.takeProbe(m_clock.now())) {
+            asio::co_spawn(m_executor, probe(*due), asio::detached);
+        }
+    }
+}
+
+asio::awaitable<void> server_client::probe(endpoint server)
+{
+    const auto opened = co_await m_direct.openIdle(server, probeTimeout);
+    const bool wereAllLost = m_state.paths.areAllLost();
+    if (opened) {
+        m_state.paths.recordConnected(server);
+    }
+    m_log.write(log_line("server_path_probed")
+                    .add("server", toString(server))
+                    .add("reached", opened ? "yes" : "no")
+                    .add("allPathsLost", wereAllLost ? "yes" : "no")
+                    .add("detail", opened ? "" : opened.error().detail));
+}
+
+} // namespace mustardtrail::gateway
--- /dev/null
+++ b/src/programs/gateway/server_client.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/ids.h"
+#include "gateway/fleet_state.h"
+#include "http/client.h"
+#include "programs/gateway/rate_limited_log.h"
+
+#include <boost/asio/any_io_executor.hpp>
+
+#include <map>
+
+namespace mustardtrail::gateway
+{
+
+/// Sends requests to backend servers: over this instance's own path or, where that is lost, through another instance. A relayed
+/// send has the answers, errors and verdicts of a send to the server itself.
+class server_client
+{
+public:
+    server_client(boost::asio::any_io_executor executor,
+        http::client &direct,
+        fleet_state &state,
+        const monotonic_clock &clock,
+        rate_limited_log &log,
+        peer_address self,
+        std::uint16_t relayPort);
+
+    /// `attempt` is for the log.
+    boost::asio::awaitable<result<std::unique_ptr<http::response_stream>>> open(
+        endpoint server, http::request_message message, http::call_limits limits, attempt_id attempt);
+    boost::asio::awaitable<result<http::response_message>> call(
+        endpoint server, http::request_message message, http::call_limits limits, attempt_id attempt);
+    /// Records that a send to the server has been silent for too long.
+    void recordSilence(const endpoint &server);
+    /// Tries lost paths again, until the event loop ends.
+    boost::asio::awaitable<void> probeLostPaths();
+
+private:
+    using opened_answer = result<std::unique_ptr<http::response_stream>>;
+
+    boost::asio::awaitable<opened_answer> openDirectly(endpoint server, http::request_message message, http::call_limits limits);
+    /// The error is `not_run` and `backend_connect_failed` when no other instance has sent anything to the server.
+    boost::asio::awaitable<opened_answer> openThroughOthers(
+        endpoint server, const http::request_message &message, const http::call_limits &limits, attempt_id attempt);
+    boost::asio::awaitable<opened_answer> openThrough(
+        peer_address relay, endpoint server, const http::request_message &message, http::call_limits limits);
+    std::vector<peer_address> relaysFor(const endpoint &server, time_point now) const;
+    boost::asio::awaitable<void> probe(endpoint server);
+
+    boost::asio::any_io_executor m_executor;
+    http::client &m_direct;
+    fleet_state &m_state;
+    const monotonic_clock &m_clock;
+    rate_limited_log &m_log;
+    peer_address m_self;
+    std::uint16_t m_relayPort;
+    std::map<peer_address, time_point> m_avoidedUntil; ///< Relays that failed.
+};
+
+} // namespace mustardtrail::gateway
--- a/src/programs/gateway/tests/reservation_renewal_test.cpp
+++ b/src/programs/gateway/tests/reservation_renewal_test.cpp
@@ -47,7 +47,24 @@
         : m_client(m_loop.get_executor())
         , m_log(m_clock)
         , m_state({}, data_centre_id("dc"), {}, [](std::string_view, std::string_view, std::string_view) {})
-        , m_context{ m_state, m_client, m_clock, m_random, m_log, m_metrics, milliseconds(1'000), {}, {}, {}, {}, {}, {}, {}, false, {} }
+        , m_serverClient(m_loop.get_executor(), m_client, m_state, m_clock, m_log, 1, 0)
+        , m_context{ m_state,
+            m_client,
+            m_serverClient,
+            m_clock,
+            m_random,
+            m_log,
+            m_metrics,
+            milliseconds(1'000),
+            {},
+            {},
+            {},
+            {},
+            {},
+            {},
+            {},
+            false,
+            {} }
         , m_engines(engineCount)
     {
         host::openLog(host::log_level::warning, "reservation_set_test");
@@ -127,6 +144,7 @@
     rate_limited_log m_log;
     gateway_metrics m_metrics;
     fleet_state m_state;
+    server_client m_serverClient;
     gateway_context m_context;
     std::deque<leasing_engine> m_engines;
     std::shared_ptr<reservation_set> m_reservations;
--- a/src/programs/gateway/tests/send_bench.cpp
+++ b/src/programs/gateway/tests/send_bench.cpp
@@ -26,8 +26,10 @@
     , m_log(m_clock)
     , m_state(1, data_centre_id("dc"), fleet_limits(), ignoreEvent)
     , m_client(m_loop.get_executor(), http::simulated_partitions::allowed)
+    , m_serverClient(m_loop.get_executor(), m_client, m_state, m_clock, m_log, 1, 0)
     , m_context{ m_state,
         m_client,
+        m_serverClient,
         m_clock,
         m_random,
         m_log,
--- a/src/programs/gateway/tests/send_bench.h
+++ b/src/programs/gateway/tests/send_bench.h
@@ -33,6 +33,7 @@
     gateway_metrics m_metrics;
     fleet_state m_state;
     http::client m_client;
+    server_client m_serverClient;
     gateway_context m_context;
     std::vector<std::unique_ptr<http::server>> m_servers;
 };
