--- a/src/programs/gateway/gateway_host.cpp
+++ b/src/programs/gateway/gateway_host.cpp
@@ -164,7 +164,7 @@
         return tl::unexpected(bound.error());
     }
     if (auto bound = m_relayService.listen({ m_settings.address, m_settings.peerPort }); !bound) {
-        return bound;
+        return tl::unexpected(bound.error());
     }
     if (auto bound = m_callerServer.listen(m_settings.callers); !bound) {
         return tl::unexpected(bound.error());
--- a/src/programs/gateway/relay_service.cpp
+++ b/src/programs/gateway/relay_service.cpp
@@ -75,12 +75,9 @@
 {
 }
 
-result<void> relay_service::listen(const endpoint &address)
+result<endpoint> relay_service::listen(const endpoint &address)
 {
-    if (const auto bound = m_server.listen(address); !bound) {
-        return tl::unexpected(bound.error());
-    }
-    return {};
+    return m_server.listen(address);
 }
 
 void relay_service::refuseRequests()
--- a/src/programs/gateway/relay_service.h
+++ b/src/programs/gateway/relay_service.h
@@ -16,7 +16,8 @@
     relay_service(
         boost::asio::any_io_executor executor, http::client &servers, const fleet_state &state, rate_limited_log &log, size_t maxBodyBytes);
 
-    result<void> listen(const endpoint &address);
+    /// Returns the bound endpoint; port 0 selects a free port.
+    result<endpoint> listen(const endpoint &address);
     /// From now on no request is passed on, and the others are told so; those that are being answered go on.
     void refuseRequests();
     /// Stops accepting connections.
--- a/src/programs/gateway/server_client.cpp
+++ b/src/programs/gateway/server_client.cpp
@@ -1,5 +1,6 @@
 #include "programs/gateway/server_client.h"
 
+#include "gateway/path_plan.h"
 #include "programs/gateway/relay_fields.h"
 #include "programs/gateway/relayed_answer.h"
 
@@ -69,28 +70,38 @@
 asio::awaitable<server_client::opened_answer> server_client::open(
     endpoint server, http::request_message message, http::call_limits limits, attempt_id attempt)
 {
-    const bool triesOwnPath = m_state.paths.mayUseOwnPath(server, m_clock.now());
-    if (triesOwnPath) {
-        auto answer = co_await openDirectly(server, message, limits);
-        const bool isPathFailure = !answer && answer.error().code == error_code::backend_connect_failed;
-        if (!isPathFailure) {
-            co_return answer;
+    path_plan plan(m_state.paths.mayUseOwnPath(server, m_clock.now()), relaysFor(server, m_clock.now()));
+    opened_answer answer = tl::unexpected(error{ error_code::backend_connect_failed, verdict::not_run, {}, {} });
+    bool hasOwnPathFailed = false;
+    while (const auto way = plan.next()) {
+        if (way->relay) {
+            answer = co_await openThrough(*way->relay, server, message, limits);
+            logRelayed(*way->relay, server, answer, attempt);
+        } else {
+            answer = co_await openDirectly(server, message, limits);
         }
-        auto relayed = co_await openThroughOthers(server, message, limits, attempt);
-        const bool isUnreachable = !relayed && isUnsent(relayed.error());
-        if (isUnreachable) {
-            co_return answer;
+        const bool isUnreached = !answer && answer.error().code == error_code::backend_connect_failed && isUnsent(answer.error());
+        if (!isUnreached) {
+            if (way->relay && hasOwnPathFailed) {
+                m_direct.closeIdle(server);
+                m_state.recordLostPath(server, m_clock.now());
+            }
+            break;
         }
-        m_direct.closeIdle(server);
-        m_state.recordLostPath(server, m_clock.now());
-        co_return relayed;
-    }
-    auto relayed = co_await openThroughOthers(server, message, limits, attempt);
-    const bool isUnreachable = !relayed && isUnsent(relayed.error());
-    if (!isUnreachable) {
-        co_return relayed;
+        hasOwnPathFailed = hasOwnPathFailed || !way->relay;
     }
-    co_return co_await openDirectly(server, std::move(message), std::move(limits));
+    co_return answer;
+}
+
+void server_client::logRelayed(peer_address relay, const endpoint &server, const opened_answer &answer, const attempt_id &attempt)
+{
+    m_log.write(log_line("send_relayed")
+                    .add("request", attempt.str())
+                    .add("server", toString(server))
+                    .add("relay", textOf(relay))
+                    .add("allPathsLost", m_state.paths.areAllLost() ? "yes" : "no")
+                    .add("outcome", answer ? "answered" : toString(answer.error().outcome))
+                    .add("error", answer ? "" : answer.error().detail));
 }
 
 asio::awaitable<server_client::opened_answer> server_client::openDirectly(
@@ -102,37 +113,21 @@
     co_return co_await m_direct.open(server, std::move(message), std::move(limits));
 }
 
+bool server_client::isAvoided(const relayed_path &path, time_point now) const
+{
+    const auto avoided = m_avoidedUntil.find(path);
+    return avoided != m_avoidedUntil.end() && now < avoided->second;
+}
+
 std::vector<peer_address> server_client::relaysFor(const endpoint &server, time_point now) const
 {
     auto candidates = m_state.peers.relayCandidates(now);
     for (relay_candidate &each : candidates) {
-        const auto avoided = m_avoidedUntil.find(each.instance);
-        each.hasFailed = avoided != m_avoidedUntil.end() && now < avoided->second;
+        each.hasFailed = isAvoided({ each.instance, {} }, now) || isAvoided({ each.instance, server }, now);
     }
     return chooseRelays(std::move(candidates), toString(server), m_self);
 }
 
-asio::awaitable<server_client::opened_answer> server_client::openThroughOthers(
-    endpoint server, const http::request_message &message, const http::call_limits &limits, attempt_id attempt)
-{
-    for (const peer_address relay : relaysFor(server, m_clock.now())) {
-        auto answer = co_await openThrough(relay, server, message, limits);
-        m_log.write(log_line("send_relayed")
-                        .add("request", attempt.str())
-                        .add("server", toString(server))
-                        .add("relay", textOf(relay))
-                        .add("allPathsLost", m_state.paths.areAllLost() ? "yes" : "no")
-                        .add("outcome", answer ? "answered" : toString(answer.error().outcome))
-                        .add("error", answer ? "" : answer.error().detail));
-        if (answer || !isUnsent(answer.error())) {
-            co_return answer;
-        }
-        m_avoidedUntil[relay] = m_clock.now() + relayAvoidance;
-    }
-    co_return tl::unexpected(
-        error{ error_code::backend_connect_failed, verdict::not_run, "peer=" + toString(server) + " no relay reached it", {} });
-}
-
 asio::awaitable<server_client::opened_answer> server_client::openThrough(
     peer_address relay, endpoint server, const http::request_message &message, http::call_limits limits)
 {
@@ -140,7 +135,10 @@
     const endpoint relayAddress{ textOf(relay), m_relayPort };
     limits.connect = std::min(limits.connect, relayConnectTimeout);
     auto answer = co_await m_direct.open(relayAddress, std::move(relayed), std::move(limits));
+    const time_point now = m_clock.now();
     if (!answer) {
+        m_avoidedUntil[{ relay, {} }] = now + relayAvoidance;
+        answer.error().code = isUnsent(answer.error()) ? error_code::backend_connect_failed : answer.error().code;
         co_return answer;
     }
     const std::string_view outcome = (*answer)->headers().find(relay_field::outcome);
@@ -148,6 +146,7 @@
         co_return std::make_unique<relayed_answer>(std::move(*answer));
     }
     if (outcome == relay_field::notRun) {
+        m_avoidedUntil[{ relay, server }] = now + relayAvoidance;
         co_return tl::unexpected(
             error{ error_code::backend_connect_failed, verdict::not_run, "peer=" + toString(server) + " relay=" + textOf(relay), {} });
     }
@@ -175,7 +174,7 @@
         return;
     }
     if (const auto relays = relaysFor(server, now); !relays.empty()) {
-        m_avoidedUntil[relays.front()] = now + relayAvoidance;
+        m_avoidedUntil[{ relays.front(), server }] = now + relayAvoidance;
     }
 }
 
@@ -186,7 +185,11 @@
         timer.expires_after(probeInterval);
         boost::system::error_code ignored;
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-        if (const auto due = m_state.paths.takeProbe(m_clock.now())) {
+        const time_point now = m_clock.now();
+        std::erase_if(m_avoidedUntil, [now](const auto &entry) {
+            return now >= entry.second;
+        });
+        if (const auto due = m_state.paths.takeProbe(now)) {
             asio::co_spawn(m_executor, probe(*due), asio::detached);
         }
     }
--- a/src/programs/gateway/server_client.h
+++ b/src/programs/gateway/server_client.h
@@ -37,14 +37,16 @@
     boost::asio::awaitable<void> probeLostPaths();
 
 private:
+    /// A relay, and a server behind it; without a server, the way to the relay.
+    using relayed_path = std::pair<peer_address, endpoint>;
     using opened_answer = result<std::unique_ptr<http::response_stream>>;
 
     boost::asio::awaitable<opened_answer> openDirectly(endpoint server, http::request_message message, http::call_limits limits);
-    /// The error is `not_run` and `backend_connect_failed` when no other instance has sent anything to the server.
-    boost::asio::awaitable<opened_answer> openThroughOthers(
-        endpoint server, const http::request_message &message, const http::call_limits &limits, attempt_id attempt);
+    /// The error is `not_run` and `backend_connect_failed` when the relay has sent nothing to the server.
     boost::asio::awaitable<opened_answer> openThrough(
         peer_address relay, endpoint server, const http::request_message &message, http::call_limits limits);
+    void logRelayed(peer_address relay, const endpoint &server, const opened_answer &answer, const attempt_id &attempt);
+    bool isAvoided(const relayed_path &path, time_point now) const;
     std::vector<peer_address> relaysFor(const endpoint &server, time_point now) const;
     boost::asio::awaitable<void> probe(endpoint server);
 
@@ -55,7 +57,7 @@
     rate_limited_log &m_log;
     peer_address m_self;
     std::uint16_t m_relayPort;
-    std::map<peer_address, time_point> m_avoidedUntil; ///< Relays that failed.
+    std::map<relayed_path, time_point> m_avoidedUntil; ///< Relays that failed, and the ways from a relay to a server that did.
 };
 
 } // namespace mustardtrail::gateway
--- /dev/null
+++ b/src/programs/gateway/tests/relay_service_test.cpp
@@ -0,0 +1,160 @@
+#include "programs/gateway/relay_service.h"
+
+#include "programs/gateway/relay_fields.h"
+#include "programs/gateway/tests/send_bench.h"
+#include "testing/expect.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+using namespace mustardtrail;
+using namespace mustardtrail::gateway;
+using namespace mustardtrail::gateway::testing;
+using mustardtrail::testing::expectEqual;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+constexpr size_t maxBodyBytes = 1'024 * 1'024;
+
+// Criterion runs each test in its own process, so these are as here at first in each test.
+int runs = 0;
+bool isServersCallerGone = false;
+std::string foreignField;
+
+boost::asio::awaitable<void> answerWhole(http::exchange &exchange)
+{
+    ++runs;
+    foreignField = exchange.request().headers.find(relay_field::server);
+    http::response_message message = http::makeResponse(200, "done", "text/plain");
+    message.headers.add(std::string(relay_field::outcome), std::string(relay_field::notRun)); // A server's own field of that name.
+    co_await exchange.respond(std::move(message));
+}
+
+boost::asio::awaitable<void> breakOff(http::exchange &exchange)
+{
+    ++runs;
+    http::header_list head;
+    co_await exchange.startStream(200, std::move(head));
+    co_await exchange.write("id: 1\ndata: a\n\n");
+}
+
+boost::asio::awaitable<void> answerNever(http::exchange &exchange)
+{
+    exchange.onDisconnect([] {
+        isServersCallerGone = true;
+    });
+    boost::asio::steady_timer wait(exchange.executor(), std::chrono::seconds(3));
+    co_await wait.async_wait(boost::asio::use_awaitable);
+}
+
+boost::asio::awaitable<void> callRelay(
+    http::client &client, endpoint relay, http::request_message message, result<http::response_message> &got)
+{
+    http::call_limits limits = http::call_limits::within(milliseconds(400));
+    got = co_await client.call(relay, std::move(message), limits);
+}
+
+/// A relay that knows one backend server.
+class relay_bench
+{
+public:
+    explicit relay_bench(http::handler serve)
+        : m_service(m_bench.executor(), m_bench.client(), m_bench.context().state, m_bench.context().log, maxBodyBytes)
+        , m_server(m_bench.addServer(std::move(serve)))
+    {
+        listed_server entry;
+        entry.id = backend_server_id("s-1");
+        entry.service = service_id("desk");
+        entry.dataCentre = data_centre_id("dc");
+        entry.address = m_server;
+        m_bench.context().state.servers.put(entry, m_bench.context().clock.now());
+        m_address = *m_service.listen({ "127.0.0.1", 0 });
+    }
+
+    result<http::response_message> call(const endpoint &server, const http::header_list &more = {})
+    {
+        http::request_message message;
+        message.headers.add(std::string(relay_field::server), toString(server));
+        for (const auto &[name, value] : more.fields()) {
+            message.headers.add(name, value);
+        }
+        result<http::response_message> got;
+        boost::asio::co_spawn(m_bench.executor(), callRelay(m_bench.client(), m_address, std::move(message), got), boost::asio::detached);
+        m_bench.runFor(milliseconds(800));
+        return got;
+    }
+
+    const endpoint &server() const
+    {
+        return m_server;
+    }
+
+    relay_service &service()
+    {
+        return m_service;
+    }
+
+private:
+    send_bench m_bench;
+    relay_service m_service;
+    endpoint m_server;
+    endpoint m_address;
+};
+
+} // namespace
+
+Test(relay_service, passesOnWhatTheServerSaysAndNamesItAsItsOwn)
+{
+    relay_bench relay(answerWhole);
+    const auto got = relay.call(relay.server());
+    cr_assert(got.has_value());
+    expectEqual(got->body, std::string("done"));
+    expectEqual(got->headers.find(relay_field::outcome), relay_field::passedOn);
+    expectEqual(foreignField, std::string());
+}
+
+Test(relay_service, aFieldOfTheCallerDoesNotChooseTheServer)
+{
+    relay_bench relay(answerWhole);
+    const auto got = relay.call(relay.server(), { { std::string(relay_field::server), "127.0.0.1:1" } });
+    cr_assert(got.has_value());
+    expectEqual(got->status, 200);
+    expectEqual(foreignField, std::string("127.0.0.1:1"));
+}
+
+Test(relay_service, sendsToNoServerThatIsNotListed)
+{
+    relay_bench relay(answerWhole);
+    const auto got = relay.call({ "127.0.0.1", 9 });
+    cr_assert(got.has_value());
+    expectEqual(got->headers.find(relay_field::outcome), relay_field::notRun);
+    expectEqual(runs, 0);
+}
+
+Test(relay_service, anAnswerThatIsCutOffIsCutOffForTheSenderToo)
+{
+    relay_bench relay(breakOff);
+    cr_assert_not(relay.call(relay.server()).has_value());
+    expectEqual(runs, 1);
+}
+
+Test(relay_service, leavesTheServerWhenTheSenderDoes)
+{
+    relay_bench relay(answerNever);
+    cr_assert_not(relay.call(relay.server()).has_value());
+    cr_assert(isServersCallerGone);
+}
+
+Test(relay_service, refusesWithNothingSentOnceItsInstanceStops)
+{
+    relay_bench relay(answerWhole);
+    relay.service().refuseRequests();
+    const auto got = relay.call(relay.server());
+    cr_assert(got.has_value());
+    expectEqual(got->headers.find(relay_field::outcome), relay_field::notRun);
+    expectEqual(runs, 0);
+}
