A server that answers others is slow with one request, not out of reach

Cause: one request's silence was taken for the path's. Now it is, only if the server has answered nothing over that path meanwhile. server_paths/aServerThatAnswersOthersIsSlowAndNotOutOfReach fails without the check.

Beside it, for the relay: it logs the request's id, and reuses a connection only within a second of its last use, so that a request that may not run twice is rarely lost to a server that closes it. Both are from reading, without a test of their own.

--- a/src/gateway/internal/server_paths.cpp
+++ b/src/gateway/internal/server_paths.cpp
@@ -47,9 +47,19 @@
     }
 }
 
-void server_paths::recordSilent(const endpoint &server, time_point now)
+void server_paths::recordHeard(const endpoint &server, time_point now)
 {
+    m_heardAt[server] = now;
+}
+
+bool server_paths::recordSilent(const endpoint &server, time_point silentSince, time_point now)
+{
+    const auto heard = m_heardAt.find(server);
+    if (heard != m_heardAt.end() && heard->second > silentSince) {
+        return false;
+    }
     markLost(server, now);
+    return true;
 }
 
 bool server_paths::areAllLost() const
@@ -94,6 +104,9 @@
         return now - entry.second.wantedAt > unusedMaxAge;
     });
     m_areAllLost = m_areAllLost && !m_lost.empty();
+    std::erase_if(m_heardAt, [now](const auto &entry) {
+        return now - entry.second > unusedMaxAge;
+    });
 }
 
 } // namespace mustardtrail::gateway
--- a/src/gateway/server_paths.h
+++ b/src/gateway/server_paths.h
@@ -21,8 +21,11 @@
     void recordConnected(const endpoint &server);
     /// Records that the server was reached through another instance while the own path failed.
     void recordLost(const endpoint &server, time_point now);
-    /// Records that an open connection to the server has been silent for too long.
-    void recordSilent(const endpoint &server, time_point now);
+    /// Records that the server answered a request over the own path.
+    void recordHeard(const endpoint &server, time_point now);
+    /// Records that an open connection to the server has been silent since then. Returns false, without effect, when the server
+    /// has answered others meanwhile: it is slow with that request, and the path is sound.
+    bool recordSilent(const endpoint &server, time_point silentSince, time_point now);
     /// Whether all paths count as lost: several were within a short time, and no connection has been opened since.
     bool areAllLost() const;
     /// Whether other instances had better not send through this one.
@@ -49,6 +52,7 @@
     lost_path &markLost(const endpoint &server, time_point now);
 
     std::map<endpoint, lost_path> m_lost;
+    std::map<endpoint, time_point> m_heardAt;
     bool m_areAllLost = false;
     std::chrono::milliseconds m_probeDelay{ firstProbeDelay }; ///< While all are lost: of one path for all.
     time_point m_probeAt{};
--- a/src/gateway/tests/server_paths_test.cpp
+++ b/src/gateway/tests/server_paths_test.cpp
@@ -58,13 +58,24 @@
 Test(server_paths, silentServersAreNoSignThatAllPathsAreLost)
 {
     server_paths paths;
-    paths.recordSilent(first, at(0));
-    paths.recordSilent(second, at(10));
+    paths.recordSilent(first, at(-350), at(0));
+    paths.recordSilent(second, at(-350), at(10));
     cr_assert_not(paths.mayUseOwnPath(first, at(20)));
     cr_assert_not(paths.areAllLost());
     cr_assert_not(paths.hasLostPaths());
 }
 
+// Each slow answer of a plain service cost its open connections, and a new one to look at the path.
+Test(server_paths, aServerThatAnswersOthersIsSlowAndNotOutOfReach)
+{
+    server_paths paths;
+    paths.recordHeard(first, at(100));
+    cr_assert_not(paths.recordSilent(first, at(0), at(350)));
+    cr_assert(paths.mayUseOwnPath(first, at(350)));
+    cr_assert(paths.recordSilent(first, at(200), at(550)));
+    cr_assert_not(paths.mayUseOwnPath(first, at(550)));
+}
+
 Test(server_paths, aConnectionThatOpensEndsTheVerdict)
 {
     server_paths paths = allLost(0);
--- a/src/programs/gateway/relay_service.cpp
+++ b/src/programs/gateway/relay_service.cpp
@@ -1,5 +1,6 @@
 #include "programs/gateway/relay_service.h"
 
+#include "platform/request_head.h"
 #include "platform/response_head.h"
 #include "programs/gateway/relay_fields.h"
 
@@ -13,6 +14,7 @@
 {
 
 constexpr milliseconds connectTimeout{ 150 }; ///< The sender's caller has waited for the sender's own attempt already.
+constexpr milliseconds maxReuseIdle{ 1'000 }; ///< The request may be one that must not be lost to a server that closes meanwhile.
 constexpr milliseconds progressLimit{ 60'000 }; ///< The sender knows the request's time and closes its connection in time.
 
 http::server_limits limitsFor(size_t maxBodyBytes)
@@ -126,6 +128,7 @@
     http::call_limits limits;
     limits.connect = connectTimeout;
     limits.firstByte = limits.progress = progressLimit;
+    limits.maxIdleForReuse = maxReuseIdle;
     limits.onConnection = [close, isSenderGone](std::function<void()> closer) {
         *close = std::move(closer);
         if (*isSenderGone) {
@@ -134,6 +137,7 @@
     };
     auto answer = co_await m_client.open(server, withoutRelayField(exchange.request()), std::move(limits));
     m_log.write(log_line("request_relayed")
+                    .add("request", platform::readRequestHead(exchange.request()).attempt.str())
                     .add("server", toString(server))
                     .add("outcome", answer ? "answered" : toString(answer.error().outcome))
                     .add("error", answer ? "" : answer.error().detail));
--- a/src/programs/gateway/request_hedge.cpp
+++ b/src/programs/gateway/request_hedge.cpp
@@ -66,7 +66,8 @@
 void request_session::recordSilence()
 {
     if (const auto *silent = m_context.state.findServer(m_currentServer)) {
-        m_context.servers.recordSilence(silent->entry.address);
+        const time_point silentSince = m_firstEventOfSendAt ? m_lastEventAt : m_sentAt;
+        m_context.servers.recordSilence(silent->entry.address, silentSince);
     }
 }
 
--- a/src/programs/gateway/server_client.cpp
+++ b/src/programs/gateway/server_client.cpp
@@ -110,7 +110,11 @@
     limits.onOpened = [this, server] {
         m_state.paths.recordConnected(server);
     };
-    co_return co_await m_direct.open(server, std::move(message), std::move(limits));
+    auto answer = co_await m_direct.open(server, std::move(message), std::move(limits));
+    if (answer) {
+        m_state.paths.recordHeard(server, m_clock.now());
+    }
+    co_return answer;
 }
 
 bool server_client::isAvoided(const relayed_path &path, time_point now) const
@@ -165,12 +169,13 @@
     co_return co_await http::readWhole(**opened, maxBytes);
 }
 
-void server_client::recordSilence(const endpoint &server)
+void server_client::recordSilence(const endpoint &server, time_point silentSince)
 {
     const time_point now = m_clock.now();
     if (m_state.paths.mayUseOwnPath(server, now)) {
-        m_direct.closeIdle(server);
-        m_state.paths.recordSilent(server, now);
+        if (m_state.paths.recordSilent(server, silentSince, now)) {
+            m_direct.closeIdle(server);
+        }
         return;
     }
     if (const auto relays = relaysFor(server, now); !relays.empty()) {
--- a/src/programs/gateway/server_client.h
+++ b/src/programs/gateway/server_client.h
@@ -31,8 +31,8 @@
         endpoint server, http::request_message message, http::call_limits limits, attempt_id attempt);
     boost::asio::awaitable<result<http::response_message>> call(
         endpoint server, http::request_message message, http::call_limits limits, attempt_id attempt);
-    /// Records that a send to the server has been silent for too long.
-    void recordSilence(const endpoint &server);
+    /// Records that a send to the server has been silent since then, which is too long.
+    void recordSilence(const endpoint &server, time_point silentSince);
     /// Tries lost paths again, until the event loop ends.
     boost::asio::awaitable<void> probeLostPaths();
 
