One silent request does not make a path count as lost

Cause: silence of requests to one server does not tell a slow request from a dead connection. Now it takes two silent servers and no answer from any since. A connection that died costs one request, as before; the next one opens a connection, and that tells.

--- a/src/gateway/internal/server_paths.cpp
+++ b/src/gateway/internal/server_paths.cpp
@@ -52,10 +52,21 @@
     m_heardAt[server] = now;
 }
 
+bool server_paths::areSeveralSilent(time_point silentSince, time_point now) const
+{
+    const bool isAnyHeard = std::any_of(m_heardAt.begin(), m_heardAt.end(), [silentSince](const auto &entry) {
+        return entry.second > silentSince;
+    });
+    const auto silent = std::count_if(m_silentAt.begin(), m_silentAt.end(), [now](const auto &entry) {
+        return now - entry.second <= lossWindow;
+    });
+    return !isAnyHeard && static_cast<size_t>(silent) >= minLostPaths;
+}
+
 bool server_paths::recordSilent(const endpoint &server, time_point silentSince, time_point now)
 {
-    const auto heard = m_heardAt.find(server);
-    if (heard != m_heardAt.end() && heard->second > silentSince) {
+    m_silentAt[server] = now;
+    if (!areSeveralSilent(silentSince, now)) {
         return false;
     }
     markLost(server, now);
@@ -104,9 +115,11 @@
         return now - entry.second.wantedAt > unusedMaxAge;
     });
     m_areAllLost = m_areAllLost && !m_lost.empty();
-    std::erase_if(m_heardAt, [now](const auto &entry) {
+    const auto isOld = [now](const auto &entry) {
         return now - entry.second > unusedMaxAge;
-    });
+    };
+    std::erase_if(m_heardAt, isOld);
+    std::erase_if(m_silentAt, isOld);
 }
 
 } // namespace mustardtrail::gateway
--- a/src/gateway/server_paths.h
+++ b/src/gateway/server_paths.h
@@ -23,8 +23,8 @@
     void recordLost(const endpoint &server, time_point now);
     /// Records that the server answered a request over the own path.
     void recordHeard(const endpoint &server, time_point now);
-    /// Records that an open connection to the server has been silent since then. Returns false, without effect, when the server
-    /// has answered others meanwhile: it is slow with that request, and the path is sound.
+    /// Records that a request on an open connection to the server has been silent since then. Returns whether the path counts as
+    /// lost: when another server is silent too and none has answered since. Else the server may be slow with that request.
     bool recordSilent(const endpoint &server, time_point silentSince, time_point now);
     /// Whether all paths count as lost: several were within a short time, and no connection has been opened since.
     bool areAllLost() const;
@@ -49,10 +49,12 @@
         std::chrono::milliseconds probeDelay{ firstProbeDelay };
     };
 
+    bool areSeveralSilent(time_point silentSince, time_point now) const;
     lost_path &markLost(const endpoint &server, time_point now);
 
     std::map<endpoint, lost_path> m_lost;
     std::map<endpoint, time_point> m_heardAt;
+    std::map<endpoint, time_point> m_silentAt; ///< Of the latest request that was silent for too long.
     bool m_areAllLost = false;
     std::chrono::milliseconds m_probeDelay{ firstProbeDelay }; ///< While all are lost: of one path for all.
     time_point m_probeAt{};
