Relays are looked for only when a send needs one

From reading; no figure was taken. path_plan asks for the relays when it needs the first, and ranks each once.

--- a/src/gateway/internal/relay_choice.cpp
+++ b/src/gateway/internal/relay_choice.cpp
@@ -8,21 +8,18 @@
 namespace mustardtrail::gateway
 {
 
-std::vector<peer_address> chooseRelays(std::vector<relay_candidate> candidates, const std::string &server, peer_address sender)
+std::vector<peer_address> chooseRelays(const std::vector<relay_candidate> &candidates, const std::string &server, peer_address sender)
 {
     const std::string key = server + ' ' + std::to_string(sender);
-    const auto rank = [&key](const relay_candidate &each) {
+    std::vector<std::tuple<bool, bool, bool, std::uint64_t, peer_address>> ranked; // Best first.
+    for (const relay_candidate &each : candidates) {
         const std::uint64_t weight = rendezvousWeight(key, std::to_string(each.instance));
-        return std::tuple(each.hasFailed, each.hasLostPaths, !each.isNear, ~weight);
-    };
-    std::sort(candidates.begin(), candidates.end(), [&rank](const relay_candidate &left, const relay_candidate &right) {
-        return rank(left) < rank(right);
-    });
+        ranked.emplace_back(each.hasFailed, each.hasLostPaths, !each.isNear, ~weight, each.instance);
+    }
+    std::sort(ranked.begin(), ranked.end());
     std::vector<peer_address> chosen;
-    for (const relay_candidate &each : candidates) {
-        if (chosen.size() < maxRelays) {
-            chosen.push_back(each.instance);
-        }
+    for (size_t index = 0; index < std::min(ranked.size(), maxRelays); ++index) {
+        chosen.push_back(std::get<peer_address>(ranked[index]));
     }
     return chosen;
 }
--- a/src/gateway/path_plan.h
+++ b/src/gateway/path_plan.h
@@ -2,6 +2,7 @@
 
 #include "gateway/peer_address.h"
 
+#include <functional>
 #include <optional>
 #include <vector>
 
@@ -17,12 +18,15 @@
         std::optional<peer_address> relay; ///< Without one: the own path.
     };
 
-    path_plan(bool mayUseOwnPath, std::vector<peer_address> relays);
+    /// `findRelays` is called when the first relay is needed, as most sends need none.
+    path_plan(bool mayUseOwnPath, std::function<std::vector<peer_address>()> findRelays);
 
     /// Returns the next way to try; nullopt when all have failed.
     std::optional<way> next();
 
 private:
+    bool m_mayUseOwnPath;
+    std::function<std::vector<peer_address>()> m_findRelays;
     std::vector<way> m_ways;
     size_t m_tried = 0;
 };
--- a/src/gateway/relay_choice.h
+++ b/src/gateway/relay_choice.h
@@ -19,7 +19,7 @@
 
 /// Returns at most `maxRelays` instances in the order in which to try them. The same for the same server and sender, spread
 /// evenly over servers and senders.
-std::vector<peer_address> chooseRelays(std::vector<relay_candidate> candidates, const std::string &server, peer_address sender);
+std::vector<peer_address> chooseRelays(const std::vector<relay_candidate> &candidates, const std::string &server, peer_address sender);
 
 inline constexpr size_t maxRelays = 2; ///< For each send; the caller's time is short.
 
--- a/src/gateway/tests/path_cuts_test.cpp
+++ b/src/gateway/tests/path_cuts_test.cpp
@@ -35,7 +35,9 @@
     bool request(size_t instance, size_t server, int now)
     {
         const time_point moment = at(now);
-        path_plan plan(paths[instance].mayUseOwnPath(servers[server], moment), relays(instance, server, now));
+        path_plan plan(paths[instance].mayUseOwnPath(servers[server], moment), [&] {
+            return relays(instance, server, now);
+        });
         bool hasOwnPathFailed = false;
         attempts = 0;
         while (const auto way = plan.next()) {
@@ -69,7 +71,7 @@
                 candidates.push_back({ static_cast<peer_address>(other + 1), other % 3 == instance % 3, reported[other], hasFailed });
             }
         }
-        return chooseRelays(std::move(candidates), toString(servers[server]), static_cast<peer_address>(instance + 1));
+        return chooseRelays(candidates, toString(servers[server]), static_cast<peer_address>(instance + 1));
     }
 
     /// What happens beside the requests: reports and probes.
--- a/src/programs/gateway/server_client.cpp
+++ b/src/programs/gateway/server_client.cpp
@@ -70,7 +70,9 @@
 asio::awaitable<server_client::opened_answer> server_client::open(
     endpoint server, http::request_message message, http::call_limits limits, attempt_id attempt)
 {
-    path_plan plan(m_state.paths.mayUseOwnPath(server, m_clock.now()), relaysFor(server, m_clock.now()));
+    path_plan plan(m_state.paths.mayUseOwnPath(server, m_clock.now()), [this, server] {
+        return relaysFor(server, m_clock.now());
+    });
     opened_answer answer = tl::unexpected(error{ error_code::backend_connect_failed, verdict::not_run, {}, {} });
     bool hasOwnPathFailed = false;
     while (const auto way = plan.next()) {
@@ -129,7 +131,7 @@
     for (relay_candidate &each : candidates) {
         each.hasFailed = isAvoided({ each.instance, {} }, now) || isAvoided({ each.instance, server }, now);
     }
-    return chooseRelays(std::move(candidates), toString(server), m_self);
+    return chooseRelays(candidates, toString(server), m_self);
 }
 
 asio::awaitable<server_client::opened_answer> server_client::openThrough(
