A request behind a stream is served although the server stops

Callers saw: a connection that was kept by the answer before ended without an answer to the request that had already arrived on it, when the instance was stopped while that answer was being streamed.

Cause: the loop of a connection ended with the server's stop even if bytes of the next request were there; they were read and discarded by the drain that protects a last response.

--- a/src/http/internal/connection.cpp
+++ b/src/http/internal/connection.cpp
@@ -161,7 +161,7 @@
 {
     const auto keepAlive = shared_from_this();
     bool keepOpen = true;
-    while (keepOpen && !m_state->stopping) {
+    while (keepOpen && (!m_state->stopping || hasUnreadBytes())) {
         keepOpen = co_await serveRequest();
     }
     boost::system::error_code ignored;
@@ -169,6 +169,12 @@
     co_await drain();
 }
 
+bool connection::hasUnreadBytes()
+{
+    boost::system::error_code failure;
+    return m_buffer.size() > 0 || m_stream.socket().available(failure) > 0;
+}
+
 void connection::closeIfIdle()
 {
     asio::post(m_stream.get_executor(), [self = shared_from_this()] {
--- a/src/http/internal/connection.h
+++ b/src/http/internal/connection.h
@@ -57,6 +57,7 @@
     boost::asio::awaitable<bool> serveRequest();
     boost::asio::awaitable<bool> refuseUnlessClosed(boost::system::error_code failure);
     boost::asio::awaitable<void> drain();
+    bool hasUnreadBytes();
     boost::asio::awaitable<bool> refuse(int status, error_code code, std::string_view detail);
 
     std::shared_ptr<server::shared_state> m_state;
--- /dev/null
+++ b/src/http/tests/closing_connection_test.cpp
@@ -0,0 +1,94 @@
+#include "http/tests/http_harness.h"
+
+#include "testing/criterion.h"
+
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
+#include <atomic>
+
+using namespace mustardtrail;
+using namespace mustardtrail::http;
+namespace asio = boost::asio;
+
+namespace
+{
+
+/// Connection of a caller that is kept for several requests.
+class kept_connection
+{
+public:
+    explicit kept_connection(const endpoint &to)
+        : m_socket(m_context)
+    {
+        m_socket.connect({ asio::ip::make_address(to.address), to.port });
+    }
+
+    void send(const std::string &bytes)
+    {
+        asio::write(m_socket, asio::buffer(bytes));
+    }
+
+    void readUntil(const std::string &end)
+    {
+        asio::read_until(m_socket, m_received, end);
+        m_received.consume(m_received.size());
+    }
+
+    std::string readToEnd(boost::system::error_code &end)
+    {
+        std::string text;
+        std::array<char, 1024> bytes{};
+        while (true) {
+            const size_t count = m_socket.read_some(asio::buffer(bytes), end);
+            if (end) {
+                return text;
+            }
+            text.append(bytes.data(), count);
+        }
+    }
+
+private:
+    asio::io_context m_context;
+    asio::ip::tcp::socket m_socket;
+    asio::streambuf m_received;
+};
+
+asio::awaitable<void> streamUntilReleased(std::atomic<bool> &isReleased, exchange &incoming)
+{
+    co_await incoming.startStream(200, header_list());
+    co_await incoming.write("begun");
+    asio::steady_timer pause(incoming.executor());
+    while (!isReleased) {
+        pause.expires_after(std::chrono::milliseconds(5));
+        boost::system::error_code ignored;
+        co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    co_await incoming.finishStream();
+}
+
+} // namespace
+
+// The answer to the first request promised that the connection is kept.
+Test(http, aRequestThatArrivedBehindAStreamIsServedAlthoughTheServerStops)
+{
+    std::atomic<bool> isReleased{ false };
+    http::testing::http_harness harness({}, [&](exchange &incoming) {
+        return streamUntilReleased(isReleased, incoming);
+    });
+    kept_connection caller(harness.address());
+    const std::string request = "GET / HTTP/1.1\r\n\r\n";
+    caller.send(request);
+    caller.readUntil("begun");
+    caller.send(request);
+    harness.httpServer().stop();
+    isReleased = true;
+    boost::system::error_code end;
+    const std::string rest = caller.readToEnd(end);
+    cr_assert(rest.find("HTTP/1.1 200") != std::string::npos, "no answer to the second request in: %s", rest.c_str());
+}
