--- a/src/programs/gateway/gateway_host.cpp
+++ b/src/programs/gateway/gateway_host.cpp
@@ -25,6 +25,7 @@
 constexpr milliseconds finalAnswerTime{ 200 }; ///< For the answers to the requests that have not been served when the process ends.
 constexpr milliseconds drainPollInterval{ 20 };
 constexpr milliseconds placementRetryInterval{ 16 }; ///< Mean time between placement attempts; a fraction of a batch step.
+constexpr milliseconds lateLoopThreshold{ 50 }; ///< Above the delay of a timer in a process that runs undisturbed.
 constexpr double configAgeFraction = 0.8; ///< Of the key revocation limit; the rest covers requests that are already running.
 
 fleet_limits limitsFrom(const platform::instance_settings &settings, time_point now)
@@ -272,6 +273,10 @@
         timer.expires_after(placementRetryInterval / 2 + milliseconds(m_random.below(placementRetryInterval.count())));
         boost::system::error_code ignored;
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        const auto late = std::chrono::duration_cast<milliseconds>(m_clock.now() - timer.expiry());
+        if (late > lateLoopThreshold) {
+            m_log.write(log_line("event_loop_late").add("late", late));
+        }
         m_state.speeds.recordRunning(m_clock.now());
         m_shared.queue.tryAll(m_clock.now());
     }
