A request that has arrived at an idle connection is served although the server stops

Callers saw: a connection that waited for its next request was reset although the request had arrived, because the server's stop came before the event loop had read it.

Cause: the stop cancels the wait for the next request; bytes that the kernel had received by then were not looked for. The request of a caller on such a connection was treated as one that crosses the close, a request behind a stream was not.

Ruled out as the users' cut: the window is the time between two polls of the event loop at the stop, and the reset said that the request had not been read.

--- a/src/http/internal/connection.cpp
+++ b/src/http/internal/connection.cpp
@@ -163,6 +163,8 @@
     bool keepOpen = true;
     while (keepOpen && (!m_state->stopping || hasUnreadBytes())) {
         keepOpen = co_await serveRequest();
+        // A request may have arrived before the wait for it was ended.
+        keepOpen = keepOpen || (m_hasEndedIdle && hasUnreadBytes());
     }
     // Between two requests there is no response to protect, and a request that arrives now must not be read: the reset that it
     // meets tells its sender that it has not run.
--- a/src/http/tests/closing_connection_test.cpp
+++ b/src/http/tests/closing_connection_test.cpp
@@ -72,6 +72,13 @@
     co_await incoming.respond(response_message());
 }
 
+response_message refuseEmpty(int status, int, std::string_view)
+{
+    response_message message;
+    message.status = status;
+    return message;
+}
+
 asio::awaitable<void> streamUntilReleased(std::atomic<bool> &isReleased, exchange &incoming)
 {
     co_await incoming.startStream(200, header_list());
@@ -104,6 +111,21 @@
     expectEqual(caller.trySend(request).message(), make_error_code(asio::error::broken_pipe).message());
 }
 
+// Its bytes came before the end of the wait for them.
+Test(http, aRequestThatHasArrivedAtAnIdleConnectionIsServedAlthoughTheServerStops)
+{
+    asio::io_context context;
+    server stopping(context.get_executor(), {}, respondEmpty, refuseEmpty);
+    kept_connection caller(stopping.listen({ "127.0.0.1", 0 }).value());
+    context.run_for(std::chrono::milliseconds(50));
+    caller.send("POST / HTTP/1.1\r\nContent-Length: 0\r\n\r\n");
+    stopping.stop();
+    context.run();
+    boost::system::error_code end;
+    const std::string received = caller.readToEnd(end);
+    cr_assert(received.starts_with("HTTP/1.1 200"), "no answer: %s", end.message().c_str());
+}
+
 // The answer to the first request promised that the connection is kept.
 Test(http, aRequestThatArrivedBehindAStreamIsServedAlthoughTheServerStops)
 {
