A request that follows the close of a connection does not destroy its last response

Callers saw: a response cut short by a reset, when the server was stopped before its caller had received all of it and the caller sent its next request ahead.

Cause: a connection between two requests is closed at once, and a request that comes later is answered with a reset. The kernel then drops what it has not delivered of the last response.

Only callers that send ahead can meet it: one that waits for the whole response has received it.

--- a/src/http/internal/connection.cpp
+++ b/src/http/internal/connection.cpp
@@ -13,6 +13,9 @@
 
 #include <array>
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
 namespace mustardtrail::http
 {
 
@@ -169,7 +172,7 @@
     // Between two requests there is no response to protect, and a request that arrives now must not be read: the reset that it
     // meets tells its sender that it has not run.
     if (keepOpen || m_hasEndedIdle) {
-        m_stream.close();
+        co_await closeUnread();
         co_return;
     }
     boost::system::error_code ignored;
@@ -183,6 +186,29 @@
     return m_buffer.size() > 0 || m_stream.socket().available(failure) > 0;
 }
 
+// The reset would also destroy the part of the last response that the peer has not made room for.
+asio::awaitable<void> connection::closeUnread()
+{
+    if (hasUndeliveredBytes()) {
+        boost::system::error_code ignored;
+        m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+        asio::steady_timer limit(m_stream.get_executor(), drainLimit);
+        limit.async_wait([self = shared_from_this()](boost::system::error_code failure) {
+            if (!failure) {
+                self->m_stream.cancel();
+            }
+        });
+        co_await m_stream.socket().async_wait(asio::ip::tcp::socket::wait_error, asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    m_stream.close();
+}
+
+bool connection::hasUndeliveredBytes()
+{
+    int bytes = 0;
+    return ioctl(m_stream.socket().native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0;
+}
+
 void connection::closeIfIdle()
 {
     asio::post(m_stream.get_executor(), [self = shared_from_this()] {
--- a/src/http/internal/connection.h
+++ b/src/http/internal/connection.h
@@ -57,7 +57,11 @@
     boost::asio::awaitable<bool> serveRequest();
     boost::asio::awaitable<bool> refuseUnlessClosed(boost::system::error_code failure);
     boost::asio::awaitable<void> drain();
+    /// Closes without reading what has arrived.
+    boost::asio::awaitable<void> closeUnread();
     bool hasUnreadBytes();
+    /// Whether the peer has not received all of the last response.
+    bool hasUndeliveredBytes();
     boost::asio::awaitable<bool> refuse(int status, error_code code, std::string_view detail);
 
     std::shared_ptr<server::shared_state> m_state;
--- a/src/http/tests/closing_connection_test.cpp
+++ b/src/http/tests/closing_connection_test.cpp
@@ -11,6 +11,7 @@
 
 #include <array>
 #include <atomic>
+#include <thread>
 
 using namespace mustardtrail;
 using namespace mustardtrail::http;
@@ -72,6 +73,13 @@
     co_await incoming.respond(response_message());
 }
 
+asio::awaitable<void> respondLarge(exchange &incoming, size_t bytes)
+{
+    response_message message;
+    message.body.assign(bytes, 'x');
+    co_await incoming.respond(std::move(message));
+}
+
 response_message refuseEmpty(int status, int, std::string_view)
 {
     response_message message;
@@ -126,6 +134,24 @@
     cr_assert(received.starts_with("HTTP/1.1 200"), "no answer: %s", end.message().c_str());
 }
 
+// A reset would take the part of the response along that the caller has not made room for.
+Test(http, aRequestBehindAnUnreadResponseDoesNotCostTheResponseWhenTheServerStops)
+{
+    constexpr size_t responseBytes = 2 * 1024 * 1024; // More than a receive buffer takes at once, less than is sent without waiting.
+    http::testing::http_harness harness({}, [](exchange &incoming) {
+        return respondLarge(incoming, responseBytes);
+    });
+    kept_connection caller(harness.address());
+    const std::string request = "GET / HTTP/1.1\r\n\r\n";
+    caller.send(request);
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    harness.httpServer().stop();
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    caller.send(request);
+    boost::system::error_code end;
+    cr_assert_geq(caller.readToEnd(end).size(), responseBytes);
+}
+
 // The answer to the first request promised that the connection is kept.
 Test(http, aRequestThatArrivedBehindAStreamIsServedAlthoughTheServerStops)
 {
