A stream that ends before the process does is not cut by the stop

Callers saw: a stream was cut 200 ms before the stopping process ended, although it would have been complete in that time.

Cause: the end of the stop closes the connection to the server of each request that is left, also where the answer has begun and no other answer can be given. Such a request now goes on until the process ends.

--- a/src/programs/gateway/request_session.cpp
+++ b/src/programs/gateway/request_session.cpp
@@ -326,7 +326,10 @@
 
 void request_session::onEnding()
 {
-    interrupt();
+    // No other answer can take the place of one that has begun; it may still end in time.
+    if (!m_exchange.hasStarted()) {
+        interrupt();
+    }
 }
 
 void request_session::onReservationGivenUp()
--- a/src/programs/gateway/request_session.h
+++ b/src/programs/gateway/request_session.h
@@ -124,7 +124,7 @@
     /// Records what the head of a server's answer says of the server itself.
     void recordServerNotices(const platform::response_head &head, server_key server, server_start_key start);
     void interrupt();
-    /// The process is about to end: the request gets its final answer now.
+    /// The process is about to end: a request whose answer has not begun gets its final answer now.
     void onEnding();
     /// Ends the current send: its prompt has no memory at the engines any more.
     void onReservationGivenUp();
--- a/src/programs/gateway/tests/stopping_instance_test.cpp
+++ b/src/programs/gateway/tests/stopping_instance_test.cpp
@@ -13,6 +13,8 @@
 namespace
 {
 
+constexpr milliseconds stopGrace{ 3'500 };
+
 int sends = 0;
 
 boost::asio::awaitable<void> answerAfterTheStop(http::exchange &exchange)
@@ -28,13 +30,29 @@
         + tokens + "Content-Length: 8\r\n\r\nquestion";
 }
 
+// Ends between the final answers of an instance that has `stopGrace` to stop and the end of its process.
+boost::asio::awaitable<void> streamUntilTheStopIsNear(http::exchange &exchange)
+{
+    constexpr int events = 14;
+    constexpr milliseconds pause{ 200 };
+    boost::asio::steady_timer timer(exchange.executor(), std::chrono::steady_clock::now());
+    const http::header_list headers{ { "Attempt-Id", "a1" }, { "Response-Stamp", "stamp" } };
+    co_await exchange.startStream(200, headers);
+    for (int event = 1; event <= events; ++event) {
+        co_await exchange.write("id: " + std::to_string(event) + "\ndata: a\n\n");
+        timer.expires_at(timer.expiry() + pause);
+        co_await timer.async_wait(boost::asio::use_awaitable);
+    }
+    co_await exchange.finishStream();
+}
+
 } // namespace
 
 // A request that is still waiting when the process ends must be told that it has not run.
 Test(stopping_instance, aRequestThatWaitsForCapacityIsRefusedBeforeTheProcessEnds)
 {
     fake_platform platform;
-    platform.setStopGrace(milliseconds(3'500));
+    platform.setStopGrace(stopGrace);
     platform.addServer("i-1", "batch", answerAfterTheStop);
     platform.start();
     const std::string request = requestTo("/queue/x", "Token-Counts: 900,50\r\n");
@@ -52,7 +70,7 @@
 Test(stopping_instance, aRequestThatIsNotAnsweredInTimeGetsAnAnswerBeforeTheProcessEnds)
 {
     fake_platform platform;
-    platform.setStopGrace(milliseconds(3'500));
+    platform.setStopGrace(stopGrace);
     platform.addServer("i-1", "reading", answerAfterTheStop);
     platform.start();
     const raw_caller caller = platform.openCaller(requestTo("/stream/x", ""));
@@ -61,3 +79,15 @@
     platform.runFor(milliseconds(4'000));
     expectEqual(caller.onlyAnswer(), std::string("502 {\"error\":\"may_have_run\"}"));
 }
+
+Test(stopping_instance, aStreamThatEndsBeforeTheProcessIsNotCut)
+{
+    fake_platform platform;
+    platform.setStopGrace(stopGrace);
+    platform.addServer("i-1", "reading", streamUntilTheStopIsNear);
+    platform.start();
+    platform.stopFirstInstance();
+    const raw_caller caller = platform.openCaller(requestTo("/stream/x", ""));
+    platform.runFor(milliseconds(4'000));
+    cr_assert(caller.onlyAnswer().ends_with("id: 14\ndata: a\n\n"), "%s", caller.onlyAnswer().c_str());
+}
