An answer to another request says nothing about its server

What callers saw: after a faulty server had written an old refusal once more on a kept connection, the requests that followed were refused for as long as the Retry-After of that old refusal lasted, though the server was free. Its Server-Limit and Server-Leaving acted in the same way.

Cause: the response head was read in full and marked as another request's. The first send acted on its notices before it looked at the mark; a second send kept the whole head, and its notices were acted on when it had failed.

Ruled out: that the stray answer itself reached the caller; it counted as may_have_run before and does now.

--- a/src/programs/gateway/hedged_send.cpp
+++ b/src/programs/gateway/hedged_send.cpp
@@ -129,8 +129,8 @@
         co_return answer.error().outcome;
     }
     m_head = platform::readResponseHead((*answer)->status(), (*answer)->headers(), m_sent.attempt);
-    if (m_head.isForOtherRequest || !m_head.isSuccess) {
-        co_return m_head.isForOtherRequest ? verdict::may_have_run : m_head.outcome;
+    if (!m_head.isSuccess) {
+        co_return m_head.outcome;
     }
     std::string received;
     const bool isReadable = co_await readAhead(**answer, received);
--- a/src/programs/gateway/request_relay.cpp
+++ b/src/programs/gateway/request_relay.cpp
@@ -115,7 +115,7 @@
     recordServerNotices(head, m_currentServer, m_currentStart);
     if (head.isForOtherRequest) {
         m_context.metrics.recordSendOutcome("other_request");
-        co_return makeFailure(verdict::may_have_run);
+        co_return makeFailure(head.outcome);
     }
     if (head.isSuccess && m_route->isStream) {
         m_context.state.serverSuspicion.recordSuccess(m_currentServer);
@@ -128,7 +128,7 @@
 {
     const time_point now = m_context.clock.now();
     // Only a success shows that a limit has ended; other answers need not come from the server itself.
-    const bool saysLimit = head.requestsPerSecond || (head.isSuccess && !head.isForOtherRequest);
+    const bool saysLimit = head.requestsPerSecond || head.isSuccess;
     if (saysLimit && !head.isMisdirected) {
         m_context.state.recordRateLimit(server, start, head.requestsPerSecond, now);
     }
