A response that has begun takes no other one

Operators report that clients found the head and text of an error in the middle of their stream. Nothing in server_exchange forbade it: respond and startStream on an exchange whose stream had begun wrote a second head into the open chunked body, and write after a complete response put a chunk behind it.

Change: the exchange keeps the phase of its one response and throws std::logic_error, before a byte is sent, where a call does not fit it. A response that cannot be built is now found before the exchange counts as begun, so the caller still gets the 502.

--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -13,6 +13,7 @@
 {
 
 /// One request received by a server and the means to send its response. Must be used on the connection's executor.
+/// There is one response: a second one, and parts of a stream that is not open, throw std::logic_error and send nothing.
 class exchange
 {
 public:
--- a/src/http/internal/server_exchange.cpp
+++ b/src/http/internal/server_exchange.cpp
@@ -11,6 +11,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include <array>
+#include <stdexcept>
 
 namespace mustardtrail::http
 {
@@ -77,9 +78,17 @@
     return m_request;
 }
 
-void server_exchange::beginResponse()
+void server_exchange::expectPhase(phase required) const
 {
-    m_started = true;
+    if (m_phase != required) {
+        throw std::logic_error(required == phase::unanswered ? "the response has begun" : "no response is being streamed");
+    }
+}
+
+void server_exchange::beginResponse(phase begun)
+{
+    expectPhase(phase::unanswered);
+    m_phase = begun;
     m_keepAlive = m_keepAlive && !(m_closeAfterResponse && *m_closeAfterResponse);
 }
 
@@ -87,14 +96,14 @@
 {
     beast::http::response<beast::http::string_body> response(static_cast<beast::http::status>(message.status), 11);
     setHeaders(response, message.headers);
-    beginResponse();
-    response.keep_alive(m_keepAlive);
     response.body() = std::move(message.body);
     response.prepare_payload();
+    beginResponse(phase::responding);
+    response.keep_alive(m_keepAlive);
     m_stream.expires_after(m_limits.progress);
     boost::system::error_code failure;
     co_await beast::http::async_write(m_stream, response, asio::redirect_error(asio::use_awaitable, failure));
-    m_finished = true;
+    m_phase = phase::answered;
     m_broken = m_broken || failure;
     co_return !failure;
 }
@@ -103,7 +112,7 @@
 {
     beast::http::response<beast::http::empty_body> response(static_cast<beast::http::status>(status), 11);
     setHeaders(response, headers);
-    beginResponse();
+    beginResponse(phase::streaming);
     response.keep_alive(m_keepAlive);
     response.chunked(true);
     m_stream.expires_after(m_limits.progress);
@@ -116,6 +125,7 @@
 
 asio::awaitable<bool> server_exchange::write(std::string_view bytes)
 {
+    expectPhase(phase::streaming);
     if (m_broken) {
         co_return false;
     }
@@ -129,6 +139,7 @@
 
 asio::awaitable<bool> server_exchange::finishStream()
 {
+    expectPhase(phase::streaming);
     if (m_broken) {
         co_return false;
     }
@@ -136,13 +147,13 @@
     boost::system::error_code failure;
     co_await asio::async_write(m_stream, beast::http::make_chunk_last(), asio::redirect_error(asio::use_awaitable, failure));
     m_broken = m_broken || failure;
-    m_finished = !failure;
+    m_phase = failure ? phase::streaming : phase::answered;
     co_return !failure;
 }
 
 bool server_exchange::hasStarted() const
 {
-    return m_started;
+    return m_phase != phase::unanswered;
 }
 
 void server_exchange::onDisconnect(std::function<void()> hook)
@@ -168,7 +179,7 @@
 
 bool server_exchange::canReuse() const
 {
-    return m_keepAlive && m_finished && !m_broken;
+    return m_keepAlive && m_phase == phase::answered && !m_broken;
 }
 
 } // namespace mustardtrail::http
--- a/src/http/internal/server_exchange.h
+++ b/src/http/internal/server_exchange.h
@@ -39,15 +39,19 @@
 private:
     struct disconnect_watch;
 
-    void beginResponse();
+    /// Which part of a response may be sent next.
+    enum class phase { unanswered, responding, streaming, answered };
+
+    /// Throws std::logic_error in any other phase, where bytes would get into a response that has begun or follow its end.
+    void expectPhase(phase required) const;
+    void beginResponse(phase begun);
 
     boost::beast::tcp_stream &m_stream;
     const server_limits &m_limits;
     request_message m_request;
     bool m_keepAlive;
     const std::atomic<bool> *m_closeAfterResponse;
-    bool m_started = false;
-    bool m_finished = false;
+    phase m_phase = phase::unanswered;
     bool m_broken = false;
     std::shared_ptr<disconnect_watch> m_watch;
 };
--- /dev/null
+++ b/src/http/tests/begun_response_test.cpp
@@ -0,0 +1,57 @@
+#include "http/tests/http_harness.h"
+
+#include "testing/expect.h"
+
+using namespace mustardtrail;
+using namespace mustardtrail::http;
+using mustardtrail::testing::expectEqual;
+
+namespace
+{
+
+const std::string request = "GET / HTTP/1.1\r\n\r\n";
+
+boost::asio::awaitable<void> respondWithinAStream(exchange &incoming)
+{
+    co_await incoming.startStream(200, header_list());
+    co_await incoming.write("half");
+    response_message failure{ 502, {}, "failure" };
+    co_await incoming.respond(std::move(failure));
+}
+
+boost::asio::awaitable<void> startAStreamWithinAStream(exchange &incoming)
+{
+    co_await incoming.startStream(200, header_list());
+    co_await incoming.write("half");
+    co_await incoming.startStream(200, header_list());
+    co_await incoming.finishStream();
+}
+
+boost::asio::awaitable<void> writeBehindAResponse(exchange &incoming)
+{
+    response_message whole{ 200, {}, "whole" };
+    co_await incoming.respond(std::move(whole));
+    co_await incoming.write("more");
+}
+
+/// What a caller receives behind the head.
+std::string received(const handler &serve)
+{
+    http::testing::http_harness harness({}, serve);
+    const std::string bytes = harness.raw(request);
+    return bytes.substr(bytes.find("\r\n\r\n") + 4);
+}
+
+} // namespace
+
+// Guards against the head and text of a failure in the middle of a stream.
+Test(begun_response, aStreamThatHasBegunTakesNoOtherResponse)
+{
+    expectEqual(received(respondWithinAStream), "4\r\nhalf\r\n");
+    expectEqual(received(startAStreamWithinAStream), "4\r\nhalf\r\n");
+}
+
+Test(begun_response, nothingFollowsACompleteResponse)
+{
+    expectEqual(received(writeBehindAResponse), "whole");
+}
