Writing no bytes does not end a stream

A chunk of no bytes is the last chunk, so write("") ended a stream as if it were complete, and whatever followed was garbage on the connection. The gateway and the relay write only what is not empty, so no caller has been shown to see it; the exchange now sends nothing for no bytes.

--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -25,7 +25,7 @@
     virtual boost::asio::awaitable<bool> respond(response_message message) = 0;
     /// Starts a chunked response. False when the peer has disconnected.
     virtual boost::asio::awaitable<bool> startStream(int status, header_list headers) = 0;
-    /// Sends one chunk; waits for a slow peer up to the progress limit. False when the peer has disconnected.
+    /// Sends one chunk, and nothing for no bytes; waits for a slow peer up to the progress limit. False when the peer has disconnected.
     virtual boost::asio::awaitable<bool> write(std::string_view bytes) = 0;
     /// Ends a chunked response. Without it the connection is closed, so that the peer detects a truncated response.
     virtual boost::asio::awaitable<bool> finishStream() = 0;
--- a/src/http/internal/server_exchange.cpp
+++ b/src/http/internal/server_exchange.cpp
@@ -126,8 +126,9 @@
 asio::awaitable<bool> server_exchange::write(std::string_view bytes)
 {
     expectPhase(phase::streaming);
-    if (m_broken) {
-        co_return false;
+    // A chunk without bytes would be the last one.
+    if (m_broken || bytes.empty()) {
+        co_return !m_broken;
     }
     m_stream.expires_after(m_limits.progress);
     boost::system::error_code failure;
--- a/src/http/tests/begun_response_test.cpp
+++ b/src/http/tests/begun_response_test.cpp
@@ -34,6 +34,13 @@
     co_await incoming.write("more");
 }
 
+boost::asio::awaitable<void> writeNothingWithinAStream(exchange &incoming)
+{
+    co_await incoming.startStream(200, header_list());
+    co_await incoming.write("half");
+    co_await incoming.write("");
+}
+
 /// What a caller receives behind the head.
 std::string received(const handler &serve)
 {
@@ -55,3 +62,9 @@
 {
     expectEqual(received(writeBehindAResponse), "whole");
 }
+
+// Guards against a broken stream that looks complete: a chunk without bytes is the last one.
+Test(begun_response, writingNothingDoesNotEndAStream)
+{
+    expectEqual(received(writeNothingWithinAStream), "4\r\nhalf\r\n");
+}
