A store item that cannot be read costs no other item

Callers: while the store held one item that is no object, has no key, has a value that is no base64 text or has a key that is no text, an instance that started never became ready (no_config), and running instances stopped following the list and soon refused requests (config_not_confirmed).

Cause: readReply rejected the whole answer for one such item, and the JSON parser rejects a whole document for bytes that are no UTF-8 or half of a surrogate pair in one key. store_reader counts that as a lost store (store_lost reason=unreadable) and reads the same answer again.

Ruled out by the same tests, which hold these entries too: values nested 100,000 deep (the parser stops at depth 32; values are base64 text, so they cannot nest the answer itself), bytes that are no UTF-8 in a value, and ports that are 0, above 65,535, negative or no number: each was unreadable before and stays so. The relay between instances holds keys and values as bytes, so it carried damaged ones before.

Change: an item is read by itself; one without a key is logged as store_item_unreadable with its place in the list, one with a damaged value keeps its key and becomes entry_unreadable. The body is read with bytes that are no UTF-8 kept and half surrogates replaced. A page that has no key at all and is to be continued is still rejected, since the next page begins after the last key.

--- a/src/base/json_access.h
+++ b/src/base/json_access.h
@@ -17,11 +17,14 @@
 double realOr(const boost::json::object &object, std::string_view key, double fallback);
 bool boolOr(const boost::json::object &object, std::string_view key, bool fallback);
 std::string textOr(const boost::json::object &object, std::string_view key, std::string_view fallback = {});
+bool isText(const boost::json::object &object, std::string_view key);
 /// Null when the member is missing or of another type.
 const boost::json::object *objectAt(const boost::json::object &object, std::string_view key);
 const boost::json::array *arrayAt(const boost::json::object &object, std::string_view key);
 
 /// Parses a JSON object; returns an empty one when the text is not a JSON object.
 boost::json::object objectFromText(std::string_view text);
+/// The same, but strings may hold bytes that are no UTF-8, which are kept, and halves of surrogate pairs, which become U+FFFD.
+boost::json::object objectFromDamagedText(std::string_view text);
 
 } // namespace mustardtrail::json_access
--- a/src/programs/gateway/store_reader.cpp
+++ b/src/programs/gateway/store_reader.cpp
@@ -130,6 +130,9 @@
         co_return;
     }
     m_context.metrics.recordStoreCall("answered");
+    for (const std::string &item : reply->unreadableItems) {
+        m_context.log.write(log_line("store_item_unreadable").add("detail", item));
+    }
     if (!m_wasReachable) {
         m_wasReachable = true;
         m_context.log.write(log_line("store_reachable").add("revision", static_cast<std::int64_t>(reply->revision)));
--- a/src/programs/gateway/tests/fake_platform.cpp
+++ b/src/programs/gateway/tests/fake_platform.cpp
@@ -110,27 +110,64 @@
 void fake_platform::addServerAt(const std::string &id, const std::string &service, const endpoint &address)
 {
     m_serverAddresses.insert(address);
-    m_serverItems += ","
-        + storeItem("servers/" + id,
-            R"({"service":")" + service + R"(","address":")" + toString(address) + R"(","zone":"dc","slots":4,"state":"ready"})");
+    m_serverItems += "," + storeItem("servers/" + id, entryOf(service, address));
+}
+
+std::string fake_platform::itemOf(const std::string &key, const std::string &value)
+{
+    return R"({"key":")" + key + R"(","value":")" + base64(value) + R"(","revision":REVISION})";
+}
+
+std::string fake_platform::entryOf(const std::string &service, const endpoint &address, const std::string &fields)
+{
+    return R"({"service":")" + service + R"(","address":")" + toString(address) + R"(","zone":"dc","slots":4,"state":"ready")" + fields
+        + "}";
+}
+
+void fake_platform::writeItems(const std::vector<std::string> &items)
+{
+    constexpr std::string_view placeholder = "REVISION";
+    ++m_revision;
+    for (std::string item : items) {
+        if (const size_t at = item.find(placeholder); at != std::string::npos) {
+            item.replace(at, placeholder.size(), std::to_string(m_revision));
+        }
+        m_writtenItems.emplace_back(m_revision, std::move(item));
+    }
+}
+
+void fake_platform::callSecondInstance()
+{
+    m_callerAddress = m_secondCallerAddress;
 }
 
 asio::awaitable<void> fake_platform::serveStore(http::exchange &exchange)
 {
     constexpr int maxWaits = 10;
     const bool isList = exchange.request().path() == "/api/kv-range";
-    const auto isNew = [this, after = exchange.request().query("after")] {
-        return after.empty() || m_configRevision > std::stoul(std::string(after));
+    const std::string after(exchange.request().query("after"));
+    const auto isAfter = [isAll = isList || after.empty(), after](unsigned revision) {
+        return isAll || revision > std::stoul(after);
+    };
+    const auto isNew = [this, &isAfter] {
+        return isAfter(m_configRevision) || (!m_writtenItems.empty() && isAfter(m_writtenItems.back().first));
     };
     for (int waits = 0; !isList && !m_isStoreDown && !isNew() && waits < maxWaits; ++waits) {
         asio::steady_timer wait(exchange.executor(), milliseconds(10));
         co_await wait.async_wait(asio::use_awaitable);
     }
     http::response_message answer;
-    const std::string config = storeItem("op/config", m_config, m_configRevision);
+    std::string items;
+    for (const auto &[writtenAt, item] : m_writtenItems) {
+        items += isAfter(writtenAt) ? item + "," : "";
+    }
+    items += isAfter(m_configRevision) ? storeItem("op/config", m_config, m_configRevision) : "";
+    items += isList ? m_serverItems : "";
+    if (items.ends_with(',')) {
+        items.pop_back();
+    }
     const std::string revision = R"("store_revision":)" + std::to_string(m_revision) + "}";
-    answer.body = isList ? R"({"items":[)" + config + m_serverItems + R"(],"has_more":false,)" + revision
-                         : R"({"events":[)" + (isNew() ? config : std::string()) + "]," + revision;
+    answer.body = isList ? R"({"items":[)" + items + R"(],"has_more":false,)" + revision : R"({"events":[)" + items + "]," + revision;
     answer.headers.add("Store-Era", std::to_string(m_era));
     answer.status = m_isStoreDown ? 503 : 200;
     co_await exchange.respond(std::move(answer));
@@ -193,7 +230,7 @@
     platform::instance_settings settings = baseSettings();
     settings.instance = instance_id("two");
     settings.address = secondAddress;
-    settings.callers = unusedAddress(m_context);
+    settings.callers = m_secondCallerAddress = unusedAddress(m_context);
     settings.readiness = unusedAddress(m_context);
     settings.peerPort = m_settings.peerPort;
     settings.metricsPort = m_settings.metricsPort;
@@ -348,6 +385,11 @@
     return answer;
 }
 
+asio::any_io_executor fake_platform::executor()
+{
+    return m_context.get_executor();
+}
+
 void fake_platform::applyPolicy(const operator_policy &policy)
 {
     m_host->applyPolicy(policy);
--- a/src/programs/gateway/tests/fake_platform.h
+++ b/src/programs/gateway/tests/fake_platform.h
@@ -60,6 +60,14 @@
     static const std::string &firstConfig();
     /// Writes a new configuration to the store.
     void publish(const std::string &config);
+    /// Text of a store item, complete but for its revision, which `writeItems` sets.
+    static std::string itemOf(const std::string &key, const std::string &value);
+    /// Text of the entry of a backend server in the store; `fields` replace or add to its usual ones.
+    static std::string entryOf(const std::string &service, const endpoint &address, const std::string &fields = "");
+    /// Writes these items to the store as one change; they may be any JSON text. In lists they come before all others.
+    void writeItems(const std::vector<std::string> &items);
+    /// Calls go to the second instance from now on.
+    void callSecondInstance();
     /// Stops the first instance as the platform does; it ends itself before `grace` has passed, and with it the event loop.
     void stopFirstInstance();
     /// Time that an instance started from now on has to stop.
@@ -79,6 +87,7 @@
     /// Opens a connection as a caller and sends these bytes.
     raw_caller openCaller(std::string bytes);
     void runFor(std::chrono::milliseconds time);
+    boost::asio::any_io_executor executor();
     int readiness();
     /// Metrics of the first instance, as text.
     std::string metrics();
@@ -98,6 +107,7 @@
     std::string m_config = firstConfig();
     unsigned m_configRevision = 5;
     std::string m_serverItems;
+    std::vector<std::pair<unsigned, std::string>> m_writtenItems; ///< With the revision of their change.
     std::unique_ptr<http::server> m_store;
     endpoint m_storeAddress;
     std::unique_ptr<gateway_host> m_host;
@@ -106,6 +116,7 @@
     std::set<endpoint> m_serverAddresses;
     http::client m_caller;
     endpoint m_callerAddress;
+    endpoint m_secondCallerAddress;
     endpoint m_readinessAddress;
     bool m_isStoreDown = false;
     std::chrono::milliseconds m_stopGrace{ 8'000 };
