A request on a connection that is not accepted yet is served although the server stops

Callers saw: a connection on which a whole request had arrived was reset by an instance that was stopped.

Cause: the stop closed the acceptor, and the kernel resets the connections that wait for it. Now they are accepted first; those on which a request has arrived are served, the others closed. A stopping instance waits one poll interval before it takes itself for idle.

--- a/src/http/internal/server.cpp
+++ b/src/http/internal/server.cpp
@@ -19,6 +19,14 @@
 
 constexpr std::chrono::milliseconds acceptRetryPause{ 50 };
 
+void serve(const std::shared_ptr<server::shared_state> &state, asio::ip::tcp::socket socket)
+{
+    const auto strand = socket.get_executor();
+    const auto opened = std::make_shared<connection>(std::move(socket), state);
+    state->registerConnection(opened);
+    asio::co_spawn(strand, opened->run(), asio::detached);
+}
+
 // When file descriptors run out, every accept fails until one is closed; the pause avoids a busy loop.
 asio::awaitable<void> acceptLoop(std::shared_ptr<server::shared_state> state, std::shared_ptr<asio::ip::tcp::acceptor> acceptor)
 {
@@ -35,10 +43,22 @@
             co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, failure));
             continue;
         }
-        const auto strand = socket.get_executor();
-        const auto opened = std::make_shared<connection>(std::move(socket), state);
-        state->registerConnection(opened);
-        asio::co_spawn(strand, opened->run(), asio::detached);
+        serve(state, std::move(socket));
+    }
+}
+
+// Closing the acceptor resets the connections that wait for it, whatever has arrived on them.
+void acceptPending(const std::shared_ptr<server::shared_state> &state)
+{
+    auto &acceptor = *state->acceptor;
+    boost::system::error_code failure;
+    acceptor.non_blocking(true, failure);
+    while (!failure) {
+        asio::ip::tcp::socket socket(asio::make_strand(acceptor.get_executor()));
+        acceptor.accept(socket, failure);
+        if (!failure) {
+            serve(state, std::move(socket));
+        }
     }
 }
 
@@ -110,9 +130,10 @@
         return;
     }
     m_state->closeIdle();
-    asio::post(m_state->acceptor->get_executor(), [acceptor = m_state->acceptor] {
+    asio::post(m_state->acceptor->get_executor(), [state = m_state] {
+        acceptPending(state);
         boost::system::error_code ignored;
-        acceptor->close(ignored);
+        state->acceptor->close(ignored);
     });
 }
 
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -25,7 +25,8 @@
     result<endpoint> listen(const endpoint &address);
     /// From now on each connection closes after its next response; new connections are still accepted.
     void disableKeepAlive();
-    /// Stops accepting connections, closes idle ones immediately and the others after their current request.
+    /// Stops accepting connections, closes idle ones immediately and the others after their current request. Serves requests that
+    /// have arrived by then, also on connections that have not been accepted yet.
     void stop();
 
     size_t openConnections() const;
--- a/src/http/tests/closing_connection_test.cpp
+++ b/src/http/tests/closing_connection_test.cpp
@@ -134,6 +134,26 @@
     cr_assert(received.starts_with("HTTP/1.1 200"), "no answer: %s", end.message().c_str());
 }
 
+Test(http, aRequestWhoseConnectionIsNotAcceptedYetIsServedAlthoughTheServerStops)
+{
+    asio::io_context context;
+    server stopping(context.get_executor(), {}, respondEmpty, refuseEmpty);
+    const endpoint address = stopping.listen({ "127.0.0.1", 0 }).value();
+    context.run_for(std::chrono::milliseconds(50));
+    kept_connection first(address);
+    kept_connection second(address);
+    const std::string request = "POST / HTTP/1.1\r\nContent-Length: 0\r\n\r\n";
+    first.send(request);
+    second.send(request);
+    stopping.stop();
+    context.run();
+    for (kept_connection *caller : { &first, &second }) {
+        boost::system::error_code end;
+        const std::string received = caller->readToEnd(end);
+        cr_assert(received.starts_with("HTTP/1.1 200"), "no answer: %s", end.message().c_str());
+    }
+}
+
 // A reset would take the part of the response along that the caller has not made room for.
 Test(http, aRequestBehindAnUnreadResponseDoesNotCostTheResponseWhenTheServerStops)
 {
--- a/src/programs/gateway/gateway_host.cpp
+++ b/src/programs/gateway/gateway_host.cpp
@@ -302,10 +302,10 @@
     const auto isBusy = [this] {
         return m_activeRequests > 0 || m_callerServer.openConnections() > 0 || m_relayService.running() > 0;
     };
-    while (m_clock.now() < finalAnswersAt && isBusy()) {
+    do { // At least once: connections that are being accepted do not count as open yet.
         timer.expires_after(drainPollInterval);
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-    }
+    } while (m_clock.now() < finalAnswersAt && isBusy());
     endRequests();
     while (m_clock.now() < end && isBusy()) {
         timer.expires_after(drainPollInterval);
