Test that the idle time-out of a connection discards no request

Holds what ruled out without a run: the time-out closes the socket without the drain, so a request that crosses it meets a reset.

--- a/src/http/tests/closing_connection_test.cpp
+++ b/src/http/tests/closing_connection_test.cpp
@@ -119,6 +119,22 @@
     expectEqual(caller.trySend(request).message(), make_error_code(asio::error::broken_pipe).message());
 }
 
+Test(http, aRequestThatCrossesTheIdleTimeOutOfItsConnectionIsNotReadAndDiscarded)
+{
+    server_limits limits;
+    limits.idle = std::chrono::milliseconds(100);
+    http::testing::http_harness harness(limits, respondEmpty);
+    kept_connection caller(harness.address());
+    const std::string request = "POST / HTTP/1.1\r\nContent-Length: 0\r\n\r\n";
+    caller.send(request);
+    caller.readUntil("\r\n\r\n");
+    boost::system::error_code end;
+    caller.readToEnd(end);
+    expectEqual(end.message(), make_error_code(asio::error::eof).message());
+    caller.send(request);
+    expectEqual(caller.trySend(request).message(), make_error_code(asio::error::broken_pipe).message());
+}
+
 // Its bytes came before the end of the wait for them.
 Test(http, aRequestThatHasArrivedAtAnIdleConnectionIsServedAlthoughTheServerStops)
 {
