--- a/src/http/tests/closing_connection_test.cpp
+++ b/src/http/tests/closing_connection_test.cpp
@@ -119,6 +119,22 @@
     expectEqual(caller.trySend(request).message(), make_error_code(asio::error::broken_pipe).message());
 }
 
+Test(http, aRequestThatCrossesTheIdleTimeOutOfItsConnectionIsNotReadAndDiscarded)
+{
+    server_limits limits;
+    limits.idle = std::chrono::milliseconds(100);
+    http::testing::http_harness harness(limits, respondEmpty);
+    kept_connection caller(harness.address());
+    const std::string request = "POST / HTTP/1.1\r\nContent-Length: 0\r\n\r\n";
+    caller.send(request);
+    caller.readUntil("\r\n\r\n");
+    boost::system::error_code end;
+    caller.readToEnd(end);
+    expectEqual(end.message(), make_error_code(asio::error::eof).message());
+    caller.send(request);
+    expectEqual(caller.trySend(request).message(), make_error_code(asio::error::broken_pipe).message());
+}
+
 // Its bytes came before the end of the wait for them.
 Test(http, aRequestThatHasArrivedAtAnIdleConnectionIsServedAlthoughTheServerStops)
 {
@@ -134,6 +150,26 @@
     cr_assert(received.starts_with("HTTP/1.1 200"), "no answer: %s", end.message().c_str());
 }
 
+Test(http, aRequestWhoseConnectionIsNotAcceptedYetIsServedAlthoughTheServerStops)
+{
+    asio::io_context context;
+    server stopping(context.get_executor(), {}, respondEmpty, refuseEmpty);
+    const endpoint address = stopping.listen({ "127.0.0.1", 0 }).value();
+    context.run_for(std::chrono::milliseconds(50));
+    kept_connection first(address);
+    kept_connection second(address);
+    const std::string request = "POST / HTTP/1.1\r\nContent-Length: 0\r\n\r\n";
+    first.send(request);
+    second.send(request);
+    stopping.stop();
+    context.run();
+    for (kept_connection *caller : { &first, &second }) {
+        boost::system::error_code end;
+        const std::string received = caller->readToEnd(end);
+        cr_assert(received.starts_with("HTTP/1.1 200"), "no answer: %s", end.message().c_str());
+    }
+}
+
 // A reset would take the part of the response along that the caller has not made room for.
 Test(http, aRequestBehindAnUnreadResponseDoesNotCostTheResponseWhenTheServerStops)
 {
