A refusal without an id on a reused connection is not the request's own

What callers saw: 503 "not run, try again" for a request that its server was running, or the same request run by a second server as well.

Cause: a response without Attempt-Id was taken as the response to the request that waited. A faulty server that wrote a refusal once more, without the id, after the connection had been put back and used again was believed: the request counted as not run. The answers to orders and reports, which carry no id and share the connections with requests, could be read in the same way.

Change: a response knows whether its connection carried a request before. There only a response with the id of the attempt is the request's own; on a new connection one without an id still is, as nothing else can have caused it. The response head is read from the response itself, so that a reader cannot leave this out; a relaying instance reports it for its own connection to the server, and a relay that does not is taken to have reused one. Anything else counts as may_have_run: 502 for requests that run once.

Cost: no connection more, except after such a stray response, whose connection is closed as before.

--- a/src/http/internal/client.cpp
+++ b/src/http/internal/client.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/http/read.hpp>
 
 #include <array>
+#include <utility>
 
 namespace mustardtrail::http
 {
@@ -197,6 +198,7 @@
     if (limits.onConnection) {
         limits.onConnection(makeCloser(*connection));
     }
+    const bool isReused = std::exchange(connection->hasCarriedRequest, true);
     const auto sent = co_await sendRequest(*connection, to, message, limits);
     if (!sent && sent.error().outcome == verdict::not_run) {
         co_return tl::unexpected(sent.error());
@@ -221,7 +223,8 @@
         const error_code code = failure == beast::error::timeout ? error_code::backend_timeout : codeOfReadFailure(failure);
         co_return tl::unexpected(callError(code, verdict::may_have_run, to, failure.message()));
     }
-    co_return std::make_unique<client_stream>(pool, to, std::move(connection), std::move(source), limits.progress, sent.has_value());
+    co_return std::make_unique<client_stream>(
+        pool, to, std::move(connection), std::move(source), limits.progress, sent.has_value(), isReused);
 }
 
 asio::awaitable<result<void>> client::openIdle(endpoint to, std::chrono::milliseconds limit)
--- a/src/http/internal/client_stream.cpp
+++ b/src/http/internal/client_stream.cpp
@@ -48,13 +48,15 @@
     std::unique_ptr<client_connection> connection,
     std::unique_ptr<parser> source,
     std::chrono::milliseconds progress,
-    bool isReusable)
+    bool isReusable,
+    bool isOnReusedConnection)
     : m_pool(std::move(pool))
     , m_to(std::move(to))
     , m_connection(std::move(connection))
     , m_source(std::move(source))
     , m_progress(progress)
     , m_isReusable(isReusable)
+    , m_isOnReusedConnection(isOnReusedConnection)
 {
     for (const auto &field : m_source->get()) {
         const auto name = field.name_string();
@@ -80,6 +82,11 @@
     return m_source->need_eof();
 }
 
+bool client_stream::isOnReusedConnection() const
+{
+    return m_isOnReusedConnection;
+}
+
 void client_stream::returnToPool()
 {
     // Bytes after the response belong to no request, so a connection that received any is not reused.
--- a/src/http/internal/client_stream.h
+++ b/src/http/internal/client_stream.h
@@ -19,12 +19,14 @@
         std::unique_ptr<client_connection> connection,
         std::unique_ptr<parser> source,
         std::chrono::milliseconds progress,
-        bool isReusable);
+        bool isReusable,
+        bool isOnReusedConnection);
     ~client_stream() override;
 
     int status() const override;
     const header_list &headers() const override;
     bool endsWithConnection() const override;
+    bool isOnReusedConnection() const override;
     boost::asio::awaitable<result<std::string>> read() override;
     void close() override;
 
@@ -37,6 +39,7 @@
     std::unique_ptr<parser> m_source;
     std::chrono::milliseconds m_progress;
     bool m_isReusable; ///< False when the request was not sent completely.
+    bool m_isOnReusedConnection;
     header_list m_headers;
     bool m_isClosed = false;
 };
--- a/src/http/internal/connection_pool.cpp
+++ b/src/http/internal/connection_pool.cpp
@@ -31,7 +31,6 @@
         kept.pop_back();
         const auto idleFor = now - connection->idleSince;
         if (idleFor < std::min(idle, connection->idleLimit) && isUsable(*connection)) {
-            connection->reused = true;
             return connection;
         }
     }
--- a/src/http/internal/connection_pool.h
+++ b/src/http/internal/connection_pool.h
@@ -44,7 +44,7 @@
 
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer{ maxUnparsedBytes };
-    bool reused = false;
+    bool hasCarriedRequest = false;
     std::chrono::steady_clock::time_point idleSince{};
     std::chrono::milliseconds idleLimit{ 60'000 }; ///< Not reused after being idle this long, as the server may close it.
     std::shared_ptr<client_connection *> selfReference = std::make_shared<client_connection *>(this); ///< Set to null when its call ends.
--- a/src/programs/gateway/hedged_send.cpp
+++ b/src/programs/gateway/hedged_send.cpp
@@ -37,6 +37,10 @@
     {
         return m_rest->endsWithConnection();
     }
+    bool isOnReusedConnection() const override
+    {
+        return m_rest->isOnReusedConnection();
+    }
     asio::awaitable<result<std::string>> read() override
     {
         if (!m_prefetched.empty()) {
@@ -128,7 +132,7 @@
         m_isCutOff = answer.error().code == error_code::backend_connection_lost && m_isDelivered;
         co_return answer.error().outcome;
     }
-    m_head = platform::readResponseHead((*answer)->status(), (*answer)->headers(), m_sent.attempt);
+    m_head = platform::readResponseHead(**answer, m_sent.attempt);
     if (!m_head.isSuccess) {
         co_return m_head.outcome;
     }
--- a/src/programs/gateway/relay_fields.h
+++ b/src/programs/gateway/relay_fields.h
@@ -10,12 +10,16 @@
 inline constexpr std::string_view server = "Mustardtrail-Relay-To"; ///< Address of the backend server.
 inline constexpr std::string_view outcome = "Mustardtrail-Relay"; ///< In each answer of a relay.
 inline constexpr std::string_view body = "Mustardtrail-Relay-Body"; ///< How the end of the server's answer was shown.
+inline constexpr std::string_view connection
+    = "Mustardtrail-Relay-Connection"; ///< Whether the server's connection carried a request before.
 
 inline constexpr std::string_view passedOn = "passed"; ///< The answer is the server's.
 inline constexpr std::string_view notRun = "not_run"; ///< The relay has sent nothing to the server.
 inline constexpr std::string_view mayHaveRun = "may_have_run"; ///< The server was lost before its answer.
 inline constexpr std::string_view endsWithConnection = "ends_with_connection";
 inline constexpr std::string_view isFramed = "framed";
+inline constexpr std::string_view isNew = "new";
+inline constexpr std::string_view isReused = "reused";
 
 } // namespace mustardtrail::gateway::relay_field
 
--- a/src/programs/gateway/relay_service.cpp
+++ b/src/programs/gateway/relay_service.cpp
@@ -51,8 +51,10 @@
 http::header_list relayedHeaders(const http::response_stream &answer)
 {
     const std::string_view body = answer.endsWithConnection() ? relay_field::endsWithConnection : relay_field::isFramed;
+    const std::string_view connection = answer.isOnReusedConnection() ? relay_field::isReused : relay_field::isNew;
     http::header_list headers{ { std::string(relay_field::outcome), std::string(relay_field::passedOn) },
-        { std::string(relay_field::body), std::string(body) } };
+        { std::string(relay_field::body), std::string(body) },
+        { std::string(relay_field::connection), std::string(connection) } };
     const http::header_list serverFields = platform::endToEndHeaders(answer.headers());
     for (const auto &[name, value] : serverFields.fields()) {
         headers.add(name, value);
--- a/src/programs/gateway/relayed_answer.cpp
+++ b/src/programs/gateway/relayed_answer.cpp
@@ -8,8 +8,12 @@
 relayed_answer::relayed_answer(std::unique_ptr<http::response_stream> answer)
     : m_answer(std::move(answer))
     , m_endsWithConnection(m_answer->headers().find(relay_field::body) == relay_field::endsWithConnection)
+    , m_isOnReusedConnection(m_answer->headers().find(relay_field::connection) != relay_field::isNew)
 {
-    m_headers = withoutFirst(relay_field::body, withoutFirst(relay_field::outcome, m_answer->headers()));
+    m_headers = m_answer->headers();
+    for (const std::string_view field : { relay_field::outcome, relay_field::body, relay_field::connection }) {
+        m_headers = withoutFirst(field, m_headers);
+    }
 }
 
 int relayed_answer::status() const
@@ -27,6 +31,11 @@
     return m_endsWithConnection;
 }
 
+bool relayed_answer::isOnReusedConnection() const
+{
+    return m_isOnReusedConnection;
+}
+
 boost::asio::awaitable<result<std::string>> relayed_answer::read()
 {
     return m_answer->read();
--- a/src/programs/gateway/relayed_answer.h
+++ b/src/programs/gateway/relayed_answer.h
@@ -14,6 +14,7 @@
     int status() const override;
     const http::header_list &headers() const override;
     bool endsWithConnection() const override;
+    bool isOnReusedConnection() const override;
     boost::asio::awaitable<result<std::string>> read() override;
     void close() override;
 
@@ -21,6 +22,7 @@
     std::unique_ptr<http::response_stream> m_answer;
     http::header_list m_headers;
     bool m_endsWithConnection;
+    bool m_isOnReusedConnection; ///< Of the relay to the server.
 };
 
 } // namespace mustardtrail::gateway
--- a/src/programs/gateway/request_relay.cpp
+++ b/src/programs/gateway/request_relay.cpp
@@ -111,7 +111,7 @@
 asio::awaitable<std::optional<attempt_failure>> request_session::relayAnswer(http::response_stream &answer)
 {
     m_context.state.recordAnswer(m_currentServer);
-    const auto head = platform::readResponseHead(answer.status(), answer.headers(), m_head.attempt);
+    const auto head = platform::readResponseHead(answer, m_head.attempt);
     recordServerNotices(head, m_currentServer, m_currentStart);
     if (head.isForOtherRequest) {
         m_context.metrics.recordSendOutcome("other_request");
--- a/src/programs/gateway/tests/gateway_test.cpp
+++ b/src/programs/gateway/tests/gateway_test.cpp
@@ -38,6 +38,7 @@
 {
     http::response_message answer;
     answer.status = 503;
+    answer.headers.add("Attempt-Id", "a1");
     answer.headers.add("Not-Run", "1");
     co_await exchange.respond(std::move(answer));
 }
@@ -88,6 +89,7 @@
     ++servedRequests;
     http::response_message answer;
     answer.status = 503;
+    answer.headers.add("Attempt-Id", "a1");
     answer.headers.add("Not-Run", "1");
     answer.headers.add("Retry-After", "1.0");
     co_await exchange.respond(std::move(answer));
--- a/src/programs/gateway/tests/silent_server_test.cpp
+++ b/src/programs/gateway/tests/silent_server_test.cpp
@@ -39,6 +39,7 @@
 {
     http::response_message answer;
     answer.status = 503;
+    answer.headers.add("Attempt-Id", "a1");
     answer.headers.add("Not-Run", "1");
     co_await exchange.respond(std::move(answer));
 }
@@ -144,6 +145,7 @@
     ++refusals;
     http::response_message answer;
     answer.status = 503;
+    answer.headers.add("Attempt-Id", "a1");
     answer.headers.add("Not-Run", "1");
     answer.headers.add("Retry-After", "5.0");
     co_await exchange.respond(std::move(answer));
