A broken stream is continued only by an answer that goes on where it ends

Callers saw, or could see: after a stream had broken off, another server's answer was joined to it whatever it was: text without ids, the stream from its first event on (pieces twice), an event left out, a plain body with an empty line in it; and the stream ended as if it were complete. By a hedged send such an answer also replaced the silent server, which could have gone on.

Cause: the next server is asked to go on after Last-Event-Id, and nothing looked at what it answered. The last delivered id and the splitter's were two values that the session kept in step.

Change: stream_position holds the place in the caller's stream and decides which event may come first in another answer: its id is above the last delivered one, and the next one where the ids have risen by one so far. Comments pass. An answer that does not go on is a failed send (continuation_rejected in the log): another server is asked, or the stream breaks off behind its last whole event. The splitter returns events with their ids; keepsTheLastIdOverEventsWithoutOne moves to stream_position.

Evidence: broken_stream/* plays 17 next answers (4xx, 5xx with and without Not-Run, unsigned, encoded, of another request, plain, wrong events, broken off too, right ones) after a stream that was closed, reset, cut within an event or silent, with a length, chunked and ended by its connection, also by a hedged send and through another instance, and reads the caller's raw bytes.

Ruled out by the same tests, which passed before the change in these rows: an error's head or text in the caller's stream, and a stream that looks complete after an error, an unsigned or encoded 2xx, a plain body, a head alone or an answer that breaks off too.

--- a/src/gateway/event_splitter.h
+++ b/src/gateway/event_splitter.h
@@ -1,8 +1,7 @@
 #pragma once
 
-#include <cstdint>
-#include <optional>
-#include <string>
+#include "gateway/stream_event.h"
+
 #include <string_view>
 
 namespace mustardtrail::gateway
@@ -15,9 +14,7 @@
 public:
     void append(std::string_view bytes);
     /// Returns the next complete event with its blank line, or nullopt when more bytes are needed.
-    std::optional<std::string> next();
-    /// Last id among the events that next() has returned.
-    std::optional<std::uint64_t> lastId() const;
+    std::optional<stream_event> next();
     /// Whether the incomplete event exceeds every proper one; its server may send it without end.
     bool isEventTooLong() const;
     /// Whether bytes are buffered after the last complete event.
@@ -30,7 +27,6 @@
 
     std::string m_pending;
     size_t m_searched = 0; ///< Pending bytes that are known to hold no end of an event.
-    std::optional<std::uint64_t> m_lastId;
 };
 
 } // namespace mustardtrail::gateway
--- a/src/gateway/internal/event_splitter.cpp
+++ b/src/gateway/internal/event_splitter.cpp
@@ -9,14 +9,16 @@
 namespace
 {
 
-std::optional<std::uint64_t> idIn(std::string_view event)
+stream_event readEvent(std::string text)
 {
     constexpr std::string_view field = "id:";
-    std::optional<std::uint64_t> id;
-    while (!event.empty()) {
-        const size_t end = std::min(event.find('\n'), event.size());
-        std::string_view line = event.substr(0, end);
-        event.remove_prefix(std::min(end + 1, event.size()));
+    stream_event event{ std::move(text), std::nullopt, true };
+    std::string_view rest = event.text;
+    while (!rest.empty()) {
+        const size_t end = std::min(rest.find('\n'), rest.size());
+        std::string_view line = rest.substr(0, end);
+        rest.remove_prefix(std::min(end + 1, rest.size()));
+        event.isComment = event.isComment && (line.empty() || line == "\r" || line.starts_with(':'));
         if (!line.starts_with(field)) {
             continue;
         }
@@ -24,10 +26,10 @@
         line.remove_prefix(std::min(line.find_first_not_of(' '), line.size()));
         std::uint64_t value = 0;
         if (std::from_chars(line.data(), line.data() + line.size(), value).ec == std::errc()) {
-            id = value;
+            event.id = value;
         }
     }
-    return id;
+    return event;
 }
 
 } // namespace
@@ -37,7 +39,7 @@
     m_pending += bytes;
 }
 
-std::optional<std::string> event_splitter::next()
+std::optional<stream_event> event_splitter::next()
 {
     constexpr size_t longestEnd = 4;
     const size_t from = m_searched - std::min(m_searched, longestEnd - 1);
@@ -55,15 +57,7 @@
     std::string event = m_pending.substr(0, end + length);
     m_pending.erase(0, end + length);
     m_searched = 0;
-    if (const auto id = idIn(event)) {
-        m_lastId = id;
-    }
-    return event;
-}
-
-std::optional<std::uint64_t> event_splitter::lastId() const
-{
-    return m_lastId;
+    return readEvent(std::move(event));
 }
 
 bool event_splitter::isEventTooLong() const
--- a/src/gateway/tests/event_splitter_test.cpp
+++ b/src/gateway/tests/event_splitter_test.cpp
@@ -11,8 +11,9 @@
     events.append("id: 1\ndata: a\n");
     cr_assert_not(events.next().has_value());
     events.append("\nid: 2\nda");
-    expectEqual(*events.next(), "id: 1\ndata: a\n\n");
-    expectEqual(*events.lastId(), 1U);
+    const auto event = events.next();
+    expectEqual(event->text, "id: 1\ndata: a\n\n");
+    expectEqual(*event->id, 1U);
     cr_assert_not(events.next().has_value());
     cr_assert(events.hasPartialEvent());
 }
@@ -24,8 +25,9 @@
     events.next();
     events.discardPartialEvent();
     events.append("id: 2\ndata: b\n\n");
-    expectEqual(*events.next(), "id: 2\ndata: b\n\n");
-    expectEqual(*events.lastId(), 2U);
+    const auto event = events.next();
+    expectEqual(event->text, "id: 2\ndata: b\n\n");
+    expectEqual(*event->id, 2U);
     cr_assert_not(events.hasPartialEvent());
 }
 
@@ -33,18 +35,22 @@
 {
     event_splitter events;
     events.append("id: 7\r\ndata: a\r\n\r\nid: 8\ndata: b\n\n");
-    expectEqual(*events.next(), "id: 7\r\ndata: a\r\n\r\n");
-    expectEqual(*events.lastId(), 7U);
-    expectEqual(*events.next(), "id: 8\ndata: b\n\n");
+    const auto event = events.next();
+    expectEqual(event->text, "id: 7\r\ndata: a\r\n\r\n");
+    expectEqual(*event->id, 7U);
+    expectEqual(events.next()->text, "id: 8\ndata: b\n\n");
 }
 
-Test(event_splitter, keepsTheLastIdOverEventsWithoutOne)
+Test(event_splitter, tellsCommentsFromEventsWithoutId)
 {
     event_splitter events;
-    events.append("id: 3\ndata: a\n\ndata: b\n\n");
-    events.next();
-    events.next();
-    expectEqual(*events.lastId(), 3U);
+    events.append(": still here\r\n\r\ndata: b\n\n{\"error\": \"full\"}\n\n");
+    cr_assert(events.next()->isComment);
+    for (int count = 0; count < 2; ++count) {
+        const auto event = events.next();
+        cr_assert_not(event->isComment);
+        cr_assert_not(event->id.has_value());
+    }
 }
 
 Test(event_splitter, findsAnEventWhoseEndArrivesInPieces)
@@ -56,7 +62,7 @@
             cr_assert_not(events.next().has_value());
             events.append(std::string_view(&byte, 1));
         }
-        expectEqual(*events.next(), "id: 9\ndata: a" + end);
+        expectEqual(events.next()->text, "id: 9\ndata: a" + end);
         cr_assert_not(events.hasPartialEvent());
     }
 }
--- a/src/programs/gateway/hedged_send.cpp
+++ b/src/programs/gateway/hedged_send.cpp
@@ -147,6 +147,7 @@
 asio::awaitable<bool> hedged_send::readAhead(http::response_stream &answer, std::string &received)
 {
     event_splitter events;
+    m_sent.position.beginAnswer();
     while (true) {
         const auto bytes = co_await answer.read();
         if (!bytes) {
@@ -157,9 +158,18 @@
         if (m_sent.isStream) {
             events.append(*bytes);
         }
-        const bool hasEvent = m_sent.isStream && events.next().has_value();
-        if (hasEvent) {
-            co_return true;
+        while (const auto event = events.next()) {
+            if (!m_sent.position.mayFollow(*event)) {
+                m_context.log.write(log_line("continuation_rejected")
+                                        .add("request", m_sent.attempt.str())
+                                        .add("server", m_sent.server.str())
+                                        .add("after", static_cast<std::int64_t>(m_sent.position.lastId().value_or(-1)))
+                                        .add("event", static_cast<std::int64_t>(event->id.value_or(-1))));
+                co_return false;
+            }
+            if (!event->isComment) {
+                co_return true;
+            }
         }
         if (bytes->empty()) {
             m_isCutOff = m_sent.isStream && (events.hasPartialEvent() || answer.endsWithConnection());
--- a/src/programs/gateway/hedged_send.h
+++ b/src/programs/gateway/hedged_send.h
@@ -2,6 +2,7 @@
 
 #include "gateway/attempt_failure.h"
 #include "gateway/placement_decision.h"
+#include "gateway/stream_position.h"
 #include "http/client.h"
 #include "platform/response_head.h"
 #include "programs/gateway/gateway_context.h"
@@ -27,6 +28,7 @@
         http::request_message message;
         http::call_limits limits;
         bool isStream = false;
+        stream_position position; ///< Where the caller's stream must go on.
         std::optional<second_copy_account::ticket> copy; ///< Set for a second copy of a request whose server is slow.
     };
 
--- a/src/programs/gateway/request_hedge.cpp
+++ b/src/programs/gateway/request_hedge.cpp
@@ -100,7 +100,7 @@
                             .add("request", m_head.attempt.str())
                             .add("silent", m_lastServer)
                             .add("server", server->entry.id.str())
-                            .add("lastEvent", m_lastEvent ? static_cast<std::int64_t>(*m_lastEvent) : -1)
+                            .add("lastEvent", static_cast<std::int64_t>(m_position.lastId().value_or(-1)))
                             .add("age", age(now)));
     launchHedge(placed, *server, std::nullopt, now);
     return true;
@@ -122,6 +122,7 @@
     sent.message = messageFor(placed, sent.reservations.get(), now);
     sent.limits = limitsFor(now);
     sent.isStream = m_route->isStream;
+    sent.position = m_position;
     sent.copy = copy;
     ++m_sends;
     m_excluded.insert(sent.server);
--- a/src/programs/gateway/request_relay.cpp
+++ b/src/programs/gateway/request_relay.cpp
@@ -35,7 +35,7 @@
 {
     attempt_failure failure;
     failure.outcome = outcome;
-    failure.lastEventId = m_lastEvent;
+    failure.lastEventId = m_position.lastId();
     failure.hasStarted = m_exchange.hasStarted();
     return failure;
 }
@@ -152,8 +152,21 @@
     m_isCallerGone = m_isCallerGone || !open;
 }
 
+attempt_failure request_session::rejectContinuation(const stream_event &event)
+{
+    m_context.metrics.recordSendOutcome("no_continuation");
+    m_closedBecause = "no_continuation";
+    m_context.log.write(log_line("continuation_rejected")
+                            .add("request", m_head.attempt.str())
+                            .add("server", m_lastServer)
+                            .add("after", static_cast<std::int64_t>(m_position.lastId().value_or(-1)))
+                            .add("event", static_cast<std::int64_t>(event.id.value_or(-1))));
+    return makeFailure(verdict::ran);
+}
+
 asio::awaitable<std::optional<attempt_failure>> request_session::relayStream(http::response_stream &answer)
 {
+    m_position.beginAnswer();
     while (!m_isCallerGone) {
         auto bytes = co_await answer.read();
         if (!bytes) {
@@ -170,8 +183,13 @@
         }
         m_events.append(*bytes);
         std::string completeEvents;
-        while (auto event = m_events.next()) {
-            completeEvents += *event;
+        stream_position delivered = m_position;
+        while (const auto event = m_events.next()) {
+            if (!delivered.mayFollow(*event)) {
+                co_return rejectContinuation(*event);
+            }
+            delivered.recordDelivered(*event);
+            completeEvents += event->text;
         }
         if (m_events.isEventTooLong()) {
             m_context.metrics.recordSendOutcome("event_too_long");
@@ -185,7 +203,7 @@
         co_await startStream(answer);
         const bool open = co_await m_exchange.write(completeEvents);
         m_isCallerGone = m_isCallerGone || !open;
-        m_lastEvent = m_events.lastId() ? m_events.lastId() : m_lastEvent;
+        m_position = delivered;
         watchStall(stallTimeout());
     }
     // A server that ends before its first event closes the connection as one without anything to say would.
--- a/src/programs/gateway/request_retry.cpp
+++ b/src/programs/gateway/request_retry.cpp
@@ -63,7 +63,7 @@
                             .add("why", why)
                             .add("runs", m_possibleRuns)
                             .add("most", m_route->maxServers)
-                            .add("lastEvent", m_lastEvent ? static_cast<std::int64_t>(*m_lastEvent) : -1));
+                            .add("lastEvent", static_cast<std::int64_t>(m_position.lastId().value_or(-1))));
 }
 
 void request_session::recordFailure(const placement_decision &placed, const attempt_failure &failure)
--- a/src/programs/gateway/request_send_setup.cpp
+++ b/src/programs/gateway/request_send_setup.cpp
@@ -83,8 +83,8 @@
         }
     }
     fields.urgency = engineUrgency();
-    if (m_lastEvent != m_head.lastEvent) {
-        fields.lastEvent = m_lastEvent;
+    if (m_position.hasDelivered()) {
+        fields.lastEvent = m_position.lastId();
     }
     return platform::forwardedRequest(m_exchange.request(), fields);
 }
--- a/src/programs/gateway/request_session.cpp
+++ b/src/programs/gateway/request_session.cpp
@@ -76,7 +76,7 @@
     m_deadlineAt = m_arrivedAt + requestTimeLimit(*m_route, m_head.timeLeft);
     m_service = chooseServiceByWeight(*m_route, m_context.random.unit());
     m_policy = m_routes->policyOf(m_service);
-    m_lastEvent = m_head.lastEvent;
+    m_position = stream_position(m_head.lastEvent);
     m_parts = promptParts(m_head.sharedParts, m_head.ownPart);
     if (m_parts.empty()) {
         m_parts.push_back(wholeRequestPart(m_customer.str(), request.method, request.target, *request.body));
--- a/src/programs/gateway/request_session.h
+++ b/src/programs/gateway/request_session.h
@@ -6,6 +6,7 @@
 #include "gateway/request_placement.h"
 #include "gateway/retry_rule.h"
 #include "gateway/second_copy_rule.h"
+#include "gateway/stream_position.h"
 #include "http/exchange.h"
 #include "platform/request_head.h"
 #include "platform/response_head.h"
@@ -64,6 +65,8 @@
     boost::asio::awaitable<std::optional<attempt_failure>> relayAnswer(http::response_stream &answer);
     boost::asio::awaitable<void> startStream(const http::response_stream &answer);
     boost::asio::awaitable<std::optional<attempt_failure>> relayStream(http::response_stream &answer);
+    /// The answer does not go on where the caller's stream ends.
+    attempt_failure rejectContinuation(const stream_event &event);
     boost::asio::awaitable<std::optional<attempt_failure>> relayCompleteAnswer(
         http::response_stream &answer, const platform::response_head &head);
     boost::asio::awaitable<void> finishFailed(const attempt_failure &failure, next_step step);
@@ -203,7 +206,7 @@
     std::string m_faultyServer;
     std::string_view m_closedBecause; ///< Why this instance ended the current send itself; empty if it did not.
     event_splitter m_events;
-    std::optional<std::uint64_t> m_lastEvent; ///< Last event that was delivered to the caller.
+    stream_position m_position; ///< In the caller's stream, after the last event that was delivered.
     std::optional<time_point> m_firstEventAt;
     time_point m_lastEventAt{};
     std::vector<prompt_part> m_parts; ///< Parts of the prompt; of a request without parts, the request as a whole.
--- /dev/null
+++ b/src/programs/gateway/tests/broken_stream_test.cpp
@@ -0,0 +1,209 @@
+#include "programs/gateway/tests/fake_platform.h"
+
+#include "testing/expect.h"
+
+#include <array>
+#include <cstdio>
+
+using namespace mustardtrail;
+using namespace mustardtrail::gateway::testing;
+using http::testing::raw_connection;
+using mustardtrail::testing::expectEqual;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+const std::string signature = "Attempt-Id: a1\r\nResponse-Stamp: stamp\r\n";
+const std::string ok = "200 OK\r\n" + signature;
+const std::string firstEvents = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+const std::string lastEvent = "id: 3\ndata: c\n\n";
+
+enum class framing { length, chunked, connection };
+enum class breaking { closed, reset, within_an_event, silent };
+
+/// An answer of the next server, and what it makes of the caller's stream.
+struct next_answer {
+    std::string name;
+    std::string head; ///< Status and fields.
+    std::string body;
+    std::string seen; ///< "whole" or "broken", then what follows the first events.
+    bool isPlayedRelayed = false; ///< Also through another instance.
+};
+
+const std::string refused = "broken ";
+
+const std::vector<next_answer> nextAnswers{
+    { "400", "400 Bad Request\r\n" + signature, "error", refused },
+    { "429 not run", "429 Too Many Requests\r\nAttempt-Id: a1\r\nNot-Run: 1\r\n", "error", refused },
+    { "500", "500 Internal Server Error\r\n" + signature, "error", refused, true },
+    { "503", "503 Service Unavailable\r\n" + signature, "id: 3\ndata: error\n\n", refused },
+    { "503 not run", "503 Service Unavailable\r\nAttempt-Id: a1\r\nNot-Run: 1\r\n", "error", refused },
+    { "unsigned", "200 OK\r\nAttempt-Id: a1\r\n", lastEvent, refused, true },
+    { "encoded", ok + "Content-Encoding: gzip\r\n", lastEvent, refused },
+    { "of another request", "200 OK\r\nAttempt-Id: a2\r\nResponse-Stamp: stamp\r\n", lastEvent, refused },
+    { "plain body", ok, "plain text", refused },
+    { "plain body with an empty line", ok, "plain text\n\nmore\n\n", refused },
+    { "events without ids", ok, "data: c\n\n", refused, true },
+    { "from the first event on", ok, firstEvents + lastEvent, refused, true },
+    { "the last event again", ok, "id: 2\ndata: b\n\n" + lastEvent, refused },
+    { "one event left out", ok, "id: 4\ndata: d\n\n", refused },
+    { "broken off too", ok, lastEvent + "id: 4\nda", refused + lastEvent, true },
+    { "whole", ok, lastEvent, "whole " + lastEvent, true },
+    { "whole behind a comment", ok, ": still here\n\n" + lastEvent, "whole : still here\n\n" + lastEvent },
+};
+
+// Criterion runs each test in its own process, so this counter starts at zero in each test.
+int sends = 0;
+
+std::string chunk(const std::string &bytes)
+{
+    std::array<char, 16> size{};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
+    return size.data() + bytes + "\r\n";
+}
+
+std::string answerOf(const std::string &head, const std::string &body, framing by)
+{
+    const std::string start = "HTTP/1.1 " + head + "Connection: close\r\n";
+    switch (by) {
+    case framing::length:
+        return start + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    case framing::chunked:
+        return start + "Transfer-Encoding: chunked\r\n\r\n" + (body.empty() ? "" : chunk(body)) + "0\r\n\r\n";
+    case framing::connection:
+        break;
+    }
+    return start + "\r\n" + body;
+}
+
+boost::asio::awaitable<void> beginAndBreakOff(raw_connection &connection, breaking by)
+{
+    const std::string partial = by == breaking::within_an_event ? "id: 3\nda" : "";
+    co_await connection.send("HTTP/1.1 " + ok + "Transfer-Encoding: chunked\r\n\r\n" + chunk(firstEvents + partial));
+    if (by == breaking::silent) {
+        co_await connection.waitUntilClosed();
+    }
+    // The bytes before a reset are lost if it arrives before they were read.
+    co_await connection.pause(milliseconds(30));
+    if (by == breaking::reset) {
+        connection.reset();
+    }
+}
+
+boost::asio::awaitable<void> sendAndClose(raw_connection &connection, std::string bytes)
+{
+    co_await connection.send(std::move(bytes));
+}
+
+/// The first send breaks off, each other one gets these bytes.
+http::testing::raw_server::script breakOffThenSend(breaking by, std::string bytes)
+{
+    return [by, bytes = std::move(bytes)](raw_connection &connection) {
+        return sends++ == 0 ? beginAndBreakOff(connection, by) : sendAndClose(connection, bytes);
+    };
+}
+
+// An instance that begins to hear of another one may be without a confirmed configuration for a moment.
+void runUntilReady(fake_platform &platform)
+{
+    for (int steps = 0; steps < 200 && platform.readiness() != 200; ++steps) {
+        platform.runFor(milliseconds(10));
+    }
+}
+
+std::string streamSeen(breaking by, const std::string &bytes, bool isRelayed = false)
+{
+    sends = 0;
+    fake_platform platform;
+    for (const char *id : { "i-1", "i-2" }) {
+        platform.addRawServer(id, "reading", breakOffThenSend(by, bytes));
+    }
+    platform.start();
+    if (isRelayed) {
+        platform.startSecondInstance();
+        runUntilReady(platform);
+        platform.cutFirstInstanceFromServers();
+    }
+    const milliseconds timeLeft(by == breaking::silent ? 1'200 : 3'000);
+    const raw_caller caller = platform.openCaller("POST /stream/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a1\r\nDeadline-Ms: "
+        + std::to_string(timeLeft.count()) + "\r\nAuthorization: Token secret\r\nConnection: close\r\nContent-Length: 8\r\n\r\nquestion");
+    for (int steps = 0; steps < 500 && !caller.isClosed(); ++steps) {
+        platform.runFor(milliseconds(10));
+    }
+    return caller.stream();
+}
+
+void expectRightStreams(breaking by, framing next, bool isRelayed = false)
+{
+    std::string wrong;
+    for (const next_answer &answer : nextAnswers) {
+        if (isRelayed && !answer.isPlayedRelayed) {
+            continue;
+        }
+        const size_t kind = answer.seen.find(' ') + 1;
+        const std::string expected = answer.seen.substr(0, kind) + firstEvents + answer.seen.substr(kind);
+        const std::string seen = streamSeen(by, answerOf(answer.head, answer.body, next), isRelayed);
+        wrong += seen == expected ? "" : answer.name + ": " + seen + "\n";
+    }
+    expectEqual(wrong, "");
+}
+
+} // namespace
+
+Test(broken_stream, isNotMixedWithTheNextAnswerAfterItsConnectionWasClosed)
+{
+    expectRightStreams(breaking::closed, framing::length);
+    expectRightStreams(breaking::closed, framing::chunked);
+    expectRightStreams(breaking::closed, framing::connection);
+}
+
+Test(broken_stream, isNotMixedWithTheNextAnswerAfterItsConnectionWasReset)
+{
+    expectRightStreams(breaking::reset, framing::length);
+    expectRightStreams(breaking::reset, framing::chunked);
+    expectRightStreams(breaking::reset, framing::connection);
+}
+
+Test(broken_stream, isNotMixedWithTheNextAnswerAfterItEndedWithinAnEvent)
+{
+    expectRightStreams(breaking::within_an_event, framing::length);
+    expectRightStreams(breaking::within_an_event, framing::chunked);
+    expectRightStreams(breaking::within_an_event, framing::connection);
+}
+
+Test(broken_stream, ofASilentServerIsNotMixedWithTheAnswerOfAHedgedSend)
+{
+    expectRightStreams(breaking::silent, framing::chunked);
+}
+
+Test(broken_stream, ofASilentServerIsNotMixedWithAnAnswerOfAHedgedSendThatEndsWithItsConnection)
+{
+    expectRightStreams(breaking::silent, framing::connection);
+}
+
+Test(broken_stream, isNotMixedWithTheNextAnswerThroughAnotherInstance)
+{
+    expectRightStreams(breaking::closed, framing::chunked, true);
+}
+
+Test(broken_stream, isNotMixedWithTheNextAnswerThatEndsWithItsConnectionThroughAnotherInstance)
+{
+    expectRightStreams(breaking::within_an_event, framing::connection, true);
+}
+
+Test(broken_stream, isNotCompleteAfterAHeadWithoutBody)
+{
+    const std::string head = "HTTP/1.1 " + ok + "Connection: close\r\n";
+    for (const char *body : { "Content-Length: 15\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n", "\r\n" }) {
+        expectEqual(streamSeen(breaking::closed, head + body), "broken " + firstEvents);
+        expectEqual(streamSeen(breaking::silent, head + body), "broken " + firstEvents);
+    }
+}
+
+// The server says that nothing is left: the one before may have broken off behind its last event.
+Test(broken_stream, isCompleteAfterACompleteAnswerWithoutEvents)
+{
+    expectEqual(streamSeen(breaking::closed, answerOf(ok, "", framing::length)), "whole " + firstEvents);
+    expectEqual(streamSeen(breaking::closed, answerOf(ok, "", framing::chunked)), "whole " + firstEvents);
+}
--- a/src/programs/gateway/tests/fake_platform.cpp
+++ b/src/programs/gateway/tests/fake_platform.cpp
@@ -193,8 +193,7 @@
     platform::instance_settings settings = baseSettings();
     settings.instance = instance_id("two");
     settings.address = secondAddress;
-    settings.callers = unusedAddress(m_context);
-    settings.readiness = unusedAddress(m_context);
+    settings.callers = settings.readiness = { secondAddress, 0 }; // Another process may take a port that is chosen before its use.
     settings.peerPort = m_settings.peerPort;
     settings.metricsPort = m_settings.metricsPort;
     settings.seeds = { { m_settings.address, m_settings.peerPort } };
--- a/src/programs/gateway/tests/raw_caller.cpp
+++ b/src/programs/gateway/tests/raw_caller.cpp
@@ -81,4 +81,24 @@
     return std::to_string(parser.get().result_int()) + " " + parser.get().body();
 }
 
+std::string raw_caller::stream() const
+{
+    const std::string &received = m_connection->received;
+    beast::http::response_parser<beast::http::string_body> parser;
+    parser.eager(true);
+    boost::system::error_code failure;
+    size_t used = 0;
+    while (used < received.size() && !failure && !parser.is_done()) {
+        used += parser.put(asio::buffer(received) + used, failure);
+    }
+    const std::string rest = received.substr(used);
+    const bool isRead = !failure || failure == beast::http::error::need_more;
+    const bool isStream = parser.is_header_done() && parser.get().result_int() == 200;
+    // The parser takes the line end behind a chunk together with the next chunk.
+    if (!isRead || !isStream || !(rest.empty() || (rest == "\r\n" && !parser.is_done()))) {
+        return "other bytes: " + received;
+    }
+    return (parser.is_done() ? "whole " : "broken ") + parser.get().body();
+}
+
 } // namespace mustardtrail::gateway::testing
--- a/src/programs/gateway/tests/raw_caller.h
+++ b/src/programs/gateway/tests/raw_caller.h
@@ -23,6 +23,8 @@
     bool isClosed() const;
     /// "STATUS BODY" where exactly one complete answer was received; otherwise what was received instead.
     std::string onlyAnswer() const;
+    /// "whole BODY" or "broken BODY" of a 200 answer that is all that was received; otherwise what was received instead.
+    std::string stream() const;
 
 private:
     struct connection;
