--- a/src/http/tests/begun_response_test.cpp
+++ b/src/http/tests/begun_response_test.cpp
@@ -2,6 +2,8 @@
 
 #include "testing/expect.h"
 
+#include <stdexcept>
+
 using namespace mustardtrail;
 using namespace mustardtrail::http;
 using mustardtrail::testing::expectEqual;
@@ -41,6 +43,12 @@
     co_await incoming.write("");
 }
 
+boost::asio::awaitable<void> failAfterTheHead(exchange &incoming)
+{
+    co_await incoming.startStream(200, header_list());
+    throw std::runtime_error("failure");
+}
+
 /// What a caller receives behind the head.
 std::string received(const handler &serve)
 {
@@ -68,3 +76,8 @@
 {
     expectEqual(received(writeNothingWithinAStream), "4\r\nhalf\r\n");
 }
+
+Test(begun_response, aStreamThatFailsBetweenItsHeadAndItsFirstChunkDoesNotLookComplete)
+{
+    expectEqual(received(failAfterTheHead), "");
+}
