A stream without ids that its caller resumed is not continued behind the caller's own id

Callers could see: a caller resumes a stream with Last-Event-Id, its server sends events without ids and breaks off, and the next server is asked to go on behind the caller's own id. It begins there again, so events come twice and the stream looks complete.

Cause: the caller's id stayed the place to go on after events had been delivered. Now it is one only until the first event; a stream whose delivered events have no id breaks off, as it does for a caller that named none.

Not shown on the users' platform, whose events have ids.

--- a/src/gateway/internal/stream_position.cpp
+++ b/src/gateway/internal/stream_position.cpp
@@ -37,6 +37,8 @@
             m_hasSteps = true;
         }
         m_lastId = event.id;
+    } else if (!m_hasDelivered) {
+        m_lastId.reset(); // The caller has events behind the one that it named.
     }
     m_hasDelivered = true;
     m_isFirstOfAnswer = false;
--- a/src/gateway/tests/stream_position_test.cpp
+++ b/src/gateway/tests/stream_position_test.cpp
@@ -59,3 +59,10 @@
     expectEqual(*positionAfter({ 3, {} }).lastId(), 3U);
     expectEqual(*positionAfter({}, 12).lastId(), 12U);
 }
+
+// Guards against events that come twice.
+Test(stream_position, theCallersOwnIdIsNoPlaceToGoOnBehindEventsWithoutIds)
+{
+    cr_assert_not(positionAfter({ {} }, 12).lastId().has_value());
+    expectEqual(*positionAfter({ {}, 14 }, 12).lastId(), 14U);
+}
--- a/src/programs/gateway/tests/broken_stream_test.cpp
+++ b/src/programs/gateway/tests/broken_stream_test.cpp
@@ -112,6 +112,18 @@
     }
 }
 
+/// Caller whose connection has been closed.
+raw_caller callerOf(fake_platform &platform, milliseconds timeLeft, const std::string &fields = "")
+{
+    raw_caller caller = platform.openCaller(
+        "POST /stream/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a1\r\nDeadline-Ms: " + std::to_string(timeLeft.count()) + "\r\n" + fields
+        + "Authorization: Token secret\r\nConnection: close\r\nContent-Length: 8\r\n\r\nquestion");
+    for (int steps = 0; steps < 500 && !caller.isClosed(); ++steps) {
+        platform.runFor(milliseconds(10));
+    }
+    return caller;
+}
+
 std::string streamSeen(breaking by, const std::string &bytes, bool isRelayed = false)
 {
     sends = 0;
@@ -125,13 +137,7 @@
         runUntilReady(platform);
         platform.cutFirstInstanceFromServers();
     }
-    const milliseconds timeLeft(by == breaking::silent ? 1'200 : 3'000);
-    const raw_caller caller = platform.openCaller("POST /stream/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a1\r\nDeadline-Ms: "
-        + std::to_string(timeLeft.count()) + "\r\nAuthorization: Token secret\r\nConnection: close\r\nContent-Length: 8\r\n\r\nquestion");
-    for (int steps = 0; steps < 500 && !caller.isClosed(); ++steps) {
-        platform.runFor(milliseconds(10));
-    }
-    return caller.stream();
+    return callerOf(platform, milliseconds(by == breaking::silent ? 1'200 : 3'000)).stream();
 }
 
 void expectRightStreams(breaking by, framing next, bool isRelayed = false)
@@ -149,6 +155,13 @@
     expectEqual(wrong, "");
 }
 
+boost::asio::awaitable<void> sendWithoutIdsFirst(raw_connection &connection)
+{
+    const std::string head = "HTTP/1.1 " + ok + "Transfer-Encoding: chunked\r\n\r\n";
+    return sends++ == 0 ? sendAndClose(connection, head + chunk("data: m\n\n"))
+                        : sendAndClose(connection, head + chunk("id: 13\ndata: m\n\n") + "0\r\n\r\n");
+}
+
 } // namespace
 
 Test(broken_stream, isNotMixedWithTheNextAnswerAfterItsConnectionWasClosed)
@@ -207,3 +220,15 @@
     expectEqual(streamSeen(breaking::closed, answerOf(ok, "", framing::length)), "whole " + firstEvents);
     expectEqual(streamSeen(breaking::closed, answerOf(ok, "", framing::chunked)), "whole " + firstEvents);
 }
+
+// Guards against events that come twice: the next server would begin after the event that the caller named, again.
+Test(broken_stream, isNotContinuedWhereTheCallerResumedItAndGotEventsWithoutIds)
+{
+    fake_platform platform;
+    for (const char *id : { "i-1", "i-2" }) {
+        platform.addRawServer(id, "reading", sendWithoutIdsFirst);
+    }
+    platform.start();
+    expectEqual(callerOf(platform, milliseconds(3'000), "Last-Event-Id: 12\r\n").stream(), "broken data: m\n\n");
+    expectEqual(sends, 1);
+}
