An answer without content on a streaming route gets no last chunk

Callers could see: an engine's signed 204 on a streaming route was sent on as a chunked stream of no chunks. An answer with that status has no body, so the last chunk behind its head is bytes that are no answer, before the next one on the connection.

Cause: each 2xx of a streaming route was begun as a stream when it ended, also when it held no event. Such an answer is now sent as a complete one; with status 200 it has a length of 0 instead of a last chunk alone.

Evidence: broken_stream/ofAnAnswerWithoutContentIsOneAnswer failed before (one run: "0" behind the head), 5 of 5 pass. Not shown on the users' platform, whose engines have not been seen to answer 204.

--- a/src/programs/gateway/request_relay.cpp
+++ b/src/programs/gateway/request_relay.cpp
@@ -219,8 +219,13 @@
         m_context.state.quarantine.recordWritten(m_parts, m_context.clock.now());
     }
     m_context.metrics.recordSendOutcome("served");
-    co_await startStream(answer);
-    co_await m_exchange.finishStream();
+    if (m_exchange.hasStarted()) {
+        co_await m_exchange.finishStream();
+        co_return std::nullopt;
+    }
+    // The status may be one that has no body, not even a last chunk.
+    http::response_message withoutEvents{ answer.status(), platform::endToEndHeaders(answer.headers()), {} };
+    co_await m_exchange.respond(std::move(withoutEvents));
     co_return std::nullopt;
 }
 
--- a/src/programs/gateway/tests/broken_stream_test.cpp
+++ b/src/programs/gateway/tests/broken_stream_test.cpp
@@ -162,6 +162,11 @@
                         : sendAndClose(connection, head + chunk("id: 13\ndata: m\n\n") + "0\r\n\r\n");
 }
 
+boost::asio::awaitable<void> answerWithoutContent(raw_connection &connection)
+{
+    return sendAndClose(connection, "HTTP/1.1 204 No Content\r\n" + signature + "\r\n");
+}
+
 } // namespace
 
 Test(broken_stream, isNotMixedWithTheNextAnswerAfterItsConnectionWasClosed)
@@ -232,3 +237,12 @@
     expectEqual(callerOf(platform, milliseconds(3'000), "Last-Event-Id: 12\r\n").stream(), "broken data: m\n\n");
     expectEqual(sends, 1);
 }
+
+// Guards against a last chunk behind an answer that has no body.
+Test(broken_stream, ofAnAnswerWithoutContentIsOneAnswer)
+{
+    fake_platform platform;
+    platform.addRawServer("i-1", "reading", answerWithoutContent);
+    platform.start();
+    expectEqual(callerOf(platform, milliseconds(3'000)).onlyAnswer(), "204 ");
+}
