--- a/src/programs/gateway/tests/broken_stream_test.cpp
+++ b/src/programs/gateway/tests/broken_stream_test.cpp
@@ -1,3 +1,4 @@
+#include "programs/gateway/operator_policy.h"
 #include "programs/gateway/tests/fake_platform.h"
 
 #include "testing/expect.h"
@@ -19,6 +20,8 @@
 const std::string firstEvents = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
 const std::string lastEvent = "id: 3\ndata: c\n\n";
 
+constexpr int usualCalls = 25; ///< More than the least number of latencies that a second copy needs.
+
 enum class framing { length, chunked, connection };
 enum class breaking { closed, reset, within_an_event, silent };
 
@@ -162,6 +165,24 @@
                         : sendAndClose(connection, head + chunk("id: 13\ndata: m\n\n") + "0\r\n\r\n");
 }
 
+/// The first call after the usual ones is slow at one server, and its second copy breaks off.
+boost::asio::awaitable<void> breakOffTheSecondCopy(raw_connection &connection)
+{
+    const int send = ++sends;
+    if (send == usualCalls + 2) {
+        co_await beginAndBreakOff(connection, breaking::closed);
+        co_return;
+    }
+    const bool isSlow = send > usualCalls;
+    const milliseconds time(isSlow ? 300 : send % 5 == 0 ? 60 : 20);
+    co_await connection.pause(time);
+    std::string bytes = answerOf(ok, firstEvents + lastEvent, framing::chunked);
+    if (isSlow) {
+        bytes = answerOf("500 Internal Server Error\r\n" + signature, "error", framing::length);
+    }
+    co_await connection.send(std::move(bytes));
+}
+
 boost::asio::awaitable<void> answerWithoutContent(raw_connection &connection)
 {
     return sendAndClose(connection, "HTTP/1.1 204 No Content\r\n" + signature + "\r\n");
@@ -246,3 +267,18 @@
     platform.start();
     expectEqual(callerOf(platform, milliseconds(3'000)).onlyAnswer(), "204 ");
 }
+
+Test(broken_stream, ofASecondCopyIsNotMixedWithTheAnswerOfTheSlowServer)
+{
+    fake_platform platform;
+    for (const char *id : { "i-1", "i-2" }) {
+        platform.addRawServer(id, "reading", breakOffTheSecondCopy);
+    }
+    platform.start();
+    platform.applyPolicy({ 0.2 });
+    for (int call = 0; call < usualCalls; ++call) {
+        expectEqual(platform.call("/stream/x").body, firstEvents + lastEvent);
+    }
+    expectEqual(callerOf(platform, milliseconds(3'000)).stream(), "broken " + firstEvents);
+    expectEqual(sends, usualCalls + 2);
+}
