--- a/src/programs/gateway/tests/broken_stream_test.cpp
+++ b/src/programs/gateway/tests/broken_stream_test.cpp
@@ -56,8 +56,9 @@
     { "whole behind a comment", ok, ": still here\n\n" + lastEvent, "whole : still here\n\n" + lastEvent },
 };
 
-// Criterion runs each test in its own process, so this counter starts at zero in each test.
+// Criterion runs each test in its own process, so these values start anew in each test.
 int sends = 0;
+bool isNextLeft = false;
 
 std::string chunk(const std::string &bytes)
 {
@@ -115,12 +116,17 @@
     }
 }
 
-/// Caller whose connection has been closed.
-raw_caller callerOf(fake_platform &platform, milliseconds timeLeft, const std::string &fields = "")
+raw_caller openCaller(fake_platform &platform, milliseconds timeLeft, const std::string &fields = "")
 {
-    raw_caller caller = platform.openCaller(
+    return platform.openCaller(
         "POST /stream/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a1\r\nDeadline-Ms: " + std::to_string(timeLeft.count()) + "\r\n" + fields
         + "Authorization: Token secret\r\nConnection: close\r\nContent-Length: 8\r\n\r\nquestion");
+}
+
+/// Caller whose connection has been closed.
+raw_caller callerOf(fake_platform &platform, milliseconds timeLeft, const std::string &fields = "")
+{
+    raw_caller caller = openCaller(platform, timeLeft, fields);
     for (int steps = 0; steps < 500 && !caller.isClosed(); ++steps) {
         platform.runFor(milliseconds(10));
     }
@@ -183,6 +189,17 @@
     co_await connection.send(std::move(bytes));
 }
 
+/// Notes whether the next server is left while it has not answered.
+boost::asio::awaitable<void> breakOffThenWait(raw_connection &connection)
+{
+    if (sends++ == 0) {
+        co_await beginAndBreakOff(connection, breaking::closed);
+        co_return;
+    }
+    co_await connection.waitUntilClosed();
+    isNextLeft = true;
+}
+
 boost::asio::awaitable<void> answerWithoutContent(raw_connection &connection)
 {
     return sendAndClose(connection, "HTTP/1.1 204 No Content\r\n" + signature + "\r\n");
@@ -282,3 +299,20 @@
     expectEqual(callerOf(platform, milliseconds(3'000)).stream(), "broken " + firstEvents);
     expectEqual(sends, usualCalls + 2);
 }
+
+Test(broken_stream, isGivenUpWhenItsCallerLeavesWhileTheNextServerIsAsked)
+{
+    fake_platform platform;
+    for (const char *id : { "i-1", "i-2" }) {
+        platform.addRawServer(id, "reading", breakOffThenWait);
+    }
+    platform.start();
+    raw_caller caller = openCaller(platform, milliseconds(3'000));
+    for (int steps = 0; steps < 100 && sends < 2; ++steps) {
+        platform.runFor(milliseconds(10));
+    }
+    caller.leave();
+    platform.runFor(milliseconds(200));
+    expectEqual(sends, 2);
+    cr_assert(isNextLeft);
+}
