--- a/src/programs/gateway/tests/fake_platform.cpp
+++ b/src/programs/gateway/tests/fake_platform.cpp
@@ -231,7 +231,7 @@
     settings.instance = instance_id("two");
     settings.address = secondAddress;
     settings.callers = m_secondCallerAddress = unusedAddress(m_context);
-    settings.readiness = unusedAddress(m_context);
+    settings.readiness = { secondAddress, 0 }; // Another process may take a port that is chosen before its use.
     settings.peerPort = m_settings.peerPort;
     settings.metricsPort = m_settings.metricsPort;
     settings.seeds = { { m_settings.address, m_settings.peerPort } };
