--- a/src/programs/gateway/tests/odd_entries_test.cpp
+++ b/src/programs/gateway/tests/odd_entries_test.cpp
@@ -115,3 +115,16 @@
     platform.callSecondInstance();
     expectServed(platform, "/once/x", "all");
 }
+
+// The id of a server goes into a header of each request to it.
+Test(odd_entries, anIdWithALineBreakAddsNoHeader)
+{
+    fake_platform platform;
+    http::testing::raw_server server(platform.executor(), answerAtOnce);
+    platform.writeItems({ fake_platform::itemOf(R"(servers/i-1\r\nTenant: other)", fake_platform::entryOf("desk", server.address())) });
+    platform.start();
+    lastRequest.clear();
+    const caller_answer answer = platform.call("/once/x");
+    cr_assert(lastRequest.find("Tenant: other") == std::string::npos, "%s", lastRequest.c_str());
+    expectEqual(answer.status, 503);
+}
