A server whose entry turns odd counts as unlisted

Callers: when another writer replaced a sound entry by one that cannot be read, an instance that watched the store went on to send requests to that server for as long as the entry stayed, while one that read the list anew did not use it. The protocol says that such an entry names no engine to use.

Cause: an unreadable entry was logged only, so the server of its key kept its entry of before.

Change: unreadable_entry names the server of its key, and that server is removed in the way of one that is not listed: at once, or after the grace that follows an outage of the store.

--- a/src/gateway/fleet_state.h
+++ b/src/gateway/fleet_state.h
@@ -141,6 +141,7 @@
     void applyConfig(const config_published &published);
     void logProblems(const published_config &config);
     void applyServer(const listed_server &server, time_point now);
+    void removeServer(const backend_server_id &server, time_point now, time_point keepUntil);
     bool isAtRateLimit(const server_directory::known_server &server, time_point now) const;
     bool isAtColdLimit(const server_directory::known_server &server, unsigned sentLastSecond, double share, time_point now) const;
     void setLink(placement_candidate &candidate, const listed_server &server) const;
--- a/src/gateway/internal/fleet_state.cpp
+++ b/src/gateway/internal/fleet_state.cpp
@@ -103,6 +103,14 @@
     }
 }
 
+void fleet_state::removeServer(const backend_server_id &server, time_point now, time_point keepUntil)
+{
+    const auto outcome = servers.remove(server, now, keepUntil);
+    if (outcome != server_directory::change::none) {
+        m_log(eventName(outcome), server.str(), {});
+    }
+}
+
 void fleet_state::apply(const published_change &change, time_point now, time_point keepUntil)
 {
     if (const auto *config = std::get_if<config_published>(&change)) {
@@ -110,15 +118,13 @@
     } else if (const auto *listed = std::get_if<server_listed>(&change)) {
         applyServer(listed->server, now);
     } else if (const auto *unlisted = std::get_if<server_unlisted>(&change)) {
-        const auto outcome = servers.remove(unlisted->server, now, keepUntil);
-        if (outcome != server_directory::change::none) {
-            m_log(eventName(outcome), unlisted->server.str(), {});
-        }
+        removeServer(unlisted->server, now, keepUntil);
     } else if (const auto *dataCentre = std::get_if<data_centre_service_changed>(&change)) {
         servers.setOutOfService(dataCentre->dataCentre, dataCentre->isOutOfService);
         m_log(dataCentre->isOutOfService ? "data_centre_out" : "data_centre_back", dataCentre->dataCentre.str(), {});
     } else if (const auto *unreadable = std::get_if<unreadable_entry>(&change)) {
         m_log("entry_unreadable", unreadable->key, unreadable->detail);
+        removeServer(unreadable->server, now, keepUntil);
     }
 }
 
--- a/src/gateway/published_change.h
+++ b/src/gateway/published_change.h
@@ -26,10 +26,11 @@
     bool isOutOfService = false; ///< Its backend servers receive no new requests.
 };
 
-/// An entry that cannot be parsed; only logged.
+/// An entry that cannot be parsed. It is logged, and the backend server that its key names counts as unlisted.
 struct unreadable_entry {
     std::string key;
     std::string detail;
+    backend_server_id server{}; ///< Empty for another kind of entry.
 };
 
 /// One change of the configuration or the server list published in the platform's store.
--- a/src/programs/gateway/tests/odd_entries_test.cpp
+++ b/src/programs/gateway/tests/odd_entries_test.cpp
@@ -116,6 +116,24 @@
     expectServed(platform, "/once/x", "all");
 }
 
+// Such an entry names no engine to use, whatever its key named before.
+Test(odd_entries, aSoundEntryThatTurnsOddNamesNoEngine)
+{
+    for (const std::string &entry :
+        { std::string("{"), std::string(), fake_platform::entryOf("desk", nowhere, R"(,"cold_left_ms":1e300)") }) {
+        fake_platform platform;
+        http::testing::raw_server server(platform.executor(), answerAtOnce);
+        const std::string sound = fake_platform::itemOf("servers/i-1", fake_platform::entryOf("desk", server.address()));
+        platform.writeItems({ sound });
+        platform.start();
+        expectServed(platform, "/once/x", "sound");
+        platform.writeItems({ fake_platform::itemOf("servers/i-1", entry) });
+        expectNotServed(platform, "/once/x", entry);
+        platform.writeItems({ sound });
+        expectServed(platform, "/once/x", "sound again");
+    }
+}
+
 // The id of a server goes into a header of each request to it.
 Test(odd_entries, anIdWithALineBreakAddsNoHeader)
 {
