--- a/src/programs/gateway/tests/fake_platform.cpp
+++ b/src/programs/gateway/tests/fake_platform.cpp
@@ -9,7 +9,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/detail/base64.hpp>
 
 #include <stdexcept>
 #include <thread>
@@ -40,19 +39,6 @@
  "services":[{"name":"reading"},{"name":"desk"},
   {"name":"batch","engine":{"slots":4,"kv_cache_tokens":1000,"read_per_s":100000,"step_ms":1.0}}],"tenants":[{"name":"first","api_keys":["secret"]}]})";
 
-std::string base64(const std::string &text)
-{
-    namespace codec = boost::beast::detail::base64;
-    std::string encoded(codec::encoded_size(text.size()), '\0');
-    encoded.resize(codec::encode(encoded.data(), text.data(), text.size()));
-    return encoded;
-}
-
-std::string storeItem(const std::string &key, const std::string &value, unsigned revision = 5)
-{
-    return R"({"key":")" + key + R"(","value":")" + base64(value) + R"(","revision":)" + std::to_string(revision) + "}";
-}
-
 http::response_message emptyAnswer(int status, int, std::string_view)
 {
     http::response_message message;
@@ -107,72 +93,6 @@
     addServerAt(id, service, m_rawServers.back()->address());
 }
 
-void fake_platform::addServerAt(const std::string &id, const std::string &service, const endpoint &address)
-{
-    m_serverAddresses.insert(address);
-    m_serverItems += "," + storeItem("servers/" + id, entryOf(service, address));
-}
-
-std::string fake_platform::itemOf(const std::string &key, const std::string &value)
-{
-    return R"({"key":")" + key + R"(","value":")" + base64(value) + R"(","revision":REVISION})";
-}
-
-std::string fake_platform::entryOf(const std::string &service, const endpoint &address, const std::string &fields)
-{
-    return R"({"service":")" + service + R"(","address":")" + toString(address) + R"(","zone":"dc","slots":4,"state":"ready")" + fields
-        + "}";
-}
-
-void fake_platform::writeItems(const std::vector<std::string> &items)
-{
-    constexpr std::string_view placeholder = "REVISION";
-    ++m_revision;
-    for (std::string item : items) {
-        if (const size_t at = item.find(placeholder); at != std::string::npos) {
-            item.replace(at, placeholder.size(), std::to_string(m_revision));
-        }
-        m_writtenItems.emplace_back(m_revision, std::move(item));
-    }
-}
-
-void fake_platform::callSecondInstance()
-{
-    m_callerAddress = m_secondCallerAddress;
-}
-
-asio::awaitable<void> fake_platform::serveStore(http::exchange &exchange)
-{
-    constexpr int maxWaits = 10;
-    const bool isList = exchange.request().path() == "/api/kv-range";
-    const std::string after(exchange.request().query("after"));
-    const auto isAfter = [isAll = isList || after.empty(), after](unsigned revision) {
-        return isAll || revision > std::stoul(after);
-    };
-    const auto isNew = [this, &isAfter] {
-        return isAfter(m_configRevision) || (!m_writtenItems.empty() && isAfter(m_writtenItems.back().first));
-    };
-    for (int waits = 0; !isList && !m_isStoreDown && !isNew() && waits < maxWaits; ++waits) {
-        asio::steady_timer wait(exchange.executor(), milliseconds(10));
-        co_await wait.async_wait(asio::use_awaitable);
-    }
-    http::response_message answer;
-    std::string items;
-    for (const auto &[writtenAt, item] : m_writtenItems) {
-        items += isAfter(writtenAt) ? item + "," : "";
-    }
-    items += isAfter(m_configRevision) ? storeItem("op/config", m_config, m_configRevision) : "";
-    items += isList ? m_serverItems : "";
-    if (items.ends_with(',')) {
-        items.pop_back();
-    }
-    const std::string revision = R"("store_revision":)" + std::to_string(m_revision) + "}";
-    answer.body = isList ? R"({"items":[)" + items + R"(],"has_more":false,)" + revision : R"({"events":[)" + items + "]," + revision;
-    answer.headers.add("Store-Era", std::to_string(m_era));
-    answer.status = m_isStoreDown ? 503 : 200;
-    co_await exchange.respond(std::move(answer));
-}
-
 // Another process, such as another test, may take an address between its choice and its use.
 void fake_platform::openHost(platform::instance_settings settings)
 {
@@ -250,24 +170,11 @@
     }
 }
 
-void fake_platform::restoreStoreWithoutServers()
-{
-    ++m_era;
-    m_revision = 6;
-    m_serverItems.clear();
-}
-
 const std::string &fake_platform::firstConfig()
 {
     return configText;
 }
 
-void fake_platform::publish(const std::string &config)
-{
-    m_config = config;
-    m_configRevision = ++m_revision;
-}
-
 raw_caller fake_platform::openCaller(std::string bytes)
 {
     return { m_context.get_executor(), m_callerAddress, std::move(bytes) };
@@ -283,11 +190,6 @@
     m_stopGrace = grace;
 }
 
-void fake_platform::stopStore()
-{
-    m_isStoreDown = true;
-}
-
 void fake_platform::runFor(milliseconds time)
 {
     m_context.run_for(time);
