A quarantine verdict is decided again when further evidence comes

Callers with a sound part were refused with prompt_part_quarantined until the part's trial, when news of what else had been at a crash came more than 0.1 s after it: verdicts were final, so they depended on the order in which the news arrived.

Cause: judge() looked only at parts without a verdict. Evidence that speaks against a verdict (another part at the same crashes, an answer that was written before the last crash) was added, and never held against it. A verdict told by another instance was taken over in the same way, also by an instance whose evidence says otherwise.

The verdicts are now a function of the evidence (crash_judgement), taken in the order of the crashes and not of the news. A verdict names the number of crashes in a row that it is based on: an instance that knows as many decides itself, releases a part that its evidence does not convict, and does not take such a verdict back in from others but tells its evidence again. Verdicts beyond the known evidence, and those that a failed trial confirmed, stay. Earlier releases send 0 for the number, which keeps their verdicts.

Evidence: both tests of quarantine_late_news failed on the code before (one run: 0 of 2) and pass (one run: 2 of 2, 109,601 orders of news). The other suites of the quarantine pass: 39 tests of prompt_quarantine, prompt_quarantine_search (5.3 million histories), quarantine_news and quarantine_oscillation, and 5 of quarantine_spread.

--- a/src/gateway/crash_evidence.h
+++ b/src/gateway/crash_evidence.h
@@ -28,6 +28,7 @@
     prompt_part part = 0;
     time_point since{}; ///< Of the latest crash that it is held responsible for.
     unsigned failedTrials = 0;
+    unsigned crashes = 0; ///< In a row, that convicted it. An instance that knows as many decides itself. 0: not known.
 };
 
 /// What an instance tells the others about parts that crash servers. Merging is idempotent and independent of the order.
--- a/src/gateway/internal/load_report.cpp
+++ b/src/gateway/internal/load_report.cpp
@@ -175,6 +175,7 @@
         each.set_part(part.part);
         each.set_since_ms(ageOf(part.since, now));
         each.set_failed_trials(part.failedTrials);
+        each.set_crashes(part.crashes);
     }
 }
 
@@ -193,7 +194,7 @@
         news.written.push_back({ each.part(), now - milliseconds(each.ms_ago()) });
     }
     for (const wire::QuarantinedPart &each : source.quarantined_parts()) {
-        news.quarantined.push_back({ each.part(), now - milliseconds(each.since_ms()), each.failed_trials() });
+        news.quarantined.push_back({ each.part(), now - milliseconds(each.since_ms()), each.failed_trials(), each.crashes() });
     }
     return news;
 }
--- a/src/gateway/internal/prompt_quarantine.cpp
+++ b/src/gateway/internal/prompt_quarantine.cpp
@@ -1,5 +1,7 @@
 #include "gateway/prompt_quarantine.h"
 
+#include "gateway/internal/crash_judgement.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -14,8 +16,6 @@
 // A time from another instance is off by the network's delay, which is no news. Two trials are further apart.
 constexpr milliseconds sameMoment = prompt_quarantine::firstTrialDelay / 2;
 constexpr int trialDelayFactor = 3;
-constexpr milliseconds reportDelay{ 20 }; // By which the times of others are late, one more than another.
-constexpr milliseconds commonCauseSpan{ 50 }; // Servers that one event ends, as a loss of power, are seen to end within it.
 
 // A part that ended its servers at two trials is mended with the servers' program at the earliest.
 milliseconds trialDelay(unsigned failedTrials)
@@ -56,21 +56,25 @@
         evidence.sentAt[part] = sentAt;
         if (const auto found = m_quarantined.find(part); found != m_quarantined.end()) {
             const bool wasTrial = std::exchange(found->second.isOnTrial, false);
-            quarantine(part, now, found->second.failedTrials + (wasTrial ? 1 : 0), now);
+            quarantine({ part, now, found->second.failedTrials + (wasTrial ? 1 : 0), found->second.crashes }, now);
         }
     }
-    const part_set suspects = addEvidence(evidence, now);
+    const bool isNews = addEvidence(evidence, now);
     if (const auto known = m_crashes.find(server); known != m_crashes.end()) {
         known->second.isOwn = true;
     }
-    judge(suspects, now);
+    if (isNews) {
+        judge(now);
+    }
 }
 
 void prompt_quarantine::recordWritten(const std::vector<prompt_part> &parts, time_point now)
 {
     for (const prompt_part part : parts) {
         m_ownAnswers.record(part, now);
-        judge(addWritten(part, now, now), now);
+        if (addWritten(part, now, now)) {
+            judge(now);
+        }
     }
 }
 
@@ -101,10 +105,10 @@
     return true;
 }
 
-prompt_quarantine::part_set prompt_quarantine::addEvidence(const crash_evidence &evidence, time_point now)
+bool prompt_quarantine::addEvidence(const crash_evidence &evidence, time_point now)
 {
     if (now - evidence.at > evidenceMaxAge) {
-        return {};
+        return false;
     }
     const auto [found, isNew] = m_crashes.try_emplace(evidence.server);
     crash_record &record = found->second;
@@ -119,22 +123,22 @@
         }
     }
     if (record.evidence.sentAt.size() == known) {
-        return {};
+        return false;
     }
     record.changedAt = now;
     part_set suspects;
     for (const auto &[part, sentAt] : record.evidence.sentAt) {
         suspects.insert(part);
     }
-    for (const prompt_part part : part_set(suspects)) {
+    for (const prompt_part part : suspects) {
         if (const auto answeredAt = m_ownAnswers.find(part)) {
-            suspects.merge(addWritten(part, *answeredAt, now));
+            addWritten(part, *answeredAt, now);
         }
     }
     if (m_crashes.size() > maxCrashes) {
         dropOldestCrash();
     }
-    return suspects;
+    return true;
 }
 
 void prompt_quarantine::dropOldestCrash()
@@ -145,40 +149,35 @@
     m_crashes.erase(oldest);
 }
 
-prompt_quarantine::part_set prompt_quarantine::addWritten(prompt_part part, time_point at, time_point now)
+bool prompt_quarantine::addWritten(prompt_part part, time_point at, time_point now)
 {
     const auto quarantined = m_quarantined.find(part);
-    bool isNews = quarantined != m_quarantined.end() && at > quarantined->second.since;
-    part_set affected;
-    for (const auto &[server, record] : m_crashes) {
-        if (at > record.evidence.at && isSuspectOf(part, record.evidence)) {
-            isNews = true;
-            for (const auto &[other, sentAt] : record.evidence.sentAt) {
-                affected.insert(other);
-            }
-        }
-    }
-    if (!isNews) {
-        return {};
+    const bool isRelease = quarantined != m_quarantined.end() && at > quarantined->second.since;
+    const bool isClearance = std::any_of(m_crashes.begin(), m_crashes.end(), [&](const auto &entry) {
+        return at > entry.second.evidence.at && isSuspectOf(part, entry.second.evidence);
+    });
+    if (!isRelease && !isClearance) {
+        return false;
     }
     written_record &written = m_written[part];
     written.at = at;
     written.changedAt = now;
-    written.hasReleased = written.hasReleased || quarantined != m_quarantined.end();
-    if (quarantined != m_quarantined.end()) {
+    if (isRelease) {
+        written.hasReleased = true;
         release(part);
     }
-    return affected;
+    return true;
 }
 
-void prompt_quarantine::quarantine(prompt_part part, time_point since, unsigned failedTrials, time_point now)
+void prompt_quarantine::quarantine(const quarantined_part &verdict, time_point now)
 {
-    const auto [found, isNew] = m_quarantined.try_emplace(part);
-    found->second.since = since;
-    found->second.failedTrials = failedTrials;
+    const auto [found, isNew] = m_quarantined.try_emplace(verdict.part);
+    found->second.since = verdict.since;
+    found->second.failedTrials = verdict.failedTrials;
+    found->second.crashes = verdict.crashes;
     found->second.changedAt = now;
     if (isNew && m_onChange) {
-        m_onChange(part, true);
+        m_onChange(verdict.part, true);
     }
 }
 
@@ -199,93 +198,78 @@
     return written == m_written.end() || written->second.at <= crash.at;
 }
 
-std::vector<const prompt_quarantine::crash_record *> prompt_quarantine::unexplainedCrashes(prompt_part part) const
+crash_judgement prompt_quarantine::judgement(time_point now) const
 {
-    std::vector<const crash_record *> found;
+    std::vector<crash_judgement::known_crash> crashes;
     for (const auto &[server, record] : m_crashes) {
-        const crash_evidence &crash = record.evidence;
-        if (!isSuspectOf(part, crash)) {
-            continue;
-        }
-        const bool isExplained = std::any_of(crash.sentAt.begin(), crash.sentAt.end(), [&](const auto &entry) {
-            return entry.first != part && m_quarantined.contains(entry.first);
-        });
-        if (!isExplained) {
-            found.push_back(&record);
-        }
+        crashes.push_back({ &record.evidence, record.isOwn, now - record.evidence.at >= settleTime });
     }
-    std::sort(found.begin(), found.end(), [](const crash_record *left, const crash_record *right) {
-        return left->evidence.at < right->evidence.at;
-    });
-    return found;
+    return { std::move(crashes), [this](prompt_part part, const crash_evidence &crash) {
+                return isSuspectOf(part, crash);
+            } };
 }
 
-unsigned prompt_quarantine::crashesInARow(prompt_part part, const std::vector<const crash_record *> &crashes)
+part_suspicion prompt_quarantine::suspicionOf(prompt_part part, time_point now) const
 {
-    unsigned count = 0;
-    std::optional<time_point> last;
-    for (const crash_record *crash : crashes) {
-        const milliseconds uncertainty = crash->isOwn ? milliseconds(0) : reportDelay;
-        const bool isSentAfterLast = !last || crash->evidence.sentAt.at(part) > *last + uncertainty;
-        // Copies of one request are rarely in flight together, so what ends their servers one by one is most likely the request.
-        const bool endsApart = last && isOwnPart(part) && crash->evidence.at > *last + commonCauseSpan + uncertainty;
-        if (isSentAfterLast || endsApart) {
-            ++count;
-            last = crash->evidence.at;
-        }
+    part_set quarantined;
+    for (const auto &[each, record] : m_quarantined) {
+        quarantined.insert(each);
     }
-    return count;
-}
-
-bool prompt_quarantine::hasOtherExplanation(prompt_part part, const std::vector<const crash_record *> &crashes, time_point now) const
-{
-    const auto &others = crashes.front()->evidence.sentAt;
-    return std::any_of(others.begin(), others.end(), [&](const auto &entry) {
-        // Of a prompt's own part and a shared one beside it, the own one is the narrower explanation: fewer prompts are held back.
-        const bool isWider = isOwnPart(part) && !isOwnPart(entry.first);
-        return entry.first != part && !isWider && std::all_of(crashes.begin(), crashes.end(), [&](const crash_record *crash) {
-            const bool isSettled = now - crash->evidence.at >= settleTime;
-            return !isSettled || isSuspectOf(entry.first, crash->evidence);
-        });
-    });
+    return judgement(now).suspicionOf(part, quarantined);
 }
 
-part_suspicion prompt_quarantine::suspicionOf(prompt_part part, time_point now) const
+std::vector<prompt_quarantine::verdict_change> prompt_quarantine::verdictChanges(time_point now) const
 {
-    const auto crashes = unexplainedCrashes(part);
-    return { crashesInARow(part, crashes), !crashes.empty() && hasOtherExplanation(part, crashes, now), m_quarantined.contains(part) };
+    const crash_judgement judged = judgement(now);
+    part_set beyondEvidence;
+    for (const auto &[part, record] : m_quarantined) {
+        if (!isDecidable({ part, record.since, record.failedTrials, record.crashes }, judged)) {
+            beyondEvidence.insert(part);
+        }
+    }
+    const auto verdicts = judged.verdicts(beyondEvidence);
+    std::vector<verdict_change> changes;
+    for (const auto &[part, record] : m_quarantined) {
+        if (!beyondEvidence.contains(part) && !verdicts.contains(part)) {
+            changes.push_back({ part, std::nullopt, 0 });
+        }
+    }
+    for (const auto &[part, verdict] : verdicts) {
+        if (!m_quarantined.contains(part)) {
+            changes.push_back({ part, verdict.since, verdict.crashes });
+        }
+    }
+    return changes;
 }
 
-void prompt_quarantine::judge(const part_set &parts, time_point now)
+// A hook may bring further evidence, by which a change in the list may be out of date.
+void prompt_quarantine::judge(time_point now)
 {
-    for (const prompt_part part : parts) {
-        if (m_quarantined.contains(part)) {
-            continue;
-        }
-        const auto crashes = unexplainedCrashes(part);
-        const unsigned count = crashesInARow(part, crashes);
-        if (count < crashesRequired || (count < ambiguousCrashesRequired && hasOtherExplanation(part, crashes, now))) {
+    for (auto changes = verdictChanges(now); !changes.empty(); changes = verdictChanges(now)) {
+        const verdict_change &change = changes.front();
+        if (!change.since) {
+            release(change.part);
             continue;
         }
-        if (m_quarantined.size() < maxQuarantined) {
-            quarantine(part, crashes.back()->evidence.at, 0, now);
+        if (m_quarantined.size() >= maxQuarantined) {
+            return;
         }
+        quarantine({ change.part, *change.since, 0, change.crashes }, now);
     }
 }
 
 void prompt_quarantine::judgeSettled(time_point now)
 {
-    part_set affected;
+    bool hasSettled = false;
     for (auto &[server, record] : m_crashes) {
-        if (record.isSettled || now - record.evidence.at < settleTime) {
-            continue;
-        }
-        record.isSettled = true;
-        for (const auto &[part, sentAt] : record.evidence.sentAt) {
-            affected.insert(part);
+        if (!record.isSettled && now - record.evidence.at >= settleTime) {
+            record.isSettled = true;
+            hasSettled = true;
         }
     }
-    judge(affected, now);
+    if (hasSettled) {
+        judge(now);
+    }
 }
 
 quarantine_news prompt_quarantine::news(milliseconds maxAge, time_point now) const
@@ -305,39 +289,71 @@
     keepLatest(news.written, maxWrittenInNews);
     for (const auto &[part, record] : m_quarantined) {
         if (maxAge >= newsMaxAge || now - record.changedAt <= maxAge) {
-            news.quarantined.push_back({ part, record.since, record.failedTrials });
+            news.quarantined.push_back({ part, record.since, record.failedTrials, record.crashes });
         }
     }
     return news;
 }
 
+bool prompt_quarantine::isDecidable(const quarantined_part &verdict, const crash_judgement &judged)
+{
+    return verdict.failedTrials == 0 && verdict.crashes > 0 && judged.settledCrashesInARow(verdict.part) >= verdict.crashes;
+}
+
 void prompt_quarantine::merge(const quarantine_news &news, time_point now)
 {
-    part_set affected;
+    bool isNews = false;
     for (const written_part &each : news.written) {
-        affected.merge(addWritten(each.part, each.at, now));
+        isNews = addWritten(each.part, each.at, now) || isNews;
     }
     for (const crash_evidence &each : news.crashes) {
-        affected.merge(addEvidence(each, now));
+        isNews = addEvidence(each, now) || isNews;
     }
     for (const quarantined_part &each : news.quarantined) {
-        const auto written = m_written.find(each.part);
-        // Both times grow by the network's delay at each hop; compared to the millisecond, they would overtake each other for ever.
-        if (written != m_written.end() && written->second.at + settleTime > each.since) {
-            written->second.changedAt = now;
-            continue;
+        isNews = addVerdict(each, now) || isNews;
+    }
+    if (isNews) {
+        judge(now);
+    }
+    judgeSettled(now);
+}
+
+bool prompt_quarantine::addVerdict(const quarantined_part &verdict, time_point now)
+{
+    const auto written = m_written.find(verdict.part);
+    // Both times grow by the network's delay at each hop; compared to the millisecond, they would overtake each other for ever.
+    if (written != m_written.end() && written->second.at + settleTime > verdict.since) {
+        written->second.changedAt = now;
+        return false;
+    }
+    const auto known = m_quarantined.find(verdict.part);
+    if (known == m_quarantined.end()) {
+        if (m_quarantined.size() >= maxQuarantined) {
+            return false;
         }
-        const auto known = m_quarantined.find(each.part);
-        const bool isNews = known == m_quarantined.end()
-            ? m_quarantined.size() < maxQuarantined
-            : each.failedTrials > known->second.failedTrials || each.since > known->second.since + sameMoment;
-        if (isNews) {
-            quarantine(
-                each.part, each.since, std::max(each.failedTrials, known == m_quarantined.end() ? 0 : known->second.failedTrials), now);
+        if (isDecidable(verdict, judgement(now))) {
+            tellEvidenceAgain(verdict.part, now);
+            return false;
+        }
+        quarantine(verdict, now);
+        return true;
+    }
+    quarantine_record &record = known->second;
+    if (verdict.failedTrials <= record.failedTrials && verdict.since <= record.since + sameMoment) {
+        return false;
+    }
+    quarantine({ verdict.part, verdict.since, std::max(verdict.failedTrials, record.failedTrials), record.crashes }, now);
+    return false;
+}
+
+// The other instance has not heard of all of it, or it would have come to the same verdict.
+void prompt_quarantine::tellEvidenceAgain(prompt_part part, time_point now)
+{
+    for (auto &[server, record] : m_crashes) {
+        if (record.evidence.sentAt.contains(part)) {
+            record.changedAt = now;
         }
     }
-    judge(affected, now);
-    judgeSettled(now);
 }
 
 void prompt_quarantine::expire(time_point now)
--- a/src/gateway/prompt_quarantine.h
+++ b/src/gateway/prompt_quarantine.h
@@ -11,12 +11,15 @@
 namespace mustardtrail::gateway
 {
 
+class crash_judgement;
+
 /// Finds the parts of prompts that crash backend servers, and keeps requests with them away from the servers. Guards against a
 /// prompt that ends every server that begins to answer it, which retries and other callers would carry from server to server.
 ///
 /// A part is a suspect of each crash during whose start of an answer it was there, until an answer is written on it. It is
 /// quarantined after several crashes in a row, each of a request that was sent after the crash before, unless another part
 /// explains the crashes as well. An own part goes before the shared ones beside it, so that fewer prompts are held back.
+/// Verdicts are decided again when further evidence on them comes, so that they do not depend on the order in which it came.
 class prompt_quarantine
 {
 public:
@@ -74,27 +77,34 @@
     struct quarantine_record {
         time_point since{}; ///< Latest crash or trial.
         unsigned failedTrials = 0;
+        unsigned crashes = 0; ///< In a row, that convicted it; 0 if not known.
         time_point changedAt{};
         bool isOnTrial = false; ///< Here; other instances do not know.
     };
 
     using part_set = std::set<prompt_part>;
 
-    /// Returns the suspects of the crash if it is news.
-    part_set addEvidence(const crash_evidence &evidence, time_point now);
-    /// Returns the parts that shared a crash with this one if it is news.
-    part_set addWritten(prompt_part part, time_point at, time_point now);
-    void quarantine(prompt_part part, time_point since, unsigned failedTrials, time_point now);
+    struct verdict_change {
+        prompt_part part = 0;
+        std::optional<time_point> since; ///< None: the part is released.
+        unsigned crashes = 0;
+    };
+
+    /// These return whether it is news that may change a verdict.
+    bool addEvidence(const crash_evidence &evidence, time_point now);
+    bool addWritten(prompt_part part, time_point at, time_point now);
+    bool addVerdict(const quarantined_part &verdict, time_point now);
+    void quarantine(const quarantined_part &verdict, time_point now);
     void release(prompt_part part);
-    void judge(const part_set &parts, time_point now);
+    /// Decides all verdicts that can be decided by the evidence known here, also those of before.
+    void judge(time_point now);
     /// Judges again by the crashes of which all instances have now told.
     void judgeSettled(time_point now);
-    /// Crashes that the part may have caused and no quarantined part explains, in the order of time.
-    std::vector<const crash_record *> unexplainedCrashes(prompt_part part) const;
-    /// Counts the crashes of requests that were each sent after the crash before, for an own part also those that came later than
-    /// one event could explain: servers that end at one moment count once.
-    static unsigned crashesInARow(prompt_part part, const std::vector<const crash_record *> &crashes);
-    bool hasOtherExplanation(prompt_part part, const std::vector<const crash_record *> &crashes, time_point now) const;
+    std::vector<verdict_change> verdictChanges(time_point now) const;
+    crash_judgement judgement(time_point now) const;
+    /// Whether all crashes that the verdict is based on are known here. A trial that failed is evidence beyond them.
+    static bool isDecidable(const quarantined_part &verdict, const crash_judgement &judged);
+    void tellEvidenceAgain(prompt_part part, time_point now);
     bool isSuspectOf(prompt_part part, const crash_evidence &crash) const;
     void dropOldestCrash();
 
--- a/src/gateway/tests/quarantine_late_news_test.cpp
+++ b/src/gateway/tests/quarantine_late_news_test.cpp
@@ -1,11 +1,11 @@
+// A verdict that was reached before all news of its crashes had come was not taken back.
+
 #include "gateway/tests/quarantine_world.h"
 #include "gateway/tests/test_time.h"
 #include "testing/expect.h"
 
 #include <algorithm>
 
-// Tests that fail: KNOWN-RED.txt.
-
 using namespace mustardtrail;
 using namespace mustardtrail::gateway;
 using namespace mustardtrail::gateway::testing;
