Tests end requests that still run before the instance that runs them

A test of silent_server was ended by a signal once, beside load. No caller of a gateway saw it: the program ends without destructors for this reason.

Cause: the tests' event loop outlives the instances. When the loop stopped between the caller's receipt of an answer and the end of the request's own coroutine, that coroutine was destroyed with the loop, after the instance that its destructor refers to. The loop of a test stops after each 10 ms, so only a process without processor time hits the gap.

Not ruled out by a core dump of the failure that was seen, as none was kept; not run: the address sanitizer.

The fixture's loop destroys its coroutines first, for all tests of it.

--- a/src/programs/gateway/tests/fake_platform.cpp
+++ b/src/programs/gateway/tests/fake_platform.cpp
@@ -82,7 +82,11 @@
     m_storeAddress = *m_store->listen({ loopback, 0 });
 }
 
-fake_platform::~fake_platform() = default;
+// A request that still runs refers to the instance that it runs in.
+fake_platform::~fake_platform()
+{
+    m_context.destroyHandlers();
+}
 
 endpoint fake_platform::addServer(const std::string &id, const std::string &service, backend serve)
 {
--- a/src/programs/gateway/tests/fake_platform.h
+++ b/src/programs/gateway/tests/fake_platform.h
@@ -3,10 +3,9 @@
 #include "http/server.h"
 #include "http/tests/raw_server.h"
 #include "programs/gateway/gateway_host.h"
+#include "programs/gateway/tests/ending_context.h"
 #include "programs/gateway/tests/raw_caller.h"
 
-#include <boost/asio/io_context.hpp>
-
 #include <deque>
 #include <functional>
 #include <memory>
@@ -92,7 +91,7 @@
     caller_answer complete(http::request_message message);
     http::request_message requestOf(const std::string &path, const std::string &key, std::chrono::milliseconds timeLeft) const;
 
-    boost::asio::io_context m_context;
+    ending_context m_context;
     std::vector<std::unique_ptr<http::server>> m_servers;
     std::vector<std::unique_ptr<http::testing::raw_server>> m_rawServers;
     std::string m_config = firstConfig();
