A closed send ends at once also behind a simulated partition

instance_without_servers/servesItsCallersThroughAnotherInstance: 11 of 12 requests were served at an instance that had lost its paths to the servers, and one got 504 at its deadline.

Cause, by the logs of failing runs (six of six): a request went over an open connection whose server was behind the partition. After 350 ms without an answer it was sent again through the other instance, which answered at once, and the first send was closed. That send went on until the deadline: while the client simulates a partition, a wait for the answer's head does not notice that its connection was closed (a read of an answer's body does). The answer that was there already was then dropped ("hedge_dropped why=deadline"). Real sockets end the read at the close, so callers of a gateway were not concerned; simulated partitions are allowed in tests only.

It depends on the servers that are chosen at random, not on processor time: a connection that was left open by an earlier request must be met after the first six requests. The 100 ms in which the connection to a relay must open were suspected; in all six the relay had answered.

Closing is a function of the connection now, and each wait of its call sees it; the call fails as by a closed socket.

Evidence: the new test simulated_partitions/endCallsThatAreClosedAtOnce failed before (one run) and passes.

--- a/src/http/internal/client.cpp
+++ b/src/http/internal/client.cpp
@@ -107,19 +107,28 @@
 {
     return [self = connection.selfReference] {
         if (*self) {
-            (*self)->stream.close();
+            (*self)->close();
         }
     };
 }
 
+/// Why a wait for the end of a simulated partition ended before it; as a read of the socket would have failed.
+boost::system::error_code failureOfWait(const client_connection &connection)
+{
+    if (connection.isClosed) {
+        return asio::error::operation_aborted;
+    }
+    return beast::error::timeout;
+}
+
 /// Reads the response header. During a simulated partition, waits until it heals and then sends the pending bytes.
 asio::awaitable<boost::system::error_code> readHeader(
     client_connection &connection, endpoint to, client_stream::parser &source, std::chrono::steady_clock::time_point end)
 {
     if (connection.isPartitioned()) {
-        const bool isHealed = co_await connection.partitions->waitUntilHealed(to, end);
+        const bool isHealed = co_await connection.partitions->waitUntilHealed(to, end, &connection.isClosed);
         if (!isHealed) {
-            co_return beast::error::timeout;
+            co_return failureOfWait(connection);
         }
         connection.socketDuplicate->sendPending();
     }
@@ -128,8 +137,8 @@
     co_await beast::http::async_read_header(
         connection.stream, connection.buffer, source, asio::redirect_error(asio::use_awaitable, failure));
     if (connection.isPartitioned()) {
-        const bool isHealed = co_await connection.partitions->waitUntilHealed(to, end);
-        failure = isHealed ? failure : beast::error::timeout;
+        const bool isHealed = co_await connection.partitions->waitUntilHealed(to, end, &connection.isClosed);
+        failure = isHealed ? failure : failureOfWait(connection);
     }
     co_return failure;
 }
--- a/src/http/internal/connection_pool.h
+++ b/src/http/internal/connection_pool.h
@@ -28,6 +28,13 @@
     client_connection(const client_connection &) = delete;
     client_connection &operator=(const client_connection &) = delete;
 
+    /// Ends the call in progress, also one that waits for a simulated partition to heal.
+    void close()
+    {
+        isClosed = true;
+        stream.close();
+    }
+
     /// Functions that close the connection for one call have no effect on the calls after it.
     void forgetClosers()
     {
@@ -45,6 +52,7 @@
     boost::beast::tcp_stream stream;
     boost::beast::flat_buffer buffer{ maxUnparsedBytes };
     bool reused = false;
+    bool isClosed = false; ///< From this side.
     std::chrono::steady_clock::time_point idleSince{};
     std::chrono::milliseconds idleLimit{ 60'000 }; ///< Not reused after being idle this long, as the server may close it.
     std::shared_ptr<client_connection *> selfReference = std::make_shared<client_connection *>(this); ///< Set to null when its call ends.
--- a/src/http/tests/simulated_partitions_test.cpp
+++ b/src/http/tests/simulated_partitions_test.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_future.hpp>
 
+#include <functional>
 #include <future>
 
 using namespace mustardtrail;
@@ -52,6 +53,12 @@
         return done.get_future().get();
     }
 
+    /// Runs the function on the client's executor.
+    void run(std::function<void()> function)
+    {
+        asio::post(m_context, std::move(function));
+    }
+
 private:
     asio::io_context m_context;
     asio::executor_work_guard<asio::io_context::executor_type> m_work;
@@ -136,3 +143,28 @@
     cr_assert(answer.has_value());
     expectEqual(answer->body, "answer");
 }
+
+// A send that was closed, as another server had answered, went on until its deadline, and the answer was lost.
+Test(simulated_partitions, endCallsThatAreClosedAtOnce)
+{
+    std::atomic<int> served{ 0 };
+    http::testing::http_harness server({}, [&](exchange &incoming) {
+        return countAndAnswer(served, incoming);
+    });
+    partitionable_client caller(simulated_partitions::allowed);
+    cr_assert(caller.call(server.address(), {}).get().has_value());
+    cr_assert(caller.partitionFrom({ server.address() }));
+    std::promise<std::function<void()>> closer;
+    call_limits limits = call_limits::within(milliseconds(10'000));
+    limits.onConnection = [&closer](std::function<void()> close) {
+        closer.set_value(std::move(close));
+    };
+    auto waiting = caller.call(server.address(), std::move(limits));
+    caller.run(closer.get_future().get());
+    cr_assert(waiting.wait_for(milliseconds(5'000)) == std::future_status::ready);
+    const auto closed = waiting.get();
+    cr_assert_not(closed.has_value());
+    cr_assert(closed.error().code == error_code::backend_connection_lost);
+    cr_assert(closed.error().outcome == verdict::may_have_run);
+    expectEqual(served.load(), 1);
+}
