--- a/src/http/tests/begun_response_test.cpp
+++ b/src/http/tests/begun_response_test.cpp
@@ -49,6 +49,20 @@
     throw std::runtime_error("failure");
 }
 
+boost::asio::awaitable<void> respondAfterAnImproperResponse(exchange &incoming)
+{
+    response_message improper{ 204, {}, "a body where none may be" };
+    bool isThrown = false;
+    try {
+        co_await incoming.respond(std::move(improper));
+    } catch (const std::exception &) {
+        isThrown = true;
+    }
+    const bool mayRespond = isThrown && !incoming.hasStarted();
+    response_message failure{ 502, {}, mayRespond ? "failure" : "too late" };
+    co_await incoming.respond(std::move(failure));
+}
+
 /// What a caller receives behind the head.
 std::string received(const handler &serve)
 {
@@ -81,3 +95,9 @@
 {
     expectEqual(received(failAfterTheHead), "");
 }
+
+// Guards against a caller without an answer: nothing of the improper one has been sent.
+Test(begun_response, aResponseThatCannotBeBuiltLeavesRoomForAnother)
+{
+    expectEqual(received(respondAfterAnImproperResponse), "failure");
+}
