Numbers of a configuration are bounded before they are used

Cause: the numbers were narrowed or used as they came. Only times of routes, priorities and delays had bounds.

The users' store takes only valid configurations, so none of these was seen in force.

--- a/src/gateway/internal/engine_timing.cpp
+++ b/src/gateway/internal/engine_timing.cpp
@@ -10,7 +10,9 @@
 
 std::chrono::microseconds fromMs(double milliseconds)
 {
-    return std::chrono::microseconds(static_cast<std::int64_t>(milliseconds * 1'000.0));
+    // Longer times, of no request, would overflow sums with a time point.
+    constexpr double longestMs = 24.0 * 3'600.0 * 1'000.0;
+    return std::chrono::microseconds(static_cast<std::int64_t>(std::clamp(milliseconds, 0.0, longestMs) * 1'000.0));
 }
 
 } // namespace
--- a/src/gateway/tests/engine_forecast_test.cpp
+++ b/src/gateway/tests/engine_forecast_test.cpp
@@ -167,3 +167,15 @@
     cr_assert_lt(share, 0.5);
     cr_assert_lt(mean, usual * 1.1);
 }
+
+// Guards against sums with a time point that overflow, for the largest prompt at the slowest engine that can be published.
+Test(engine_timing, timesEndAtADay)
+{
+    engine_profile engine;
+    engine.prefillTokensPerMs = 0.001;
+    engine.attentionMsPerMillionPairs = 1'000.0;
+    engine.tokenStepMs = 10'000.0;
+    engine.tokenStepsPerBatchStep = 10'000;
+    cr_assert(prefillTime(engine, 1'000'000'000) == std::chrono::hours(24));
+    cr_assert(batchStepTime(engine, {}) == std::chrono::hours(24));
+}
