An attempt is never sent twice on one connection

What callers saw: a request ran at more servers than its route allows (max_attempts), or "not run" for one that was running: it had been sent once more to a server that had refused it earlier.

The second send took the same kept connection, and a late copy of the first refusal has the right id there.

Change: all sends of an attempt, first ones, retries, hedges and second copies, share a sent_attempt, which server_client::open demands; it knows the servers that were sent the attempt, and a further send to one of them opens a new connection. Through a relay it is the relay's connection to the server that is new; the sender says so in a field of its own. A request without an id, whose answers cannot be told apart, always gets a new connection.

Why this works: with the rule for responses without an id, a response counts only if it has the id of the attempt on a connection that has not carried it, or is the first on its connection. No earlier request can have caused either.

Cost: one new connection for a second send of one attempt to one server; none for a first send, nor for a refusal that another server makes up for.

--- a/src/programs/gateway/hedged_send.cpp
+++ b/src/programs/gateway/hedged_send.cpp
@@ -98,7 +98,7 @@
     try {
         failed = co_await receive();
     } catch (const std::exception &thrown) {
-        m_context.log.write(log_line("hedge_aborted").add("request", m_sent.attempt.str()).add("detail", thrown.what()));
+        m_context.log.write(log_line("hedge_aborted").add("request", m_sent.attempt->id().str()).add("detail", thrown.what()));
     }
     m_outcome = failed.value_or(verdict::ran);
     if (const auto onDone = std::exchange(m_onDone, nullptr)) {
@@ -132,7 +132,7 @@
         m_isCutOff = answer.error().code == error_code::backend_connection_lost && m_isDelivered;
         co_return answer.error().outcome;
     }
-    m_head = platform::readResponseHead(**answer, m_sent.attempt);
+    m_head = platform::readResponseHead(**answer, m_sent.attempt->id());
     if (!m_head.isSuccess) {
         co_return m_head.outcome;
     }
--- a/src/programs/gateway/hedged_send.h
+++ b/src/programs/gateway/hedged_send.h
@@ -17,7 +17,7 @@
 public:
     /// What is sent, and where.
     struct order {
-        attempt_id attempt;
+        std::shared_ptr<sent_attempt> attempt;
         placement_decision placed;
         std::uint64_t workId = 0; ///< Identifies the placement in the fleet state.
         std::shared_ptr<reservation_set> reservations; ///< Null when the prompt fits on one engine.
--- a/src/programs/gateway/relay_fields.h
+++ b/src/programs/gateway/relay_fields.h
@@ -11,7 +11,7 @@
 inline constexpr std::string_view outcome = "Mustardtrail-Relay"; ///< In each answer of a relay.
 inline constexpr std::string_view body = "Mustardtrail-Relay-Body"; ///< How the end of the server's answer was shown.
 inline constexpr std::string_view connection
-    = "Mustardtrail-Relay-Connection"; ///< Whether the server's connection carried a request before.
+    = "Mustardtrail-Relay-Connection"; ///< Of the relay to the server: in a request "new" demands a new one.
 
 inline constexpr std::string_view passedOn = "passed"; ///< The answer is the server's.
 inline constexpr std::string_view notRun = "not_run"; ///< The relay has sent nothing to the server.
--- a/src/programs/gateway/relay_service.cpp
+++ b/src/programs/gateway/relay_service.cpp
@@ -37,13 +37,16 @@
     return refusal(status, relay_field::notRun);
 }
 
-http::request_message withoutRelayField(const http::request_message &request)
+http::request_message withoutRelayFields(const http::request_message &request)
 {
     http::request_message message;
     message.method = request.method;
     message.target = request.target;
     message.body = request.body;
-    message.headers = withoutFirst(relay_field::server, platform::endToEndHeaders(request.headers));
+    message.headers = platform::endToEndHeaders(request.headers);
+    for (const std::string_view field : { relay_field::server, relay_field::connection }) {
+        message.headers = withoutFirst(field, message.headers);
+    }
     return message;
 }
 
@@ -131,13 +134,14 @@
     limits.connect = connectTimeout;
     limits.firstByte = limits.progress = progressLimit;
     limits.maxIdleForReuse = maxReuseIdle;
+    limits.freshConnection = exchange.request().headers.find(relay_field::connection) == relay_field::isNew;
     limits.onConnection = [close, isSenderGone](std::function<void()> closer) {
         *close = std::move(closer);
         if (*isSenderGone) {
             (*close)();
         }
     };
-    auto answer = co_await m_client.open(server, withoutRelayField(exchange.request()), std::move(limits));
+    auto answer = co_await m_client.open(server, withoutRelayFields(exchange.request()), std::move(limits));
     m_log.write(log_line("request_relayed")
                     .add("request", platform::readRequestHead(exchange.request()).attempt.str())
                     .add("server", toString(server))
--- a/src/programs/gateway/request_hedge.cpp
+++ b/src/programs/gateway/request_hedge.cpp
@@ -112,7 +112,7 @@
     time_point now)
 {
     hedged_send::order sent;
-    sent.attempt = m_head.attempt;
+    sent.attempt = m_attempt;
     sent.placed = placed;
     sent.workId = registerWork(placed, now);
     sent.reservations = makeReservations(placed, sent.workId);
--- a/src/programs/gateway/request_relay.cpp
+++ b/src/programs/gateway/request_relay.cpp
@@ -98,7 +98,7 @@
     http::call_limits limits = limitsFor(now);
     watchStall(firstEventTimeout(placed));
     watchForCopy(placed);
-    auto answer = co_await m_context.servers.open(address, std::move(message), std::move(limits), m_head.attempt);
+    auto answer = co_await m_context.servers.open(address, std::move(message), std::move(limits), m_attempt);
     if (!answer) {
         m_deliveredSends += answer.error().outcome == verdict::not_run ? 0 : 1;
         m_context.metrics.recordSendOutcome(std::string(toString(answer.error().code)));
--- a/src/programs/gateway/request_session.cpp
+++ b/src/programs/gateway/request_session.cpp
@@ -24,6 +24,7 @@
     : m_context(context)
     , m_exchange(exchange)
     , m_head(platform::readRequestHead(exchange.request()))
+    , m_attempt(std::make_shared<sent_attempt>(m_head.attempt))
     , m_routes(context.state.routes)
     , m_arrivedAt(context.clock.now())
     , m_placementTimer(exchange.executor())
--- a/src/programs/gateway/request_session.h
+++ b/src/programs/gateway/request_session.h
@@ -169,6 +169,7 @@
     gateway_context &m_context;
     http::exchange &m_exchange;
     platform::request_head m_head;
+    std::shared_ptr<sent_attempt> m_attempt;
     std::shared_ptr<const route_table> m_routes;
     const route *m_route = nullptr;
     service_id m_service;
--- a/src/programs/gateway/server_client.cpp
+++ b/src/programs/gateway/server_client.cpp
@@ -32,11 +32,13 @@
     return problem.outcome == verdict::not_run;
 }
 
-// The field goes before the caller's own, one of which may have the same name.
-http::request_message addressedTo(const endpoint &server, const http::request_message &message)
+// The fields go before the caller's own, which may have the same names.
+http::request_message addressedTo(const endpoint &server, const http::request_message &message, bool needsNewConnection)
 {
+    const std::string_view connection = needsNewConnection ? relay_field::isNew : relay_field::isReused;
     http::request_message addressed = message;
-    addressed.headers = { { std::string(relay_field::server), toString(server) } };
+    addressed.headers
+        = { { std::string(relay_field::server), toString(server) }, { std::string(relay_field::connection), std::string(connection) } };
     for (const auto &[name, value] : message.headers.fields()) {
         addressed.headers.add(name, value);
     }
@@ -68,6 +70,13 @@
 }
 
 asio::awaitable<server_client::opened_answer> server_client::open(
+    endpoint server, http::request_message message, http::call_limits limits, std::shared_ptr<sent_attempt> attempt)
+{
+    limits.freshConnection = attempt->recordSend(server);
+    co_return co_await openOnAnyPath(std::move(server), std::move(message), std::move(limits), attempt->id());
+}
+
+asio::awaitable<server_client::opened_answer> server_client::openOnAnyPath(
     endpoint server, http::request_message message, http::call_limits limits, attempt_id attempt)
 {
     path_plan plan(m_state.paths.mayUseOwnPath(server, m_clock.now()), [this, server] {
@@ -137,9 +146,10 @@
 asio::awaitable<server_client::opened_answer> server_client::openThrough(
     peer_address relay, endpoint server, const http::request_message &message, http::call_limits limits)
 {
-    http::request_message relayed = addressedTo(server, message);
+    http::request_message relayed = addressedTo(server, message, limits.freshConnection);
     const endpoint relayAddress{ textOf(relay), m_relayPort };
     limits.connect = std::min(limits.connect, relayConnectTimeout);
+    limits.freshConnection = false; // Instances answer in order; it is the relay's connection to the server that must be new.
     auto answer = co_await m_direct.open(relayAddress, std::move(relayed), std::move(limits));
     const time_point now = m_clock.now();
     if (!answer) {
@@ -164,7 +174,7 @@
     endpoint server, http::request_message message, http::call_limits limits, attempt_id attempt)
 {
     const size_t maxBytes = limits.bodyBytes;
-    auto opened = co_await open(std::move(server), std::move(message), std::move(limits), std::move(attempt));
+    auto opened = co_await openOnAnyPath(std::move(server), std::move(message), std::move(limits), std::move(attempt));
     if (!opened) {
         co_return tl::unexpected(opened.error());
     }
--- a/src/programs/gateway/server_client.h
+++ b/src/programs/gateway/server_client.h
@@ -3,12 +3,14 @@
 #include "base/clock.h"
 #include "base/ids.h"
 #include "gateway/fleet_state.h"
+#include "gateway/sent_attempt.h"
 #include "http/client.h"
 #include "programs/gateway/rate_limited_log.h"
 
 #include <boost/asio/any_io_executor.hpp>
 
 #include <map>
+#include <memory>
 
 namespace mustardtrail::gateway
 {
@@ -26,9 +28,10 @@
         peer_address self,
         std::uint16_t relayPort);
 
-    /// `attempt` is for the log.
+    /// Sends a caller's request. Sets `limits.freshConnection` as the attempt needs it.
     boost::asio::awaitable<result<std::unique_ptr<http::response_stream>>> open(
-        endpoint server, http::request_message message, http::call_limits limits, attempt_id attempt);
+        endpoint server, http::request_message message, http::call_limits limits, std::shared_ptr<sent_attempt> attempt);
+    /// Sends an order or a question of this instance; `attempt` is for the log.
     boost::asio::awaitable<result<http::response_message>> call(
         endpoint server, http::request_message message, http::call_limits limits, attempt_id attempt);
     /// Records that a send to the server has been silent since then, which is too long.
@@ -41,6 +44,8 @@
     using relayed_path = std::pair<peer_address, endpoint>;
     using opened_answer = result<std::unique_ptr<http::response_stream>>;
 
+    boost::asio::awaitable<opened_answer> openOnAnyPath(
+        endpoint server, http::request_message message, http::call_limits limits, attempt_id attempt);
     boost::asio::awaitable<opened_answer> openDirectly(endpoint server, http::request_message message, http::call_limits limits);
     /// The error is `not_run` and `backend_connect_failed` when the relay has sent nothing to the server.
     boost::asio::awaitable<opened_answer> openThrough(
--- a/src/programs/gateway/tests/hedged_send_test.cpp
+++ b/src/programs/gateway/tests/hedged_send_test.cpp
@@ -28,7 +28,7 @@
 {
     send_bench bench;
     hedged_send::order sent;
-    sent.attempt = attempt_id("a1");
+    sent.attempt = std::make_shared<sent_attempt>(attempt_id("a1"));
     sent.address = bench.addServer(countRun);
     sent.limits.connect = milliseconds(2'000);
     bench.client().setPartitionedEndpoints({ sent.address });
--- a/src/programs/gateway/tests/relay_service_test.cpp
+++ b/src/programs/gateway/tests/relay_service_test.cpp
@@ -142,6 +142,16 @@
     expectEqual(runs, 1);
 }
 
+Test(relay_service, opensANewConnectionForAnAttemptThatTheServerMayHaveSeen)
+{
+    relay_bench relay(answerWhole);
+    const std::string field(relay_field::connection);
+    const std::string isNew(relay_field::isNew);
+    expectEqual(relay.call(relay.server(), { { field, "reused" } })->headers.find(field), relay_field::isNew);
+    expectEqual(relay.call(relay.server(), { { field, "reused" } })->headers.find(field), relay_field::isReused);
+    expectEqual(relay.call(relay.server(), { { field, isNew } })->headers.find(field), relay_field::isNew);
+}
+
 Test(relay_service, leavesTheServerWhenTheSenderDoes)
 {
     relay_bench relay(answerNever);
--- a/src/programs/gateway/tests/repeated_refusal_test.cpp
+++ b/src/programs/gateway/tests/repeated_refusal_test.cpp
@@ -46,6 +46,21 @@
     co_await connection.waitUntilClosed();
 }
 
+// Refuses the first two sends and breaks off the others; a send on a kept connection gets the refusal once more and runs.
+boost::asio::awaitable<void> refuseTwice(raw_connection &connection)
+{
+    if (++connections > 2) {
+        ++runs;
+        co_return;
+    }
+    bool isOpen = true;
+    while (isOpen) {
+        co_await connection.send(refusalHead + ownId + "\r\n");
+        isOpen = co_await connection.readRequest();
+        runs += isOpen ? 1 : 0;
+    }
+}
+
 } // namespace
 
 Test(repeated_refusal, withoutAnIdDoesNotRefuseARequestThatRuns)
@@ -99,6 +114,17 @@
     expectEqual(connections, 5);
 }
 
+Test(repeated_refusal, ofTheSameAttemptDoesNotLetItRunAtMoreServersThanAllowed)
+{
+    fake_platform platform;
+    for (int number = 1; number <= 3; ++number) {
+        platform.addRawServer("i-" + std::to_string(number), "desk", refuseTwice);
+    }
+    platform.start();
+    expectEqual(platform.call("/again/x").status, 502);
+    expectEqual(runs, 2);
+}
+
 Test(repeated_refusal, ofAnotherRequestDoesNotKeepRequestsAwayFromItsServer)
 {
     fake_platform platform;
