The answer to a request is not taken for that to an order

What callers saw: nothing seen; found beside the repeated refusals. An extra answer to a request, on a connection that an order or a question used next, was read as its answer: a reservation counted as granted that the engine had not granted, or as refused, and a prompt that needs several engines was sent in vain or refused.

Cause: orders and questions share the connections with requests, and their answers were not checked. They have no id, the answers to requests have one.

Not solved: a repeated answer to one order cannot be told from the answer to the next one on that connection, as neither has an id.

--- a/src/programs/gateway/server_client.cpp
+++ b/src/programs/gateway/server_client.cpp
@@ -1,6 +1,7 @@
 #include "programs/gateway/server_client.h"
 
 #include "gateway/path_plan.h"
+#include "platform/response_head.h"
 #include "programs/gateway/relay_fields.h"
 #include "programs/gateway/relayed_answer.h"
 
@@ -174,10 +175,16 @@
     endpoint server, http::request_message message, http::call_limits limits, attempt_id attempt)
 {
     const size_t maxBytes = limits.bodyBytes;
-    auto opened = co_await openOnAnyPath(std::move(server), std::move(message), std::move(limits), std::move(attempt));
+    auto opened = co_await openOnAnyPath(server, std::move(message), std::move(limits), attempt);
     if (!opened) {
         co_return tl::unexpected(opened.error());
     }
+    const auto head = platform::readResponseHead(**opened, attempt_id());
+    if (head.isForOtherRequest) {
+        const std::string detail = "peer=" + toString(server) + " answer to a request";
+        m_log.write(log_line("order_answer_dropped").add("request", attempt.str()).add("server", toString(server)));
+        co_return tl::unexpected(error{ error_code::backend_answer_invalid, head.outcome, detail, {} });
+    }
     co_return co_await http::readWhole(**opened, maxBytes);
 }
 
--- a/src/programs/gateway/server_client.h
+++ b/src/programs/gateway/server_client.h
@@ -31,7 +31,8 @@
     /// Sends a caller's request. Sets `limits.freshConnection` as the attempt needs it.
     boost::asio::awaitable<result<std::unique_ptr<http::response_stream>>> open(
         endpoint server, http::request_message message, http::call_limits limits, std::shared_ptr<sent_attempt> attempt);
-    /// Sends an order or a question of this instance; `attempt` is for the log.
+    /// Sends an order or a question of this instance; `attempt` is for the log. Answers to requests of callers, which have an id,
+    /// are `backend_answer_invalid`.
     boost::asio::awaitable<result<http::response_message>> call(
         endpoint server, http::request_message message, http::call_limits limits, attempt_id attempt);
     /// Records that a send to the server has been silent since then, which is too long.
