Of two parts at the same crashes the likelier one is held back

Cause: two parts that were both at six crashes in a row without an answer between are told apart by nothing in the crashes, and the first in the order of their hashes was convicted; it then explains the crashes for the other.

Reports of crashes now tell of each suspect its place in the prompt, and whether an answer on it had been written in the 2 to 4 s before. Of parts with the same crashes an own one goes first, then one without such an answer (a guilty part ends each server), then the later one in its prompt: what all prompts begin with goes last. Both are merged as a union, so all instances choose alike.

The test partsThatAlwaysComeTogetherAreBothHeldBackInTheEnd expected the part with the lower hash at the sixth crash. It now expects the later one, that neither is held back before, and both after three more crashes of the other.

--- a/src/gateway/crash_evidence.h
+++ b/src/gateway/crash_evidence.h
@@ -5,6 +5,7 @@
 #include "gateway/server_work.h"
 
 #include <map>
+#include <set>
 #include <vector>
 
 namespace mustardtrail::gateway
@@ -15,8 +16,13 @@
     server_start_key server = 0;
     time_point at{};
     std::map<prompt_part, time_point> sentAt; ///< When a request with the part was sent to the server.
+    std::map<prompt_part, unsigned> positions{}; ///< In the prompt, of those after the first; the last one of several.
+    std::set<prompt_part> answeredBefore{}; ///< An answer on the part had been written in the seconds before the crash.
 };
 
+/// Adds what another instance knows of the same crash, for at most `maxParts` parts. Returns whether it is news.
+bool mergeEvidence(crash_evidence &known, const crash_evidence &heard, size_t maxParts);
+
 /// An answer was written on a part, which clears it of all earlier crashes.
 struct written_part {
     prompt_part part = 0;
--- a/src/gateway/internal/crash_judgement.cpp
+++ b/src/gateway/internal/crash_judgement.cpp
@@ -29,14 +29,33 @@
         for (const auto &[part, sentAt] : crash.sentAt) {
             const auto [found, isNew] = m_index.try_emplace(part, m_traces.size());
             if (isNew) {
-                m_traces.push_back({ part, {}, {} });
+                m_traces.push_back({ part, {}, {}, 0, false });
             }
             part_trace &trace = m_traces[found->second];
             trace.present.set(index);
             trace.suspected[index] = isSuspect(part, crash);
+            if (const auto position = crash.positions.find(part); position != crash.positions.end()) {
+                trace.position = std::max(trace.position, position->second);
+            }
+            trace.isAnsweredBefore = trace.isAnsweredBefore || crash.answeredBefore.contains(part);
             m_suspects[index].push_back({ found->second, sentAt });
         }
     }
+    for (auto &suspects : m_suspects) {
+        std::sort(suspects.begin(), suspects.end(), [this](const suspect &left, const suspect &right) {
+            return isLikelier(m_traces[left.trace], m_traces[right.trace]);
+        });
+    }
+}
+
+// A guilty part ends each server, so one that was answered a moment before is rarely it. Of the others the narrowest goes first: all
+// prompts with it hold the parts before it too, and if it is sound, crashes go on under the wider one, which is then convicted.
+bool crash_judgement::isLikelier(const part_trace &left, const part_trace &right)
+{
+    const auto rank = [](const part_trace &trace) {
+        return std::tuple(!isOwnPart(trace.part), trace.isAnsweredBefore, ~trace.position, trace.part);
+    };
+    return rank(left) < rank(right);
 }
 
 void crash_judgement::crash_row::add(prompt_part part, const known_crash &crash, time_point sentAt)
--- a/src/gateway/internal/crash_judgement.h
+++ b/src/gateway/internal/crash_judgement.h
@@ -49,6 +49,8 @@
         prompt_part part = 0;
         crash_set present;
         crash_set suspected;
+        unsigned position = 0; ///< In the prompts at the crashes, the last one.
+        bool isAnsweredBefore = false; ///< In the seconds before one of them.
     };
 
     struct suspect {
@@ -65,6 +67,8 @@
         void add(prompt_part part, const known_crash &crash, time_point sentAt);
     };
 
+    /// Whether to hold this part responsible rather than the other one, where the crashes do not tell them apart.
+    static bool isLikelier(const part_trace &left, const part_trace &right);
     crash_set explainedBy(const part_set &convicted) const;
     crash_row rowOf(const part_trace &trace, const crash_set &crashes) const;
     time_point latestOf(const crash_set &crashes) const;
--- a/src/gateway/internal/load_report.cpp
+++ b/src/gateway/internal/load_report.cpp
@@ -163,6 +163,9 @@
             wire::CrashSuspect &suspect = *each.add_suspects();
             suspect.set_part(part);
             suspect.set_sent_ms_ago(ageOf(sentAt, now));
+            const auto position = crash.positions.find(part);
+            suspect.set_position(position != crash.positions.end() ? position->second : 0);
+            suspect.set_answered_before(crash.answeredBefore.contains(part));
         }
     }
     for (const written_part &written : news.written) {
@@ -187,6 +190,12 @@
         crash_evidence crash{ each.server_start(), now - milliseconds(each.ms_ago()), {} };
         for (const wire::CrashSuspect &suspect : each.suspects()) {
             crash.sentAt[suspect.part()] = now - milliseconds(suspect.sent_ms_ago());
+            if (suspect.position() > 0) {
+                crash.positions[suspect.part()] = suspect.position();
+            }
+            if (suspect.answered_before()) {
+                crash.answeredBefore.insert(suspect.part());
+            }
         }
         news.crashes.push_back(std::move(crash));
     }
--- a/src/gateway/internal/prompt_quarantine.cpp
+++ b/src/gateway/internal/prompt_quarantine.cpp
@@ -52,8 +52,10 @@
 void prompt_quarantine::recordCrash(server_start_key server, const std::vector<prompt_part> &parts, time_point sentAt, time_point now)
 {
     crash_evidence evidence{ server, now, {} };
-    for (const prompt_part part : parts) {
+    for (unsigned position = 0; position < parts.size(); ++position) {
+        const prompt_part part = parts[position];
         evidence.sentAt[part] = sentAt;
+        evidence.positions[part] = position;
         if (const auto found = m_quarantined.find(part); found != m_quarantined.end()) {
             const bool wasTrial = std::exchange(found->second.isOnTrial, false);
             quarantine({ part, now, found->second.failedTrials + (wasTrial ? 1 : 0), found->second.crashes }, now);
@@ -116,24 +118,24 @@
         record.evidence.server = evidence.server;
         record.evidence.at = evidence.at;
     }
-    const size_t known = record.evidence.sentAt.size();
-    for (const auto &[part, sentAt] : evidence.sentAt) {
-        if (record.evidence.sentAt.size() < maxPartsPerCrash) {
-            record.evidence.sentAt.try_emplace(part, sentAt);
+    bool isNewsOfIt = mergeEvidence(record.evidence, evidence, maxPartsPerCrash);
+    std::vector<written_part> answers;
+    for (const auto &[part, sentAt] : record.evidence.sentAt) {
+        if (const auto answeredAt = m_ownAnswers.find(part)) {
+            answers.push_back({ part, *answeredAt });
+        }
+    }
+    for (const written_part &each : answers) {
+        if (each.at <= record.evidence.at) {
+            isNewsOfIt = record.evidence.answeredBefore.insert(each.part).second || isNewsOfIt;
         }
     }
-    if (record.evidence.sentAt.size() == known) {
+    if (!isNewsOfIt) {
         return false;
     }
     record.changedAt = now;
-    part_set suspects;
-    for (const auto &[part, sentAt] : record.evidence.sentAt) {
-        suspects.insert(part);
-    }
-    for (const prompt_part part : suspects) {
-        if (const auto answeredAt = m_ownAnswers.find(part)) {
-            addWritten(part, *answeredAt, now);
-        }
+    for (const written_part &each : answers) {
+        addWritten(each.part, each.at, now);
     }
     if (m_crashes.size() > maxCrashes) {
         dropOldestCrash();
--- a/src/gateway/tests/prompt_quarantine_test.cpp
+++ b/src/gateway/tests/prompt_quarantine_test.cpp
@@ -131,8 +131,14 @@
         crash(quarantine, static_cast<server_start_key>(number), { guilty, rare }, milliseconds(400 * number));
     }
     cr_assert_not(isQuarantined(quarantine, guilty));
+    cr_assert_not(isQuarantined(quarantine, rare));
     crash(quarantine, 6, { guilty, rare }, milliseconds(2'400));
+    cr_assert(isQuarantined(quarantine, rare)); // The narrower one.
+    for (int number = 7; number <= 9; ++number) {
+        crash(quarantine, static_cast<server_start_key>(number), { guilty }, milliseconds(400 * number));
+    }
     cr_assert(isQuarantined(quarantine, guilty));
+    cr_assert(isQuarantined(quarantine, rare));
 }
 
 Test(prompt_quarantine, instancesThatEachSawOneCrashKnowThePartTogether)
