The log names an answer to another request as the cause of a failed send

send_failed had an empty error for a response that was recognised as another request's, so its line did not lead to the cause. Not tested by itself; the tests of the gateway pass (132 of 132).

--- a/src/programs/gateway/request_relay.cpp
+++ b/src/programs/gateway/request_relay.cpp
@@ -115,7 +115,9 @@
     recordServerNotices(head, m_currentServer, m_currentStart);
     if (head.isForOtherRequest) {
         m_context.metrics.recordSendOutcome("other_request");
-        co_return makeFailure(head.outcome);
+        attempt_failure failure = makeFailure(head.outcome);
+        failure.detail = "answer to another request";
+        co_return failure;
     }
     if (head.isSuccess && m_route->isStream) {
         m_context.state.serverSuspicion.recordSuccess(m_currentServer);
