A part with more crashes in a row gives way to a likelier one

A sound part was still held back beside the guilty one, also where the order of the two is decided: requests with it had been sent a moment later, after a crash that those with the guilty part could not count, so it reached six crashes in a row first, while the guilty one had four or five of the same.

Cause: the choice was made among parts that reach six crashes at the same crash, and not among all that explain them.

A part that six crashes in a row convict now gives way to the likeliest one that was at all of them and has three in a row itself.

Evidence: the new test failed before (one run) and passes; the quarantine's suites pass (47 tests).

--- a/src/gateway/internal/crash_judgement.cpp
+++ b/src/gateway/internal/crash_judgement.cpp
@@ -85,15 +85,17 @@
             }
             crash_row &row = rows[each.trace];
             row.add(trace.part, m_crashes[index], each.sentAt);
+            const crash_set crashes = trace.suspected & heard & ~explained;
             if (row.count < prompt_quarantine::crashesRequired
-                || (row.count < prompt_quarantine::ambiguousCrashesRequired
-                    && hasOtherExplanation(trace, trace.suspected & heard & ~explained))) {
+                || (row.count < prompt_quarantine::ambiguousCrashesRequired && hasOtherExplanation(trace, crashes))) {
                 continue;
             }
-            verdicts[trace.part].crashes = row.count;
-            explained |= trace.present;
+            const size_t guilty = likeliestFor(crashes, each.trace, rows);
+            verdicts[m_traces[guilty].part].crashes = rows[guilty].count;
+            const crash_set newlyExplained = m_traces[guilty].present;
+            explained |= newlyExplained;
             for (size_t other = 0; other < rows.size(); ++other) {
-                if ((m_traces[other].suspected & trace.present).any()) {
+                if ((m_traces[other].suspected & newlyExplained).any()) {
                     rows[other] = rowOf(m_traces[other], m_traces[other].suspected & heard & ~explained);
                 }
             }
@@ -145,6 +147,26 @@
     return row;
 }
 
+// Requests with one of two parts may have been sent a moment later than those with the other, so that more crashes count for it.
+size_t crash_judgement::likeliestFor(const crash_set &crashes, size_t trace, const std::vector<crash_row> &rows) const
+{
+    const auto &suspects = m_suspects[firstOf(crashes)]; // The likeliest first.
+    const auto found = std::find_if(suspects.begin(), suspects.end(), [&](const suspect &each) {
+        return each.trace == trace
+            || (rows[each.trace].count >= prompt_quarantine::crashesRequired && (crashes & ~m_traces[each.trace].suspected).none());
+    });
+    return found != suspects.end() ? found->trace : trace;
+}
+
+size_t crash_judgement::firstOf(const crash_set &crashes)
+{
+    size_t first = 0;
+    while (!crashes[first]) {
+        ++first;
+    }
+    return first;
+}
+
 time_point crash_judgement::latestOf(const crash_set &crashes) const
 {
     time_point latest{};
@@ -156,11 +178,8 @@
 
 bool crash_judgement::hasOtherExplanation(const part_trace &trace, const crash_set &crashes) const
 {
-    size_t first = 0;
-    while (!crashes[first]) {
-        ++first;
-    }
-    return std::any_of(m_suspects[first].begin(), m_suspects[first].end(), [&](const suspect &each) {
+    const auto &suspects = m_suspects[firstOf(crashes)];
+    return std::any_of(suspects.begin(), suspects.end(), [&](const suspect &each) {
         const part_trace &other = m_traces[each.trace];
         // Of a prompt's own part and a shared one beside it, the own one is the narrower explanation: fewer prompts are held back.
         const bool isWider = isOwnPart(trace.part) && !isOwnPart(other.part);
--- a/src/gateway/internal/crash_judgement.h
+++ b/src/gateway/internal/crash_judgement.h
@@ -71,6 +71,9 @@
     static bool isLikelier(const part_trace &left, const part_trace &right);
     crash_set explainedBy(const part_set &convicted) const;
     crash_row rowOf(const part_trace &trace, const crash_set &crashes) const;
+    /// The part to hold responsible for crashes that convict this one: another that was at all of them may be likelier.
+    size_t likeliestFor(const crash_set &crashes, size_t trace, const std::vector<crash_row> &rows) const;
+    static size_t firstOf(const crash_set &crashes); ///< There is one.
     time_point latestOf(const crash_set &crashes) const;
     bool hasOtherExplanation(const part_trace &trace, const crash_set &crashes) const;
     const part_trace *find(prompt_part part) const;
--- a/src/gateway/tests/quarantine_choice_test.cpp
+++ b/src/gateway/tests/quarantine_choice_test.cpp
@@ -70,3 +70,17 @@
         }
     }
 }
+
+Test(quarantine_choice, aPartWithMoreCrashesInARowIsNotHeldBackForALikelierOneThatWasAtAllOfThem)
+{
+    prompt_quarantine quarantine;
+    for (int number = 1; number <= 6; ++number) {
+        const int sentBefore = number % 2 == 0 ? 500 : 300; // Every other time before the crash before.
+        const auto server = static_cast<server_start_key>(number);
+        quarantine.recordCrash(server, { first }, at(400 * number - 100), at(400 * number));
+        quarantine.recordCrash(server, { first, guilty }, at(400 * number - sentBefore), at(400 * number));
+    }
+    quarantine.expire(at(2'400) + prompt_quarantine::settleTime);
+    cr_assert(isQuarantined(quarantine, guilty));
+    cr_assert_not(isQuarantined(quarantine, first));
+}
