--- a/src/programs/gateway/hedged_send.cpp
+++ b/src/programs/gateway/hedged_send.cpp
@@ -165,7 +165,7 @@
         while (const auto event = events.next()) {
             if (!m_sent.position.mayFollow(*event)) {
                 m_context.log.write(log_line("continuation_rejected")
-                                        .add("request", m_sent.attempt.str())
+                                        .add("request", m_sent.attempt->id().str())
                                         .add("server", m_sent.server.str())
                                         .add("after", static_cast<std::int64_t>(m_sent.position.lastId().value_or(-1)))
                                         .add("event", static_cast<std::int64_t>(event->id.value_or(-1))));
