--- a/src/http/tests/closing_connection_test.cpp
+++ b/src/http/tests/closing_connection_test.cpp
@@ -185,7 +185,7 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(50));
     caller.send(request);
     boost::system::error_code end;
-    cr_assert_geq(caller.readToEnd(end).size(), responseBytes);
+    cr_assert(caller.readToEnd(end).size() >= responseBytes);
 }
 
 // The answer to the first request promised that the connection is kept.
