News that a server leaves does not outlive its return

What callers saw: after a server without a start time (`born`) had left and was listed again, all instances could go on counting it as leaving, so that a service without another server answered 503 no_server for good.

Cause: an entry that says `ready` without a start time ends the leaving state, but a report of an instance that has not read the entry yet sets it again. That instance is then told of it by the others in the same way, as each mark counts as news for another 3 s; the store is silent from then on.

Change: reports carry for how long a server is known to leave; news from before the server was listed as ready does not count, and a mark keeps the age of the first sign. With a known start nothing changes. Ruled out: leaving out the start (a server that the store lists late would be used again); the entry's revision (it changes with each heartbeat).

--- a/src/gateway/fleet_state.h
+++ b/src/gateway/fleet_state.h
@@ -67,7 +67,7 @@
     /// Records that the server announced to this instance that it leaves.
     void recordLeaving(server_key server, time_point now);
     /// Records the servers that another instance knows to leave, as returned by `leavingServers` there.
-    void recordLeavingServers(const std::vector<server_start_key> &servers, const instance_id &source, time_point now);
+    void recordLeavingServers(const std::vector<leaving_server_news> &servers, const instance_id &source, time_point now);
     /// Records the servers that another instance saw go, as returned by `departedServers` there. One that this instance only
     /// keeps because an outage of the store may have lost its entry is not used any more.
     void recordDepartedServers(const std::vector<server_start_key> &servers, const instance_id &source, time_point now);
@@ -76,7 +76,7 @@
     /// Returns when the first server of the service wants requests again, if all that could take them asked for quiet.
     std::optional<time_point> quietUntil(const service_id &service, time_point now) const;
     /// Servers whose leaving became known lately, for the other instances.
-    std::vector<server_start_key> leavingServers(time_point now) const;
+    std::vector<leaving_server_news> leavingServers(time_point now) const;
     /// Returns when the next request with these parts may be tried, unless this instance may try one now; nullopt if none of
     /// them is quarantined.
     std::optional<time_point> quarantinedUntil(const std::vector<prompt_part> &parts, time_point now) const;
--- a/src/gateway/internal/fleet_server_notices.cpp
+++ b/src/gateway/internal/fleet_server_notices.cpp
@@ -23,15 +23,17 @@
     }
 }
 
-void fleet_state::recordLeavingServers(const std::vector<server_start_key> &leaving, const instance_id &source, time_point now)
+void fleet_state::recordLeavingServers(const std::vector<leaving_server_news> &leaving, const instance_id &source, time_point now)
 {
     if (leaving.empty()) {
         return;
     }
     for (const server_directory::known_server *server : servers.staying()) {
         const backend_server_id id = server->entry.id;
-        const bool isNamed = std::find(leaving.begin(), leaving.end(), startKeyOf(server->entry)) != leaving.end();
-        if (isNamed && servers.recordLeaving(id, now)) {
+        const auto named = std::find_if(leaving.begin(), leaving.end(), [key = startKeyOf(server->entry)](const auto &news) {
+            return news.server == key;
+        });
+        if (named != leaving.end() && servers.recordLeavingElsewhere(id, named->since, now)) {
             m_log("server_announced_leaving", id.str(), "source=" + source.str());
         }
     }
@@ -78,13 +80,13 @@
     return first;
 }
 
-std::vector<server_start_key> fleet_state::leavingServers(time_point now) const
+std::vector<leaving_server_news> fleet_state::leavingServers(time_point now) const
 {
-    std::vector<server_start_key> keys;
+    std::vector<leaving_server_news> news;
     for (const server_directory::known_server *server : servers.leaving(leavingReportTime, now)) {
-        keys.push_back(startKeyOf(server->entry));
+        news.push_back({ startKeyOf(server->entry), server->leavingSince });
     }
-    return keys;
+    return news;
 }
 
 } // namespace mustardtrail::gateway
--- a/src/gateway/internal/load_report.cpp
+++ b/src/gateway/internal/load_report.cpp
@@ -228,6 +228,19 @@
     return news;
 }
 
+std::vector<leaving_server_news> readLeavingServers(const wire::Report &source, time_point now)
+{
+    std::vector<leaving_server_news> news;
+    for (int at = 0; at < source.leaving_servers_size(); ++at) {
+        leaving_server_news &each = news.emplace_back();
+        each.server = source.leaving_servers(at);
+        if (at < source.leaving_server_ages_ms_size()) {
+            each.since = now - std::chrono::milliseconds(source.leaving_server_ages_ms(at));
+        }
+    }
+    return news;
+}
+
 } // namespace
 
 std::string encodeLoadReport(const load_report &report, time_point now)
@@ -244,7 +257,10 @@
     message.set_store_revision(report.storePosition.revision);
     message.set_store_era(report.storePosition.era);
     message.set_config_version(report.configVersion);
-    message.mutable_leaving_servers()->Add(report.leavingServers.begin(), report.leavingServers.end());
+    for (const leaving_server_news &news : report.leavingServers) {
+        message.add_leaving_servers(news.server);
+        message.add_leaving_server_ages_ms(ageOf(news.since.value_or(now), now));
+    }
     message.mutable_departed_servers()->Add(report.departedServers.begin(), report.departedServers.end());
     message.set_lost_server_paths(report.hasLostServerPaths);
     write(report.quarantine, now, message);
@@ -301,7 +317,7 @@
     report.clock = std::chrono::microseconds(static_cast<std::int64_t>(message.clock_us()));
     report.storePosition = { message.store_era(), message.store_revision() };
     report.configVersion = message.config_version();
-    report.leavingServers.assign(message.leaving_servers().begin(), message.leaving_servers().end());
+    report.leavingServers = readLeavingServers(message, now);
     report.departedServers.assign(message.departed_servers().begin(), message.departed_servers().end());
     report.hasLostServerPaths = message.lost_server_paths();
     report.quarantine = readQuarantineNews(message, now);
--- a/src/gateway/internal/server_directory.cpp
+++ b/src/gateway/internal/server_directory.cpp
@@ -13,6 +13,9 @@
     if (restarted || mayBeNewStart) {
         server.leavingSince.reset();
     }
+    if (mayBeNewStart) {
+        server.listedReadyAt = now;
+    }
     const bool startedDraining = entry.isLeaving && !server.leavingSince;
     if (startedDraining) {
         server.leavingSince = now;
@@ -71,6 +74,19 @@
     return true;
 }
 
+bool server_directory::recordLeavingElsewhere(const backend_server_id &id, std::optional<time_point> since, time_point now)
+{
+    const auto found = m_servers.find(id);
+    if (found == m_servers.end()) {
+        return false;
+    }
+    const known_server &server = found->second;
+    if (server.entry.startedAt == 0 && (!since || *since <= server.listedReadyAt)) {
+        return false;
+    }
+    return recordLeaving(id, since.value_or(now));
+}
+
 void server_directory::setReadingRestoredList(bool isReading)
 {
     m_isReadingRestoredList = isReading;
--- a/src/gateway/load_report.h
+++ b/src/gateway/load_report.h
@@ -6,6 +6,7 @@
 #include "gateway/crash_evidence.h"
 #include "gateway/customer_prefill.h"
 #include "gateway/latency_count.h"
+#include "gateway/leaving_server_news.h"
 #include "gateway/rate_limit_news.h"
 #include "gateway/second_copy_use.h"
 #include "gateway/server_work.h"
@@ -37,7 +38,7 @@
     std::vector<server_work> work; ///< To the sender's cell all its work, to another cell the work at that cell's servers.
     std::vector<waiting_prompt> waitingPrompts; ///< Of the sender, the first in its order; to its own cell only.
     std::vector<server_key> suspectedServers; ///< Backend servers that recently failed the sender's requests.
-    std::vector<server_start_key> leavingServers; ///< Backend servers that announced lately that they leave.
+    std::vector<leaving_server_news> leavingServers; ///< Backend servers that announced lately that they leave.
     std::vector<server_start_key> departedServers; ///< Backend servers that the sender saw go lately; in periodic reports only.
     bool hasLostServerPaths = false; ///< The sender has lost its own paths to backend servers, so it is no good relay.
     quarantine_news quarantine; ///< Of the parts of prompts that crash backend servers.
--- a/src/gateway/server_directory.h
+++ b/src/gateway/server_directory.h
@@ -30,12 +30,16 @@
         time_point coldUntil{};
         std::optional<time_point> keptUntil; ///< Set while the server is missing from the list: the time of its removal.
         std::optional<time_point> leavingSince; ///< First sign that this start of the server leaves; an older entry does not undo it.
+        time_point listedReadyAt{}; ///< Of the latest entry without a start; earlier news may be of an earlier start.
         bool isUnconfirmed = false; ///< Known to have gone, but listed by a store that was restored from an older copy.
     };
 
     change put(const listed_server &entry, time_point now);
     /// Records that the server said itself that it leaves. Returns false when that was known.
     bool recordLeaving(const backend_server_id &id, time_point now);
+    /// Records that the server was leaving at `since`, as another instance knows. Ignores news that may be of an earlier start.
+    /// Returns false when it changed nothing.
+    bool recordLeavingElsewhere(const backend_server_id &id, std::optional<time_point> since, time_point now);
     /// Removes the server at once when `keepUntil` has passed or the server is draining. Otherwise keeps it until `keepUntil`, and
     /// beyond when it is listed again by then.
     change remove(const backend_server_id &id, time_point now, time_point keepUntil);
--- a/src/gateway/tests/mixed_releases_test.cpp
+++ b/src/gateway/tests/mixed_releases_test.cpp
@@ -26,7 +26,7 @@
 
 /// Fields that the release before this one does not have, by message.
 const std::map<std::string, std::vector<std::string>> fieldsOfThisRelease{ { "Work", { "event_gap_ms" } },
-    { "Report", { "waiting_prompts", "customer_use", "slow_servers", "second_copy_use", "latency_counts" } } };
+    { "Report", { "waiting_prompts", "customer_use", "slow_servers", "second_copy_use", "latency_counts", "leaving_server_ages_ms" } } };
 
 wire::Report reportWithAllFields()
 {
@@ -35,6 +35,7 @@
     report.address = 2;
     report.sequence = 9;
     report.suspectedServers = { 33 };
+    report.leavingServers = { { 44, at(0) } };
     server_work work;
     work.request = 1;
     work.server = engine;
@@ -120,6 +121,14 @@
     expectEqual(load.shortestEventGapTarget.count(), 0);
 }
 
+Test(mixed_releases, aReportOfThePreviousReleaseNamesLeavingServersWithoutAnAge)
+{
+    const load_report report = decoded(passedThroughPreviousRelease(reportWithAllFields().SerializeAsString()));
+    expectEqual(report.leavingServers.size(), 1U);
+    expectEqual(report.leavingServers.front().server, 44U);
+    cr_assert_not(report.leavingServers.front().since.has_value());
+}
+
 // Guards against rejecting the reports of a later release, whose fields this one does not know, at each level of the message.
 Test(mixed_releases, unknownFieldsAreIgnoredAndTheRestIsUsed)
 {
