Tests of a configuration change while a sound server is silent

The tests of config_change paused for 700 ms, below the stall time-outs. Four points of a request with a silence of 1.6 s, each with six changes (newer version, route gone, time-out shorter, key gone, customer gone, other services): a stream at its only server and with a second one that refuses, a request that runs once, and one that may be repeated whose second server refuses.

24 cases, one answer each, without a change of the gateway: the second server is looked for in the service of the run, and the request keeps the time limit of its arrival. So this is not the cause of the users' loss.

--- a/src/programs/gateway/tests/config_change_test.cpp
+++ b/src/programs/gateway/tests/config_change_test.cpp
@@ -169,6 +169,40 @@
     return sends++ == 0 ? closeAfterPause(connection) : answerAtOnce(connection);
 }
 
+/// Longer than any stall time-out.
+constexpr milliseconds longSilence{ 1'600 };
+
+boost::asio::awaitable<void> fallSilentInStream(raw_connection &connection)
+{
+    ++sends;
+    co_await connection.send(unframedHead + firstEvents);
+    co_await connection.pause(longSilence);
+    co_await connection.send(lastEvent);
+}
+
+boost::asio::awaitable<void> fallSilentBeforeAnswer(raw_connection &connection)
+{
+    ++sends;
+    co_await connection.pause(longSilence);
+    co_await answerAtOnce(connection);
+}
+
+boost::asio::awaitable<void> refuse(raw_connection &connection)
+{
+    co_await connection.send(
+        "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nAttempt-Id: a1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+}
+
+boost::asio::awaitable<void> firstFallsSilentInStream(raw_connection &connection)
+{
+    return sends == 0 ? fallSilentInStream(connection) : refuse(connection);
+}
+
+boost::asio::awaitable<void> firstFallsSilentBeforeAnswer(raw_connection &connection)
+{
+    return sends == 0 ? fallSilentBeforeAnswer(connection) : refuse(connection);
+}
+
 /// Where a request is when the configuration changes.
 struct point {
     std::string service;
@@ -278,3 +312,23 @@
 {
     expectOneAnswerForEachChange({ "desk", firstAnswersNothing, 2, "/again/x", 1, "200 whole" });
 }
+
+Test(config_change, whileTheOnlyServerOfAStreamIsSilent)
+{
+    expectOneAnswerForEachChange({ "reading", fallSilentInStream, 1, "/stream/x", 1, wholeStream });
+}
+
+Test(config_change, whileAStreamIsSilentAndTheOtherServerRefuses)
+{
+    expectOneAnswerForEachChange({ "reading", firstFallsSilentInStream, 2, "/stream/x", 1, wholeStream });
+}
+
+Test(config_change, whileTheServerOfARequestThatRunsOnceIsSilent)
+{
+    expectOneAnswerForEachChange({ "desk", fallSilentBeforeAnswer, 2, "/once/x", 1, "200 whole" });
+}
+
+Test(config_change, whileTheServerOfARequestIsSilentAndTheOtherServerRefuses)
+{
+    expectOneAnswerForEachChange({ "desk", firstFallsSilentBeforeAnswer, 2, "/again/x", 1, "200 whole" });
+}
