An answer of an earlier start says nothing of a server's later one

What callers saw: a server that had asked for quiet (503 with Retry-After, up to 60 s) and was started again under its id got nothing until that time had passed; where it was the only one, callers got 503 servers_want_quiet. An answer or failure of the earlier start that was read after the entry of the later one marked the later one: as leaving for as long as it ran, at all instances, as the mark is told with the key of the later start; or as suspected, for 0.5 to 4 s.

Cause: what a server says of itself, and its failures, were kept by its id or given to the start that the directory lists now, although the session knows to which start it has sent. Rate limits and speeds were kept by the start already.

Change: quiet is kept by the start; leaving and failures count only if the start that they are of is the one that is listed. Without a known start nothing changes. Ruled out: clearing the quiet when a restart is listed (an entry that goes and comes back as new would keep it); starts in Report.suspects (an instance of the previous release would not know them; they end after 1 s).

--- a/src/gateway/fleet_state.h
+++ b/src/gateway/fleet_state.h
@@ -62,17 +62,17 @@
     std::vector<placement_candidate> candidates(
         const service_id &service, const std::set<backend_server_id> &excluded, server_scope scope, time_point now) const;
     const server_directory::known_server *findServer(server_key key) const;
-    /// Records that the server failed a request. `isUnreachable`: no connection to it could be opened.
-    void recordFailure(server_key server, bool isUnreachable, time_point now);
-    /// Records that the server announced to this instance that it leaves.
-    void recordLeaving(server_key server, time_point now);
+    /// Records that this start of the server failed a request. `isUnreachable`: no connection to it could be opened.
+    void recordFailure(server_key server, server_start_key start, bool isUnreachable, time_point now);
+    /// Records that this start of the server announced to this instance that it leaves.
+    void recordLeaving(server_key server, server_start_key start, time_point now);
     /// Records the servers that another instance knows to leave, as returned by `leavingServers` there.
     void recordLeavingServers(const std::vector<leaving_server_news> &servers, const instance_id &source, time_point now);
     /// Records the servers that another instance saw go, as returned by `departedServers` there. One that this instance only
     /// keeps because an outage of the store may have lost its entry is not used any more.
     void recordDepartedServers(const std::vector<server_start_key> &servers, const instance_id &source, time_point now);
-    /// Records that the server wants nothing from this instance for a while.
-    void recordQuiet(server_key server, std::chrono::milliseconds duration, time_point now);
+    /// Records that this start of the server wants nothing from this instance for a while.
+    void recordQuiet(server_key server, server_start_key start, std::chrono::milliseconds duration, time_point now);
     /// Returns when the first server of the service wants requests again, if all that could take them asked for quiet.
     std::optional<time_point> quietUntil(const service_id &service, time_point now) const;
     /// Servers whose leaving became known lately, for the other instances.
--- a/src/gateway/internal/fleet_server_notices.cpp
+++ b/src/gateway/internal/fleet_server_notices.cpp
@@ -15,10 +15,10 @@
 
 } // namespace
 
-void fleet_state::recordLeaving(server_key server, time_point now)
+void fleet_state::recordLeaving(server_key server, server_start_key start, time_point now)
 {
     const auto *known = findServer(server);
-    if (known && servers.recordLeaving(known->entry.id, now)) {
+    if (known && startKeyOf(known->entry) == start && servers.recordLeaving(known->entry.id, now)) {
         m_log("server_announced_leaving", known->entry.id.str(), "source=answer");
     }
 }
@@ -59,9 +59,9 @@
     return keys;
 }
 
-void fleet_state::recordQuiet(server_key server, std::chrono::milliseconds duration, time_point now)
+void fleet_state::recordQuiet(server_key server, server_start_key start, std::chrono::milliseconds duration, time_point now)
 {
-    quiet.record(server, now + duration);
+    quiet.record(start, now + duration);
     if (const auto *known = findServer(server)) {
         m_log("server_asked_for_quiet", known->entry.id.str(), "ms=" + std::to_string(duration.count()));
     }
@@ -71,7 +71,7 @@
 {
     std::optional<time_point> first;
     for (const server_directory::known_server *server : servers.usable(service, now)) {
-        const server_key key = keyOf(server->entry.id);
+        const server_start_key key = startKeyOf(server->entry);
         if (!quiet.isQuiet(key, now)) {
             return std::nullopt;
         }
--- a/src/gateway/internal/fleet_state.cpp
+++ b/src/gateway/internal/fleet_state.cpp
@@ -207,7 +207,7 @@
 std::vector<const server_directory::known_server *> fleet_state::eligible(const service_id &service, time_point now) const
 {
     const auto wantsQuiet = [&](const server_directory::known_server *server) {
-        return quiet.isQuiet(keyOf(server->entry.id), now);
+        return quiet.isQuiet(startKeyOf(server->entry), now);
     };
     auto found = servers.usable(service, now);
     std::erase_if(found, wantsQuiet);
@@ -282,10 +282,13 @@
     return found.empty() ? unknown : found;
 }
 
-void fleet_state::recordFailure(server_key server, bool isUnreachable, time_point now)
+void fleet_state::recordFailure(server_key server, server_start_key start, bool isUnreachable, time_point now)
 {
-    serverSuspicion.recordFailure(server, now);
     const auto *known = findServer(server);
+    if (known && startKeyOf(known->entry) != start) {
+        return;
+    }
+    serverSuspicion.recordFailure(server, now);
     if (!known || !isUnreachable) {
         return;
     }
--- a/src/gateway/internal/quiet_servers.cpp
+++ b/src/gateway/internal/quiet_servers.cpp
@@ -5,18 +5,18 @@
 namespace mustardtrail::gateway
 {
 
-void quiet_servers::record(server_key server, time_point until)
+void quiet_servers::record(server_start_key server, time_point until)
 {
     time_point &known = m_until[server];
     known = std::max(known, until);
 }
 
-bool quiet_servers::isQuiet(server_key server, time_point now) const
+bool quiet_servers::isQuiet(server_start_key server, time_point now) const
 {
     return now < until(server);
 }
 
-time_point quiet_servers::until(server_key server) const
+time_point quiet_servers::until(server_start_key server) const
 {
     const auto found = m_until.find(server);
     return found == m_until.end() ? time_point() : found->second;
--- a/src/gateway/quiet_servers.h
+++ b/src/gateway/quiet_servers.h
@@ -14,13 +14,13 @@
 {
 public:
     /// Records that the server wants nothing until then; a later end replaces an earlier one.
-    void record(server_key server, time_point until);
-    bool isQuiet(server_key server, time_point now) const;
-    time_point until(server_key server) const;
+    void record(server_start_key server, time_point until);
+    bool isQuiet(server_start_key server, time_point now) const;
+    time_point until(server_start_key server) const;
     void expire(time_point now);
 
 private:
-    std::map<server_key, time_point> m_until;
+    std::map<server_start_key, time_point> m_until;
 };
 
 } // namespace mustardtrail::gateway
--- a/src/gateway/tests/leaving_server_news_test.cpp
+++ b/src/gateway/tests/leaving_server_news_test.cpp
@@ -90,7 +90,7 @@
     listAtAllOthers(fleet, serverStartedAt(0));
     listAt(fleet, late, serverStartedAt(0));
     fleet.runFor(milliseconds(100));
-    fleet.state(1).recordLeaving(keyOf(serverStartedAt(0).id), fleet.now());
+    fleet.state(1).recordLeaving(keyOf(serverStartedAt(0).id), startKeyOf(serverStartedAt(0)), fleet.now());
     fleet.runFor(milliseconds(700));
     cr_assert_not(mayUse(fleet, late));
 }
--- a/src/programs/gateway/request_hedge.cpp
+++ b/src/programs/gateway/request_hedge.cpp
@@ -162,7 +162,7 @@
         const server_key server = hedge->sent().placed.parts.front().server;
         recordServerNotices(hedge->head(), server, hedge->sent().start);
         if (hedge->isUnreachable()) {
-            m_context.state.recordFailure(server, true, now);
+            m_context.state.recordFailure(server, hedge->sent().start, true, now);
         }
         if (hedge->isCutOff()) {
             recordCrash(hedge->sent().start, hedge->sent().server.str(), hedge->sentAt(), now);
--- a/src/programs/gateway/request_relay.cpp
+++ b/src/programs/gateway/request_relay.cpp
@@ -135,10 +135,10 @@
         m_context.state.recordRateLimit(server, start, head.requestsPerSecond, now);
     }
     if (head.isServerLeaving) {
-        m_context.state.recordLeaving(server, now);
+        m_context.state.recordLeaving(server, start, now);
     }
     if (head.quietFor) {
-        m_context.state.recordQuiet(server, *head.quietFor, now);
+        m_context.state.recordQuiet(server, start, *head.quietFor, now);
         m_context.metrics.recordSendOutcome("asked_for_quiet");
     }
 }
--- a/src/programs/gateway/request_retry.cpp
+++ b/src/programs/gateway/request_retry.cpp
@@ -88,7 +88,7 @@
         const auto *server = m_context.state.findServer(part.server);
         const bool isNamed = server && (server->entry.id.str() == m_faultyServer || toString(server->entry.address) == m_faultyServer);
         if (isNamed) {
-            m_context.state.recordFailure(part.server, true, now);
+            m_context.state.recordFailure(part.server, startKeyOf(server->entry), true, now);
             helperFailed = part.server != placed.parts.front().server;
         }
     }
@@ -105,7 +105,7 @@
     const bool isResponding = m_context.state.serverSuspicion.isResponding(m_currentServer, now);
     const bool isOvertaken = m_closedBecause == copyAnswered; // Slow, which is no sign of a failure.
     if (failure.isUnreachable || (hasNoAnswer && !isResponding && !isOvertaken)) {
-        m_context.state.recordFailure(placed.parts.front().server, failure.isUnreachable, now);
+        m_context.state.recordFailure(placed.parts.front().server, m_currentStart, failure.isUnreachable, now);
     }
 }
 
