A service that a configuration no longer names keeps its limits for requests that wait

What callers saw: nothing; a cold engine did. Requests that were admitted under the configuration before go on to the servers of a service that the new one drops, and from then on without `cold_per_s`, so that all that waited may be sent at once (FAILBACK). Slowness and link delays of its engines no longer counted for them either.

Change: properties of a service are those of the newest configuration that names it. A configuration stays in memory while it is that for some service. Ruled out: the session's own configuration (a lower limit of a newer one would not hold for what waits).

--- a/src/gateway/fleet_state.h
+++ b/src/gateway/fleet_state.h
@@ -140,6 +140,8 @@
     bool isTrialInstance(prompt_part part, time_point now) const;
     void applyConfig(const config_published &published);
     void logProblems(const published_config &config);
+    /// Returns the newest configuration that names the service; requests of an earlier one may still use it.
+    const route_table *latestNaming(const service_id &service) const;
     void applyServer(const listed_server &server, time_point now);
     void removeServer(const backend_server_id &server, time_point now, time_point keepUntil);
     bool isAtRateLimit(const server_directory::known_server &server, time_point now) const;
@@ -165,6 +167,7 @@
     peer_address m_self;
     data_centre_id m_ownDataCentre;
     std::map<server_key, backend_server_id> m_idByKey;
+    std::map<service_id, std::shared_ptr<const route_table>> m_latestNaming;
     mutable std::map<server_scope, candidate_cache> m_candidates;
 };
 
--- a/src/gateway/internal/fleet_links.cpp
+++ b/src/gateway/internal/fleet_links.cpp
@@ -7,7 +7,8 @@
 // Without a published delay of an own link, all engines count as equally near.
 void fleet_state::setLink(placement_candidate &candidate, const listed_server &server) const
 {
-    const service_profile *profile = routes ? routes->profileOf(server.service) : nullptr;
+    const route_table *naming = latestNaming(server.service);
+    const service_profile *profile = naming ? naming->profileOf(server.service) : nullptr;
     if (!profile || !profile->links.hasLinkOf(m_ownDataCentre)) {
         return;
     }
--- a/src/gateway/internal/fleet_state.cpp
+++ b/src/gateway/internal/fleet_state.cpp
@@ -87,10 +87,19 @@
         return;
     }
     routes = std::make_shared<const route_table>(*published.config);
+    for (const auto &[service, profile] : published.config->services) {
+        m_latestNaming[service] = routes;
+    }
     m_log("config_in_force", std::to_string(version), "routes=" + std::to_string(published.config->routes.size()));
     logProblems(*published.config);
 }
 
+const route_table *fleet_state::latestNaming(const service_id &service) const
+{
+    const auto found = m_latestNaming.find(service);
+    return found == m_latestNaming.end() ? nullptr : found->second.get();
+}
+
 void fleet_state::applyServer(const listed_server &server, time_point now)
 {
     m_idByKey[keyOf(server.id)] = server.id;
@@ -178,7 +187,8 @@
 
 bool fleet_state::isAtColdLimit(const server_directory::known_server &server, unsigned sentLastSecond, double share, time_point now) const
 {
-    const service_profile *profile = routes ? routes->profileOf(server.entry.service) : nullptr;
+    const route_table *naming = latestNaming(server.entry.service);
+    const service_profile *profile = naming ? naming->profileOf(server.entry.service) : nullptr;
     if (!profile || profile->coldRequestsPerSecond <= 0.0 || now >= server.coldUntil) {
         return false;
     }
@@ -196,7 +206,8 @@
     if (const auto load = known.find(candidate.key); load != known.end()) {
         candidate.load = load->second;
     }
-    if (routes && routes->policyOf(server.entry.service).isCoordinated) {
+    const route_table *naming = latestNaming(server.entry.service);
+    if (naming && naming->policyOf(server.entry.service).isCoordinated) {
         candidate.slowness = speeds.slownessOf(startKeyOf(server.entry), now, candidate.load.requests >= candidate.slots);
         setLink(candidate, server.entry);
     }
