A restored store does not undo the leaving of a server without a start time

What callers saw: after a restore of the store from an older copy, requests went to a server that was known to leave, if its entry has no start time (`born`), until it wrote `draining` again.

Cause: an entry that says `ready` without a start time ends the leaving state, also while the first list of a restored store is read, which repeats earlier entries. docs/design/scale.md says that the leaving holds.

Evidence: server_directory/restoredStoreDoesNotUndoTheDrainOfAServerWithoutAStartTime failed before.

Change: such a list counts as no sign of a new start; the next entry that the server writes does, as with servers that had gone.

--- a/src/gateway/internal/server_directory.cpp
+++ b/src/gateway/internal/server_directory.cpp
@@ -8,8 +8,8 @@
     auto [at, isNew] = m_servers.try_emplace(entry.id);
     known_server &server = at->second;
     const bool restarted = !isNew && server.entry.startedAt != entry.startedAt;
-    // Without a known start a later entry may be that of a new one.
-    const bool mayBeNewStart = entry.startedAt == 0 && !entry.isLeaving;
+    // Without a known start a later entry may be that of a new one; a restored store lists earlier ones.
+    const bool mayBeNewStart = entry.startedAt == 0 && !entry.isLeaving && !m_isReadingRestoredList;
     if (restarted || mayBeNewStart) {
         server.leavingSince.reset();
     }
--- a/src/gateway/tests/server_directory_test.cpp
+++ b/src/gateway/tests/server_directory_test.cpp
@@ -150,6 +150,23 @@
     expectEqual(directory.usable(reading, at(100)).size(), 0U);
 }
 
+Test(server_directory, restoredStoreDoesNotUndoTheDrainOfAServerWithoutAStartTime)
+{
+    server_directory directory;
+    listed_server server = serverNamed("a");
+    directory.put(server, at(0));
+    server.isLeaving = true;
+    directory.put(server, at(100));
+    server.isLeaving = false;
+    directory.setReadingRestoredList(true);
+    directory.put(server, at(200));
+    directory.setReadingRestoredList(false);
+    expectEqual(directory.usable(reading, at(200)).size(), 0U);
+    // It stays if it writes its entry again.
+    directory.put(server, at(300));
+    expectEqual(directory.usable(reading, at(300)).size(), 1U);
+}
+
 Test(server_directory, dataCentreStaysOutOfServiceUntilARestoredStoreSaysSoAgain)
 {
     server_directory directory;
