--- a/src/gateway/fleet_state.h
+++ b/src/gateway/fleet_state.h
@@ -62,17 +62,17 @@
     std::vector<placement_candidate> candidates(
         const service_id &service, const std::set<backend_server_id> &excluded, server_scope scope, time_point now) const;
     const server_directory::known_server *findServer(server_key key) const;
-    /// Records that the server failed a request. `isUnreachable`: no connection to it could be opened.
-    void recordFailure(server_key server, bool isUnreachable, time_point now);
-    /// Records that the server announced to this instance that it leaves.
-    void recordLeaving(server_key server, time_point now);
+    /// Records that this start of the server failed a request. `isUnreachable`: no connection to it could be opened.
+    void recordFailure(server_key server, server_start_key start, bool isUnreachable, time_point now);
+    /// Records that this start of the server announced to this instance that it leaves.
+    void recordLeaving(server_key server, server_start_key start, time_point now);
     /// Records the servers that another instance knows to leave, as returned by `leavingServers` there.
     void recordLeavingServers(const std::vector<leaving_server_news> &servers, const instance_id &source, time_point now);
     /// Records the servers that another instance saw go, as returned by `departedServers` there. One that this instance only
     /// keeps because an outage of the store may have lost its entry is not used any more.
     void recordDepartedServers(const std::vector<server_start_key> &servers, const instance_id &source, time_point now);
-    /// Records that the server wants nothing from this instance for a while.
-    void recordQuiet(server_key server, std::chrono::milliseconds duration, time_point now);
+    /// Records that this start of the server wants nothing from this instance for a while.
+    void recordQuiet(server_key server, server_start_key start, std::chrono::milliseconds duration, time_point now);
     /// Returns when the first server of the service wants requests again, if all that could take them asked for quiet.
     std::optional<time_point> quietUntil(const service_id &service, time_point now) const;
     /// Servers whose leaving became known lately, for the other instances.
@@ -140,6 +140,8 @@
     bool isTrialInstance(prompt_part part, time_point now) const;
     void applyConfig(const config_published &published);
     void logProblems(const published_config &config);
+    /// Returns the newest configuration that names the service; requests of an earlier one may still use it.
+    const route_table *latestNaming(const service_id &service) const;
     void applyServer(const listed_server &server, time_point now);
     void removeServer(const backend_server_id &server, time_point now, time_point keepUntil);
     bool isAtRateLimit(const server_directory::known_server &server, time_point now) const;
@@ -165,6 +167,7 @@
     peer_address m_self;
     data_centre_id m_ownDataCentre;
     std::map<server_key, backend_server_id> m_idByKey;
+    std::map<service_id, std::shared_ptr<const route_table>> m_latestNaming;
     mutable std::map<server_scope, candidate_cache> m_candidates;
 };
 
