--- a/src/gateway/internal/fleet_state.cpp
+++ b/src/gateway/internal/fleet_state.cpp
@@ -90,6 +90,10 @@
     for (const auto &[service, profile] : published.config->services) {
         m_latestNaming[service] = routes;
     }
+    const std::set<service_id> withServers = servers.services();
+    std::erase_if(m_latestNaming, [&](const auto &entry) {
+        return entry.second != routes && !withServers.contains(entry.first);
+    });
     m_log("config_in_force", std::to_string(version), "routes=" + std::to_string(published.config->routes.size()));
     logProblems(*published.config);
 }
