The end of an instance that relays an answer is no crash of the server

What callers saw: an answer that came through another instance and was cut off because that instance ended counted as a crash of the server (crash_recorded), which is evidence against the parts of the prompt. Enough of it holds sound prompts back with 503 prompt_part_quarantined.

Cause: to the sender the connection of a relay that ends looks like one that the relay closes because the server was lost, and both had the error of a lost server.

Evidence: server_client/doesNotTakeTheEndOfARelayForTheEndOfTheServer (a relay that ends before its answer, after the head and within the body) and relay_service/saysThatTheServerWasLostBeforeTheFirstByteOfTheBody failed before. That a relayed prompt which ends its servers is still held back shows crashing_part/requestsThatAreSentThroughAnotherInstanceAreHeldBackToo, which passed before too. That a cut within a relayed plain answer records no crash has no test at the level of a request.

Change: such a connection has its own error, peer_connection_lost, which is no evidence. The relay passes on the head of a success with the first byte of the body, so that a server that ends in between, as those that a prompt crashes often do, is reported in the relay's field (may_have_run), which remains evidence. Heads of failures are passed on as before, since they may say that nothing has run.

Ruled out: the way the connection ends (a process that is killed closes like one that lives), times, and a mark behind the body (an instance of an earlier version would take it for the end of a complete answer).

--- a/src/programs/gateway/relay_service.cpp
+++ b/src/programs/gateway/relay_service.cpp
@@ -50,6 +50,11 @@
     return message;
 }
 
+bool isSuccess(int status)
+{
+    return status >= 200 && status < 300;
+}
+
 // The fields of the relay go before the server's own, which may have the same names.
 http::header_list relayedHeaders(const http::response_stream &answer)
 {
@@ -152,19 +157,22 @@
         co_await exchange.respond(refusal(502, isUnsent ? relay_field::notRun : relay_field::mayHaveRun));
         co_return;
     }
+    auto bytes = co_await (*answer)->read();
+    // Servers that a prompt crashes often end here. A cut after the head would look like the end of this instance.
+    if (!bytes && isSuccess((*answer)->status())) {
+        co_await exchange.respond(refusal(502, relay_field::mayHaveRun));
+        co_return;
+    }
     http::header_list headers = relayedHeaders(**answer);
     bool isOpen = co_await exchange.startStream((*answer)->status(), std::move(headers));
-    while (isOpen) {
-        const auto bytes = co_await (*answer)->read();
-        if (!bytes) {
-            co_return; // The sender sees an answer that is cut off, as over its own path.
-        }
-        if (bytes->empty()) {
-            break;
-        }
+    while (isOpen && bytes && !bytes->empty()) {
         isOpen = co_await exchange.write(*bytes);
+        if (isOpen) {
+            bytes = co_await (*answer)->read();
+        }
     }
-    if (isOpen) {
+    // Without the end of the stream the sender sees an answer that is cut off.
+    if (isOpen && bytes) {
         co_await exchange.finishStream();
     }
 }
--- a/src/programs/gateway/server_client.cpp
+++ b/src/programs/gateway/server_client.cpp
@@ -155,7 +155,12 @@
     const time_point now = m_clock.now();
     if (!answer) {
         m_avoidedUntil[{ relay, {} }] = now + relayAvoidance;
-        answer.error().code = isUnsent(answer.error()) ? error_code::backend_connect_failed : answer.error().code;
+        error_code &code = answer.error().code;
+        if (isUnsent(answer.error())) {
+            code = error_code::backend_connect_failed;
+        } else if (code == error_code::backend_connection_lost) {
+            code = error_code::peer_connection_lost;
+        }
         co_return answer;
     }
     const std::string_view outcome = (*answer)->headers().find(relay_field::outcome);
--- a/src/programs/gateway/server_client.h
+++ b/src/programs/gateway/server_client.h
@@ -16,7 +16,7 @@
 {
 
 /// Sends requests to backend servers: over this instance's own path or, where that is lost, through another instance. A relayed
-/// send has the answers, errors and verdicts of a send to the server itself.
+/// send has the answers, errors and verdicts of a send to the server itself, and `peer_connection_lost` where the other one may have ended.
 class server_client
 {
 public:
--- a/src/programs/gateway/tests/crashing_part_test.cpp
+++ b/src/programs/gateway/tests/crashing_part_test.cpp
@@ -131,3 +131,17 @@
     expectEqual(platform.callWithPrompt("/again/x", "dead:40,own:100").status, 503);
     expectEqual(guiltySends, before);
 }
+
+Test(crashing_part, requestsThatAreSentThroughAnotherInstanceAreHeldBackToo)
+{
+    fake_platform platform;
+    addServers(platform);
+    platform.start();
+    platform.startSecondInstance();
+    platform.cutFirstInstanceFromServers();
+    for (int request = 0; request < 30; ++request) {
+        platform.callWithPrompt("/stream/x", "5c1e:40,dead:40,own" + std::to_string(request) + ":100");
+    }
+    cr_assert_gt(guiltySends, 0);
+    cr_assert_leq(guiltySends, crashesAllowed + sendsAllowedAfterThem);
+}
--- a/src/programs/gateway/tests/relay_service_test.cpp
+++ b/src/programs/gateway/tests/relay_service_test.cpp
@@ -42,6 +42,13 @@
     co_await exchange.write("id: 1\ndata: a\n\n");
 }
 
+boost::asio::awaitable<void> endBeforeTheBody(http::exchange &exchange)
+{
+    ++runs;
+    http::header_list head;
+    co_await exchange.startStream(200, std::move(head));
+}
+
 boost::asio::awaitable<void> answerNever(http::exchange &exchange)
 {
     exchange.onDisconnect([] {
@@ -142,6 +149,16 @@
     expectEqual(runs, 1);
 }
 
+// The sender could not tell a cut from the end of the relay.
+Test(relay_service, saysThatTheServerWasLostBeforeTheFirstByteOfTheBody)
+{
+    relay_bench relay(endBeforeTheBody);
+    const auto got = relay.call(relay.server());
+    cr_assert(got.has_value());
+    expectEqual(got->headers.find(relay_field::outcome), relay_field::mayHaveRun);
+    expectEqual(runs, 1);
+}
+
 Test(relay_service, opensANewConnectionForAnAttemptThatTheServerMayHaveSeen)
 {
     relay_bench relay(answerWhole);
--- a/src/programs/gateway/tests/server_client_test.cpp
+++ b/src/programs/gateway/tests/server_client_test.cpp
@@ -1,5 +1,7 @@
 #include "programs/gateway/server_client.h"
 
+#include "http/tests/raw_server.h"
+#include "programs/gateway/peer_link.h"
 #include "programs/gateway/tests/send_bench.h"
 #include "testing/expect.h"
 
@@ -37,6 +39,52 @@
     }
 }
 
+boost::asio::awaitable<void> readToTheEnd(server_client &servers, endpoint to, std::string &read, error_code &end)
+{
+    http::request_message message;
+    auto limits = http::call_limits::within(milliseconds(300));
+    const auto answer = co_await servers.open(to, std::move(message), std::move(limits), std::make_shared<sent_attempt>(attempt_id("a1")));
+    if (!answer) {
+        end = answer.error().code;
+        co_return;
+    }
+    while (true) {
+        const auto bytes = co_await (*answer)->read();
+        if (!bytes || bytes->empty()) {
+            end = bytes ? error_code::none : bytes.error().code;
+            co_return;
+        }
+        read += *bytes;
+    }
+}
+
+/// Sends to a server that only the relay reaches; returns what was read of its answer and how that ended.
+std::string readThrough(const std::string &bytesOfRelay)
+{
+    constexpr std::uint16_t unusedPort = 1;
+    send_bench bench;
+    const http::testing::raw_server relay(
+        bench.executor(), [&bytesOfRelay](http::testing::raw_connection &connection) -> boost::asio::awaitable<void> {
+            co_await connection.send(bytesOfRelay);
+        });
+    gateway_context &context = bench.context();
+    load_report report;
+    report.sender = instance_id("relay");
+    report.address = peerAddressOf("127.0.0.1");
+    report.dataCentre = data_centre_id("dc");
+    report.incarnation = report.sequence = 1;
+    context.state.peers.recordReport(report, context.clock.now());
+    server_client servers(bench.executor(), bench.client(), context.state, context.clock, context.log, 1, relay.address().port);
+    std::string read;
+    error_code end = error_code::backend_timeout;
+    boost::asio::co_spawn(bench.executor(), readToTheEnd(servers, { "127.0.0.1", unusedPort }, read, end), boost::asio::detached);
+    bench.runFor(milliseconds(400));
+    return read + ' ' + toString(end);
+}
+
+const std::string relayedHead = "HTTP/1.1 200 OK\r\nMustardtrail-Relay: passed\r\nMustardtrail-Relay-Body: framed\r\n"
+                                "Mustardtrail-Relay-Connection: new\r\nTransfer-Encoding: chunked\r\n\r\n";
+
 } // namespace
 
 Test(server_client, doesNotTakeTheAnswerToARequestForThatToAnOrder)
@@ -48,3 +96,18 @@
     bench.runFor(milliseconds(200));
     expectEqual(outcomes, "answered may_have_run answered ");
 }
+
+Test(server_client, doesNotTakeTheEndOfARelayForTheEndOfTheServer)
+{
+    const std::string relayLost = toString(error_code::peer_connection_lost);
+    expectEqual(readThrough(""), " " + relayLost);
+    expectEqual(readThrough(relayedHead), " " + relayLost);
+    expectEqual(readThrough(relayedHead + "4\r\npart\r\n"), "part " + relayLost);
+    expectEqual(readThrough(relayedHead + "4\r\npart\r\n0\r\n\r\n"), "part " + toString(error_code::none));
+}
+
+Test(server_client, takesTheWordOfARelayForTheEndOfTheServer)
+{
+    const std::string serverLost = toString(error_code::backend_connection_lost);
+    expectEqual(readThrough("HTTP/1.1 502 Bad Gateway\r\nMustardtrail-Relay: may_have_run\r\nContent-Length: 0\r\n\r\n"), " " + serverLost);
+}
