A prompt that is reserving memory is answered before the process ends

What callers saw: a prompt for several engines that was still reserving memory when a stopping instance gave its final answers got no answer: the calls, up to 300 ms to connect and 300 ms to answer for each engine, went on until the process ended 400 ms later.

Cause: a request waited for the orders to the engines whatever happened meanwhile; the hook of the ending instance closed only the connection to the server, which does not exist yet.

Evidence: stopping_instance/aPromptThatIsReservingMemoryIsRefusedBeforeTheProcessEndsAndKeepsNone (no answer before) and reservation_set/anAcquisitionEndsWithItsRelease failed before. The first also fails when the instance does not wait for the releases.

Change: the release of a reservation ends an acquisition that is under way, and a request that is interrupted before its prompt is sent releases its memory. So a caller that leaves and a deadline end the wait too. A request that has not run when the instance ends is refused with instance_ends. An instance that ended requests stays until its time to stop is over, 400 ms at most, so that releases reach the engines.

Ruled out: closing the connections of the calls, since an attempt to connect cannot be ended before its time-out.

--- a/src/programs/gateway/gateway_host.cpp
+++ b/src/programs/gateway/gateway_host.cpp
@@ -306,8 +306,9 @@
         timer.expires_after(drainPollInterval);
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     } while (m_clock.now() < finalAnswersAt && isBusy());
+    const bool mayHoldMemory = !m_shared.onEnding.empty(); // Engines' memory is released in the background.
     endRequests();
-    while (m_clock.now() < end && isBusy()) {
+    while (m_clock.now() < end && (isBusy() || mayHoldMemory)) {
         timer.expires_after(drainPollInterval);
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
--- a/src/programs/gateway/request_session.cpp
+++ b/src/programs/gateway/request_session.cpp
@@ -243,6 +243,11 @@
         co_await m_exchange.respond(*m_serverFailure);
         co_return;
     }
+    if (step == next_step::refuse && failure.outcome == verdict::not_run && m_context.isEnding) {
+        const refusal answer{ 503, std::string(instanceEnds), milliseconds(0) }; // Other instances serve on.
+        co_await refuse(answer);
+        co_return;
+    }
     if (step == next_step::refuse && failure.outcome == verdict::not_run) {
         const refusal answer{ 503, "servers_refused", milliseconds(200 + m_context.random.below(400)) };
         co_await refuse(answer);
@@ -320,6 +325,8 @@
     m_closedBecause = m_isCallerGone ? "caller_gone" : m_isDeadlinePassed ? "deadline" : instanceEnds;
     if (m_closeConnection) {
         m_closeConnection();
+    } else if (m_reservations) { // The prompt has not been sent.
+        m_reservations->release();
     }
     dropHedges(m_closedBecause);
     m_hedgeTimer.cancel();
--- a/src/programs/gateway/reservation_renewal.cpp
+++ b/src/programs/gateway/reservation_renewal.cpp
@@ -32,6 +32,7 @@
     , m_work(work)
     , m_shares(std::move(shares))
     , m_attempt(std::move(attempt))
+    , m_settled(m_executor, time_point::max())
 {
 }
 
@@ -127,17 +128,40 @@
             m_starts[each.server] = start;
         }
     }
+    // The orders run beside this call, since an attempt to connect to an engine cannot be ended before its time-out.
+    asio::co_spawn(m_executor, reserveAll(), [self](std::exception_ptr failure, bool isGranted) {
+        self->settle(isGranted && !failure);
+    });
+    while (!m_isGranted) {
+        boost::system::error_code cancelled;
+        co_await m_settled.async_wait(asio::redirect_error(asio::use_awaitable, cancelled));
+    }
+    if (!*m_isGranted || m_isReleased) {
+        release();
+        co_return false;
+    }
+    asio::co_spawn(m_executor, renew(), asio::detached);
+    co_return true;
+}
+
+asio::awaitable<bool> reservation_renewal::reserveAll()
+{
+    const auto self = shared_from_this();
     for (const share &each : m_shares) {
-        const bool granted = co_await reserveAt(each);
-        if (!granted) {
-            release();
+        const bool isGranted = !m_isReleased && co_await reserveAt(each);
+        if (!isGranted) {
             co_return false;
         }
     }
-    asio::co_spawn(m_executor, renew(), asio::detached);
     co_return true;
 }
 
+void reservation_renewal::settle(bool isGranted)
+{
+    m_isGranted = m_isGranted.value_or(isGranted);
+    m_settled.cancel();
+}
+
 asio::awaitable<void> reservation_renewal::renew()
 {
     const auto self = shared_from_this();
@@ -226,6 +250,7 @@
         return;
     }
     m_isReleased = true;
+    settle(false);
     recordRelease();
     for (const share &each : m_shares) {
         asio::co_spawn(m_executor, releaseAt(each), asio::detached);
--- a/src/programs/gateway/reservation_renewal.h
+++ b/src/programs/gateway/reservation_renewal.h
@@ -2,6 +2,8 @@
 
 #include "programs/gateway/reservation_set.h"
 
+#include <boost/asio/steady_timer.hpp>
+
 #include <map>
 #include <optional>
 
@@ -24,6 +26,9 @@
     std::string nameFor(server_key server) const;
 
 private:
+    boost::asio::awaitable<bool> reserveAll();
+    /// Ends the acquisition with this result, unless it has ended.
+    void settle(bool isGranted);
     boost::asio::awaitable<bool> reserveAt(const share &target);
     boost::asio::awaitable<void> renew();
     boost::asio::awaitable<void> renewAt(share target);
@@ -45,6 +50,8 @@
     std::optional<reservation_age> m_age; ///< From the first order on.
     std::optional<time_point> m_usedAt;
     std::function<void()> m_onGivenUp;
+    boost::asio::steady_timer m_settled; ///< Cancelled when the acquisition ends.
+    std::optional<bool> m_isGranted; ///< Result of the acquisition.
     unsigned m_unanswered = 0; ///< Orders that an engine may still carry out.
     bool m_isReleased = false;
 };
--- a/src/programs/gateway/reservation_set.h
+++ b/src/programs/gateway/reservation_set.h
@@ -39,7 +39,7 @@
 
     /// Returns false when an engine had no room; the reservations granted by the others are then released.
     boost::asio::awaitable<bool> acquire();
-    /// Releases all reservations in the background.
+    /// Releases all reservations in the background. An acquisition that is under way returns false.
     void release();
     /// Records an event of the answer: the request uses the memory.
     void recordUse();
--- a/src/programs/gateway/tests/reservation_set_test.cpp
+++ b/src/programs/gateway/tests/reservation_set_test.cpp
@@ -40,6 +40,12 @@
     co_await exchange.respond(std::move(answer));
 }
 
+boost::asio::awaitable<void> answerNever(http::exchange &exchange)
+{
+    boost::asio::steady_timer timer(exchange.executor(), std::chrono::seconds(60));
+    co_await timer.async_wait(boost::asio::use_awaitable);
+}
+
 boost::asio::awaitable<void> acquire(std::shared_ptr<reservation_set> reservations)
 {
     co_await reservations->acquire();
@@ -62,3 +68,20 @@
     bench.runFor(milliseconds(500));
     expectEqual(reservedNames.size(), size_t{ 0 });
 }
+
+Test(reservation_set, anAcquisitionEndsWithItsRelease)
+{
+    send_bench bench;
+    std::vector<reservation_set::share> shares;
+    shares.push_back({ 1, backend_server_id("i-1"), bench.addServer(answerNever), 100 });
+    reservation_set reservations(bench.context(), bench.executor(), 9, std::move(shares));
+    std::string outcome;
+    boost::asio::co_spawn(bench.executor(), reservations.acquire(), [&outcome](std::exception_ptr, bool isGranted) {
+        outcome = isGranted ? "granted" : "not granted";
+    });
+    bench.runFor(milliseconds(20));
+    expectEqual(outcome, std::string());
+    reservations.release();
+    bench.runFor(milliseconds(50));
+    expectEqual(outcome, std::string("not granted"));
+}
--- a/src/programs/gateway/tests/stopping_instance_test.cpp
+++ b/src/programs/gateway/tests/stopping_instance_test.cpp
@@ -1,3 +1,4 @@
+#include "programs/gateway/tests/engine_memory.h"
 #include "programs/gateway/tests/fake_platform.h"
 
 #include "testing/expect.h"
@@ -18,6 +19,7 @@
 constexpr milliseconds stopGrace{ 3'500 };
 
 int sends = 0;
+int grants = 0;
 
 boost::asio::awaitable<void> answerAfterTheStop(http::exchange &exchange)
 {
@@ -40,6 +42,23 @@
     co_await exchange.respond(std::move(message));
 }
 
+/// Engines of one service that take as long to reserve memory as a call may last, nearly.
+http::handler engineThatReservesSlowly(engine_memory &memory)
+{
+    return [&memory](http::exchange &exchange) -> boost::asio::awaitable<void> {
+        if (!engine_memory::isOrder(exchange)) {
+            co_await answerAtOnce(exchange);
+            co_return;
+        }
+        if (exchange.request().body->find("release") == std::string::npos) {
+            boost::asio::steady_timer timer(exchange.executor(), milliseconds(250));
+            co_await timer.async_wait(boost::asio::use_awaitable);
+            ++grants;
+        }
+        co_await memory.serve(exchange);
+    };
+}
+
 // Ends between the final answers of an instance that has `stopGrace` to stop and the end of its process.
 boost::asio::awaitable<void> streamUntilTheStopIsNear(http::exchange &exchange)
 {
@@ -143,3 +162,26 @@
     platform.runFor(milliseconds(4'000));
     cr_assert(caller.onlyAnswer().ends_with("id: 14\ndata: a\n\n"), "%s", caller.onlyAnswer().c_str());
 }
+
+Test(stopping_instance, aPromptThatIsReservingMemoryIsRefusedBeforeTheProcessEndsAndKeepsNone)
+{
+    engine_memory memory;
+    fake_platform platform;
+    platform.setStopGrace(stopGrace);
+    for (int number = 1; number <= 4; ++number) {
+        platform.addServer("i-" + std::to_string(number), "batch", engineThatReservesSlowly(memory));
+    }
+    platform.start();
+    platform.stopFirstInstance();
+    platform.runFor(stopGrace - milliseconds(1'100));
+    raw_caller caller = platform.openCaller(requestTo("/queue/x", "Token-Counts: 1500,10\r\n"));
+    for (int steps = 0; steps < 50 && !caller.onlyAnswer().starts_with("503 "); ++steps) {
+        platform.runFor(milliseconds(10));
+    }
+    expectEqual(caller.onlyAnswer(), std::string("503 {\"error\":\"instance_ends\"}"));
+    caller.leave(); // Its connection must not be what keeps the process until the engine has answered.
+    platform.runFor(milliseconds(500));
+    expectEqual(sends, 0);
+    expectEqual(memory.heldCount(), size_t{ 0 });
+    cr_assert_gt(grants, 0);
+}
