An impossible rate limit costs only its entry of a report

What callers saw: nothing as long as all instances are sound. One entry of rate_limits that is negative, infinite or no number made the others reject each whole report of its sender: its work, its suspects and its sign of life were missing, so it counted as gone after 3 s.

Cause: decodeLoadReport returned an error for the entry. A limit of 2^30 a second, also from a server itself, allows 2^32 requests in 4 s, which became 0 as an int and a divisor.

Ruled out: bringing a reported limit within bounds as well, since a damaged one of 0.02 would keep a sound server nearly unused.

--- a/src/gateway/internal/fleet_rate_limits.cpp
+++ b/src/gateway/internal/fleet_rate_limits.cpp
@@ -32,7 +32,8 @@
 
 void fleet_state::recordRateLimits(peer_address from, const std::vector<rate_limit_news> &news)
 {
-    for (const rate_limit_news &each : rateLimits.merge(from, news)) {
+    const server_rate_limits::merged_news merged = rateLimits.merge(from, news);
+    for (const rate_limit_news &each : merged.changed) {
         const auto named = std::find_if(m_idByKey.begin(), m_idByKey.end(), [&](const auto &entry) {
             const auto *known = servers.find(entry.second);
             return known && startKeyOf(known->entry) == each.server;
@@ -40,6 +41,9 @@
         const std::string subject = named == m_idByKey.end() ? std::to_string(each.server) : named->second.str();
         m_log(eventFor(each.requestsPerSecond), subject, detailOf(each.requestsPerSecond, "instance " + std::to_string(from)));
     }
+    if (merged.unusable > 0) {
+        m_log("rate_limits_ignored", std::to_string(from), "entries=" + std::to_string(merged.unusable));
+    }
 }
 
 bool fleet_state::isAtRateLimit(const server_directory::known_server &server, time_point now) const
--- a/src/gateway/internal/load_report.cpp
+++ b/src/gateway/internal/load_report.cpp
@@ -7,7 +7,6 @@
 #include "load_report.pb.h"
 
 #include <algorithm>
-#include <cmath>
 #include <limits>
 
 namespace mustardtrail::gateway
@@ -322,10 +321,6 @@
     report.hasLostServerPaths = message.lost_server_paths();
     report.quarantine = readQuarantineNews(message, now);
     for (const wire::RateLimit &news : message.rate_limits()) {
-        const bool isLimit = std::isfinite(news.requests_per_second()) && news.requests_per_second() >= 0.0;
-        if (!isLimit) {
-            return invalidPeerField("rate_limits");
-        }
         report.rateLimits.push_back(read(news, now));
     }
     for (const wire::CustomerUse &use : message.customer_use()) {
--- a/src/gateway/internal/server_rate_limits.cpp
+++ b/src/gateway/internal/server_rate_limits.cpp
@@ -29,6 +29,12 @@
     return std::max<size_t>(static_cast<size_t>(requests), 1);
 }
 
+// 0 says that the server names no limit.
+bool isPossible(double requestsPerSecond)
+{
+    return requestsPerSecond == 0.0 || (requestsPerSecond >= minRequestsPerSecond && requestsPerSecond <= maxRequestsPerSecond);
+}
+
 void dropBefore(std::deque<time_point> &times, time_point start)
 {
     while (!times.empty() && times.front() <= start) {
@@ -136,21 +142,25 @@
     return news;
 }
 
-std::vector<rate_limit_news> server_rate_limits::merge(peer_address from, const std::vector<rate_limit_news> &news)
+server_rate_limits::merged_news server_rate_limits::merge(peer_address from, const std::vector<rate_limit_news> &news)
 {
-    std::vector<rate_limit_news> changed;
+    merged_news merged;
     auto &sends = m_peerSends[from];
     sends.clear();
     for (const rate_limit_news &each : news) {
+        if (!isPossible(each.requestsPerSecond)) {
+            ++merged.unusable;
+            continue;
+        }
         if (update(each.server, each.requestsPerSecond, each.heardAt)) {
-            changed.push_back(each);
+            merged.changed.push_back(each);
         }
         sends[each.server] = each.sentAt;
     }
     if (sends.empty()) {
         m_peerSends.erase(from);
     }
-    return changed;
+    return merged;
 }
 
 void server_rate_limits::expire(time_point now)
--- a/src/gateway/rate_limit_news.h
+++ b/src/gateway/rate_limit_news.h
@@ -8,6 +8,10 @@
 namespace mustardtrail::gateway
 {
 
+// Bounds of a limit on the wire. A smaller one would take the server out of use for good, the requests of a larger one cannot be counted.
+inline constexpr double minRequestsPerSecond = 0.02;
+inline constexpr double maxRequestsPerSecond = 1e6;
+
 /// What an instance tells the others about one start of a server that named a limit: what it heard there itself, and its own sends.
 struct rate_limit_news {
     server_start_key server = 0;
--- a/src/gateway/server_rate_limits.h
+++ b/src/gateway/server_rate_limits.h
@@ -18,6 +18,11 @@
 class server_rate_limits
 {
 public:
+    struct merged_news {
+        std::vector<rate_limit_news> changed; ///< Of the servers whose limit has changed.
+        size_t unusable = 0;
+    };
+
     explicit server_rate_limits(peer_address self);
 
     /// Records the limit that the server named in an answer; nullopt if it named none. Returns whether that changes anything.
@@ -30,8 +35,8 @@
     bool isEmpty() const;
 
     std::vector<rate_limit_news> news(time_point now) const;
-    /// Takes over what another instance told in place of what it told before. Returns the servers whose limit has changed.
-    std::vector<rate_limit_news> merge(peer_address from, const std::vector<rate_limit_news> &news);
+    /// Takes over what another instance told in place of what it told before, except entries with an impossible limit.
+    merged_news merge(peer_address from, const std::vector<rate_limit_news> &news);
     void expire(time_point now);
 
     static constexpr std::chrono::milliseconds window{ 4'000 }; ///< Over which the requests are counted.
