An impossible era or revision of the store locks no instance out

What callers saw: with one Store-Era or store_revision of 2^64 - 1 from the store, every later answer counted as one of an older era or as old, until the process was started again. Its configuration was no longer confirmed, so callers got 503, and servers that came or went were missed. Reports and relays passed the number on to other instances. A negative or fractional store_revision counted as 0: a list would have been followed by all that the store still knew.

Cause: both numbers were used as they came, up to 2^64 - 1.

An answer with another revision is unreadable and asked for again; one with another era is used like that of a store which tells none, with a line store_era_ignored. A report is used without its position or relay (store_position_ignored).

Ruled out: a bound that also tells a wrong number within it; a restored store and one that has counted on look the same. A store_revision that is missing counts as 0, as before.

--- a/src/gateway/internal/load_report.cpp
+++ b/src/gateway/internal/load_report.cpp
@@ -240,6 +240,19 @@
     return news;
 }
 
+// Every true position would look older than an impossible one.
+void dropImpossiblePositions(load_report &report)
+{
+    if (!isPossible(report.storePosition)) {
+        report.storePosition = {};
+        report.isStorePositionDamaged = true;
+    }
+    if (report.relay && !isPossible({ report.relay->era, report.relay->toRevision })) {
+        report.relay.reset();
+        report.isStorePositionDamaged = true;
+    }
+}
+
 } // namespace
 
 std::string encodeLoadReport(const load_report &report, time_point now)
@@ -332,6 +345,7 @@
     if (message.has_relay()) {
         report.relay = read(message.relay());
     }
+    dropImpossiblePositions(report);
     for (const wire::Work &work : message.work()) {
         report.work.push_back(read(work, now));
     }
--- a/src/gateway/load_report.h
+++ b/src/gateway/load_report.h
@@ -50,6 +50,7 @@
     std::chrono::microseconds clock{ 0 }; ///< The sender's monotonic clock; the others only echo it.
     std::optional<store_relay> relay;
     store_position storePosition; ///< Latest change of the platform's store that the sender has.
+    bool isStorePositionDamaged = false; ///< Impossible numbers were left out: the position, the relay or both.
     std::uint64_t configVersion = 0; ///< Of the configuration in force at the sender; 0 without one.
     std::vector<cell_summary> summaries;
     bool areSummariesRelayed = false; ///< They came from another cell; the receiver passes them on only if not.
--- a/src/programs/gateway/peer_link.cpp
+++ b/src/programs/gateway/peer_link.cpp
@@ -97,6 +97,9 @@
     if (!received.isNew) {
         return;
     }
+    if (report->isStorePositionDamaged) {
+        m_context.log.write(log_line("store_position_ignored").add("subject", report->sender.str()));
+    }
     m_context.noteStoreEra(report->storePosition.era);
     onRelay(*report);
     sendMissingChanges(*report);
--- a/src/programs/gateway/store_reader.cpp
+++ b/src/programs/gateway/store_reader.cpp
@@ -1,5 +1,6 @@
 #include "programs/gateway/store_reader.h"
 
+#include "platform/header_names.h"
 #include "platform/published_changes.h"
 #include "programs/gateway/relayed_changes.h"
 
@@ -107,6 +108,9 @@
         co_return;
     }
     const auto era = platform::readStoreEra(answer->headers);
+    if (const std::string_view text = answer->headers.find(platform::header::storeEra); !era && !text.empty()) {
+        m_context.log.write(log_line("store_era_ignored").add("era", text));
+    }
     if (era && !onEra(*era, "store")) {
         onFailure("older_era", "era=" + std::to_string(*era));
         co_return;
