--- a/src/gateway/internal/load_report.cpp
+++ b/src/gateway/internal/load_report.cpp
@@ -7,7 +7,6 @@
 #include "load_report.pb.h"
 
 #include <algorithm>
-#include <cmath>
 #include <limits>
 
 namespace mustardtrail::gateway
@@ -241,6 +240,19 @@
     return news;
 }
 
+// Every true position would look older than an impossible one.
+void dropImpossiblePositions(load_report &report)
+{
+    if (!isPossible(report.storePosition)) {
+        report.storePosition = {};
+        report.isStorePositionDamaged = true;
+    }
+    if (report.relay && !isPossible({ report.relay->era, report.relay->toRevision })) {
+        report.relay.reset();
+        report.isStorePositionDamaged = true;
+    }
+}
+
 } // namespace
 
 std::string encodeLoadReport(const load_report &report, time_point now)
@@ -322,10 +334,6 @@
     report.hasLostServerPaths = message.lost_server_paths();
     report.quarantine = readQuarantineNews(message, now);
     for (const wire::RateLimit &news : message.rate_limits()) {
-        const bool isLimit = std::isfinite(news.requests_per_second()) && news.requests_per_second() >= 0.0;
-        if (!isLimit) {
-            return invalidPeerField("rate_limits");
-        }
         report.rateLimits.push_back(read(news, now));
     }
     for (const wire::CustomerUse &use : message.customer_use()) {
@@ -337,6 +345,7 @@
     if (message.has_relay()) {
         report.relay = read(message.relay());
     }
+    dropImpossiblePositions(report);
     for (const wire::Work &work : message.work()) {
         report.work.push_back(read(work, now));
     }
