A configuration that is outdated is confirmed without a wait for a change

Callers saw: once the configuration was older than the limit of freshness (four fifths of the revocation limit), after an outage of the store or after the instance had stood still, they got 503 config_not_confirmed until a query had been answered that was sent afterwards; the store may hold that query for up to 0.5 s while nothing changes.

Cause: the query for changes allows the store to wait whatever the age of the configuration. The query under way when an instance stands still confirms only its own, old start.

Change: while the configuration is outdated, the next query allows no wait. After an answer it alternates with queries that wait, as an answer may confirm nothing (a restored store settles, others know a newer configuration) and each query has a price.

The time that callers gain was not measured; the fake store waits 0.1 s whatever it is asked.

--- a/src/programs/gateway/store_reader.cpp
+++ b/src/programs/gateway/store_reader.cpp
@@ -47,7 +47,12 @@
             co_await m_queryTimer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
             continue;
         }
-        const store_query storeQuery = m_watcher.nextQuery();
+        store_query storeQuery = m_watcher.nextQuery();
+        // Callers are refused until the answer, and it is seldom a change that ends the wait. Alternates with queries that wait, as
+        // an answer may confirm nothing.
+        if ((m_didStoreWait || !m_watcher.isReachable()) && !m_context.state.freshness.isFresh(now)) {
+            storeQuery.longPollTimeout = milliseconds(0);
+        }
         co_await query(storeQuery);
         m_election.recordReadResult(m_watcher.isReachable());
         m_nextPollAt = m_context.clock.now() + m_watcher.nextQuery().delay;
@@ -130,6 +135,7 @@
         co_return;
     }
     m_context.metrics.recordStoreCall("answered");
+    m_didStoreWait = longPollTimeout > milliseconds(0);
     for (const std::string &item : reply->unreadableItems) {
         m_context.log.write(log_line("store_item_unreadable").add("detail", item));
     }
--- a/src/programs/gateway/store_reader.h
+++ b/src/programs/gateway/store_reader.h
@@ -51,6 +51,7 @@
     std::vector<published_change> m_listedChanges; ///< Pages read so far of an incomplete list.
     time_point m_listRequestedAt{};
     bool m_wasReachable = false;
+    bool m_didStoreWait = false; ///< Whether the store was allowed to wait for a change before the last answer.
 };
 
 } // namespace mustardtrail::gateway
--- a/src/programs/gateway/tests/fake_platform.h
+++ b/src/programs/gateway/tests/fake_platform.h
@@ -73,6 +73,10 @@
     void setStopGrace(std::chrono::milliseconds grace);
     /// Makes the store answer 503 from now on.
     void stopStore();
+    /// Makes the store answer again.
+    void restartStore();
+    /// Queries for changes that the store has answered though it was not allowed to wait for any.
+    int immediateAnswers() const;
     caller_answer call(
         const std::string &path, const std::string &key = "secret", std::chrono::milliseconds timeLeft = std::chrono::milliseconds(4'000));
     /// Calls with a prompt of these parts, written as on the wire.
@@ -118,6 +122,7 @@
     endpoint m_secondCallerAddress;
     endpoint m_readinessAddress;
     bool m_isStoreDown = false;
+    int m_immediateAnswers = 0;
     std::chrono::milliseconds m_stopGrace{ 8'000 };
     unsigned m_era = 1;
     unsigned m_revision = 9;
--- a/src/programs/gateway/tests/fake_platform_store.cpp
+++ b/src/programs/gateway/tests/fake_platform_store.cpp
@@ -91,6 +91,7 @@
     answer.body = isList ? R"({"items":[)" + items + R"(],"has_more":false,)" + revision : R"({"events":[)" + items + "]," + revision;
     answer.headers.add("Store-Era", std::to_string(m_era));
     answer.status = m_isStoreDown ? 503 : 200;
+    m_immediateAnswers += !isList && !m_isStoreDown && exchange.request().query("wait_ms") == "0" ? 1 : 0;
     co_await exchange.respond(std::move(answer));
 }
 
@@ -112,4 +113,14 @@
     m_isStoreDown = true;
 }
 
+void fake_platform::restartStore()
+{
+    m_isStoreDown = false;
+}
+
+int fake_platform::immediateAnswers() const
+{
+    return m_immediateAnswers;
+}
+
 } // namespace mustardtrail::gateway::testing
--- a/src/programs/gateway/tests/gateway_test.cpp
+++ b/src/programs/gateway/tests/gateway_test.cpp
@@ -260,6 +260,42 @@
     expectEqual(platform.readiness(), 503);
 }
 
+// Callers are refused until the store has answered a query that was sent after the outage.
+Test(gateway, storeConfirmsAnOutdatedConfigurationWithoutWaitingForAChange)
+{
+    fake_platform platform;
+    platform.start();
+    const int before = platform.immediateAnswers();
+    platform.stopStore();
+    platform.runFor(milliseconds(1'300));
+    expectEqual(platform.immediateAnswers(), before);
+    platform.restartStore();
+    platform.runFor(milliseconds(1'200));
+    cr_assert_gt(platform.immediateAnswers(), before);
+    expectEqual(platform.readiness(), 200);
+}
+
+Test(gateway, storeConfirmsTheConfigurationWithoutWaitingForAChangeAfterTheInstanceStoodStill)
+{
+    fake_platform platform;
+    platform.start();
+    const int before = platform.immediateAnswers();
+    platform.blockAfter(milliseconds(50), milliseconds(900));
+    platform.runFor(milliseconds(1'500));
+    cr_assert_gt(platform.immediateAnswers(), before);
+    expectEqual(platform.readiness(), 200);
+}
+
+// Each query has a price: one without a wait is followed by one with a wait, also while nothing may be confirmed.
+Test(gateway, restoredStoreIsNotQueriedWithoutWaitTwiceInARow)
+{
+    fake_platform platform;
+    platform.start();
+    platform.restoreStoreWithoutServers();
+    platform.runFor(milliseconds(1'800));
+    cr_assert_leq(platform.immediateAnswers(), 7);
+}
+
 Test(gateway, sendsNothingMoreToAServerThatAskedForQuiet)
 {
     fake_platform platform;
