Each test of the gateway program has loopback addresses of its own

Cause: the second instance listened on 127.0.0.2 at the ports of the first one, which the system had given out on 127.0.0.1, and let the system choose its readiness port there. Nothing keeps that port, or one of a test that runs at the same time, from being one of the others. Only the start of the first instance was tried again. Ruled out: an instance of an earlier test in the same process; each test is a process, with one platform.

Each process has two addresses derived from its number, and the ports are fixed, so the second try goes too.

--- a/src/programs/gateway/tests/fake_platform.cpp
+++ b/src/programs/gateway/tests/fake_platform.cpp
@@ -10,6 +10,8 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <unistd.h>
+
 #include <stdexcept>
 #include <thread>
 
@@ -23,6 +25,10 @@
 {
 
 const std::string loopback = "127.0.0.1";
+constexpr std::uint16_t callerPort = 8001; // Those of an instance; instances are told apart by their addresses.
+constexpr std::uint16_t readinessPort = 8002;
+constexpr std::uint16_t peerPort = 8003;
+constexpr std::uint16_t metricsPort = 8004;
 constexpr milliseconds maxAnswerTime{ 15'000 }; ///< Longer than any route's time-out.
 
 const std::string configText = R"({"version":1,"routes":[
@@ -46,10 +52,15 @@
     return message;
 }
 
-endpoint unusedAddress(asio::io_context &context)
+/// Loopback address of an instance; no other process uses it, so all its ports are free.
+std::string addressOfInstance(unsigned instance)
 {
-    asio::ip::tcp::acceptor probe(context, { asio::ip::make_address(loopback), 0 });
-    return { loopback, probe.local_endpoint().port() };
+    constexpr unsigned maxInstances = 2;
+    constexpr unsigned processBits = 22; // Linux numbers processes below 2^22.
+    constexpr unsigned firstNetwork = 0x7f'01'00'00; // 127.1.0.0
+    static_assert(firstNetwork + (maxInstances << processBits) <= 0x7f'ff'ff'ff);
+    const auto process = static_cast<unsigned>(::getpid());
+    return asio::ip::make_address_v4(firstNetwork + (instance << processBits) + process).to_string();
 }
 
 } // namespace
@@ -97,33 +108,26 @@
     addServerAt(id, service, m_rawServers.back()->address());
 }
 
-// Another process, such as another test, may take an address between its choice and its use.
-void fake_platform::openHost(platform::instance_settings settings)
-{
-    constexpr int maxAttempts = 10;
-    for (int attempt = 1; attempt <= maxAttempts; ++attempt) {
-        m_callerAddress = settings.callers = unusedAddress(m_context);
-        m_readinessAddress = settings.readiness = unusedAddress(m_context);
-        settings.peerPort = unusedAddress(m_context).port;
-        settings.metricsPort = unusedAddress(m_context).port;
-        m_host = std::make_unique<gateway_host>(m_context, settings, http::simulated_partitions::allowed);
-        const auto opened = m_host->open();
-        if (opened) {
-            m_settings = settings;
-            return;
-        }
-        if (attempt == maxAttempts) {
-            throw std::runtime_error(opened.error().detail);
-        }
+std::unique_ptr<gateway_host> fake_platform::openHost(const platform::instance_settings &settings)
+{
+    auto host = std::make_unique<gateway_host>(m_context, settings, http::simulated_partitions::allowed);
+    if (const auto opened = host->open(); !opened) {
+        throw std::runtime_error(opened.error().detail);
     }
+    host->start();
+    return host;
 }
 
-platform::instance_settings fake_platform::baseSettings() const
+platform::instance_settings fake_platform::settingsOf(const instance_id &instance, const std::string &address) const
 {
     platform::instance_settings settings;
-    settings.instance = instance_id("one");
+    settings.instance = instance;
     settings.dataCentre = data_centre_id("dc");
-    settings.address = loopback;
+    settings.address = address;
+    settings.callers = { address, callerPort };
+    settings.readiness = { address, readinessPort };
+    settings.peerPort = peerPort;
+    settings.metricsPort = metricsPort;
     settings.store = m_storeAddress;
     settings.memoryMegabytes = 260;
     settings.isFirstStart = true;
@@ -140,30 +144,20 @@
 
 void fake_platform::start()
 {
-    openHost(baseSettings());
-    m_host->start();
+    m_settings = settingsOf(instance_id("one"), addressOfInstance(0));
+    m_callerAddress = m_settings.callers;
+    m_host = openHost(m_settings);
     for (int attempt = 0; attempt < 200 && readiness() != 200; ++attempt) {
         runFor(milliseconds(20));
     }
 }
 
-// Instances are told apart by their addresses and share their ports.
 void fake_platform::startSecondInstance()
 {
-    constexpr auto secondAddress = "127.0.0.2";
-    platform::instance_settings settings = baseSettings();
-    settings.instance = instance_id("two");
-    settings.address = secondAddress;
-    settings.callers = m_secondCallerAddress = unusedAddress(m_context);
-    settings.readiness = { secondAddress, 0 }; // Another process may take a port that is chosen before its use.
-    settings.peerPort = m_settings.peerPort;
-    settings.metricsPort = m_settings.metricsPort;
+    platform::instance_settings settings = settingsOf(instance_id("two"), addressOfInstance(1));
     settings.seeds = { { m_settings.address, m_settings.peerPort } };
-    m_secondHost = std::make_unique<gateway_host>(m_context, settings);
-    if (const auto opened = m_secondHost->open(); !opened) {
-        throw std::runtime_error(opened.error().detail);
-    }
-    m_secondHost->start();
+    m_secondCallerAddress = settings.callers;
+    m_secondHost = openHost(settings);
     runFor(milliseconds(1'000));
 }
 
@@ -303,7 +297,7 @@
 
 int fake_platform::readiness()
 {
-    return get(m_readinessAddress, "/api/readyz").status;
+    return get(m_settings.readiness, "/api/readyz").status;
 }
 
 std::string fake_platform::metrics()
--- a/src/programs/gateway/tests/fake_platform.h
+++ b/src/programs/gateway/tests/fake_platform.h
@@ -99,8 +99,8 @@
     boost::asio::awaitable<void> serveStore(http::exchange &exchange);
     boost::asio::awaitable<void> callGateway(http::request_message message, caller_answer &answer, std::chrono::milliseconds pause);
     caller_answer get(const endpoint &from, const std::string &target);
-    void openHost(platform::instance_settings settings);
-    platform::instance_settings baseSettings() const;
+    std::unique_ptr<gateway_host> openHost(const platform::instance_settings &settings);
+    platform::instance_settings settingsOf(const instance_id &instance, const std::string &address) const;
     caller_answer complete(http::request_message message);
     http::request_message requestOf(const std::string &path, const std::string &key, std::chrono::milliseconds timeLeft) const;
 
@@ -120,7 +120,6 @@
     http::client m_caller;
     endpoint m_callerAddress;
     endpoint m_secondCallerAddress;
-    endpoint m_readinessAddress;
     bool m_isStoreDown = false;
     int m_immediateAnswers = 0;
     std::chrono::milliseconds m_stopGrace{ 8'000 };
