Test of a refused request shows the answer's body

gateway/sendsRefusedRequestToAnotherServer failed once with 503 for 200, and its output did not tell why.

--- a/src/programs/gateway/tests/gateway_test.cpp
+++ b/src/programs/gateway/tests/gateway_test.cpp
@@ -163,7 +163,9 @@
     platform.addServer("i-2", "desk", echoBody);
     platform.start();
     for (int count = 0; count < 8; ++count) {
-        expectEqual(platform.call("/once/x").status, 200);
+        const caller_answer answer = platform.call("/once/x");
+        expectEqual(answer.body, "echo question");
+        expectEqual(answer.status, 200);
     }
     expectEqual(servedRequests, 8);
 }
