The times of a stop are decided in a module of their own

No behaviour changes.

That final answers last longer than an attempt to connect is checked at compile time now; it was a comment about a constant of another file.

--- a/src/programs/gateway/gateway_host.cpp
+++ b/src/programs/gateway/gateway_host.cpp
@@ -1,5 +1,6 @@
 #include "programs/gateway/gateway_host.h"
 
+#include "gateway/stop_schedule.h"
 #include "platform/response_head.h"
 #include "programs/gateway/placement_query.h"
 #include "programs/gateway/request_session.h"
@@ -21,12 +22,8 @@
 namespace
 {
 
-constexpr milliseconds balancerRemovalDelay{ 2'500 }; ///< The load balancer probes each second and removes an instance after two failures.
-constexpr milliseconds stopMargin{ 600 }; ///< Subtracted from the stop grace period, so that the process exits before it is killed.
-constexpr milliseconds minStopMargin{ 150 }; ///< Least time between late final answers and the kill.
-/// For the answers to the requests that have not been served when the process ends; longer than an attempt to connect to a server,
-/// which cannot be ended sooner.
-constexpr milliseconds finalAnswerTime{ 400 };
+static_assert(stop_schedule::finalAnswerTime > request_session::connectTimeout); // An attempt to connect cannot be ended sooner.
+
 constexpr milliseconds drainPollInterval{ 20 };
 constexpr milliseconds placementRetryInterval{ 16 }; ///< Mean time between placement attempts; a fraction of a batch step.
 constexpr milliseconds lateLoopThreshold{ 50 }; ///< Above the delay of a timer in a process that runs undisturbed.
@@ -288,15 +285,14 @@
 
 asio::awaitable<void> gateway_host::stop()
 {
-    const time_point killTime = m_clock.now() + m_settings.stopGrace;
-    const time_point finalAnswersAt = killTime - stopMargin - finalAnswerTime;
+    stop_schedule schedule(m_clock.now(), m_settings.stopGrace);
     m_shared.isStopping = true;
     m_callerServer.disableKeepAlive();
     m_relayService.refuseRequests();
     m_log.write(log_line("stop_begins").add("running", static_cast<std::int64_t>(m_activeRequests)));
     asio::steady_timer timer(m_context);
     boost::system::error_code ignored;
-    timer.expires_at(std::min(m_clock.now() + balancerRemovalDelay, finalAnswersAt));
+    timer.expires_at(schedule.acceptUntil());
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     m_callerServer.stop();
     m_relayService.stop();
@@ -306,16 +302,14 @@
     do { // At least once: connections that are being accepted do not count as open yet.
         timer.expires_after(drainPollInterval);
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-    } while (m_clock.now() < finalAnswersAt && isBusy());
+    } while (m_clock.now() < schedule.finalAnswersAt() && isBusy());
     const bool mayHoldMemory = !m_shared.onEnding.empty(); // Engines' memory is released in the background.
     endRequests();
-    time_point end = std::max(m_clock.now(), finalAnswersAt) + finalAnswerTime;
-    bool isLastPoll = false;
-    while (!isLastPoll && (isBusy() || mayHoldMemory)) {
-        isLastPoll = m_clock.now() >= std::min(end, killTime - minStopMargin);
+    schedule.beginFinalAnswers(m_clock.now());
+    while ((isBusy() || mayHoldMemory) && schedule.waitsForAnswers(m_clock.now())) {
         timer.expires_after(drainPollInterval);
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-        end += m_clock.now() - timer.expiry(); // Time in which the event loop was blocked does not count.
+        schedule.recordDelay(m_clock.now() - timer.expiry());
     }
     m_peerLink.reportLeaving();
     m_log.write(log_line("stopped").add("running", static_cast<std::int64_t>(m_activeRequests)));
--- a/src/programs/gateway/request_send_setup.cpp
+++ b/src/programs/gateway/request_send_setup.cpp
@@ -12,7 +12,6 @@
 namespace
 {
 
-constexpr milliseconds connectTimeout{ 250 }; ///< Many times the round trip to any backend server.
 constexpr milliseconds deadlineMargin{ 50 }; ///< Fallback only: the session's own timer ends a call at the deadline.
 constexpr milliseconds maxReuseIdle{ 1'000 }; ///< A server rarely closes a connection that has been idle for less than this.
 constexpr milliseconds plainServiceTimeout{ 350 }; ///< Several times the usual processing time of a service that is not streamed.
--- a/src/programs/gateway/request_session.h
+++ b/src/programs/gateway/request_session.h
@@ -25,6 +25,8 @@
 class request_session
 {
 public:
+    static constexpr std::chrono::milliseconds connectTimeout{ 250 }; ///< Many times the round trip to any backend server.
+
     request_session(gateway_context &context, http::exchange &exchange);
     ~request_session();
     request_session(const request_session &) = delete;
--- a/src/programs/gateway/tests/stopping_instance_test.cpp
+++ b/src/programs/gateway/tests/stopping_instance_test.cpp
@@ -76,6 +76,26 @@
     co_await exchange.finishStream();
 }
 
+/// Answer to a request that arrives shortly before the final answers and whose server is not reached, while the process is blocked
+/// from 900 ms before its kill.
+std::string answerOfAProcessBlockedAtItsEnd(milliseconds blocked)
+{
+    fake_platform platform;
+    platform.setStopGrace(stopGrace);
+    platform.addServer("i-1", "desk", answerAtOnce);
+    platform.start();
+    platform.cutFirstInstanceFromServers();
+    const std::string request = requestTo("/once/x", "");
+    const size_t lastByte = request.size() - 1;
+    raw_caller caller = platform.openCaller(request.substr(0, lastByte));
+    platform.stopFirstInstance();
+    platform.blockAfter(stopGrace - milliseconds(900), blocked);
+    platform.runFor(stopGrace - milliseconds(1'050));
+    caller.send(request.substr(lastByte));
+    platform.runFor(milliseconds(1'500));
+    return caller.onlyAnswer();
+}
+
 } // namespace
 
 // A request that is still waiting when the process ends must be told that it has not run.
@@ -120,15 +140,17 @@
     platform.cutFirstInstanceFromServers();
     const std::string request = requestTo("/once/x", "");
     const size_t lastByte = request.size() - 1;
+    constexpr milliseconds firstSend = stopGrace - milliseconds(1'500);
+    constexpr milliseconds lastSend = stopGrace - milliseconds(750); // The process ends 600 ms before its kill.
     std::vector<raw_caller> callers;
     for (int caller = 0; caller < 50; ++caller) {
         callers.push_back(platform.openCaller(request.substr(0, lastByte)));
     }
-    const auto lastSend = std::chrono::steady_clock::now() + stopGrace - milliseconds(750); // Before the end of the process.
+    const auto stoppedAt = std::chrono::steady_clock::now();
     platform.stopFirstInstance();
-    platform.runFor(stopGrace - milliseconds(1'500));
+    platform.runFor(firstSend);
     size_t sent = 0;
-    while (sent < callers.size() && std::chrono::steady_clock::now() < lastSend) {
+    while (sent < callers.size() && std::chrono::steady_clock::now() < stoppedAt + lastSend) {
         callers[sent++].send(request.substr(lastByte));
         platform.runFor(milliseconds(15));
     }
@@ -159,20 +181,14 @@
 // The attempt to connect ends while the process is blocked, as does the time for its final answers.
 Test(stopping_instance, aRequestWhoseServerIsNotReachedIsAnsweredAfterTheProcessWasBlocked)
 {
-    fake_platform platform;
-    platform.setStopGrace(stopGrace);
-    platform.addServer("i-1", "desk", answerAtOnce);
-    platform.start();
-    platform.cutFirstInstanceFromServers();
-    const std::string request = requestTo("/once/x", "");
-    const size_t lastByte = request.size() - 1;
-    raw_caller caller = platform.openCaller(request.substr(0, lastByte));
-    platform.stopFirstInstance();
-    platform.blockAfter(milliseconds(2'600), milliseconds(500));
-    platform.runFor(milliseconds(2'450));
-    caller.send(request.substr(lastByte));
-    platform.runFor(milliseconds(1'500));
-    cr_assert(caller.onlyAnswer().starts_with("503 "), "%s", caller.onlyAnswer().c_str());
+    const std::string answer = answerOfAProcessBlockedAtItsEnd(milliseconds(500));
+    cr_assert(answer.starts_with("503 "), "%s", answer.c_str());
+}
+
+Test(stopping_instance, aRequestWhoseServerIsNotReachedIsAnsweredAfterTheProcessWasBlockedUntilShortlyBeforeItsKill)
+{
+    const std::string answer = answerOfAProcessBlockedAtItsEnd(milliseconds(800));
+    cr_assert(answer.starts_with("503 "), "%s", answer.c_str());
 }
 
 // The time to stop is shorter than the balancer needs to take the instance out.
