A connection that is reset on its way is no crash of the server

Cause: the end of a connection to a server counted as a crash of that server by the prompts on it, and nothing took the evidence back when the server went on. Within 0.05 s of the cut 37 crashes were recorded, at servers that served other instances in the same second; three in a row convicted the part that all prompts share.

Evidence: crash_recorded at 4.00 to 4.05 s only at instances that log server_paths_lost; no server ended.

Now the instance that lost the connection asks the server for its report, over a new connection or through a relay. A report of the same start (id and born) refutes the crash, at all instances and whatever the order of the news. Until then it counts, so a guilty part is held back no later.

The fake servers of older tests counted each request that came; a question for the report is none of a caller's, so raw servers close on it and three handlers do not count it. What the tests assert of callers' requests is unchanged.

--- a/src/gateway/crash_evidence.h
+++ b/src/gateway/crash_evidence.h
@@ -37,11 +37,18 @@
     unsigned crashes = 0; ///< In a row, that convicted it. An instance that knows as many decides itself. 0: not known.
 };
 
+/// A start of a backend server was found to run at that time: an earlier loss of a connection to it was no crash.
+struct server_sighting {
+    server_start_key server = 0;
+    time_point at{};
+};
+
 /// What an instance tells the others about parts that crash servers. Merging is idempotent and independent of the order.
 struct quarantine_news {
     std::vector<crash_evidence> crashes;
     std::vector<written_part> written;
     std::vector<quarantined_part> quarantined;
+    std::vector<server_sighting> sightings;
 };
 
 } // namespace mustardtrail::gateway
--- a/src/gateway/internal/load_report.cpp
+++ b/src/gateway/internal/load_report.cpp
@@ -179,6 +179,11 @@
         each.set_failed_trials(part.failedTrials);
         each.set_crashes(part.crashes);
     }
+    for (const server_sighting &sighting : news.sightings) {
+        wire::ServerSighting &each = *target.add_server_sightings();
+        each.set_server_start(sighting.server);
+        each.set_ms_ago(ageOf(sighting.at, now));
+    }
 }
 
 quarantine_news readQuarantineNews(const wire::Report &source, time_point now)
@@ -204,6 +209,9 @@
     for (const wire::QuarantinedPart &each : source.quarantined_parts()) {
         news.quarantined.push_back({ each.part(), now - milliseconds(each.since_ms()), each.failed_trials(), each.crashes() });
     }
+    for (const wire::ServerSighting &each : source.server_sightings()) {
+        news.sightings.push_back({ each.server_start(), now - milliseconds(each.ms_ago()) });
+    }
     return news;
 }
 
--- a/src/gateway/internal/prompt_quarantine.cpp
+++ b/src/gateway/internal/prompt_quarantine.cpp
@@ -30,18 +30,6 @@
     }
 }
 
-template<typename event> void keepLatest(std::vector<event> &events, size_t count)
-{
-    if (events.size() <= count) {
-        return;
-    }
-    const auto isLater = [](const event &left, const event &right) {
-        return left.at > right.at;
-    };
-    std::nth_element(events.begin(), events.begin() + static_cast<std::ptrdiff_t>(count), events.end(), isLater);
-    events.resize(count);
-}
-
 } // namespace
 
 prompt_quarantine::prompt_quarantine(change_hook onChange)
@@ -61,15 +49,17 @@
             quarantine({ part, now, found->second.failedTrials + (wasTrial ? 1 : 0), found->second.crashes }, now);
         }
     }
-    const bool isNews = addEvidence(evidence, now);
-    if (const auto known = m_crashes.find(server); known != m_crashes.end()) {
-        known->second.isOwn = true;
-    }
-    if (isNews) {
+    if (addEvidence(evidence, true, now)) {
         judge(now);
     }
 }
 
+void prompt_quarantine::recordRunning(server_start_key server, time_point at, time_point now)
+{
+    m_sightings.recordOwn(server, at, now);
+    judge(now);
+}
+
 void prompt_quarantine::recordWritten(const std::vector<prompt_part> &parts, time_point now)
 {
     for (const prompt_part part : parts) {
@@ -107,13 +97,22 @@
     return true;
 }
 
-bool prompt_quarantine::addEvidence(const crash_evidence &evidence, time_point now)
+bool prompt_quarantine::addEvidence(const crash_evidence &evidence, bool isOwn, time_point now)
 {
     if (now - evidence.at > evidenceMaxAge) {
         return false;
     }
-    const auto [found, isNew] = m_crashes.try_emplace(evidence.server);
+    const auto [found, isFirst] = m_crashes.try_emplace(evidence.server);
     crash_record &record = found->second;
+    // The server went on after the crash that is known, so this may be its real one.
+    const bool isNext = !isFirst && isRefuted(record) && !m_sightings.refutes(evidence, isOwn);
+    const bool isNew = isFirst || isNext;
+    if (isNext) {
+        record = {};
+    } else if (!isFirst && !isRefuted(record) && m_sightings.refutes(evidence, isOwn)) {
+        return false;
+    }
+    record.isOwn = record.isOwn || isOwn;
     if (isNew) {
         record.evidence.server = evidence.server;
         record.evidence.at = evidence.at;
@@ -193,18 +192,25 @@
 
 bool prompt_quarantine::isSuspectOf(prompt_part part, const crash_evidence &crash) const
 {
-    if (!crash.sentAt.contains(part)) {
+    const auto known = m_crashes.find(crash.server);
+    if (!crash.sentAt.contains(part) || (known != m_crashes.end() && isRefuted(known->second))) {
         return false;
     }
     const auto written = m_written.find(part);
     return written == m_written.end() || written->second.at <= crash.at;
 }
 
+bool prompt_quarantine::isRefuted(const crash_record &crash) const
+{
+    return m_sightings.refutes(crash.evidence, crash.isOwn);
+}
+
 crash_judgement prompt_quarantine::judgement(time_point now) const
 {
     std::vector<crash_judgement::known_crash> crashes;
     for (const auto &[server, record] : m_crashes) {
-        crashes.push_back({ &record.evidence, record.isOwn, now - record.evidence.at >= settleTime });
+        const bool isSettled = isRefuted(record) || now - record.evidence.at >= settleTime;
+        crashes.push_back({ &record.evidence, record.isOwn, isSettled });
     }
     return { std::move(crashes), [this](prompt_part part, const crash_evidence &crash) {
                 return isSuspectOf(part, crash);
@@ -274,29 +280,6 @@
     }
 }
 
-quarantine_news prompt_quarantine::news(milliseconds maxAge, time_point now) const
-{
-    quarantine_news news;
-    for (const auto &[server, record] : m_crashes) {
-        if (now - record.changedAt <= maxAge) {
-            news.crashes.push_back(record.evidence);
-        }
-    }
-    keepLatest(news.crashes, maxCrashesInNews);
-    for (const auto &[part, record] : m_written) {
-        if (now - record.changedAt <= maxAge) {
-            news.written.push_back({ part, record.at });
-        }
-    }
-    keepLatest(news.written, maxWrittenInNews);
-    for (const auto &[part, record] : m_quarantined) {
-        if (maxAge >= newsMaxAge || now - record.changedAt <= maxAge) {
-            news.quarantined.push_back({ part, record.since, record.failedTrials, record.crashes });
-        }
-    }
-    return news;
-}
-
 bool prompt_quarantine::isDecidable(const quarantined_part &verdict, const crash_judgement &judged)
 {
     return verdict.failedTrials == 0 && verdict.crashes > 0 && judged.settledCrashesInARow(verdict.part) >= verdict.crashes;
@@ -305,11 +288,14 @@
 void prompt_quarantine::merge(const quarantine_news &news, time_point now)
 {
     bool isNews = false;
+    for (const server_sighting &each : news.sightings) {
+        isNews = m_sightings.recordHeard(each, now) || isNews;
+    }
     for (const written_part &each : news.written) {
         isNews = addWritten(each.part, each.at, now) || isNews;
     }
     for (const crash_evidence &each : news.crashes) {
-        isNews = addEvidence(each, now) || isNews;
+        isNews = addEvidence(each, false, now) || isNews;
     }
     for (const quarantined_part &each : news.quarantined) {
         isNews = addVerdict(each, now) || isNews;
@@ -361,6 +347,7 @@
 void prompt_quarantine::expire(time_point now)
 {
     judgeSettled(now);
+    m_sightings.expire(now);
     std::erase_if(m_crashes, [now](const auto &entry) {
         return now - entry.second.evidence.at > evidenceMaxAge;
     });
--- a/src/gateway/prompt_quarantine.h
+++ b/src/gateway/prompt_quarantine.h
@@ -3,6 +3,7 @@
 #include "gateway/crash_evidence.h"
 #include "gateway/part_suspicion.h"
 #include "gateway/recent_answers.h"
+#include "gateway/server_sightings.h"
 
 #include <functional>
 #include <optional>
@@ -30,6 +31,8 @@
 
     /// Records that the server ended while it was reading a request with these parts, or had just begun to answer it.
     void recordCrash(server_start_key server, const std::vector<prompt_part> &parts, time_point sentAt, time_point now);
+    /// Records that this start of the server ran at that time: only connections to it were lost before, which is no crash.
+    void recordRunning(server_start_key server, time_point at, time_point now);
     /// Records that an answer is being written on these parts.
     void recordWritten(const std::vector<prompt_part> &parts, time_point now);
     /// Returns when the next request with these parts may be tried; nullopt if none of them is quarantined.
@@ -59,6 +62,7 @@
     static constexpr size_t maxCrashesInNews = 32;
     static constexpr size_t maxWrittenInNews = 1'024; ///< So that a report fits a datagram; others stay suspects for longer.
     static constexpr size_t maxQuarantined = 256;
+    static constexpr size_t maxSightingsInNews = 128;
 
 private:
     struct crash_record {
@@ -91,7 +95,7 @@
     };
 
     /// These return whether it is news that may change a verdict.
-    bool addEvidence(const crash_evidence &evidence, time_point now);
+    bool addEvidence(const crash_evidence &evidence, bool isOwn, time_point now);
     bool addWritten(prompt_part part, time_point at, time_point now);
     bool addVerdict(const quarantined_part &verdict, time_point now);
     void quarantine(const quarantined_part &verdict, time_point now);
@@ -106,10 +110,12 @@
     static bool isDecidable(const quarantined_part &verdict, const crash_judgement &judged);
     void tellEvidenceAgain(prompt_part part, time_point now);
     bool isSuspectOf(prompt_part part, const crash_evidence &crash) const;
+    bool isRefuted(const crash_record &crash) const;
     void dropOldestCrash();
 
     change_hook m_onChange;
-    std::map<server_start_key, crash_record> m_crashes;
+    std::map<server_start_key, crash_record> m_crashes; ///< Also those that a sighting refutes.
+    server_sightings m_sightings;
     std::map<prompt_part, written_record> m_written; ///< Answers that cleared a part.
     recent_answers m_ownAnswers;
     std::map<prompt_part, quarantine_record> m_quarantined;
--- a/src/programs/gateway/gateway_context.h
+++ b/src/programs/gateway/gateway_context.h
@@ -37,6 +37,7 @@
     reservation_limits reservations;
     second_copies &secondCopies = state.secondCopies;
     std::function<void(server_key, const attempt_id &)> readPace{}; ///< Asks an engine how slow it is; the attempt is for the log.
+    std::function<void(server_key, server_start_key, const attempt_id &)> verifyCrash{}; ///< Finds out whether the server really ended.
     bool isEnding = false; ///< The process is about to end: requests get their final answers now.
     std::map<std::uint64_t, std::function<void()>> onEnding{}; ///< Of the requests that are being served.
 };
--- a/src/programs/gateway/gateway_host.cpp
+++ b/src/programs/gateway/gateway_host.cpp
@@ -139,10 +139,14 @@
           badRequest)
     , m_relayService(context.get_executor(), m_client, m_state, m_log, relayBytes(m_settings))
     , m_paceReader(context.get_executor(), m_shared)
+    , m_crashVerifier(context.get_executor(), m_shared)
 {
     m_shared.readPace = [this](server_key server, const attempt_id &attempt) {
         m_paceReader.readPace(server, attempt);
     };
+    m_shared.verifyCrash = [this](server_key server, server_start_key start, const attempt_id &attempt) {
+        m_crashVerifier.verify(server, start, attempt);
+    };
     m_state.onQuarantined = [this](prompt_part part) {
         for (const auto &[id, stopSending] : m_shared.onQuarantined) {
             stopSending(part);
--- a/src/programs/gateway/gateway_host.h
+++ b/src/programs/gateway/gateway_host.h
@@ -2,6 +2,7 @@
 
 #include "http/server.h"
 #include "platform/instance_settings.h"
+#include "programs/gateway/crash_verifier.h"
 #include "programs/gateway/engine_pace_reader.h"
 #include "programs/gateway/operator_policy.h"
 #include "programs/gateway/peer_link.h"
@@ -61,6 +62,7 @@
     http::server m_metricsServer;
     relay_service m_relayService;
     engine_pace_reader m_paceReader;
+    crash_verifier m_crashVerifier;
     size_t m_activeRequests = 0; ///< Requests without a final answer.
     bool m_wasReady = false;
 };
--- a/src/programs/gateway/request_hedge.cpp
+++ b/src/programs/gateway/request_hedge.cpp
@@ -165,7 +165,7 @@
             m_context.state.recordFailure(server, hedge->sent().start, true, now);
         }
         if (hedge->isCutOff()) {
-            recordCrash(hedge->sent().start, hedge->sent().server.str(), hedge->sentAt(), now);
+            recordCrash(server, hedge->sent().start, hedge->sent().server.str(), hedge->sentAt(), now);
         }
         m_hedges.erase(found);
         dropHedge(*hedge, "failed");
--- a/src/programs/gateway/request_quarantine.cpp
+++ b/src/programs/gateway/request_quarantine.cpp
@@ -16,22 +16,25 @@
     if (!isEndOfServer || isAnswerEstablished(now) || m_parts.empty()) {
         return;
     }
-    recordCrash(m_currentStart, m_lastServer, m_sentAt, now);
+    recordCrash(m_currentServer, m_currentStart, m_lastServer, m_sentAt, now);
 }
 
-void request_session::recordCrash(server_start_key start, const std::string &server, time_point sentAt, time_point now)
+void request_session::recordCrash(server_key server, server_start_key start, const std::string &serverId, time_point sentAt, time_point now)
 {
     m_context.state.quarantine.recordCrash(start, m_parts, sentAt, now);
     const part_suspicion suspicion = m_context.state.quarantine.suspicionOf(m_parts.back(), now);
     m_context.log.write(log_line("crash_recorded")
                             .add("request", m_head.attempt.str())
-                            .add("server", server)
+                            .add("server", serverId)
                             .add("part", std::to_string(m_parts.back()))
                             .add("inARow", suspicion.crashesInARow)
                             .add("ambiguous", suspicion.hasOtherExplanation ? "yes" : "no")
                             .add("quarantined", suspicion.isQuarantined ? "yes" : "no")
                             .add("sent", std::chrono::duration_cast<std::chrono::milliseconds>(now - sentAt)));
     m_context.scheduleReport();
+    if (m_context.verifyCrash) {
+        m_context.verifyCrash(server, start, m_head.attempt);
+    }
 }
 
 // What has not begun to be answered would end its server; an answer that is being written shows that it does not.
--- a/src/programs/gateway/request_session.h
+++ b/src/programs/gateway/request_session.h
@@ -155,7 +155,7 @@
     void recordFailure(const placement_decision &placed, const attempt_failure &failure);
     /// Takes the end of the server as evidence against the parts of the prompt.
     void recordServerEnd(const attempt_failure &failure, time_point now);
-    void recordCrash(server_start_key start, const std::string &server, time_point sentAt, time_point now);
+    void recordCrash(server_key server, server_start_key start, const std::string &serverId, time_point sentAt, time_point now);
     /// Whether the current send has been answered for so long that its prompt cannot be what crashes the server.
     bool isAnswerEstablished(time_point now) const;
     void onQuarantined(prompt_part part);
--- a/src/programs/gateway/tests/fake_platform.cpp
+++ b/src/programs/gateway/tests/fake_platform.cpp
@@ -86,6 +86,11 @@
     m_context.destroyHandlers();
 }
 
+bool fake_platform::isQuestion(const http::exchange &exchange)
+{
+    return exchange.request().path() == "/api/report";
+}
+
 endpoint fake_platform::addServer(const std::string &id, const std::string &service, backend serve)
 {
     auto server = std::make_unique<http::server>(m_context.get_executor(), http::server_limits(), std::move(serve), emptyAnswer);
@@ -105,7 +110,12 @@
 
 void fake_platform::addRawServer(const std::string &id, const std::string &service, http::testing::raw_server::script serve)
 {
-    m_rawServers.push_back(std::make_unique<http::testing::raw_server>(m_context.get_executor(), std::move(serve)));
+    const auto serveRequest = [serve = std::move(serve)](http::testing::raw_connection &connection) -> asio::awaitable<void> {
+        if (!connection.request().starts_with("GET /api/report ")) {
+            co_await serve(connection);
+        }
+    };
+    m_rawServers.push_back(std::make_unique<http::testing::raw_server>(m_context.get_executor(), serveRequest));
     addServerAt(id, service, m_rawServers.back()->address());
 }
 
--- a/src/programs/gateway/tests/fake_platform.h
+++ b/src/programs/gateway/tests/fake_platform.h
@@ -35,6 +35,8 @@
     fake_platform();
     ~fake_platform();
 
+    /// Whether the instance asks the server for its report, which is no request of a caller.
+    static bool isQuestion(const http::exchange &exchange);
     /// Adds a backend server to the store; `service` is "reading" (resumable streams), "desk" (complete answers) or
     /// "batch" (resumable streams that wait while the server is full).
     /// Returns the server's address.
@@ -43,7 +45,7 @@
     void addServerAt(const std::string &id, const std::string &service, const endpoint &address);
     /// Keeps the gateway's event loop from running for `time`, from `delay` after now, like a machine that is slow or frozen.
     void blockAfter(std::chrono::milliseconds delay, std::chrono::milliseconds time);
-    /// Adds a backend server that answers with any bytes.
+    /// Adds a backend server that answers with any bytes. It closes a connection on which it is asked for its report.
     void addRawServer(const std::string &id, const std::string &service, http::testing::raw_server::script serve);
     /// Starts the gateway and runs the event loop until it is ready.
     void start();
--- a/src/programs/gateway/tests/gateway_test.cpp
+++ b/src/programs/gateway/tests/gateway_test.cpp
@@ -47,7 +47,7 @@
 
 boost::asio::awaitable<void> closeMidStream(http::exchange &exchange)
 {
-    ++servedRequests;
+    servedRequests += fake_platform::isQuestion(exchange) ? 0 : 1;
     auto head = signedHeaders();
     co_await exchange.startStream(200, std::move(head));
 }
--- a/src/programs/gateway/tests/silent_server_test.cpp
+++ b/src/programs/gateway/tests/silent_server_test.cpp
@@ -73,7 +73,7 @@
         co_await streamWithPause(exchange);
         co_return;
     }
-    ++runs;
+    runs += fake_platform::isQuestion(exchange) ? 0 : 1;
     auto head = signedHeaders();
     co_await exchange.startStream(200, std::move(head));
     co_await exchange.write("id: 3\nda");
@@ -110,7 +110,7 @@
         co_await streamWithPause(exchange);
         co_return;
     }
-    ++runs;
+    runs += fake_platform::isQuestion(exchange) ? 0 : 1;
     auto head = signedHeaders();
     co_await exchange.startStream(200, std::move(head));
     co_await exchange.write("id: 3\nda");
