A request that may run once is not sent when its answer would come after the end

Another operator's report: in a planned stop, in calm, requests that came late in the grace were passed on and cut without an answer at its end, among them requests that may not be repeated.

Here no request was cut without an answer: stopping_instance/noRequestOnAKeptConnectionIsPassedOnAndCut sends one each 50 ms of the grace on 70 kept connections and passes on the code before too. But callers whose request arrived within its server's time of the final answers got 502 may_have_run for one that had run and may not be sent again.

Cause: until the final answers begin a stopping instance took each request, whatever time was left. Now one that may run only once is refused at once as not run, to be sent to another instance, when less than its route's target latency is left. Streams and requests that may be repeated are taken as before: most end sooner than their targets, and the caller may have them continued elsewhere.

--- a/src/programs/gateway/gateway_context.h
+++ b/src/programs/gateway/gateway_context.h
@@ -12,6 +12,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 
 namespace mustardtrail::gateway
 {
@@ -38,6 +39,7 @@
     second_copies &secondCopies = state.secondCopies;
     std::function<void(server_key, const attempt_id &)> readPace{}; ///< Asks an engine how slow it is; the attempt is for the log.
     std::function<void(server_key, server_start_key, const attempt_id &)> verifyCrash{}; ///< Finds out whether the server really ended.
+    std::optional<time_point> finalAnswersAt{}; ///< While the process stops: when `isEnding` becomes true.
     bool isEnding = false; ///< The process is about to end: requests get their final answers now.
     std::map<std::uint64_t, std::function<void()>> onEnding{}; ///< Of the requests that are being served.
 };
--- a/src/programs/gateway/request_session.cpp
+++ b/src/programs/gateway/request_session.cpp
@@ -67,6 +67,11 @@
     if (!m_route) {
         return refusal{ 404, "no_route", std::nullopt };
     }
+    // Its answer would come after the final ones. It would have run then, and could not be sent again.
+    const bool mayOnlyRunOnce = m_route->retrySemantics == retry_semantics::once;
+    if (mayOnlyRunOnce && m_context.finalAnswersAt && m_arrivedAt + m_route->latencyTarget > *m_context.finalAnswersAt) {
+        return refusal{ 503, std::string(instanceEnds), milliseconds(0) };
+    }
     if (m_routes->needsKeys() && !m_route->isPublic) {
         const auto customer = m_routes->customerOf(m_head.key);
         if (!customer) {
--- a/src/programs/gateway/tests/stopping_instance_test.cpp
+++ b/src/programs/gateway/tests/stopping_instance_test.cpp
@@ -43,6 +43,13 @@
     co_await exchange.respond(std::move(message));
 }
 
+boost::asio::awaitable<void> answerAfter50Ms(http::exchange &exchange)
+{
+    boost::asio::steady_timer timer(exchange.executor(), milliseconds(50));
+    co_await timer.async_wait(boost::asio::use_awaitable);
+    co_await answerAtOnce(exchange);
+}
+
 /// Engines of one service that take as long to reserve memory as a call may last, nearly.
 http::handler engineThatReservesSlowly(engine_memory &memory)
 {
@@ -240,3 +247,71 @@
     expectEqual(memory.heldCount(), size_t{ 0 });
     cr_assert_gt(grants, 0);
 }
+
+// A request that was passed on a moment before the final answers was cut, although it may not be sent again.
+Test(stopping_instance, aRequestThatArrivesTooLateToBeServedIsRefusedAsNotRun)
+{
+    fake_platform platform;
+    platform.setStopGrace(stopGrace);
+    platform.addServer("i-1", "desk", answerAfter50Ms);
+    platform.start();
+    const std::string request = requestTo("/once/x", "");
+    const size_t lastByte = request.size() - 1;
+    constexpr milliseconds finalAnswers = stopGrace - milliseconds(1'000);
+    constexpr milliseconds interval{ 10 };
+    std::vector<raw_caller> callers;
+    for (int caller = 0; caller < 60; ++caller) {
+        callers.push_back(platform.openCaller(request.substr(0, lastByte)));
+    }
+    platform.runFor(milliseconds(50));
+    const auto stoppedAt = std::chrono::steady_clock::now();
+    platform.stopFirstInstance();
+    platform.runFor(finalAnswers - milliseconds(300));
+    size_t sent = 0;
+    while (sent < callers.size() && std::chrono::steady_clock::now() < stoppedAt + finalAnswers + milliseconds(100)) {
+        callers[sent++].send(request.substr(lastByte));
+        platform.runFor(interval);
+    }
+    platform.runFor(milliseconds(1'000));
+    int served = 0;
+    for (size_t caller = 0; caller < sent; ++caller) {
+        const std::string answer = callers[caller].onlyAnswer();
+        served += answer.starts_with("200 ") ? 1 : 0;
+        cr_assert(answer.starts_with("200 ") || answer == "503 {\"error\":\"instance_ends\"}", "%s", answer.c_str());
+    }
+    expectEqual(sends, served);
+    cr_assert_gt(served, 0);
+}
+
+// Requests on connections that callers keep were passed on late in a planned stop and cut without an answer at its end.
+Test(stopping_instance, noRequestOnAKeptConnectionIsPassedOnAndCut)
+{
+    fake_platform platform;
+    platform.setStopGrace(stopGrace);
+    platform.addServer("i-1", "desk", answerAfter50Ms);
+    platform.start();
+    const std::string request = requestTo("/once/x", "");
+    constexpr milliseconds interval{ 50 };
+    std::vector<raw_caller> callers;
+    for (milliseconds time{ 0 }; time < stopGrace; time += interval) {
+        callers.push_back(platform.openCaller(request));
+        platform.runFor(milliseconds(2));
+    }
+    platform.runFor(milliseconds(500));
+    const int before = sends;
+    expectEqual(before, static_cast<int>(callers.size()));
+    platform.stopFirstInstance();
+    for (raw_caller &caller : callers) {
+        caller.send(request);
+        platform.runFor(interval);
+    }
+    const std::string ok = "HTTP/1.1 200";
+    int answered = 0;
+    for (const raw_caller &caller : callers) {
+        const std::string received = caller.onlyAnswer();
+        const size_t first = received.find(ok); // Not as "200 " where it is the only answer.
+        answered += first != std::string::npos && received.find(ok, first + 1) != std::string::npos ? 1 : 0;
+    }
+    cr_assert_gt(answered, 0);
+    expectEqual(sends - before, answered);
+}
