The last instances of a data centre with paths do not relay for all others

What callers would see: where most of a data centre's instances have lost their paths to the servers, all of them send through the one or two beside them that have not, since those of the own data centre go first whatever they carry.

Cause: chooseRelays ranked by data centre before anything else and had no bound for a relay.

As all instances know the same counts from the reports, no message is added.

relay_choice/theLastInstanceOfADataCentreWithPathsDoesNotCarryAllOthers failed before ("1 left": all 21); passes.

--- a/src/gateway/internal/relay_choice.cpp
+++ b/src/gateway/internal/relay_choice.cpp
@@ -3,18 +3,49 @@
 #include "base/hash.h"
 
 #include <algorithm>
+#include <limits>
 #include <tuple>
 
 namespace mustardtrail::gateway
 {
 
+namespace
+{
+
+/// Instances of some data centres, by whether they reach the backend servers.
+struct path_count {
+    double sound = 0;
+    double lost = 0;
+};
+
+double shareOfFarRelays(const std::vector<relay_candidate> &candidates)
+{
+    path_count near{ 0, 1 }; // This instance needs one.
+    path_count far;
+    for (const relay_candidate &each : candidates) {
+        path_count &group = each.isNear ? near : far;
+        (each.hasLostPaths ? group.lost : group.sound) += 1;
+    }
+    const double excess = std::max(0.0, near.lost - maxSendersPerRelay * near.sound);
+    const double room = std::max(0.0, maxSendersPerRelay * far.sound - far.lost);
+    return std::min(excess, room) / near.lost;
+}
+
+double unitFrom(std::uint64_t hash)
+{
+    return static_cast<double>(hash) / static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+}
+
+} // namespace
+
 std::vector<peer_address> chooseRelays(const std::vector<relay_candidate> &candidates, const std::string &server, peer_address sender)
 {
     const std::string key = server + ' ' + std::to_string(sender);
+    const bool prefersFar = unitFrom(rendezvousWeight(key, "far")) < shareOfFarRelays(candidates);
     std::vector<std::tuple<bool, bool, bool, std::uint64_t, peer_address>> ranked; // Best first.
     for (const relay_candidate &each : candidates) {
         const std::uint64_t weight = rendezvousWeight(key, std::to_string(each.instance));
-        ranked.emplace_back(each.hasFailed, each.hasLostPaths, !each.isNear, ~weight, each.instance);
+        ranked.emplace_back(each.hasFailed, each.hasLostPaths, each.isNear == prefersFar, ~weight, each.instance);
     }
     std::sort(ranked.begin(), ranked.end());
     std::vector<peer_address> chosen;
--- a/src/gateway/tests/relay_choice_test.cpp
+++ b/src/gateway/tests/relay_choice_test.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
+#include <string>
 
 using namespace mustardtrail::gateway;
 using mustardtrail::testing::expectEqual;
@@ -20,8 +22,78 @@
     return all;
 }
 
+constexpr peer_address instancesPerDataCentre = 22;
+constexpr peer_address dataCentres = 3;
+
+peer_address dataCentreOf(peer_address instance)
+{
+    return instance / instancesPerDataCentre;
+}
+
+/// What each instance carries for others, as a multiple of one instance's load, where the instances in `cut` have lost their paths.
+std::map<peer_address, double> loadOfRelays(const std::set<peer_address> &cut)
+{
+    constexpr int servers = 54;
+    std::map<peer_address, double> load;
+    for (const peer_address sender : cut) {
+        std::vector<relay_candidate> others;
+        for (peer_address each = 0; each < dataCentres * instancesPerDataCentre; ++each) {
+            if (each != sender) {
+                others.push_back({ each, dataCentreOf(each) == dataCentreOf(sender), cut.contains(each), false });
+            }
+        }
+        for (int server = 0; server < servers; ++server) {
+            load[chooseRelays(others, "10.0.0." + std::to_string(server) + ":80", sender).front()] += 1.0 / servers;
+        }
+    }
+    return load;
+}
+
+double greatestOf(const std::map<peer_address, double> &load)
+{
+    double greatest = 0;
+    for (const auto &[instance, carried] : load) {
+        greatest = std::max(greatest, carried);
+    }
+    return greatest;
+}
+
 } // namespace
 
+// All instances of a data centre that were cut off sent through the one beside them that was not.
+Test(relay_choice, theLastInstanceOfADataCentreWithPathsDoesNotCarryAllOthers)
+{
+    for (peer_address sound = 1; sound <= 4; ++sound) {
+        std::set<peer_address> cut;
+        for (peer_address each = sound; each < instancesPerDataCentre; ++each) {
+            cut.insert(each);
+        }
+        cr_assert_leq(greatestOf(loadOfRelays(cut)), 2 * maxSendersPerRelay, "%u left", sound);
+    }
+}
+
+Test(relay_choice, nothingIsSentThroughAnotherDataCentreWhileHalfOfTheOwnOneHasPaths)
+{
+    std::set<peer_address> cut;
+    for (peer_address each = 0; each < instancesPerDataCentre / 2; ++each) {
+        cut.insert(each);
+    }
+    for (const auto &[relay, carried] : loadOfRelays(cut)) {
+        expectEqual(dataCentreOf(relay), 0U);
+    }
+}
+
+Test(relay_choice, whereMostAreCutOffEverywhereTheLoadStaysInItsDataCentre)
+{
+    std::set<peer_address> cut;
+    for (peer_address each = 0; each < dataCentres * instancesPerDataCentre; ++each) {
+        if (each % instancesPerDataCentre >= 4) {
+            cut.insert(each);
+        }
+    }
+    cr_assert_leq(greatestOf(loadOfRelays(cut)), 1.5 * 18 / 4);
+}
+
 Test(relay_choice, instancesOfTheOwnDataCentreGoFirst)
 {
     auto all = instances(6);
