A second send that convicts its own prompt does not end the instance

Callers saw: an instance ended by itself (signal 11) and with it all requests that it was serving; no answer for any of them.

Cause: when a second send failed, the request noted the server's crash before it took the send off its list. The crash may convict the prompt, and that drops all second sends of the requests with it, this one's too: the list was emptied under the iterator that was then erased.

Ruled out: hooks that remove themselves while they are called (a request ends only in its own coroutine). The class is a call that changes what its caller holds; recordFailure in request_retry holds only a server across the same call, which no hook removes."

--- a/src/programs/gateway/request_hedge.cpp
+++ b/src/programs/gateway/request_hedge.cpp
@@ -158,6 +158,7 @@
             m_closeConnection();
         }
     } else {
+        m_hedges.erase(found); // First, as a crash may convict the prompt, which drops all hedges.
         const time_point now = m_context.clock.now();
         const server_key server = hedge->sent().placed.parts.front().server;
         recordServerNotices(hedge->head(), server, hedge->sent().start);
@@ -167,7 +168,6 @@
         if (hedge->isCutOff()) {
             recordCrash(server, hedge->sent().start, hedge->sent().server.str(), hedge->sentAt(), now);
         }
-        m_hedges.erase(found);
         dropHedge(*hedge, "failed");
     }
     m_hedgeTimer.cancel();
