--- a/src/gateway/tests/quarantine_news_test.cpp
+++ b/src/gateway/tests/quarantine_news_test.cpp
@@ -93,6 +93,9 @@
         all.insert(all.end(), parts.begin(), parts.end());
     }
     quarantine.recordWritten(all, at(11'000));
+    for (server_start_key server = 1; server <= server_sightings::maxSightings; ++server) {
+        quarantine.recordRunning(server << 32U, at(11'000), at(11'000));
+    }
     load_report report;
     report.quarantine = quarantine.news(prompt_quarantine::newsMaxAge, at(11'500));
     cr_assert(encodeLoadReport(report, at(11'500)).size() <= maxDatagramBytes);
