--- a/src/gateway/internal/prompt_quarantine.cpp
+++ b/src/gateway/internal/prompt_quarantine.cpp
@@ -110,7 +110,7 @@
     if (isNext) {
         record = {};
     } else if (!isFirst && !isRefuted(record) && m_sightings.refutes(evidence, isOwn)) {
-        return false;
+        return false; // Old news of a loss before the crash that is known: its suspects were not there.
     }
     record.isOwn = record.isOwn || isOwn;
     if (isNew) {
