--- a/src/programs/gateway/monotonic_timer.h
+++ b/src/programs/gateway/monotonic_timer.h
@@ -11,10 +11,6 @@
 struct system_timer_clock {
     using time_point = mustardtrail::time_point;
     using duration = time_point::duration;
-    using rep = duration::rep;
-    using period = duration::period;
-
-    static constexpr bool is_steady = true;
 
     static time_point now()
     {
