--- a/src/gateway/internal/store_watcher.cpp
+++ b/src/gateway/internal/store_watcher.cpp
@@ -11,17 +11,10 @@
 constexpr std::chrono::milliseconds initialRetryDelay{ 100 };
 constexpr std::chrono::milliseconds maxRetryDelay{ 800 }; // A store that is back is read again within a second.
 
-/// Delay of the next try after this many failed ones.
-std::chrono::milliseconds retryDelay(unsigned failures)
-{
-    return failures == 0 ? std::chrono::milliseconds(0) : std::min(maxRetryDelay, initialRetryDelay * (1 << std::min(failures - 1, 4U)));
-}
-
 } // namespace
 
-store_watcher::store_watcher(std::chrono::milliseconds batchDelay, std::chrono::milliseconds reconnectLimit)
+store_watcher::store_watcher(std::chrono::milliseconds batchDelay)
     : m_batchDelay(batchDelay)
-    , m_reconnectLimit(reconnectLimit)
 {
 }
 
@@ -29,9 +22,7 @@
 {
     store_query query;
     if (m_failures > 0) {
-        query.delay = retryDelay(m_failures);
-    } else if (!m_hasList && m_afterKey.empty()) {
-        query.delay = retryDelay(m_uselessLists);
+        query.delay = std::min(maxRetryDelay, initialRetryDelay * (1 << std::min(m_failures - 1, 4U)));
     } else if (m_hasList && m_lastChangeCount > 0) {
         query.delay = m_batchDelay;
     }
@@ -45,49 +36,30 @@
 
 void store_watcher::recordAnswer(time_point now)
 {
-    if (m_missingAnswers > 0) {
-        m_graceUntil = std::max(m_graceUntil, graceAfterFailures(now));
+    if (m_failures > 0) {
+        m_graceUntil = now + outageGrace;
     }
     m_failures = 0;
-    m_missingAnswers = 0;
-    m_lastAnswerAt = now;
-}
-
-// The store may have served all others while a kept connection of this instance was silent, which one failed query does not tell
-// from an outage. A server whose removal is read then may have been gone since the last news.
-time_point store_watcher::graceAfterFailures(time_point now) const
-{
-    const time_point afterOutage = now + outageGrace;
-    if (m_missingAnswers > 1) {
-        return afterOutage;
-    }
-    return std::min(afterOutage, std::max(m_lastAnswerAt + m_reconnectLimit, m_lastRelayAt + outageGrace));
 }
 
 bool store_watcher::onEra(std::uint64_t era, time_point now)
 {
-    if (era <= m_era) {
-        return era == m_era;
-    }
-    m_era = era;
-    if (!hasRead()) {
+    if (!m_era) {
+        m_era = era > 0 ? std::optional(era) : std::nullopt;
         return true;
     }
+    if (era <= *m_era) {
+        return era == *m_era;
+    }
+    m_era = era;
     m_settlingUntil = now + settlingTime;
     m_graceUntil = std::max(m_graceUntil, m_settlingUntil);
     m_isFirstListOfEra = true;
     m_revision = 0;
-    m_isRevisionListed = false;
-    m_uselessLists = 0;
     onHistoryGone();
     return true;
 }
 
-bool store_watcher::hasRead() const
-{
-    return m_hasList || m_revision > 0 || !m_afterKey.empty();
-}
-
 bool store_watcher::isSettling(time_point now) const
 {
     return now < m_settlingUntil;
@@ -100,7 +72,7 @@
 
 store_position store_watcher::position() const
 {
-    return { m_era, m_hasList ? m_revision : 0 };
+    return { m_era.value_or(0), m_hasList ? m_revision : 0 };
 }
 
 bool store_watcher::onPage(std::uint64_t storeRevision, bool hasMore, const std::string &lastKey, time_point now)
@@ -116,7 +88,6 @@
     m_isFirstListOfEra = false;
     m_lastChangeCount = 0;
     m_revision = std::max(m_revision, m_listRevision);
-    m_isRevisionListed = true;
     return true;
 }
 
@@ -129,24 +100,20 @@
     }
     m_revision = storeRevision;
     m_isListConfirmed = true;
-    m_isRevisionListed = false;
-    m_uselessLists = 0;
     return true;
 }
 
-bool store_watcher::onRelay(std::uint64_t fromRevision, std::uint64_t toRevision, time_point graceUntil, time_point now)
+bool store_watcher::onRelay(std::uint64_t fromRevision, std::uint64_t toRevision, time_point graceUntil)
 {
     if (fromRevision > m_revision) {
         return false;
     }
-    m_lastRelayAt = now;
     m_revision = std::max(m_revision, toRevision);
     m_isListConfirmed = true;
     m_graceUntil = std::max(m_graceUntil, graceUntil);
     // The store answers another instance: servers that go missing later do so for other reasons than the failures seen here, so
     // the next response starts no grace period.
     m_failures = 0;
-    m_missingAnswers = 0;
     return true;
 }
 
@@ -167,17 +134,14 @@
 
 void store_watcher::onHistoryGone()
 {
-    m_uselessLists += m_isRevisionListed && !m_mayListBeStale ? 1 : 0;
-    m_isRevisionListed = false;
     m_mayListBeStale = false;
     m_hasList = false;
     m_afterKey.clear();
 }
 
-void store_watcher::onFailure(store_failure why)
+void store_watcher::onFailure()
 {
     ++m_failures;
-    m_missingAnswers += why == store_failure::no_answer ? 1 : 0;
     m_afterKey.clear();
 }
 
--- a/src/gateway/store_watcher.h
+++ b/src/gateway/store_watcher.h
@@ -4,6 +4,7 @@
 #include "gateway/store_position.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace mustardtrail::gateway
@@ -24,26 +25,19 @@
     std::chrono::milliseconds delay{ 0 }; ///< Wait before the query is sent.
 };
 
-/// Why a query has failed.
-enum class store_failure {
-    no_answer, ///< Or none that can be used: the store may be down for all.
-    beyond_limit, ///< The store serves others and refuses calls beyond a limit.
-};
-
 /// List-and-watch state of the platform's store: reads the full listing once, then follows the changes. Handles a store that
 /// is down, is slow, refuses this instance, has dropped its history or was restored from an older copy. Reads changes in batches, as each
 /// call has a price.
 class store_watcher
 {
 public:
-    /// `batchDelay`: wait after a response with changes, so that the next one returns a batch. `reconnectLimit`: time limit for
-    /// all to work again after a connection has failed.
-    store_watcher(std::chrono::milliseconds batchDelay, std::chrono::milliseconds reconnectLimit);
+    /// `batchDelay`: wait after a response with changes, so that the next one returns a batch.
+    explicit store_watcher(std::chrono::milliseconds batchDelay);
 
     store_query nextQuery() const;
 
     /// Records the era of an answer, or one that another instance has seen. A rise restarts with a full listing, as revisions
-    /// of different eras cannot be compared. Returns false when the era is older than the known one; 0 is the first one or not told.
+    /// of different eras cannot be compared. Returns false when the era is older than the known one; 0 is one that is not told.
     bool onEra(std::uint64_t era, time_point now);
     /// Whether the store was restored so recently that not all has been written again that it had lost.
     bool isSettling(time_point now) const;
@@ -55,7 +49,7 @@
     bool onChanges(std::uint64_t storeRevision, size_t count, time_point now);
     /// Records the changes between two revisions of the known era, relayed by another instance. Returns false when earlier changes
     /// are missing here.
-    bool onRelay(std::uint64_t fromRevision, std::uint64_t toRevision, time_point graceUntil, time_point now);
+    bool onRelay(std::uint64_t fromRevision, std::uint64_t toRevision, time_point graceUntil);
     bool hasList() const;
     /// Whether all changes up to the last answer are known. A list that may be stale is not enough.
     bool isListConfirmed() const;
@@ -63,7 +57,7 @@
     store_position position() const;
     /// The store no longer has the changes after the known revision: restarts with a full listing.
     void onHistoryGone();
-    void onFailure(store_failure why = store_failure::no_answer);
+    void onFailure();
 
     bool isReachable() const;
     /// Returns the end of the grace period after a store outage. Until then servers missing from the list are kept, as they may
@@ -78,28 +72,20 @@
 
 private:
     void recordAnswer(time_point now);
-    time_point graceAfterFailures(time_point now) const;
-    bool hasRead() const;
 
     std::chrono::milliseconds m_batchDelay;
-    std::chrono::milliseconds m_reconnectLimit;
     bool m_hasList = false;
     bool m_mayListBeStale = true; ///< False once a stale list was too old to continue from.
     bool m_isListConfirmed = false; ///< Changes have been read since the list, which may have been stale.
     std::string m_afterKey;
     std::uint64_t m_listRevision = 0; ///< Lowest revision of the pages, which may be of different age.
     std::uint64_t m_revision = 0;
-    std::uint64_t m_era = 0; ///< The first era may be 0, so its rise from 0 counts once something was read.
+    std::optional<std::uint64_t> m_era; ///< Not set before the first answer.
     time_point m_settlingUntil{};
     bool m_isFirstListOfEra = false;
     size_t m_lastChangeCount = 0;
     unsigned m_failures = 0;
-    unsigned m_missingAnswers = 0; ///< Of the failures.
-    bool m_isRevisionListed = false; ///< The last answer that told the revision was a list.
-    unsigned m_uselessLists = 0; ///< Lists after which the store had no history; its revision is below the known one.
     time_point m_graceUntil{};
-    time_point m_lastAnswerAt{};
-    time_point m_lastRelayAt{};
 };
 
 } // namespace mustardtrail::gateway
--- a/src/http/internal/connection_pool.cpp
+++ b/src/http/internal/connection_pool.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <numeric>
 
 namespace mustardtrail::http
 {
@@ -25,7 +24,7 @@
 
 std::unique_ptr<client_connection> client::connection_pool::take(const endpoint &to, std::chrono::milliseconds idle)
 {
-    const auto now = system_monotonic_clock().now();
+    const auto now = std::chrono::steady_clock::now();
     auto &kept = m_idle[to];
     while (!kept.empty()) {
         auto connection = std::move(kept.back());
@@ -43,31 +42,11 @@
     m_idle.erase(to);
 }
 
-void client::connection_pool::closeUnusable()
-{
-    const auto now = system_monotonic_clock().now();
-    for (auto &[to, kept] : m_idle) {
-        std::erase_if(kept, [now](const auto &connection) {
-            return now - connection->idleSince >= connection->idleLimit || !isUsable(*connection);
-        });
-    }
-    std::erase_if(m_idle, [](const auto &entry) {
-        return entry.second.empty();
-    });
-}
-
-size_t client::connection_pool::size() const
-{
-    return std::accumulate(m_idle.begin(), m_idle.end(), size_t{ 0 }, [](size_t sum, const auto &entry) {
-        return sum + entry.second.size();
-    });
-}
-
 void client::connection_pool::put(const endpoint &to, std::unique_ptr<client_connection> connection)
 {
     auto &kept = m_idle[to];
     if (kept.size() < idlePerEndpoint) {
-        connection->idleSince = system_monotonic_clock().now();
+        connection->idleSince = std::chrono::steady_clock::now();
         kept.push_back(std::move(connection));
     }
 }
--- a/src/http/internal/connection_pool.h
+++ b/src/http/internal/connection_pool.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "base/clock.h"
 #include "http/client.h"
 #include "http/internal/partitioned_links.h"
 
@@ -54,7 +53,7 @@
     boost::beast::flat_buffer buffer{ maxUnparsedBytes };
     bool hasCarriedRequest = false;
     bool isClosed = false; ///< From this side.
-    time_point idleSince{}; ///< Of a clock that counts while the machine is suspended, as the server does.
+    std::chrono::steady_clock::time_point idleSince{};
     std::chrono::milliseconds idleLimit{ 60'000 }; ///< Not reused after being idle this long, as the server may close it.
     std::shared_ptr<client_connection *> selfReference = std::make_shared<client_connection *>(this); ///< Set to null when its call ends.
     std::shared_ptr<partitioned_links> partitions; ///< Null when forbidden.
@@ -70,9 +69,6 @@
     void put(const endpoint &to, std::unique_ptr<client_connection> connection);
     /// Closes the idle connections to the endpoint.
     void drop(const endpoint &to);
-    /// Closes the connections that the server has closed or that are idle for longer than their limit.
-    void closeUnusable();
-    size_t size() const;
 
 private:
     static constexpr size_t idlePerEndpoint = 64;
--- a/src/programs/gateway/gateway_host.cpp
+++ b/src/programs/gateway/gateway_host.cpp
@@ -2,7 +2,6 @@
 
 #include "gateway/stop_schedule.h"
 #include "platform/response_head.h"
-#include "programs/gateway/monotonic_timer.h"
 #include "programs/gateway/placement_query.h"
 #include "programs/gateway/request_session.h"
 
@@ -27,7 +26,6 @@
 
 constexpr milliseconds drainPollInterval{ 20 };
 constexpr milliseconds placementRetryInterval{ 16 }; ///< Mean time between placement attempts; a fraction of a batch step.
-constexpr milliseconds unusableConnectionsInterval{ 1'000 }; ///< Looks at each idle connection: a system call for each.
 constexpr milliseconds lateLoopThreshold{ 50 }; ///< Above the delay of a timer in a process that runs undisturbed.
 constexpr double configAgeFraction = 0.8; ///< Of the key revocation limit; the rest covers requests that are already running.
 
@@ -117,11 +115,7 @@
           [this](peer_address by, const store_relay &relay, std::optional<time_point> queriedAfter) {
               m_storeReader.onRelay(by, relay, queriedAfter);
           })
-    , m_storeReader(context.get_executor(),
-          m_shared,
-          peerAddressOf(m_settings.address),
-          m_settings.store,
-          { m_settings.changeApplyLimit, m_settings.reconnectLimit })
+    , m_storeReader(context.get_executor(), m_shared, peerAddressOf(m_settings.address), m_settings.store, m_settings.changeApplyLimit)
     , m_callerServer(
           context.get_executor(),
           callerLimits(m_settings),
@@ -201,7 +195,6 @@
     asio::co_spawn(m_context, m_peerLink.reportPeriodically(), rethrowFailure);
     asio::co_spawn(m_context, retryPlacements(), rethrowFailure);
     asio::co_spawn(m_context, m_servers.probeLostPaths(), rethrowFailure);
-    asio::co_spawn(m_context, closeUnusableConnections(), rethrowFailure);
 }
 
 bool gateway_host::setPartitionedEndpoints(std::set<endpoint> endpoints)
@@ -279,7 +272,7 @@
 
 asio::awaitable<void> gateway_host::retryPlacements()
 {
-    monotonic_timer timer(m_context);
+    asio::steady_timer timer(m_context);
     while (true) {
         // Randomised, so that several instances do not try to take the same slot at the same moment.
         timer.expires_after(placementRetryInterval / 2 + milliseconds(m_random.below(placementRetryInterval.count())));
@@ -294,18 +287,6 @@
     }
 }
 
-// Connections to servers that have been replaced are used for no other request.
-asio::awaitable<void> gateway_host::closeUnusableConnections()
-{
-    monotonic_timer timer(m_context);
-    while (true) {
-        timer.expires_after(unusableConnectionsInterval);
-        boost::system::error_code ignored;
-        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-        m_client.closeUnusable();
-    }
-}
-
 asio::awaitable<void> gateway_host::stop()
 {
     stop_schedule schedule(m_clock.now(), m_settings.stopGrace);
@@ -314,7 +295,7 @@
     m_callerServer.disableKeepAlive();
     m_relayService.refuseRequests();
     m_log.write(log_line("stop_begins").add("running", static_cast<std::int64_t>(m_activeRequests)));
-    monotonic_timer timer(m_context);
+    asio::steady_timer timer(m_context);
     boost::system::error_code ignored;
     timer.expires_at(schedule.acceptUntil());
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
--- a/src/programs/gateway/store_reader.cpp
+++ b/src/programs/gateway/store_reader.cpp
@@ -5,6 +5,7 @@
 #include "programs/gateway/relayed_changes.h"
 
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -18,7 +19,6 @@
 {
 
 constexpr milliseconds callTimeout{ 1'000 }; ///< Hundreds of times the usual response time; after it the store counts as unreachable.
-constexpr int tooManyCallsStatus = 429;
 constexpr int pollsPerChangeBound = 4; ///< Of the bound, a quarter remains for the wait at the store and two for replacing a failed reader.
 constexpr milliseconds relayMargin{ 200 }; ///< Allows for a slow answer of the store and the transfer of the relay.
 constexpr size_t maxRelayBytes = 16'000; ///< Compressed: a few hundred routes or servers; each instance reads a larger answer itself.
@@ -27,11 +27,11 @@
 } // namespace
 
 store_reader::store_reader(
-    asio::any_io_executor executor, gateway_context &context, peer_address self, endpoint store, store_time_limits limits)
+    asio::any_io_executor executor, gateway_context &context, peer_address self, endpoint store, milliseconds changeBound)
     : m_context(context)
     , m_store(std::move(store))
-    , m_watcher(limits.changeApply / pollsPerChangeBound, limits.reconnect)
-    , m_election(self, limits.changeApply / pollsPerChangeBound + store_watcher::longPollTimeout + relayMargin)
+    , m_watcher(changeBound / pollsPerChangeBound)
+    , m_election(self, changeBound / pollsPerChangeBound + store_watcher::longPollTimeout + relayMargin)
     , m_queryTimer(executor)
 {
 }
@@ -109,11 +109,7 @@
     const milliseconds longPollTimeout = isList ? milliseconds(0) : storeQuery.longPollTimeout;
     auto answer = co_await call(std::move(message), longPollTimeout);
     if (!answer) {
-        const bool isTooLarge = answer.error().outcome == verdict::ran;
-        onFailure(isTooLarge ? "too_large" : "no_answer", answer.error().detail);
-        if (isTooLarge && !isList) {
-            m_watcher.onHistoryGone(); // A list has pages, and no values that have been replaced.
-        }
+        onFailure("no_answer", answer.error().detail);
         co_return;
     }
     const auto era = platform::readStoreEra(answer->headers);
@@ -134,8 +130,7 @@
         co_return;
     }
     if (answer->status != 200) {
-        const auto why = answer->status == tooManyCallsStatus ? store_failure::beyond_limit : store_failure::no_answer;
-        onFailure("refused", "status=" + std::to_string(answer->status), why);
+        onFailure("refused", "status=" + std::to_string(answer->status));
         co_return;
     }
     const auto reply = isList ? platform::readListReply(answer->body) : platform::readWatchReply(answer->body);
@@ -241,7 +236,7 @@
     if (relay.toRevision > m_watcher.revision()) {
         const std::uint64_t revisionBefore = m_watcher.revision();
         const auto changes = relay.changes ? decodeRelayedChanges(*relay.changes) : std::nullopt;
-        if (!changes || !m_watcher.onRelay(relay.fromRevision, relay.toRevision, now + relay.graceLeft, now)) {
+        if (!changes || !m_watcher.onRelay(relay.fromRevision, relay.toRevision, now + relay.graceLeft)) {
             m_election.recordMissedChanges(relay.changes.has_value(), now);
             m_context.requestMissingChanges(by);
             m_queryTimer.cancel();
@@ -265,10 +260,10 @@
     }
 }
 
-void store_reader::onFailure(std::string_view what, std::string_view detail, store_failure why)
+void store_reader::onFailure(std::string_view what, std::string_view detail)
 {
     m_context.metrics.recordStoreCall(std::string(what));
-    m_watcher.onFailure(why);
+    m_watcher.onFailure();
     if (m_wasReachable) {
         m_wasReachable = false;
         m_context.log.write(log_line("store_lost").add("reason", what).add("detail", detail));
--- a/src/programs/gateway/store_reader.h
+++ b/src/programs/gateway/store_reader.h
@@ -4,24 +4,23 @@
 #include "gateway/store_watcher.h"
 #include "platform/store_reply.h"
 #include "programs/gateway/gateway_context.h"
-#include "programs/gateway/monotonic_timer.h"
+
+#include <boost/asio/steady_timer.hpp>
 
 namespace mustardtrail::gateway
 {
 
-struct store_time_limits {
-    std::chrono::milliseconds changeApply; ///< For a published change to take effect.
-    std::chrono::milliseconds reconnect; ///< For all to work again after a connection has failed.
-};
-
 /// Keeps the fleet state up to date with the platform's store, by its own queries or by the answers that another instance
 /// of the data centre relays.
 class store_reader
 {
 public:
-    /// Changes take effect within a third of their time limit after the store answers.
-    store_reader(
-        boost::asio::any_io_executor executor, gateway_context &context, peer_address self, endpoint store, store_time_limits limits);
+    /// Changes take effect within a third of `changeBound` after the store answers.
+    store_reader(boost::asio::any_io_executor executor,
+        gateway_context &context,
+        peer_address self,
+        endpoint store,
+        std::chrono::milliseconds changeBound);
 
     boost::asio::awaitable<void> run();
     /// Latest change of the store that has been applied.
@@ -41,13 +40,13 @@
     void onListPage(const platform::store_reply &reply);
     bool onChanges(const platform::store_reply &reply, time_point queriedAt);
     void confirmConfig(time_point queriedAt);
-    void onFailure(std::string_view what, std::string_view detail, store_failure why = store_failure::no_answer);
+    void onFailure(std::string_view what, std::string_view detail);
 
     gateway_context &m_context;
     endpoint m_store;
     store_watcher m_watcher;
     store_reader_election m_election;
-    monotonic_timer m_queryTimer;
+    boost::asio::steady_timer m_queryTimer;
     time_point m_nextPollAt{}; ///< Earliest time of this instance's next regular query.
     std::vector<published_change> m_listedChanges; ///< Pages read so far of an incomplete list.
     time_point m_listRequestedAt{};
