A send after a lost one does not go over a connection that was open then

Callers of streams that had begun got no complete answer, and callers of repeatable requests 502, when all connections of their instance were lost in one moment: the second send went over another kept connection milliseconds later, was lost in the same way, and the request's two sends were spent, though servers and other instances were reached.

A send that got no answer, or whose server is silent, now makes each later send of the request open a connection of its own. Requests that may run once keep their rule. Ruled out: to wait until other connections are seen to be lost as well, since the second send is due within 2 ms of the first loss. Cost: one new connection for each send after a loss or a silence.

lost_connections/aStreamGoesOn*AfterTheLoss and /aRepeatableRequest*AfterTheLoss failed before and pass after; /aRequestThatMayRunOnceIsNotSentAgain passes before too and guards the rule.

--- a/src/gateway/internal/sent_attempt.cpp
+++ b/src/gateway/internal/sent_attempt.cpp
@@ -16,7 +16,12 @@
 bool sent_attempt::recordSend(const endpoint &server)
 {
     const bool isFirst = m_servers.insert(server).second;
-    return !isFirst || m_id.empty();
+    return !isFirst || m_id.empty() || m_hasLostSend;
+}
+
+void sent_attempt::recordLoss()
+{
+    m_hasLostSend = true;
 }
 
 } // namespace mustardtrail::gateway
--- a/src/programs/gateway/request_retry.cpp
+++ b/src/programs/gateway/request_retry.cpp
@@ -30,6 +30,9 @@
 {
     m_mayHaveRun = m_mayHaveRun || failure.outcome != verdict::not_run;
     m_possibleRuns += failure.outcome != verdict::not_run ? 1 : 0;
+    if (failure.outcome != verdict::not_run && !failure.hasAnswer) {
+        m_attempt->recordLoss();
+    }
 }
 
 next_step request_session::stepAfter(const attempt_failure &failure)
