Idle connections to servers that are not called any more are closed

After many replaced servers an instance had all its descriptors in use: no new caller was accepted and no readiness probe answered while the present callers kept their connections. The client's pool looked at a kept connection only when its endpoint was called again, so those to an address that nothing was sent to any more stayed open for good, also after the server had closed them.

The instance now looks at all idle connections each second and closes those that the server has closed or that were idle for longer than half of the server's time-out. A timer within the client was weighed: it would keep the event loop of each short-lived client running.

--- a/src/http/client.h
+++ b/src/http/client.h
@@ -72,6 +72,11 @@
     boost::asio::awaitable<result<void>> openIdle(endpoint to, std::chrono::milliseconds limit);
     /// Closes the pooled connections to the endpoint.
     void closeIdle(const endpoint &to);
+    /// Closes the pooled connections, to all endpoints, that are idle for too long or that the server has closed. Without it those
+    /// to endpoints that are not called any more stay open.
+    void closeUnusable();
+    /// Pooled connections to all endpoints.
+    size_t idleConnections() const;
 
     /// Simulates a network partition for tests: until the next call nothing is sent to or read from these endpoints, and
     /// neither side detects that the other closes a connection. False, without effect, when this is forbidden.
--- a/src/http/internal/client.cpp
+++ b/src/http/internal/client.cpp
@@ -287,6 +287,16 @@
     m_pool->drop(to);
 }
 
+void client::closeUnusable()
+{
+    m_pool->closeUnusable();
+}
+
+size_t client::idleConnections() const
+{
+    return m_pool->size();
+}
+
 asio::awaitable<result<response_message>> client::call(endpoint to, request_message message, call_limits limits)
 {
     auto opened = co_await open(to, std::move(message), limits);
--- a/src/http/internal/connection_pool.cpp
+++ b/src/http/internal/connection_pool.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <numeric>
 
 namespace mustardtrail::http
 {
@@ -42,6 +43,26 @@
     m_idle.erase(to);
 }
 
+void client::connection_pool::closeUnusable()
+{
+    const auto now = std::chrono::steady_clock::now();
+    for (auto &[to, kept] : m_idle) {
+        std::erase_if(kept, [now](const auto &connection) {
+            return now - connection->idleSince >= connection->idleLimit || !isUsable(*connection);
+        });
+    }
+    std::erase_if(m_idle, [](const auto &entry) {
+        return entry.second.empty();
+    });
+}
+
+size_t client::connection_pool::size() const
+{
+    return std::accumulate(m_idle.begin(), m_idle.end(), size_t{ 0 }, [](size_t sum, const auto &entry) {
+        return sum + entry.second.size();
+    });
+}
+
 void client::connection_pool::put(const endpoint &to, std::unique_ptr<client_connection> connection)
 {
     auto &kept = m_idle[to];
--- a/src/http/internal/connection_pool.h
+++ b/src/http/internal/connection_pool.h
@@ -69,6 +69,9 @@
     void put(const endpoint &to, std::unique_ptr<client_connection> connection);
     /// Closes the idle connections to the endpoint.
     void drop(const endpoint &to);
+    /// Closes the connections that the server has closed or that are idle for longer than their limit.
+    void closeUnusable();
+    size_t size() const;
 
 private:
     static constexpr size_t idlePerEndpoint = 64;
--- /dev/null
+++ b/src/http/tests/idle_connections_test.cpp
@@ -0,0 +1,88 @@
+// Connections to servers that had been replaced were kept for good, until no caller could be accepted any more.
+
+#include "http/client.h"
+#include "http/tests/raw_server.h"
+
+#include "testing/expect.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+using namespace mustardtrail;
+using namespace mustardtrail::http;
+using mustardtrail::http::testing::raw_connection;
+using mustardtrail::http::testing::raw_server;
+using mustardtrail::testing::expectEqual;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+constexpr milliseconds shortWait{ 50 };
+constexpr milliseconds untilIdleLimit{ 600 }; ///< Half of the servers' time-out is 500 ms.
+
+raw_server::script answersAndCloses()
+{
+    return [](raw_connection &connection) -> boost::asio::awaitable<void> {
+        co_await connection.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    };
+}
+
+raw_server::script answersAndWaits(bool &isClosed)
+{
+    return [&isClosed](raw_connection &connection) -> boost::asio::awaitable<void> {
+        co_await connection.send("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\nContent-Length: 2\r\n\r\nok");
+        co_await connection.waitUntilClosed();
+        isClosed = true;
+    };
+}
+
+boost::asio::awaitable<void> pause(boost::asio::io_context &context, milliseconds time)
+{
+    boost::asio::steady_timer timer(context, time);
+    co_await timer.async_wait(boost::asio::use_awaitable);
+}
+
+/// Calls the server once, waits and closes what is of no use. Returns the connections that are kept then.
+size_t keptAfter(milliseconds wait, raw_server::script serve)
+{
+    boost::asio::io_context context;
+    const raw_server server(context.get_executor(), std::move(serve));
+    client caller(context.get_executor());
+    const auto callOnce = [&]() -> boost::asio::awaitable<void> {
+        const auto answer = co_await caller.call(server.address(), request_message(), call_limits::within(milliseconds(3'000)));
+        cr_assert(answer.has_value());
+        expectEqual(caller.idleConnections(), 1U);
+        co_await pause(context, wait);
+        caller.closeUnusable();
+        co_await pause(context, shortWait); // For the server to see it.
+    };
+    boost::asio::co_spawn(context, callOnce(), [&context](std::exception_ptr) {
+        context.stop();
+    });
+    context.run();
+    return caller.idleConnections();
+}
+
+} // namespace
+
+Test(idle_connections, areClosedWhenTheServerHasClosed)
+{
+    expectEqual(keptAfter(shortWait, answersAndCloses()), 0U);
+}
+
+Test(idle_connections, areClosedWhenTheirTimeIsOver)
+{
+    bool isClosed = false;
+    expectEqual(keptAfter(untilIdleLimit, answersAndWaits(isClosed)), 0U);
+    cr_assert(isClosed);
+}
+
+Test(idle_connections, areKeptWhileTheyAreOfUse)
+{
+    bool isClosed = false;
+    expectEqual(keptAfter(shortWait, answersAndWaits(isClosed)), 1U);
+    cr_assert_not(isClosed);
+}
--- a/src/programs/gateway/gateway_host.cpp
+++ b/src/programs/gateway/gateway_host.cpp
@@ -26,6 +26,7 @@
 
 constexpr milliseconds drainPollInterval{ 20 };
 constexpr milliseconds placementRetryInterval{ 16 }; ///< Mean time between placement attempts; a fraction of a batch step.
+constexpr milliseconds unusableConnectionsInterval{ 1'000 }; ///< Looks at each idle connection: a system call for each.
 constexpr milliseconds lateLoopThreshold{ 50 }; ///< Above the delay of a timer in a process that runs undisturbed.
 constexpr double configAgeFraction = 0.8; ///< Of the key revocation limit; the rest covers requests that are already running.
 
@@ -195,6 +196,7 @@
     asio::co_spawn(m_context, m_peerLink.reportPeriodically(), rethrowFailure);
     asio::co_spawn(m_context, retryPlacements(), rethrowFailure);
     asio::co_spawn(m_context, m_servers.probeLostPaths(), rethrowFailure);
+    asio::co_spawn(m_context, closeUnusableConnections(), rethrowFailure);
 }
 
 bool gateway_host::setPartitionedEndpoints(std::set<endpoint> endpoints)
@@ -287,6 +289,18 @@
     }
 }
 
+// Connections to servers that have been replaced are used for no other request.
+asio::awaitable<void> gateway_host::closeUnusableConnections()
+{
+    asio::steady_timer timer(m_context);
+    while (true) {
+        timer.expires_after(unusableConnectionsInterval);
+        boost::system::error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        m_client.closeUnusable();
+    }
+}
+
 asio::awaitable<void> gateway_host::stop()
 {
     stop_schedule schedule(m_clock.now(), m_settings.stopGrace);
--- a/src/programs/gateway/gateway_host.h
+++ b/src/programs/gateway/gateway_host.h
@@ -40,6 +40,7 @@
     boost::asio::awaitable<void> serveReadiness(http::exchange &exchange);
     boost::asio::awaitable<void> serveMetrics(http::exchange &exchange);
     boost::asio::awaitable<void> retryPlacements();
+    boost::asio::awaitable<void> closeUnusableConnections();
     /// Gives the requests that are still being served their final answers.
     void endRequests();
     bool isReady() const;
