Timers run on the clock of the decisions

After its machine had been suspended once, an instance answered no request at its deadline, sent its reports late by the time of the suspension, sent no request on from a silent server, and did not end in time for the platform's stop. Decisions read CLOCK_BOOTTIME, which counts while a machine is suspended, so that a key's revocation is not missed; their times were given to timers of CLOCK_MONOTONIC, which lags behind from then on. The other way round, each timer seemed to fire an hour late, which "this instance stood still" rules take for a reason to wait.

All timers of the gateway are now monotonic_timer, on the same clock as the decisions. Ruled out: to read CLOCK_MONOTONIC in the decisions, as a configuration would then seem fresh after a suspension.

On a machine that was never suspended both clocks are the same.

--- a/src/programs/gateway/crash_verifier.cpp
+++ b/src/programs/gateway/crash_verifier.cpp
@@ -1,11 +1,11 @@
 #include "programs/gateway/crash_verifier.h"
 
 #include "platform/engine_report.h"
+#include "programs/gateway/monotonic_timer.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 namespace mustardtrail::gateway
@@ -39,7 +39,7 @@
 // An answer says nothing of a loss that came after the question.
 asio::awaitable<void> crash_verifier::verifyNow(server_key server, server_start_key start, attempt_id attempt)
 {
-    asio::steady_timer timer(m_executor);
+    monotonic_timer timer(m_executor);
     for (const milliseconds delay : delays) {
         timer.expires_after(delay);
         boost::system::error_code ignored;
--- a/src/programs/gateway/gateway_host.cpp
+++ b/src/programs/gateway/gateway_host.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/stop_schedule.h"
 #include "platform/response_head.h"
+#include "programs/gateway/monotonic_timer.h"
 #include "programs/gateway/placement_query.h"
 #include "programs/gateway/request_session.h"
 
@@ -274,7 +275,7 @@
 
 asio::awaitable<void> gateway_host::retryPlacements()
 {
-    asio::steady_timer timer(m_context);
+    monotonic_timer timer(m_context);
     while (true) {
         // Randomised, so that several instances do not try to take the same slot at the same moment.
         timer.expires_after(placementRetryInterval / 2 + milliseconds(m_random.below(placementRetryInterval.count())));
@@ -292,7 +293,7 @@
 // Connections to servers that have been replaced are used for no other request.
 asio::awaitable<void> gateway_host::closeUnusableConnections()
 {
-    asio::steady_timer timer(m_context);
+    monotonic_timer timer(m_context);
     while (true) {
         timer.expires_after(unusableConnectionsInterval);
         boost::system::error_code ignored;
@@ -309,7 +310,7 @@
     m_callerServer.disableKeepAlive();
     m_relayService.refuseRequests();
     m_log.write(log_line("stop_begins").add("running", static_cast<std::int64_t>(m_activeRequests)));
-    asio::steady_timer timer(m_context);
+    monotonic_timer timer(m_context);
     boost::system::error_code ignored;
     timer.expires_at(schedule.acceptUntil());
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
--- a/src/programs/gateway/peer_link.h
+++ b/src/programs/gateway/peer_link.h
@@ -4,10 +4,10 @@
 #include "gateway/report_exchange.h"
 #include "gateway/report_pace.h"
 #include "programs/gateway/gateway_context.h"
+#include "programs/gateway/monotonic_timer.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/udp.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <array>
 
@@ -62,7 +62,7 @@
     std::uint64_t m_incarnation;
     report_exchange m_exchange;
     boost::asio::ip::udp::socket m_socket;
-    boost::asio::steady_timer m_reportTimer;
+    monotonic_timer m_reportTimer;
     report_pace m_pace;
     bool m_hasUnreportedChange = false;
     relay_handler m_onRelay;
--- a/src/programs/gateway/request_session.h
+++ b/src/programs/gateway/request_session.h
@@ -12,10 +12,9 @@
 #include "platform/response_head.h"
 #include "programs/gateway/gateway_context.h"
 #include "programs/gateway/hedged_send.h"
+#include "programs/gateway/monotonic_timer.h"
 #include "programs/gateway/reservation_set.h"
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <set>
 
 namespace mustardtrail::gateway
@@ -182,11 +181,11 @@
     customer_id m_customer;
     time_point m_arrivedAt{};
     time_point m_deadlineAt{};
-    boost::asio::steady_timer m_placementTimer;
-    boost::asio::steady_timer m_deadlineTimer;
-    boost::asio::steady_timer m_stallTimer;
-    boost::asio::steady_timer m_hedgeTimer; ///< Cancelled when a hedged send is done.
-    boost::asio::steady_timer m_copyTimer; ///< Not started unless second copies are enabled.
+    monotonic_timer m_placementTimer;
+    monotonic_timer m_deadlineTimer;
+    monotonic_timer m_stallTimer;
+    monotonic_timer m_hedgeTimer; ///< Cancelled when a hedged send is done.
+    monotonic_timer m_copyTimer; ///< Not started unless second copies are enabled.
     request_placement m_placement;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
     std::function<void()> m_closeConnection;
--- a/src/programs/gateway/reservation_renewal.cpp
+++ b/src/programs/gateway/reservation_renewal.cpp
@@ -6,7 +6,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <utility>
@@ -165,7 +164,7 @@
 asio::awaitable<void> reservation_renewal::renew()
 {
     const auto self = shared_from_this();
-    asio::steady_timer timer(m_executor);
+    monotonic_timer timer(m_executor);
     while (true) {
         timer.expires_after(m_context.reservations.renewalInterval);
         boost::system::error_code ignored;
@@ -260,7 +259,7 @@
 asio::awaitable<void> reservation_renewal::releaseAt(share target)
 {
     const auto self = shared_from_this();
-    asio::steady_timer timer(m_executor);
+    monotonic_timer timer(m_executor);
     for (int attempt = 0; attempt < maxReleaseAttempts; ++attempt) {
         const auto limits = http::call_limits::within(callTimeout);
         auto message = platform::releaseRequest(nameFor(target.server));
--- a/src/programs/gateway/reservation_renewal.h
+++ b/src/programs/gateway/reservation_renewal.h
@@ -1,9 +1,8 @@
 #pragma once
 
+#include "programs/gateway/monotonic_timer.h"
 #include "programs/gateway/reservation_set.h"
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <map>
 #include <optional>
 
@@ -50,7 +49,7 @@
     std::optional<reservation_age> m_age; ///< From the first order on.
     std::optional<time_point> m_usedAt;
     std::function<void()> m_onGivenUp;
-    boost::asio::steady_timer m_settled; ///< Cancelled when the acquisition ends.
+    monotonic_timer m_settled; ///< Cancelled when the acquisition ends.
     std::optional<bool> m_isGranted; ///< Result of the acquisition.
     unsigned m_unanswered = 0; ///< Orders that an engine may still carry out.
     bool m_isReleased = false;
--- a/src/programs/gateway/server_client.cpp
+++ b/src/programs/gateway/server_client.cpp
@@ -2,6 +2,7 @@
 
 #include "gateway/path_plan.h"
 #include "platform/response_head.h"
+#include "programs/gateway/monotonic_timer.h"
 #include "programs/gateway/relay_fields.h"
 #include "programs/gateway/relayed_answer.h"
 
@@ -9,7 +10,6 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/address_v4.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
@@ -209,7 +209,7 @@
 
 asio::awaitable<void> server_client::probeLostPaths()
 {
-    asio::steady_timer timer(m_executor);
+    monotonic_timer timer(m_executor);
     while (true) {
         timer.expires_after(probeInterval);
         boost::system::error_code ignored;
--- a/src/programs/gateway/store_reader.cpp
+++ b/src/programs/gateway/store_reader.cpp
@@ -5,7 +5,6 @@
 #include "programs/gateway/relayed_changes.h"
 
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
--- a/src/programs/gateway/store_reader.h
+++ b/src/programs/gateway/store_reader.h
@@ -4,8 +4,7 @@
 #include "gateway/store_watcher.h"
 #include "platform/store_reply.h"
 #include "programs/gateway/gateway_context.h"
-
-#include <boost/asio/steady_timer.hpp>
+#include "programs/gateway/monotonic_timer.h"
 
 namespace mustardtrail::gateway
 {
@@ -46,7 +45,7 @@
     endpoint m_store;
     store_watcher m_watcher;
     store_reader_election m_election;
-    boost::asio::steady_timer m_queryTimer;
+    monotonic_timer m_queryTimer;
     time_point m_nextPollAt{}; ///< Earliest time of this instance's next regular query.
     std::vector<published_change> m_listedChanges; ///< Pages read so far of an incomplete list.
     time_point m_listRequestedAt{};
