Idle time of a connection counts while the machine is suspended

The idle time of pooled connections was taken from a clock that stands still while the machine is suspended, but the server's keep-alive time-out goes on. A request sent just after could cross the server's close. It is now taken from CLOCK_BOOTTIME, like the times of the decisions.

idle_connections/areClosedWhenTheirTimeWasOverWhileTheMachineWasSuspended failed before and passes after.

--- a/src/http/internal/connection_pool.cpp
+++ b/src/http/internal/connection_pool.cpp
@@ -25,7 +25,7 @@
 
 std::unique_ptr<client_connection> client::connection_pool::take(const endpoint &to, std::chrono::milliseconds idle)
 {
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = system_monotonic_clock().now();
     auto &kept = m_idle[to];
     while (!kept.empty()) {
         auto connection = std::move(kept.back());
@@ -45,7 +45,7 @@
 
 void client::connection_pool::closeUnusable()
 {
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = system_monotonic_clock().now();
     for (auto &[to, kept] : m_idle) {
         std::erase_if(kept, [now](const auto &connection) {
             return now - connection->idleSince >= connection->idleLimit || !isUsable(*connection);
@@ -67,7 +67,7 @@
 {
     auto &kept = m_idle[to];
     if (kept.size() < idlePerEndpoint) {
-        connection->idleSince = std::chrono::steady_clock::now();
+        connection->idleSince = system_monotonic_clock().now();
         kept.push_back(std::move(connection));
     }
 }
--- a/src/http/internal/connection_pool.h
+++ b/src/http/internal/connection_pool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/clock.h"
 #include "http/client.h"
 #include "http/internal/partitioned_links.h"
 
@@ -53,7 +54,7 @@
     boost::beast::flat_buffer buffer{ maxUnparsedBytes };
     bool hasCarriedRequest = false;
     bool isClosed = false; ///< From this side.
-    std::chrono::steady_clock::time_point idleSince{};
+    time_point idleSince{}; ///< Of a clock that counts while the machine is suspended, as the server does.
     std::chrono::milliseconds idleLimit{ 60'000 }; ///< Not reused after being idle this long, as the server may close it.
     std::shared_ptr<client_connection *> selfReference = std::make_shared<client_connection *>(this); ///< Set to null when its call ends.
     std::shared_ptr<partitioned_links> partitions; ///< Null when forbidden.
--- a/src/http/tests/idle_connections_test.cpp
+++ b/src/http/tests/idle_connections_test.cpp
@@ -10,6 +10,11 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <sys/syscall.h>
+#include <unistd.h>
+
+#include <ctime>
+
 using namespace mustardtrail;
 using namespace mustardtrail::http;
 using mustardtrail::http::testing::raw_connection;
@@ -20,6 +25,8 @@
 namespace
 {
 
+time_t suspendedSeconds = 0; ///< How far CLOCK_BOOTTIME is ahead of the other clocks.
+
 constexpr milliseconds shortWait{ 50 };
 constexpr milliseconds untilIdleLimit{ 600 }; ///< Half of the servers' time-out is 500 ms.
 
@@ -46,7 +53,7 @@
 }
 
 /// Calls the server once, waits and closes what is of no use. Returns the connections that are kept then.
-size_t keptAfter(milliseconds wait, raw_server::script serve)
+size_t keptAfter(milliseconds wait, raw_server::script serve, time_t suspension = 0)
 {
     boost::asio::io_context context;
     const raw_server server(context.get_executor(), std::move(serve));
@@ -56,6 +63,7 @@
         cr_assert(answer.has_value());
         expectEqual(caller.idleConnections(), 1U);
         co_await pause(context, wait);
+        suspendedSeconds = suspension;
         caller.closeUnusable();
         co_await pause(context, shortWait); // For the server to see it.
     };
@@ -68,6 +76,16 @@
 
 } // namespace
 
+// Replaces the function of the C library in this program.
+extern "C" int clock_gettime(clockid_t clock, timespec *time) noexcept
+{
+    const auto result = static_cast<int>(::syscall(SYS_clock_gettime, clock, time));
+    if (result == 0 && clock == CLOCK_BOOTTIME) {
+        time->tv_sec += suspendedSeconds;
+    }
+    return result;
+}
+
 Test(idle_connections, areClosedWhenTheServerHasClosed)
 {
     expectEqual(keptAfter(shortWait, answersAndCloses()), 0U);
@@ -86,3 +104,11 @@
     expectEqual(keptAfter(shortWait, answersAndWaits(isClosed)), 1U);
     cr_assert_not(isClosed);
 }
+
+// The server counts the time for which the machine of the client was suspended.
+Test(idle_connections, areClosedWhenTheirTimeWasOverWhileTheMachineWasSuspended)
+{
+    bool isClosed = false;
+    expectEqual(keptAfter(shortWait, answersAndWaits(isClosed), 1), 0U);
+    cr_assert(isClosed);
+}
