A server's 503 without Not-Run is no promise to the caller

A server that answered 408, 429 or 503 without saying that it had not run the request had that status passed on. For callers these promise that the request has not run and never will, so one that may run once could be sent again after it had run (REFUSED). Only Not-Run and 421 state it.

Such an answer now ends as one whose outcome is not known: a request that may be repeated goes to another server as before, the caller of any other gets 502. All other failures of servers are passed on unchanged.

unfounded_promise/isNotPassedOn failed before (408) and passes after; the 188 other tests of the gateway program pass. Found by reading in the review; the users' servers send these statuses with Not-Run.

--- a/src/programs/gateway/request_relay.cpp
+++ b/src/programs/gateway/request_relay.cpp
@@ -20,6 +20,15 @@
     return std::lround(factor * percent);
 }
 
+// For callers these promise that the request has not run and never will; a server's own word for it is another field.
+bool promisesNotRun(int status)
+{
+    constexpr int requestTimeout = 408;
+    constexpr int tooManyRequests = 429;
+    constexpr int serviceUnavailable = 503;
+    return status == requestTimeout || status == tooManyRequests || status == serviceUnavailable;
+}
+
 } // namespace
 
 std::string request_session::sharedPartsText() const
@@ -289,7 +298,7 @@
     }
     m_context.metrics.recordSendOutcome("status_" + std::to_string(message.status));
     attempt_failure failure = makeFailure(head.outcome);
-    const bool isFailure = message.status >= 300;
+    const bool isFailure = message.status >= 300 && !promisesNotRun(message.status);
     if (head.outcome == verdict::ran && isFailure) {
         failure.hasAnswer = true;
         m_serverFailure = std::move(message);
