A head with a transfer coding that is not known is no answer

An answer with Transfer-Encoding gzip, "chunke" (a damaged name) or nothing was taken as one that ends with its connection, or that has the length of its Content-Length; with "gzip, chunked" the chunks were taken off. The field is not passed on, so callers got the coded bytes or the chunk sizes as the body of a signed success.

Served worse: callers of a server that sends "identity", which the standard has dropped.

--- a/src/http/internal/head_check.cpp
+++ b/src/http/internal/head_check.cpp
@@ -54,6 +54,12 @@
 
 std::optional<std::string> faultOfHead(const response_fields &head)
 {
+    // Other codings were not asked for, and the field is not passed on with the body.
+    for (const auto &field : head) {
+        if (field.name() == beast::http::field::transfer_encoding && !beast::iequals(field.value(), "chunked")) {
+            return "transfer coding \"" + std::string(field.value().data(), field.value().size()) + "\" is not known";
+        }
+    }
     return signOfSecondHead(head);
 }
 
--- a/src/http/tests/joined_answers_test.cpp
+++ b/src/http/tests/joined_answers_test.cpp
@@ -153,6 +153,22 @@
     expectEqual(takenOf(std::move(all)), 0);
 }
 
+// The body would reach the caller as it is coded, without the field that says so.
+Test(damaged_heads, areNotTakenWithACodingThatIsNotKnown)
+{
+    std::vector<std::string> all;
+    for (const std::string lines : { "Transfer-Encoding: chunke",
+             "Transfer-Encoding: gzip",
+             "Transfer-Encoding:",
+             "Transfer-Encoding: gzip, chunked",
+             "Transfer-Encoding: gzip\r\nContent-Length: 2",
+             "Content-Length: 2\r\nTransfer-Encoding: gzip",
+             "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked" }) {
+        all.push_back(headWith(lines));
+    }
+    expectEqual(takenOf(std::move(all)), 0);
+}
+
 Test(damaged_heads, areNotTakenWithDamagedChunks)
 {
     std::vector<std::string> all;
