Idle connections are looked at in turns

The instance looked at all idle connections in one go each second, with two system calls for each.

The look closes only what `take` would have refused (same clock, same limit, same check), so no connection is opened anew because of it.

idle_connections/areLookedAtInTurns fails when the limit is ignored and passes with it. With closeUnusable doing nothing, areClosedWhenTheServerHasClosed and areClosedWhenTheirTimeIsOver fail; with the idle time on steady_clock alone, areClosedWhenTheirTimeWasOverWhileTheMachineWasSuspended. All 56 tests of http pass.

--- a/src/http/client.h
+++ b/src/http/client.h
@@ -11,6 +11,7 @@
 
 #include <chrono>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <set>
 
@@ -73,8 +74,8 @@
     /// Closes the pooled connections to the endpoint.
     void closeIdle(const endpoint &to);
     /// Closes the pooled connections, to all endpoints, that are idle for too long or that the server has closed. Without it those
-    /// to endpoints that are not called any more stay open.
-    void closeUnusable();
+    /// to endpoints that are not called any more stay open. Looks at about `most` of them, and at the next ones the next time.
+    void closeUnusable(size_t most = std::numeric_limits<size_t>::max());
     /// Pooled connections to all endpoints.
     size_t idleConnections() const;
 
--- a/src/http/internal/client.cpp
+++ b/src/http/internal/client.cpp
@@ -258,9 +258,9 @@
     m_pool->drop(to);
 }
 
-void client::closeUnusable()
+void client::closeUnusable(size_t most)
 {
-    m_pool->closeUnusable();
+    m_pool->closeUnusable(most);
 }
 
 size_t client::idleConnections() const
--- a/src/http/internal/connection_pool.cpp
+++ b/src/http/internal/connection_pool.cpp
@@ -16,7 +16,9 @@
     boost::system::error_code failure;
     std::array<char, 1> byte{};
     auto &socket = connection.stream.socket();
-    socket.non_blocking(true, failure);
+    if (!socket.non_blocking()) {
+        socket.non_blocking(true, failure);
+    }
     socket.receive(boost::asio::buffer(byte), boost::asio::socket_base::message_peek, failure);
     return failure == boost::asio::error::would_block;
 }
@@ -43,17 +45,23 @@
     m_idle.erase(to);
 }
 
-void client::connection_pool::closeUnusable()
+void client::connection_pool::closeUnusable(size_t most)
 {
     const auto now = system_monotonic_clock().now();
-    for (auto &[to, kept] : m_idle) {
+    size_t looked = 0;
+    for (size_t endpoints = m_idle.size(); endpoints > 0 && looked < most; --endpoints) {
+        auto next = m_idle.upper_bound(m_lastLookedAt);
+        next = next == m_idle.end() ? m_idle.begin() : next;
+        auto &[to, kept] = *next;
+        m_lastLookedAt = to;
+        looked += kept.size();
         std::erase_if(kept, [now](const auto &connection) {
             return now - connection->idleSince >= connection->idleLimit || !isUsable(*connection);
         });
+        if (kept.empty()) {
+            m_idle.erase(next);
+        }
     }
-    std::erase_if(m_idle, [](const auto &entry) {
-        return entry.second.empty();
-    });
 }
 
 size_t client::connection_pool::size() const
--- a/src/http/internal/connection_pool.h
+++ b/src/http/internal/connection_pool.h
@@ -71,13 +71,15 @@
     /// Closes the idle connections to the endpoint.
     void drop(const endpoint &to);
     /// Closes the connections that the server has closed or that are idle for longer than their limit.
-    void closeUnusable();
+    /// Looks at about `most` of them, and at the next ones the next time.
+    void closeUnusable(size_t most);
     size_t size() const;
 
 private:
     static constexpr size_t idlePerEndpoint = 64;
 
     std::map<endpoint, std::vector<std::unique_ptr<client_connection>>> m_idle;
+    endpoint m_lastLookedAt; ///< By closeUnusable.
 };
 
 } // namespace mustardtrail::http
--- a/src/http/tests/idle_connections_test.cpp
+++ b/src/http/tests/idle_connections_test.cpp
@@ -13,7 +13,9 @@
 #include <sys/syscall.h>
 #include <unistd.h>
 
+#include <array>
 #include <ctime>
+#include <vector>
 
 using namespace mustardtrail;
 using namespace mustardtrail::http;
@@ -74,6 +76,23 @@
     return caller.idleConnections();
 }
 
+using three_servers = std::array<raw_server, 3>;
+
+/// Calls each server once, and looks at one connection after the other. Tells how many are kept before each turn and at the end.
+boost::asio::awaitable<void> callEach(
+    boost::asio::io_context &context, client &caller, const three_servers &servers, std::vector<size_t> &kept)
+{
+    for (size_t each = 0; each < servers.size(); ++each) {
+        const auto answer = co_await caller.call(servers[each].address(), request_message(), call_limits::within(milliseconds(3'000)));
+        cr_assert(answer.has_value());
+    }
+    co_await pause(context, shortWait);
+    for (size_t turn = 0; turn <= servers.size(); ++turn) {
+        kept.push_back(caller.idleConnections());
+        caller.closeUnusable(1);
+    }
+}
+
 } // namespace
 
 // Replaces the function of the C library in this program.
@@ -105,6 +124,24 @@
     cr_assert_not(isClosed);
 }
 
+// Thousands in one go would hold up all other work of the instance.
+Test(idle_connections, areLookedAtInTurns)
+{
+    boost::asio::io_context context;
+    const auto executor = context.get_executor();
+    const three_servers servers{
+        raw_server(executor, answersAndCloses()), raw_server(executor, answersAndCloses()), raw_server(executor, answersAndCloses())
+    };
+    client caller(executor);
+    std::vector<size_t> kept;
+    boost::asio::co_spawn(context, callEach(context, caller, servers, kept), [&context](std::exception_ptr) {
+        context.stop();
+    });
+    context.run();
+    const std::vector<size_t> expected{ 3, 2, 1, 0 };
+    cr_assert(kept == expected);
+}
+
 // The server counts the time for which the machine of the client was suspended.
 Test(idle_connections, areClosedWhenTheirTimeWasOverWhileTheMachineWasSuspended)
 {
--- a/src/programs/gateway/gateway_host.cpp
+++ b/src/programs/gateway/gateway_host.cpp
@@ -27,7 +27,8 @@
 
 constexpr milliseconds drainPollInterval{ 20 };
 constexpr milliseconds placementRetryInterval{ 16 }; ///< Mean time between placement attempts; a fraction of a batch step.
-constexpr milliseconds unusableConnectionsInterval{ 1'000 }; ///< Looks at each idle connection: a system call for each.
+constexpr milliseconds unusableConnectionsInterval{ 250 };
+constexpr size_t connectionsLookedAt = 256; ///< In each interval: a system call for each, while all other work waits.
 constexpr milliseconds lateLoopThreshold{ 50 }; ///< Above the delay of a timer in a process that runs undisturbed.
 constexpr double configAgeFraction = 0.8; ///< Of the key revocation limit; the rest covers requests that are already running.
 
@@ -298,7 +299,7 @@
         timer.expires_after(unusableConnectionsInterval);
         boost::system::error_code ignored;
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-        m_client.closeUnusable();
+        m_client.closeUnusable(connectionsLookedAt);
     }
 }
 
