--- a/src/http/internal/client.cpp
+++ b/src/http/internal/client.cpp
@@ -1,6 +1,7 @@
 #include "http/client.h"
 
 #include "http/internal/client_stream.h"
+#include "http/internal/head_check.h"
 #include "http/internal/read_failure.h"
 
 #include <boost/asio/redirect_error.hpp>
@@ -217,11 +218,14 @@
     auto source = std::make_unique<client_stream::parser>();
     source->body_limit(boost::none);
     boost::system::error_code failure = co_await readHeader(*connection, to, *source, headerEnd);
-    for (int heads = 0; heads < maxInterimHeads && !failure && isInterim(*source); ++heads) {
+    for (int heads = 0; heads < maxInterimHeads && !failure && isInterim(*source) && !faultOfHead(source->get()); ++heads) {
         source = std::make_unique<client_stream::parser>();
         source->body_limit(boost::none);
         failure = co_await readHeader(*connection, to, *source, headerEnd);
     }
+    if (const auto fault = failure ? std::nullopt : faultOfHead(source->get())) {
+        co_return tl::unexpected(callError(error_code::backend_answer_invalid, verdict::may_have_run, to, *fault));
+    }
     if (!failure && source->get().result_int() < 200) {
         co_return tl::unexpected(callError(error_code::backend_answer_invalid, verdict::may_have_run, to, "no head but interim ones"));
     }
@@ -254,6 +258,16 @@
     m_pool->drop(to);
 }
 
+void client::closeUnusable(size_t most)
+{
+    m_pool->closeUnusable(most);
+}
+
+size_t client::idleConnections() const
+{
+    return m_pool->size();
+}
+
 asio::awaitable<result<response_message>> client::call(endpoint to, request_message message, call_limits limits)
 {
     auto opened = co_await open(to, std::move(message), limits);
