A configuration comes into force without a copy of it

Callers waited: an instance that applies a configuration does nothing else (event_loop_late). fleet_state::applyConfig handed a copy of the whole configuration, with each route's strings, to the route table, although the published one is immutable and shared. The table now shares it.

--- a/src/gateway/internal/route_table.cpp
+++ b/src/gateway/internal/route_table.cpp
@@ -22,10 +22,10 @@
 
 } // namespace
 
-route_table::route_table(published_config config)
+route_table::route_table(std::shared_ptr<const published_config> config)
     : m_config(std::move(config))
 {
-    for (const route &each : m_config.routes) {
+    for (const route &each : m_config->routes) {
         m_byHost[lowerCase(each.host)].push_back(&each);
         m_routeKeys.insert(hash64(each.name));
         if (!each.isStream || each.eventGapTarget.count() <= 0) {
@@ -36,8 +36,8 @@
             shortest->second = std::min(shortest->second, each.eventGapTarget);
         }
     }
-    for (const auto &[service, profile] : m_config.services) {
-        m_policies[service] = policyFor(m_config, service);
+    for (const auto &[service, profile] : m_config->services) {
+        m_policies[service] = policyFor(*m_config, service);
         m_serviceKeys.insert(keyOf(service));
     }
     for (auto &[host, routes] : m_byHost) {
@@ -49,7 +49,7 @@
 
 std::uint64_t route_table::version() const
 {
-    return m_config.version;
+    return m_config->version;
 }
 
 const route *route_table::find(std::string_view host, std::string_view path) const
@@ -68,8 +68,8 @@
 
 std::optional<customer_id> route_table::customerOf(std::string_view key) const
 {
-    const auto found = m_config.customerByKey.find(std::string(key));
-    if (found == m_config.customerByKey.end()) {
+    const auto found = m_config->customerByKey.find(std::string(key));
+    if (found == m_config->customerByKey.end()) {
         return std::nullopt;
     }
     return found->second;
@@ -77,27 +77,27 @@
 
 bool route_table::isCustomer(const customer_id &customer) const
 {
-    return std::any_of(m_config.customerByKey.begin(), m_config.customerByKey.end(), [&](const auto &entry) {
+    return std::any_of(m_config->customerByKey.begin(), m_config->customerByKey.end(), [&](const auto &entry) {
         return entry.second == customer;
     });
 }
 
 bool route_table::needsKeys() const
 {
-    return m_config.needsKeys;
+    return m_config->needsKeys;
 }
 
 int route_table::urgencyOf(const route &from, const customer_id &customer) const
 {
-    const auto found = m_config.customerPriorities.find(customer);
-    const bool hasOwn = found != m_config.customerPriorities.end();
+    const auto found = m_config->customerPriorities.find(customer);
+    const bool hasOwn = found != m_config->customerPriorities.end();
     return gateway::urgencyOf(from, hasOwn ? std::optional<int>(found->second) : std::nullopt);
 }
 
 const service_profile *route_table::profileOf(const service_id &service) const
 {
-    const auto found = m_config.services.find(service);
-    return found == m_config.services.end() ? nullptr : &found->second;
+    const auto found = m_config->services.find(service);
+    return found == m_config->services.end() ? nullptr : &found->second;
 }
 
 bool route_table::isService(service_key key) const
--- a/src/gateway/route_table.h
+++ b/src/gateway/route_table.h
@@ -5,6 +5,7 @@
 #include "gateway/service_policy.h"
 #include "gateway/waiting_prompt.h"
 
+#include <memory>
 #include <optional>
 #include <set>
 #include <string_view>
@@ -17,7 +18,7 @@
 class route_table
 {
 public:
-    explicit route_table(published_config config);
+    explicit route_table(std::shared_ptr<const published_config> config);
 
     std::uint64_t version() const;
     /// Returns the route of the host with the longest matching path prefix; null when none matches.
@@ -42,7 +43,7 @@
     bool hasCoordinatedService() const;
 
 private:
-    published_config m_config;
+    std::shared_ptr<const published_config> m_config;
     std::unordered_map<std::string, std::vector<const route *>> m_byHost; ///< Longest prefix first.
     std::map<service_id, std::chrono::milliseconds> m_shortestEventGapTarget;
     std::map<service_id, service_policy> m_policies;
--- a/src/gateway/tests/route_table_test.cpp
+++ b/src/gateway/tests/route_table_test.cpp
@@ -1,9 +1,12 @@
 #include "gateway/route_table.h"
 
+#include "gateway/fleet_state.h"
+#include "gateway/tests/test_time.h"
 #include "testing/expect.h"
 
 using namespace mustardtrail;
 using namespace mustardtrail::gateway;
+using mustardtrail::gateway::testing::at;
 using mustardtrail::testing::expectEqual;
 
 namespace
@@ -26,7 +29,7 @@
     config.routes = std::move(routes);
     config.needsKeys = true;
     config.customerByKey["secret"] = customer_id("first");
-    return route_table(config);
+    return route_table(std::make_shared<const published_config>(std::move(config)));
 }
 
 } // namespace
@@ -62,3 +65,14 @@
     expectEqual(chooseServiceByWeight(split, 0.91).str(), "new");
     expectEqual(chooseServiceByWeight(split, 0.999).str(), "new");
 }
+
+// The event loop stands still for as long as a copy takes.
+Test(route_table, aConfigurationComesIntoForceWithoutACopy)
+{
+    auto config = std::make_shared<published_config>();
+    config->version = 7;
+    config->routes = { routeAt("only", "/a/") };
+    fleet_state state(1, data_centre_id("a"), fleet_limits(), [](std::string_view, std::string_view, std::string_view) {});
+    state.apply(config_published{ config }, at(0), at(0));
+    cr_assert_eq(state.routes->find("shop.example", "/a/"), &config->routes.front());
+}
