Fleet of the demo waits until its stand-ins answer

The fleet slept 0.2 s after the start of the platform's stand-in and published everything then; the answers of the control port were not looked at, so with a platform that started later nothing was published and no instance could become ready.

Shown by a platform that starts 0.5 s later: the demo under the sanitizer ends with the same line after the same 15 s (1 of 1 before), and is served in full after (2 of 2).

late_platform/fleetBecomesReady fails before (15 s) and passes after.

--- a/src/proof/fleet/process_fleet.cpp
+++ b/src/proof/fleet/process_fleet.cpp
@@ -9,6 +9,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <csignal>
 #include <fstream>
 #include <thread>
@@ -78,6 +79,21 @@
     return boost::json::serialize(boost::json::object{ { "live", std::move(entry) } });
 }
 
+/// Asks until the answer's status is accepted; it is 0 without an answer.
+bool waitForStatus(const endpoint &address, const char *target, std::chrono::seconds limit, bool (*isAccepted)(int status))
+{
+    const auto end = std::chrono::steady_clock::now() + limit;
+    http::request_message ask;
+    ask.target = target;
+    while (std::chrono::steady_clock::now() < end) {
+        if (isAccepted(callAndWait(address, ask, std::chrono::seconds(1)).status)) {
+            return true;
+        }
+        std::this_thread::sleep_for(pollPause);
+    }
+    return false;
+}
+
 const char *classesValue = R"([
     {"id":"lookup","first_token_target":"3s","total_target":"10s","repeatable":true},
     {"id":"benchmark","first_token_target":"10s","total_target":"30s","repeatable":true},
@@ -255,23 +271,34 @@
 
 bool process_fleet::waitReady(const fleet_instance &instance, int seconds)
 {
-    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(seconds);
-    http::request_message ask;
-    ask.target = "/readyz";
-    while (std::chrono::steady_clock::now() < end) {
-        if (callAndWait(instance.admin, ask, std::chrono::seconds(1)).status == 200) {
-            return true;
+    return waitForStatus(instance.admin, "/readyz", std::chrono::seconds(seconds), [](int status) {
+        return status == 200;
+    });
+}
+
+// What is published before the platform listens is lost.
+bool process_fleet::waitUntilStandinsAnswer()
+{
+    std::vector<endpoint> controls{ platformControl };
+    for (const auto *list : { &engines, &services }) {
+        for (const fleet_backend &backend : *list) {
+            controls.push_back(backend.control);
         }
-        std::this_thread::sleep_for(pollPause);
     }
-    return false;
+    return std::ranges::all_of(controls, [](const endpoint &control) {
+        return waitForStatus(control, "/", std::chrono::seconds(readySeconds), [](int status) {
+            return status != 0;
+        });
+    });
 }
 
 bool process_fleet::start()
 {
     startPlatform();
     startBackends();
-    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    if (!waitUntilStandinsAnswer()) {
+        return false;
+    }
     publishAll();
     for (fleet_instance &instance : instances) {
         startInstance(instance);
--- a/src/proof/fleet/process_fleet.h
+++ b/src/proof/fleet/process_fleet.h
@@ -71,6 +71,7 @@
     std::unique_ptr<managed_process> run(const std::string &program, const std::string &name, const std::string &settings) const;
     void startPlatform();
     void startBackends();
+    bool waitUntilStandinsAnswer();
     void publishAll();
     std::string backendServersOf(const std::string &dataCentre) const;
 
