One failed query of the store is no outage that servers are kept for

Requests reached a server up to 0.5 s beyond drain_ms after its removal from the store. After any failed query the next answer began a grace period of 2 s, in which servers that are missing are used on, as their entries may have lapsed in an outage of the store. But a kept connection may have gone silent while the store served all others: that takes 1.5 s to notice, and a server removed meanwhile was used for 2 s more.

After a single failed query the grace period now ends contact_ms after the last answer at the latest (the store may have been lost to this instance since then, and until then its requests do not count), or 2 s after changes relayed by another instance, which removals read later must have followed. After two failures in a row, one of them on a new connection, it lasts 2 s from the answer as before. Weighed: to tell an outage that ends within the first query from a silent connection is not possible; there the period is shorter by up to 1.6 s.

--- a/src/gateway/internal/store_watcher.cpp
+++ b/src/gateway/internal/store_watcher.cpp
@@ -13,8 +13,9 @@
 
 } // namespace
 
-store_watcher::store_watcher(std::chrono::milliseconds batchDelay)
+store_watcher::store_watcher(std::chrono::milliseconds batchDelay, std::chrono::milliseconds reconnectLimit)
     : m_batchDelay(batchDelay)
+    , m_reconnectLimit(reconnectLimit)
 {
 }
 
@@ -37,9 +38,21 @@
 void store_watcher::recordAnswer(time_point now)
 {
     if (m_failures > 0) {
-        m_graceUntil = now + outageGrace;
+        m_graceUntil = std::max(m_graceUntil, graceAfterFailures(now));
     }
     m_failures = 0;
+    m_lastAnswerAt = now;
+}
+
+// The store may have served all others while a kept connection of this instance was silent, which one failed query does not tell
+// from an outage. A server whose removal is read then may have been gone since the last news.
+time_point store_watcher::graceAfterFailures(time_point now) const
+{
+    const time_point afterOutage = now + outageGrace;
+    if (m_failures > 1) {
+        return afterOutage;
+    }
+    return std::min(afterOutage, std::max(m_lastAnswerAt + m_reconnectLimit, m_lastRelayAt + outageGrace));
 }
 
 bool store_watcher::onEra(std::uint64_t era, time_point now)
@@ -103,11 +116,12 @@
     return true;
 }
 
-bool store_watcher::onRelay(std::uint64_t fromRevision, std::uint64_t toRevision, time_point graceUntil)
+bool store_watcher::onRelay(std::uint64_t fromRevision, std::uint64_t toRevision, time_point graceUntil, time_point now)
 {
     if (fromRevision > m_revision) {
         return false;
     }
+    m_lastRelayAt = now;
     m_revision = std::max(m_revision, toRevision);
     m_isListConfirmed = true;
     m_graceUntil = std::max(m_graceUntil, graceUntil);
--- a/src/gateway/store_watcher.h
+++ b/src/gateway/store_watcher.h
@@ -31,8 +31,9 @@
 class store_watcher
 {
 public:
-    /// `batchDelay`: wait after a response with changes, so that the next one returns a batch.
-    explicit store_watcher(std::chrono::milliseconds batchDelay);
+    /// `batchDelay`: wait after a response with changes, so that the next one returns a batch. `reconnectLimit`: time limit for
+    /// all to work again after a connection has failed.
+    store_watcher(std::chrono::milliseconds batchDelay, std::chrono::milliseconds reconnectLimit);
 
     store_query nextQuery() const;
 
@@ -49,7 +50,7 @@
     bool onChanges(std::uint64_t storeRevision, size_t count, time_point now);
     /// Records the changes between two revisions of the known era, relayed by another instance. Returns false when earlier changes
     /// are missing here.
-    bool onRelay(std::uint64_t fromRevision, std::uint64_t toRevision, time_point graceUntil);
+    bool onRelay(std::uint64_t fromRevision, std::uint64_t toRevision, time_point graceUntil, time_point now);
     bool hasList() const;
     /// Whether all changes up to the last answer are known. A list that may be stale is not enough.
     bool isListConfirmed() const;
@@ -72,8 +73,10 @@
 
 private:
     void recordAnswer(time_point now);
+    time_point graceAfterFailures(time_point now) const;
 
     std::chrono::milliseconds m_batchDelay;
+    std::chrono::milliseconds m_reconnectLimit;
     bool m_hasList = false;
     bool m_mayListBeStale = true; ///< False once a stale list was too old to continue from.
     bool m_isListConfirmed = false; ///< Changes have been read since the list, which may have been stale.
@@ -86,6 +89,8 @@
     size_t m_lastChangeCount = 0;
     unsigned m_failures = 0;
     time_point m_graceUntil{};
+    time_point m_lastAnswerAt{};
+    time_point m_lastRelayAt{};
 };
 
 } // namespace mustardtrail::gateway
--- a/src/gateway/tests/damaged_report_test.cpp
+++ b/src/gateway/tests/damaged_report_test.cpp
@@ -41,7 +41,7 @@
 
 store_watcher watcherAt(const store_position &position)
 {
-    store_watcher watcher(std::chrono::milliseconds(600));
+    store_watcher watcher(std::chrono::milliseconds(600), std::chrono::milliseconds(3'000));
     watcher.onEra(position.era, at(0));
     watcher.onPage(position.revision, false, "", at(0));
     return watcher;
@@ -52,7 +52,7 @@
 {
     watcher.onEra(report.storePosition.era, at(0));
     if (report.relay && watcher.onEra(report.relay->era, at(0))) {
-        watcher.onRelay(report.relay->fromRevision, report.relay->toRevision, at(0));
+        watcher.onRelay(report.relay->fromRevision, report.relay->toRevision, at(0), at(0));
     }
 }
 
--- a/src/gateway/tests/store_watcher_test.cpp
+++ b/src/gateway/tests/store_watcher_test.cpp
@@ -15,12 +15,13 @@
 {
 
 constexpr milliseconds batchDelay{ 600 };
+constexpr milliseconds reconnectLimit{ 3'000 };
 
 } // namespace
 
 Test(store_watcher, listsOnceAndThenWatchesFromTheRevisionOfTheFirstPage)
 {
-    store_watcher watcher(batchDelay);
+    store_watcher watcher(batchDelay, reconnectLimit);
     cr_assert(watcher.nextQuery().type == kind::list);
     cr_assert_not(watcher.onPage(100, true, "servers/m", at(0)));
     expectEqual(watcher.nextQuery().afterKey, "servers/m");
@@ -32,7 +33,7 @@
 
 Test(store_watcher, readsChangesInBatches)
 {
-    store_watcher watcher(batchDelay);
+    store_watcher watcher(batchDelay, reconnectLimit);
     watcher.onPage(100, false, "", at(0));
     cr_assert(watcher.nextQuery().delay == milliseconds(0));
     cr_assert(watcher.onChanges(103, 3, at(10)));
@@ -43,7 +44,7 @@
 
 Test(store_watcher, rejectsAResponseWithAnOlderRevision)
 {
-    store_watcher watcher(batchDelay);
+    store_watcher watcher(batchDelay, reconnectLimit);
     watcher.onPage(100, false, "", at(0));
     watcher.onChanges(110, 1, at(10));
     cr_assert_not(watcher.onChanges(105, 1, at(10)));
@@ -52,7 +53,7 @@
 
 Test(store_watcher, listsAgainWhenTheStoreDroppedItsHistory)
 {
-    store_watcher watcher(batchDelay);
+    store_watcher watcher(batchDelay, reconnectLimit);
     watcher.onPage(100, false, "", at(0));
     watcher.onHistoryGone();
     cr_assert(watcher.nextQuery().type == kind::list);
@@ -60,7 +61,7 @@
 
 Test(store_watcher, backsOffDuringAnOutageAndStartsAGracePeriodAfterIt)
 {
-    store_watcher watcher(batchDelay);
+    store_watcher watcher(batchDelay, reconnectLimit);
     watcher.onPage(100, false, "", at(0));
     watcher.onFailure();
     cr_assert(watcher.nextQuery().delay == milliseconds(100));
@@ -76,6 +77,27 @@
     cr_assert(watcher.graceUntil() == at(7'000));
 }
 
+// A server that was removed while the kept connection to the store was silent was used for 2 s more.
+Test(store_watcher, graceAfterASilentConnectionEndsWithTheReconnectLimit)
+{
+    store_watcher watcher(batchDelay, reconnectLimit);
+    watcher.onPage(100, false, "", at(0));
+    watcher.onChanges(101, 0, at(500));
+    watcher.onFailure();
+    watcher.onChanges(102, 1, at(2'100));
+    cr_assert(watcher.graceUntil() == at(3'500));
+}
+
+Test(store_watcher, graceAfterASilentConnectionCountsFromTheLastAnswerOrRelay)
+{
+    store_watcher watcher(batchDelay, reconnectLimit);
+    watcher.onPage(100, false, "", at(0));
+    watcher.onRelay(100, 101, at(0), at(8'000));
+    watcher.onFailure();
+    watcher.onChanges(102, 1, at(9'600));
+    cr_assert(watcher.graceUntil() == at(10'000));
+}
+
 Test(config_freshness, countsFromTheQueryAndNotFromTheResponse)
 {
     config_freshness freshness(milliseconds(4'000));
@@ -95,38 +117,38 @@
 
 Test(store_watcher, acceptsRelayedChangesUnlessEarlierOnesAreMissing)
 {
-    store_watcher watcher(batchDelay);
+    store_watcher watcher(batchDelay, reconnectLimit);
     watcher.onPage(100, false, "", at(0));
-    cr_assert(watcher.onRelay(95, 110, at(0)));
+    cr_assert(watcher.onRelay(95, 110, at(0), at(0)));
     expectEqual(watcher.revision(), 110U);
-    cr_assert_not(watcher.onRelay(112, 120, at(0)));
+    cr_assert_not(watcher.onRelay(112, 120, at(0), at(0)));
     expectEqual(watcher.revision(), 110U);
-    cr_assert(watcher.onRelay(90, 105, at(0)));
+    cr_assert(watcher.onRelay(90, 105, at(0), at(0)));
     expectEqual(watcher.revision(), 110U);
 }
 
 Test(store_watcher, adoptsTheGracePeriodOfTheRelayingInstance)
 {
-    store_watcher watcher(batchDelay);
+    store_watcher watcher(batchDelay, reconnectLimit);
     watcher.onPage(100, false, "", at(0));
-    watcher.onRelay(100, 110, at(3'000));
+    watcher.onRelay(100, 110, at(3'000), at(1'000));
     cr_assert(watcher.graceUntil() == at(3'000));
 }
 
 // The store refused this instance long ago and kept serving the others: missing servers are no result of that.
 Test(store_watcher, aRelayEndsTheOutageOfThisInstance)
 {
-    store_watcher watcher(batchDelay);
+    store_watcher watcher(batchDelay, reconnectLimit);
     watcher.onPage(100, false, "", at(0));
     watcher.onFailure();
-    watcher.onRelay(100, 110, at(0));
+    watcher.onRelay(100, 110, at(0), at(0));
     watcher.onChanges(120, 1, at(30'000));
     cr_assert_lt(watcher.graceUntil().time_since_epoch().count(), at(30'000).time_since_epoch().count());
 }
 
 Test(store_watcher, restoredStoreIsListedAnewThoughItsRevisionsWentBack)
 {
-    store_watcher watcher(batchDelay);
+    store_watcher watcher(batchDelay, reconnectLimit);
     cr_assert(watcher.onEra(4, at(0)));
     watcher.onPage(100, false, "", at(0));
     cr_assert(watcher.onEra(5, at(10)));
@@ -141,7 +163,7 @@
 
 Test(store_watcher, answerOfAnOlderEraIsRejected)
 {
-    store_watcher watcher(batchDelay);
+    store_watcher watcher(batchDelay, reconnectLimit);
     watcher.onEra(5, at(0));
     watcher.onPage(60, false, "", at(0));
     cr_assert_not(watcher.onEra(4, at(10)));
@@ -151,7 +173,7 @@
 
 Test(store_watcher, firstEraIsNoRestore)
 {
-    store_watcher watcher(batchDelay);
+    store_watcher watcher(batchDelay, reconnectLimit);
     cr_assert(watcher.onEra(0, at(0))); // An instance that has not read the store yet.
     cr_assert(watcher.onEra(7, at(0)));
     cr_assert_not(watcher.isFirstListOfEra());
@@ -160,7 +182,7 @@
 
 Test(store_watcher, serversThatTheCopyLacksAreKeptUntilTheyAreWrittenAgain)
 {
-    store_watcher watcher(batchDelay);
+    store_watcher watcher(batchDelay, reconnectLimit);
     watcher.onEra(1, at(0));
     watcher.onPage(100, false, "", at(0));
     watcher.onEra(2, at(1'000));
@@ -171,7 +193,7 @@
 
 Test(store_watcher, storeThatTellsNoEraWorksAsBefore)
 {
-    store_watcher watcher(batchDelay);
+    store_watcher watcher(batchDelay, reconnectLimit);
     watcher.onPage(100, false, "", at(0));
     cr_assert_not(watcher.onChanges(90, 1, at(10)));
     expectEqual(watcher.position().revision, 100U);
@@ -179,7 +201,7 @@
 
 Test(store_watcher, firstListMayBeStaleAsTheChangesSinceAreReadAtOnce)
 {
-    store_watcher watcher(batchDelay);
+    store_watcher watcher(batchDelay, reconnectLimit);
     cr_assert(watcher.nextQuery().mayBeStale);
     // The pages come from copies of different age.
     watcher.onPage(100, true, "servers/m", at(0));
@@ -196,7 +218,7 @@
 
 Test(store_watcher, listIsNotStaleAfterTheHistoryWasGone)
 {
-    store_watcher watcher(batchDelay);
+    store_watcher watcher(batchDelay, reconnectLimit);
     watcher.onPage(100, false, "", at(0));
     watcher.onHistoryGone();
     cr_assert_not(watcher.nextQuery().mayBeStale);
--- a/src/programs/gateway/gateway_host.cpp
+++ b/src/programs/gateway/gateway_host.cpp
@@ -115,7 +115,11 @@
           [this](peer_address by, const store_relay &relay, std::optional<time_point> queriedAfter) {
               m_storeReader.onRelay(by, relay, queriedAfter);
           })
-    , m_storeReader(context.get_executor(), m_shared, peerAddressOf(m_settings.address), m_settings.store, m_settings.changeApplyLimit)
+    , m_storeReader(context.get_executor(),
+          m_shared,
+          peerAddressOf(m_settings.address),
+          m_settings.store,
+          { m_settings.changeApplyLimit, m_settings.reconnectLimit })
     , m_callerServer(
           context.get_executor(),
           callerLimits(m_settings),
--- a/src/programs/gateway/store_reader.cpp
+++ b/src/programs/gateway/store_reader.cpp
@@ -27,11 +27,11 @@
 } // namespace
 
 store_reader::store_reader(
-    asio::any_io_executor executor, gateway_context &context, peer_address self, endpoint store, milliseconds changeBound)
+    asio::any_io_executor executor, gateway_context &context, peer_address self, endpoint store, store_time_limits limits)
     : m_context(context)
     , m_store(std::move(store))
-    , m_watcher(changeBound / pollsPerChangeBound)
-    , m_election(self, changeBound / pollsPerChangeBound + store_watcher::longPollTimeout + relayMargin)
+    , m_watcher(limits.changeApply / pollsPerChangeBound, limits.reconnect)
+    , m_election(self, limits.changeApply / pollsPerChangeBound + store_watcher::longPollTimeout + relayMargin)
     , m_queryTimer(executor)
 {
 }
@@ -236,7 +236,7 @@
     if (relay.toRevision > m_watcher.revision()) {
         const std::uint64_t revisionBefore = m_watcher.revision();
         const auto changes = relay.changes ? decodeRelayedChanges(*relay.changes) : std::nullopt;
-        if (!changes || !m_watcher.onRelay(relay.fromRevision, relay.toRevision, now + relay.graceLeft)) {
+        if (!changes || !m_watcher.onRelay(relay.fromRevision, relay.toRevision, now + relay.graceLeft, now)) {
             m_election.recordMissedChanges(relay.changes.has_value(), now);
             m_context.requestMissingChanges(by);
             m_queryTimer.cancel();
--- a/src/programs/gateway/store_reader.h
+++ b/src/programs/gateway/store_reader.h
@@ -10,17 +10,19 @@
 namespace mustardtrail::gateway
 {
 
+struct store_time_limits {
+    std::chrono::milliseconds changeApply; ///< For a published change to take effect.
+    std::chrono::milliseconds reconnect; ///< For all to work again after a connection has failed.
+};
+
 /// Keeps the fleet state up to date with the platform's store, by its own queries or by the answers that another instance
 /// of the data centre relays.
 class store_reader
 {
 public:
-    /// Changes take effect within a third of `changeBound` after the store answers.
-    store_reader(boost::asio::any_io_executor executor,
-        gateway_context &context,
-        peer_address self,
-        endpoint store,
-        std::chrono::milliseconds changeBound);
+    /// Changes take effect within a third of their time limit after the store answers.
+    store_reader(
+        boost::asio::any_io_executor executor, gateway_context &context, peer_address self, endpoint store, store_time_limits limits);
 
     boost::asio::awaitable<void> run();
     /// Latest change of the store that has been applied.
