A rise of the store's era from 0 is a restore

The watcher now counts any rise as a restore once it has read something of the store, whether its era was 0 or not told. A first answer, or another instance's report before it, is none, as before. A store that begins to tell its era while instances run is listed anew once; that costs a list and 2 s in which the configuration is not confirmed.

--- a/src/gateway/internal/store_watcher.cpp
+++ b/src/gateway/internal/store_watcher.cpp
@@ -57,14 +57,13 @@
 
 bool store_watcher::onEra(std::uint64_t era, time_point now)
 {
-    if (!m_era) {
-        m_era = era > 0 ? std::optional(era) : std::nullopt;
-        return true;
-    }
-    if (era <= *m_era) {
-        return era == *m_era;
+    if (era <= m_era) {
+        return era == m_era;
     }
     m_era = era;
+    if (!hasRead()) {
+        return true;
+    }
     m_settlingUntil = now + settlingTime;
     m_graceUntil = std::max(m_graceUntil, m_settlingUntil);
     m_isFirstListOfEra = true;
@@ -73,6 +72,11 @@
     return true;
 }
 
+bool store_watcher::hasRead() const
+{
+    return m_hasList || m_revision > 0 || !m_afterKey.empty();
+}
+
 bool store_watcher::isSettling(time_point now) const
 {
     return now < m_settlingUntil;
@@ -85,7 +89,7 @@
 
 store_position store_watcher::position() const
 {
-    return { m_era.value_or(0), m_hasList ? m_revision : 0 };
+    return { m_era, m_hasList ? m_revision : 0 };
 }
 
 bool store_watcher::onPage(std::uint64_t storeRevision, bool hasMore, const std::string &lastKey, time_point now)
--- a/src/gateway/store_watcher.h
+++ b/src/gateway/store_watcher.h
@@ -4,7 +4,6 @@
 #include "gateway/store_position.h"
 
 #include <cstdint>
-#include <optional>
 #include <string>
 
 namespace mustardtrail::gateway
@@ -38,7 +37,7 @@
     store_query nextQuery() const;
 
     /// Records the era of an answer, or one that another instance has seen. A rise restarts with a full listing, as revisions
-    /// of different eras cannot be compared. Returns false when the era is older than the known one; 0 is one that is not told.
+    /// of different eras cannot be compared. Returns false when the era is older than the known one; 0 is the first one or not told.
     bool onEra(std::uint64_t era, time_point now);
     /// Whether the store was restored so recently that not all has been written again that it had lost.
     bool isSettling(time_point now) const;
@@ -74,6 +73,7 @@
 private:
     void recordAnswer(time_point now);
     time_point graceAfterFailures(time_point now) const;
+    bool hasRead() const;
 
     std::chrono::milliseconds m_batchDelay;
     std::chrono::milliseconds m_reconnectLimit;
@@ -83,7 +83,7 @@
     std::string m_afterKey;
     std::uint64_t m_listRevision = 0; ///< Lowest revision of the pages, which may be of different age.
     std::uint64_t m_revision = 0;
-    std::optional<std::uint64_t> m_era; ///< Not set before the first answer.
+    std::uint64_t m_era = 0; ///< The first era may be 0, so its rise from 0 counts once something was read.
     time_point m_settlingUntil{};
     bool m_isFirstListOfEra = false;
     size_t m_lastChangeCount = 0;
--- a/src/gateway/tests/store_watcher_test.cpp
+++ b/src/gateway/tests/store_watcher_test.cpp
@@ -180,6 +180,40 @@
     cr_assert_not(watcher.isSettling(at(0)));
 }
 
+// A key that was taken away after the first restore of a store that counts from 0 stayed in use.
+Test(store_watcher, riseFromEraZeroIsARestore)
+{
+    store_watcher watcher(batchDelay, reconnectLimit);
+    cr_assert(watcher.onEra(0, at(0)));
+    watcher.onPage(107, false, "", at(0));
+    cr_assert(watcher.onEra(1, at(10)));
+    cr_assert(watcher.nextQuery().type == kind::list);
+    cr_assert(watcher.isFirstListOfEra());
+    cr_assert(watcher.isSettling(at(10)));
+    cr_assert(watcher.onPage(104, false, "", at(20)));
+    expectEqual(watcher.nextQuery().afterRevision, 104U);
+}
+
+Test(store_watcher, riseFromEraZeroIsARestoreBetweenThePagesOfAList)
+{
+    store_watcher watcher(batchDelay, reconnectLimit);
+    watcher.onEra(0, at(0));
+    watcher.onPage(107, true, "servers/m", at(0));
+    cr_assert(watcher.onEra(1, at(10)));
+    expectEqual(watcher.nextQuery().afterKey, "");
+    cr_assert(watcher.isFirstListOfEra());
+}
+
+// Instances that do not know the era yet report 0.
+Test(store_watcher, eraThatAnotherInstanceDoesNotKnowChangesNothing)
+{
+    store_watcher watcher(batchDelay, reconnectLimit);
+    watcher.onEra(1, at(0));
+    watcher.onPage(100, false, "", at(0));
+    cr_assert_not(watcher.onEra(0, at(10)));
+    cr_assert(watcher.hasList());
+}
+
 Test(store_watcher, serversThatTheCopyLacksAreKeptUntilTheyAreWrittenAgain)
 {
     store_watcher watcher(batchDelay, reconnectLimit);
--- a/src/programs/gateway/tests/config_change_test.cpp
+++ b/src/programs/gateway/tests/config_change_test.cpp
@@ -332,3 +332,20 @@
 {
     expectOneAnswerForEachChange({ "desk", firstFallsSilentBeforeAnswer, 2, "/again/x", 1, "200 whole" });
 }
+
+// A key that was taken away after the first restore of a store that counts from 0 was served for good: the revision of the change was
+// known already.
+Test(config_change, isInForceAfterTheFirstRestoreOfTheStore)
+{
+    for (const unsigned firstEra : { 0U, 1U }) {
+        fake_platform platform;
+        platform.addRawServer("i-1", "desk", answerAtOnce);
+        platform.setFirstEra(firstEra);
+        platform.start();
+        expectEqual(platform.call("/once/x").status, 200);
+        platform.restoreStoreWithoutServers();
+        platform.publish(withoutRoutes(secondConfig()));
+        platform.runFor(milliseconds(2'000));
+        expectEqual(platform.call("/once/x").status, 404);
+    }
+}
--- a/src/programs/gateway/tests/fake_platform.h
+++ b/src/programs/gateway/tests/fake_platform.h
@@ -57,6 +57,8 @@
     void cutFirstInstanceFromServers();
     /// Makes the store go back to a copy that holds the configuration alone: its revisions go back, its era rises.
     void restoreStoreWithoutServers();
+    /// Era that the store tells before its first restore.
+    void setFirstEra(unsigned era);
     /// Configuration before any other is published: routes /stream/, /once/, /again/ and /queue/, one customer with the key "secret".
     static const std::string &firstConfig();
     /// Writes a new configuration to the store.
--- a/src/programs/gateway/tests/fake_platform_store.cpp
+++ b/src/programs/gateway/tests/fake_platform_store.cpp
@@ -102,6 +102,11 @@
     m_serverItems.clear();
 }
 
+void fake_platform::setFirstEra(unsigned era)
+{
+    m_era = era;
+}
+
 void fake_platform::publish(const std::string &config)
 {
     m_config = config;
