Pause between lists while the store is behind the known revision

A list after which the history is gone again is now followed by a pause like that after a failed query, 100 to 800 ms; the first list after a 410, and the one after an answered watch, are read at once as before.

store_watcher/pausesWhenTheHistoryIsGoneAgainAfterAList failed before and passes after.

--- a/src/gateway/internal/store_watcher.cpp
+++ b/src/gateway/internal/store_watcher.cpp
@@ -11,6 +11,12 @@
 constexpr std::chrono::milliseconds initialRetryDelay{ 100 };
 constexpr std::chrono::milliseconds maxRetryDelay{ 800 }; // A store that is back is read again within a second.
 
+/// Delay of the next try after this many failed ones.
+std::chrono::milliseconds retryDelay(unsigned failures)
+{
+    return failures == 0 ? std::chrono::milliseconds(0) : std::min(maxRetryDelay, initialRetryDelay * (1 << std::min(failures - 1, 4U)));
+}
+
 } // namespace
 
 store_watcher::store_watcher(std::chrono::milliseconds batchDelay, std::chrono::milliseconds reconnectLimit)
@@ -23,7 +29,9 @@
 {
     store_query query;
     if (m_failures > 0) {
-        query.delay = std::min(maxRetryDelay, initialRetryDelay * (1 << std::min(m_failures - 1, 4U)));
+        query.delay = retryDelay(m_failures);
+    } else if (!m_hasList && m_afterKey.empty()) {
+        query.delay = retryDelay(m_uselessLists);
     } else if (m_hasList && m_lastChangeCount > 0) {
         query.delay = m_batchDelay;
     }
@@ -68,6 +76,8 @@
     m_graceUntil = std::max(m_graceUntil, m_settlingUntil);
     m_isFirstListOfEra = true;
     m_revision = 0;
+    m_isRevisionListed = false;
+    m_uselessLists = 0;
     onHistoryGone();
     return true;
 }
@@ -105,6 +115,7 @@
     m_isFirstListOfEra = false;
     m_lastChangeCount = 0;
     m_revision = std::max(m_revision, m_listRevision);
+    m_isRevisionListed = true;
     return true;
 }
 
@@ -117,6 +128,8 @@
     }
     m_revision = storeRevision;
     m_isListConfirmed = true;
+    m_isRevisionListed = false;
+    m_uselessLists = 0;
     return true;
 }
 
@@ -152,6 +165,8 @@
 
 void store_watcher::onHistoryGone()
 {
+    m_uselessLists += m_isRevisionListed && !m_mayListBeStale ? 1 : 0;
+    m_isRevisionListed = false;
     m_mayListBeStale = false;
     m_hasList = false;
     m_afterKey.clear();
--- a/src/gateway/store_watcher.h
+++ b/src/gateway/store_watcher.h
@@ -88,6 +88,8 @@
     bool m_isFirstListOfEra = false;
     size_t m_lastChangeCount = 0;
     unsigned m_failures = 0;
+    bool m_isRevisionListed = false; ///< The last answer that told the revision was a list.
+    unsigned m_uselessLists = 0; ///< Lists after which the store had no history; its revision is below the known one.
     time_point m_graceUntil{};
     time_point m_lastAnswerAt{};
     time_point m_lastRelayAt{};
--- a/src/gateway/tests/store_watcher_test.cpp
+++ b/src/gateway/tests/store_watcher_test.cpp
@@ -214,6 +214,27 @@
     cr_assert(watcher.hasList());
 }
 
+// An instance listed and watched in turn, without a pause, while the store was behind the revision it knew.
+Test(store_watcher, pausesWhenTheHistoryIsGoneAgainAfterAList)
+{
+    store_watcher watcher(batchDelay, reconnectLimit);
+    watcher.onPage(100, false, "", at(0));
+    watcher.onChanges(107, 1, at(10));
+    watcher.onHistoryGone();
+    cr_assert(watcher.nextQuery().delay == milliseconds(0));
+    watcher.onPage(104, false, "", at(20));
+    watcher.onHistoryGone();
+    cr_assert(watcher.nextQuery().delay == milliseconds(100));
+    watcher.onPage(105, false, "", at(130));
+    cr_assert(watcher.nextQuery().delay == milliseconds(0));
+    watcher.onHistoryGone();
+    cr_assert(watcher.nextQuery().delay == milliseconds(200));
+    watcher.onPage(108, false, "", at(400));
+    watcher.onChanges(108, 0, at(410));
+    watcher.onHistoryGone();
+    cr_assert(watcher.nextQuery().delay == milliseconds(0));
+}
+
 Test(store_watcher, serversThatTheCopyLacksAreKeptUntilTheyAreWrittenAgain)
 {
     store_watcher watcher(batchDelay, reconnectLimit);
