Calls beyond the store's limit are no outage that servers are kept for

The store refuses calls beyond the limit of all instances while it serves and keeps the entries of all servers, so one that is missing then has left, and was used beyond drain_ms.

Such failures delay the next query as before and count for no grace period; failures without an answer, and 503, do.

store_watcher/callsBeyondTheLimitStartNoGracePeriod failed before and passes after.

--- a/src/gateway/internal/store_watcher.cpp
+++ b/src/gateway/internal/store_watcher.cpp
@@ -45,10 +45,11 @@
 
 void store_watcher::recordAnswer(time_point now)
 {
-    if (m_failures > 0) {
+    if (m_missingAnswers > 0) {
         m_graceUntil = std::max(m_graceUntil, graceAfterFailures(now));
     }
     m_failures = 0;
+    m_missingAnswers = 0;
     m_lastAnswerAt = now;
 }
 
@@ -57,7 +58,7 @@
 time_point store_watcher::graceAfterFailures(time_point now) const
 {
     const time_point afterOutage = now + outageGrace;
-    if (m_failures > 1) {
+    if (m_missingAnswers > 1) {
         return afterOutage;
     }
     return std::min(afterOutage, std::max(m_lastAnswerAt + m_reconnectLimit, m_lastRelayAt + outageGrace));
@@ -145,6 +146,7 @@
     // The store answers another instance: servers that go missing later do so for other reasons than the failures seen here, so
     // the next response starts no grace period.
     m_failures = 0;
+    m_missingAnswers = 0;
     return true;
 }
 
@@ -172,9 +174,10 @@
     m_afterKey.clear();
 }
 
-void store_watcher::onFailure()
+void store_watcher::onFailure(store_failure why)
 {
     ++m_failures;
+    m_missingAnswers += why == store_failure::no_answer ? 1 : 0;
     m_afterKey.clear();
 }
 
--- a/src/gateway/store_watcher.h
+++ b/src/gateway/store_watcher.h
@@ -24,6 +24,12 @@
     std::chrono::milliseconds delay{ 0 }; ///< Wait before the query is sent.
 };
 
+/// Why a query has failed.
+enum class store_failure {
+    no_answer, ///< Or none that can be used: the store may be down for all.
+    beyond_limit, ///< The store serves others and refuses calls beyond a limit.
+};
+
 /// List-and-watch state of the platform's store: reads the full listing once, then follows the changes. Handles a store that
 /// is down, is slow, refuses this instance, has dropped its history or was restored from an older copy. Reads changes in batches, as each
 /// call has a price.
@@ -57,7 +63,7 @@
     store_position position() const;
     /// The store no longer has the changes after the known revision: restarts with a full listing.
     void onHistoryGone();
-    void onFailure();
+    void onFailure(store_failure why = store_failure::no_answer);
 
     bool isReachable() const;
     /// Returns the end of the grace period after a store outage. Until then servers missing from the list are kept, as they may
@@ -88,6 +94,7 @@
     bool m_isFirstListOfEra = false;
     size_t m_lastChangeCount = 0;
     unsigned m_failures = 0;
+    unsigned m_missingAnswers = 0; ///< Of the failures.
     bool m_isRevisionListed = false; ///< The last answer that told the revision was a list.
     unsigned m_uselessLists = 0; ///< Lists after which the store had no history; its revision is below the known one.
     time_point m_graceUntil{};
--- a/src/gateway/tests/store_watcher_test.cpp
+++ b/src/gateway/tests/store_watcher_test.cpp
@@ -98,6 +98,24 @@
     cr_assert(watcher.graceUntil() == at(10'000));
 }
 
+// A store that refuses calls beyond its limit holds the entries of all servers, so one that goes missing has left.
+Test(store_watcher, callsBeyondTheLimitStartNoGracePeriod)
+{
+    store_watcher watcher(batchDelay, reconnectLimit);
+    watcher.onPage(100, false, "", at(0));
+    for (int count = 1; count <= 4; ++count) {
+        watcher.onFailure(store_failure::beyond_limit);
+    }
+    cr_assert(watcher.nextQuery().delay == milliseconds(800));
+    watcher.onChanges(101, 1, at(2'000));
+    cr_assert(watcher.graceUntil() <= at(2'000));
+    watcher.onFailure(store_failure::beyond_limit);
+    watcher.onFailure();
+    watcher.onFailure();
+    watcher.onChanges(102, 1, at(5'000));
+    cr_assert(watcher.graceUntil() == at(7'000));
+}
+
 Test(config_freshness, countsFromTheQueryAndNotFromTheResponse)
 {
     config_freshness freshness(milliseconds(4'000));
--- a/src/programs/gateway/store_reader.cpp
+++ b/src/programs/gateway/store_reader.cpp
@@ -19,6 +19,7 @@
 {
 
 constexpr milliseconds callTimeout{ 1'000 }; ///< Hundreds of times the usual response time; after it the store counts as unreachable.
+constexpr int tooManyCallsStatus = 429;
 constexpr int pollsPerChangeBound = 4; ///< Of the bound, a quarter remains for the wait at the store and two for replacing a failed reader.
 constexpr milliseconds relayMargin{ 200 }; ///< Allows for a slow answer of the store and the transfer of the relay.
 constexpr size_t maxRelayBytes = 16'000; ///< Compressed: a few hundred routes or servers; each instance reads a larger answer itself.
@@ -130,7 +131,8 @@
         co_return;
     }
     if (answer->status != 200) {
-        onFailure("refused", "status=" + std::to_string(answer->status));
+        const auto why = answer->status == tooManyCallsStatus ? store_failure::beyond_limit : store_failure::no_answer;
+        onFailure("refused", "status=" + std::to_string(answer->status), why);
         co_return;
     }
     const auto reply = isList ? platform::readListReply(answer->body) : platform::readWatchReply(answer->body);
@@ -260,10 +262,10 @@
     }
 }
 
-void store_reader::onFailure(std::string_view what, std::string_view detail)
+void store_reader::onFailure(std::string_view what, std::string_view detail, store_failure why)
 {
     m_context.metrics.recordStoreCall(std::string(what));
-    m_watcher.onFailure();
+    m_watcher.onFailure(why);
     if (m_wasReachable) {
         m_wasReachable = false;
         m_context.log.write(log_line("store_lost").add("reason", what).add("detail", detail));
--- a/src/programs/gateway/store_reader.h
+++ b/src/programs/gateway/store_reader.h
@@ -42,7 +42,7 @@
     void onListPage(const platform::store_reply &reply);
     bool onChanges(const platform::store_reply &reply, time_point queriedAt);
     void confirmConfig(time_point queriedAt);
-    void onFailure(std::string_view what, std::string_view detail);
+    void onFailure(std::string_view what, std::string_view detail, store_failure why = store_failure::no_answer);
 
     gateway_context &m_context;
     endpoint m_store;
