Changes too large to read are listed instead

An instance that had missed more than 8 MiB of changes (a value may have 1 MiB, and a watch returns each version) could not read the answer and asked for the same changes again, until the store dropped its history after retention_s, 20 s. Meanwhile its configuration was not confirmed and all its callers were refused. Found by reading in the review.

Such an answer now makes the instance list anew: a list has pages and holds no replaced values. It is logged as store_lost reason=too_large.

config_change/isInForceThoughTheChangesBeforeItAreTooLargeToRead (9 MB of replaced values) failed before and passes after.

--- a/src/programs/gateway/store_reader.cpp
+++ b/src/programs/gateway/store_reader.cpp
@@ -110,7 +110,11 @@
     const milliseconds longPollTimeout = isList ? milliseconds(0) : storeQuery.longPollTimeout;
     auto answer = co_await call(std::move(message), longPollTimeout);
     if (!answer) {
-        onFailure("no_answer", answer.error().detail);
+        const bool isTooLarge = answer.error().outcome == verdict::ran;
+        onFailure(isTooLarge ? "too_large" : "no_answer", answer.error().detail);
+        if (isTooLarge && !isList) {
+            m_watcher.onHistoryGone(); // A list has pages, and no values that have been replaced.
+        }
         co_return;
     }
     const auto era = platform::readStoreEra(answer->headers);
--- a/src/programs/gateway/tests/config_change_test.cpp
+++ b/src/programs/gateway/tests/config_change_test.cpp
@@ -349,3 +349,16 @@
         expectEqual(platform.call("/once/x").status, 404);
     }
 }
+
+// An instance that had missed many large configurations read none of them until the store had dropped its history.
+Test(config_change, isInForceThoughTheChangesBeforeItAreTooLargeToRead)
+{
+    fake_platform platform;
+    platform.addRawServer("i-1", "desk", answerAtOnce);
+    platform.start();
+    expectEqual(platform.call("/once/x").status, 200);
+    platform.writeSupersededValues(9);
+    platform.publish(withoutRoutes(secondConfig()));
+    platform.runFor(milliseconds(2'000));
+    expectEqual(platform.call("/once/x").status, 404);
+}
--- a/src/programs/gateway/tests/fake_platform.h
+++ b/src/programs/gateway/tests/fake_platform.h
@@ -57,6 +57,8 @@
     void cutFirstInstanceFromServers();
     /// Makes the store go back to a copy that holds the configuration alone: its revisions go back, its era rises.
     void restoreStoreWithoutServers();
+    /// Writes so many megabytes of values that are replaced at once: changes hold them all, lists do not.
+    void writeSupersededValues(size_t megabytes);
     /// Era that the store tells before its first restore.
     void setFirstEra(unsigned era);
     /// Configuration before any other is published: routes /stream/, /once/, /again/ and /queue/, one customer with the key "secret".
@@ -126,6 +128,7 @@
     http::client m_caller;
     endpoint m_callerAddress;
     endpoint m_secondCallerAddress;
+    std::pair<unsigned, size_t> m_superseded{ 0, 0 }; ///< Revision and megabytes of values that have been replaced.
     bool m_isStoreDown = false;
     int m_immediateAnswers = 0;
     std::chrono::milliseconds m_stopGrace{ 8'000 };
--- a/src/programs/gateway/tests/fake_platform_store.cpp
+++ b/src/programs/gateway/tests/fake_platform_store.cpp
@@ -57,6 +57,11 @@
     }
 }
 
+void fake_platform::writeSupersededValues(size_t megabytes)
+{
+    m_superseded = { ++m_revision, megabytes };
+}
+
 void fake_platform::callSecondInstance()
 {
     m_callerAddress = m_secondCallerAddress;
@@ -71,7 +76,8 @@
         return isAll || revision > std::stoul(after);
     };
     const auto isNew = [this, &isAfter] {
-        return isAfter(m_configRevision) || (!m_writtenItems.empty() && isAfter(m_writtenItems.back().first));
+        return isAfter(m_configRevision) || isAfter(m_superseded.first)
+            || (!m_writtenItems.empty() && isAfter(m_writtenItems.back().first));
     };
     for (int waits = 0; !isList && !m_isStoreDown && !isNew() && waits < maxWaits; ++waits) {
         asio::steady_timer wait(exchange.executor(), milliseconds(10));
@@ -79,6 +85,9 @@
     }
     http::response_message answer;
     std::string items;
+    for (size_t count = 0; !isList && isAfter(m_superseded.first) && count < m_superseded.second; ++count) {
+        items += storeItem("op/other", std::string(1'000'000, 'x'), m_superseded.first) + ",";
+    }
     for (const auto &[writtenAt, item] : m_writtenItems) {
         items += isAfter(writtenAt) ? item + "," : "";
     }
