A caller that takes a large answer slowly gets all of it

An answer was cut when its caller took longer than the progress limit (10 s) to take the whole of it, though it took parts all the while: one limit covered the whole write of a response, or of one piece of a stream. Its final line said that it was served. Several answers of megabytes on a link of 20 Mbit/s take that long.

--- a/src/http/internal/server_exchange.cpp
+++ b/src/http/internal/server_exchange.cpp
@@ -5,11 +5,13 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/buffers_suffix.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
 #include <array>
 #include <stdexcept>
 
@@ -43,6 +45,21 @@
     return failure != asio::error::would_block && (failure || count == 0);
 }
 
+/// Sends all bytes; the progress limit applies to each part that the peer takes, not to their sum.
+template<typename buffers>
+asio::awaitable<boost::system::error_code> writeAll(beast::tcp_stream &stream, buffers bytes, const server_limits &limits)
+{
+    const auto end = std::chrono::steady_clock::now() + limits.wholeWrite;
+    beast::buffers_suffix<buffers> rest(bytes);
+    boost::system::error_code failure;
+    while (!failure && beast::buffer_bytes(rest) > 0) {
+        stream.expires_at(std::min(std::chrono::steady_clock::now() + limits.progress, end));
+        const size_t count = co_await stream.async_write_some(rest, asio::redirect_error(asio::use_awaitable, failure));
+        rest.consume(count);
+    }
+    co_return failure;
+}
+
 template<typename message> void setHeaders(message &target, const header_list &headers)
 {
     for (const auto &[name, value] : headers.fields()) {
@@ -100,9 +117,13 @@
     response.prepare_payload();
     beginResponse(phase::responding);
     response.keep_alive(m_keepAlive);
-    m_stream.expires_after(m_limits.progress);
     boost::system::error_code failure;
-    co_await beast::http::async_write(m_stream, response, asio::redirect_error(asio::use_awaitable, failure));
+    beast::http::response_serializer<beast::http::string_body> serializer(response);
+    const auto end = std::chrono::steady_clock::now() + m_limits.wholeWrite;
+    while (!failure && !serializer.is_done()) {
+        m_stream.expires_at(std::min(std::chrono::steady_clock::now() + m_limits.progress, end));
+        co_await beast::http::async_write_some(m_stream, serializer, asio::redirect_error(asio::use_awaitable, failure));
+    }
     m_phase = phase::answered;
     m_broken = m_broken || failure;
     co_return !failure;
@@ -130,10 +151,8 @@
     if (m_broken || bytes.empty()) {
         co_return !m_broken;
     }
-    m_stream.expires_after(m_limits.progress);
-    boost::system::error_code failure;
     const asio::const_buffer piece(bytes.data(), bytes.size());
-    co_await asio::async_write(m_stream, beast::http::make_chunk(piece), asio::redirect_error(asio::use_awaitable, failure));
+    const auto failure = co_await writeAll(m_stream, beast::http::make_chunk(piece), m_limits);
     m_broken = m_broken || failure;
     co_return !failure;
 }
