Changes too large to read start no grace period

An answer of the store that is too large to read was counted as one that is missing: after it, servers that the list lacks were used on as after an outage, up to contact_ms after the last answer (2 s after a second failure), although the store had answered all the while.

It is now a failure of its own kind: the next query waits and lists as before, and no grace period begins. The decision moved from store_reader to store_watcher.

store_watcher/changesTooLargeToReadAreListedAndStartNoGracePeriod: fails with the answer counted as missing (graceUntil), passes after.

--- a/src/gateway/internal/store_watcher.cpp
+++ b/src/gateway/internal/store_watcher.cpp
@@ -179,6 +179,9 @@
     ++m_failures;
     m_missingAnswers += why == store_failure::no_answer ? 1 : 0;
     m_afterKey.clear();
+    if (why == store_failure::too_large && m_hasList) {
+        onHistoryGone();
+    }
 }
 
 bool store_watcher::isReachable() const
--- a/src/gateway/store_watcher.h
+++ b/src/gateway/store_watcher.h
@@ -28,6 +28,7 @@
 enum class store_failure {
     no_answer, ///< Or none that can be used: the store may be down for all.
     beyond_limit, ///< The store serves others and refuses calls beyond a limit.
+    too_large, ///< The store has answered with more than can be read.
 };
 
 /// List-and-watch state of the platform's store: reads the full listing once, then follows the changes. Handles a store that
@@ -63,6 +64,7 @@
     store_position position() const;
     /// The store no longer has the changes after the known revision: restarts with a full listing.
     void onHistoryGone();
+    /// Changes that are too large to read are listed instead: a list has pages, and no values that have been replaced.
     void onFailure(store_failure why = store_failure::no_answer);
 
     bool isReachable() const;
--- a/src/gateway/tests/store_watcher_test.cpp
+++ b/src/gateway/tests/store_watcher_test.cpp
@@ -116,6 +116,20 @@
     cr_assert(watcher.graceUntil() == at(7'000));
 }
 
+// The store has answered, so a server that the list lacks has left.
+Test(store_watcher, changesTooLargeToReadAreListedAndStartNoGracePeriod)
+{
+    store_watcher watcher(batchDelay, reconnectLimit);
+    watcher.onPage(100, false, "", at(0));
+    watcher.onChanges(101, 0, at(500));
+    watcher.onFailure(store_failure::too_large);
+    cr_assert(watcher.nextQuery().type == kind::list);
+    cr_assert_not(watcher.nextQuery().mayBeStale);
+    cr_assert(watcher.nextQuery().delay == milliseconds(100));
+    cr_assert(watcher.onPage(108, false, "", at(1'000)));
+    cr_assert(watcher.graceUntil() <= at(1'000));
+}
+
 Test(config_freshness, countsFromTheQueryAndNotFromTheResponse)
 {
     config_freshness freshness(milliseconds(4'000));
--- a/src/programs/gateway/store_reader.cpp
+++ b/src/programs/gateway/store_reader.cpp
@@ -111,10 +111,8 @@
     auto answer = co_await call(std::move(message), longPollTimeout);
     if (!answer) {
         const bool isTooLarge = answer.error().outcome == verdict::ran;
-        onFailure(isTooLarge ? "too_large" : "no_answer", answer.error().detail);
-        if (isTooLarge && !isList) {
-            m_watcher.onHistoryGone(); // A list has pages, and no values that have been replaced.
-        }
+        const auto why = isTooLarge ? store_failure::too_large : store_failure::no_answer;
+        onFailure(isTooLarge ? "too_large" : "no_answer", answer.error().detail, why);
         co_return;
     }
     const auto era = platform::readStoreEra(answer->headers);
