A relay without changes counts for the grace after one failed query

Servers whose entries had lapsed in an outage that ended within that query were dropped at once, where they were kept for 2 s before. Found by reading.

A relay that tells the known revision is an answer of the store as well: servers whose removal is read later were listed then. It now counts like one with changes. One that is behind the known revision does not, as it may be an old one. What a removal may be delayed by stays: 2 s after the last relay, less than drain_ms. No more calls to the store.

That store_reader hands such relays on is compiled and not tested.

--- a/src/gateway/internal/store_watcher.cpp
+++ b/src/gateway/internal/store_watcher.cpp
@@ -150,6 +150,13 @@
     return true;
 }
 
+void store_watcher::onRelayOfKnownRevision(std::uint64_t revision, time_point now)
+{
+    if (revision >= m_revision) {
+        m_lastRelayAt = now;
+    }
+}
+
 bool store_watcher::isListConfirmed() const
 {
     return m_isListConfirmed;
--- a/src/gateway/store_watcher.h
+++ b/src/gateway/store_watcher.h
@@ -57,6 +57,8 @@
     /// Records the changes between two revisions of the known era, relayed by another instance. Returns false when earlier changes
     /// are missing here.
     bool onRelay(std::uint64_t fromRevision, std::uint64_t toRevision, time_point graceUntil, time_point now);
+    /// Records an answer of the store to another instance that holds nothing new here.
+    void onRelayOfKnownRevision(std::uint64_t revision, time_point now);
     bool hasList() const;
     /// Whether all changes up to the last answer are known. A list that may be stale is not enough.
     bool isListConfirmed() const;
--- a/src/gateway/tests/store_watcher_test.cpp
+++ b/src/gateway/tests/store_watcher_test.cpp
@@ -130,6 +130,29 @@
     cr_assert(watcher.graceUntil() <= at(1'000));
 }
 
+// Nothing else tells when the store was last known to answer while another instance reads it and nothing changes.
+Test(store_watcher, graceAfterASilentConnectionCountsFromARelayWithoutChanges)
+{
+    store_watcher watcher(batchDelay, reconnectLimit);
+    watcher.onPage(100, false, "", at(0));
+    watcher.onChanges(101, 0, at(500));
+    watcher.onRelayOfKnownRevision(101, at(8'000));
+    watcher.onFailure();
+    watcher.onChanges(102, 1, at(9'600));
+    cr_assert(watcher.graceUntil() == at(10'000));
+}
+
+Test(store_watcher, aRelayThatIsBehindTellsNothingForTheGracePeriod)
+{
+    store_watcher watcher(batchDelay, reconnectLimit);
+    watcher.onPage(100, false, "", at(0));
+    watcher.onChanges(101, 0, at(500));
+    watcher.onRelayOfKnownRevision(100, at(8'000));
+    watcher.onFailure();
+    watcher.onChanges(102, 1, at(9'600));
+    cr_assert(watcher.graceUntil() <= at(9'600));
+}
+
 Test(config_freshness, countsFromTheQueryAndNotFromTheResponse)
 {
     config_freshness freshness(milliseconds(4'000));
--- a/src/programs/gateway/store_reader.cpp
+++ b/src/programs/gateway/store_reader.cpp
@@ -249,6 +249,8 @@
         apply(*changes, revisionBefore, now);
         m_context.state.expire(now);
         m_election.recordCaughtUp();
+    } else {
+        m_watcher.onRelayOfKnownRevision(relay.toRevision, now);
     }
     if (queriedAfter) {
         confirmConfig(*queriedAfter);
