The grace period in a relay that is sent again ends when it did for others

A relay of store changes tells how much is left of the grace period after an outage, in which missing servers are used on. Relays are kept for 10 s for instances that have missed them, and were sent again with the time that was left at first: the receiver began a grace period of up to 2 s anew, seconds after it had ended elsewhere, and used servers whose removal it read with it.

The age of the relay is now taken off.

relay_history/gracePeriodOfAResentRelayEndsWhenThatOfTheFirstDid failed before (2,000 ms told 500 ms later, where 1,500 are left) and passes after; relay_history/* 6 of 6.

--- a/src/gateway/internal/relay_history.cpp
+++ b/src/gateway/internal/relay_history.cpp
@@ -1,5 +1,7 @@
 #include "gateway/relay_history.h"
 
+#include <algorithm>
+
 namespace mustardtrail::gateway
 {
 
@@ -36,6 +38,8 @@
     for (const entry &each : m_entries) {
         if (each.relay.toRevision > revision) {
             missing.push_back(each.relay);
+            const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - each.addedAt);
+            missing.back().graceLeft = std::max(each.relay.graceLeft - age, std::chrono::milliseconds(0));
         }
     }
     if (!missing.empty()) {
--- a/src/gateway/tests/relay_history_test.cpp
+++ b/src/gateway/tests/relay_history_test.cpp
@@ -83,3 +83,20 @@
     expectEqual(history.missedRelaysFor(3, 11, at(20)).size(), 0U);
     expectEqual(history.missedRelaysFor(3, 13, at(20)).size(), 1U);
 }
+
+// An instance that had missed a relay kept missing servers on long after the grace period had ended for all others.
+Test(relay_history, gracePeriodOfAResentRelayEndsWhenThatOfTheFirstDid)
+{
+    for (const auto &[age, left] : { std::pair(500, 1'500), std::pair(2'000, 0), std::pair(9'000, 0) }) {
+        relay_history history;
+        store_relay relay;
+        relay.fromRevision = 100;
+        relay.toRevision = 101;
+        relay.changes = "change";
+        relay.graceLeft = std::chrono::milliseconds(2'000);
+        history.add(relay, at(0));
+        const auto missed = history.missedRelaysFor(2, 100, at(age));
+        cr_assert(missed.size() == 1U);
+        expectEqual(missed.front().graceLeft.count(), left);
+    }
+}
