--- a/src/gateway/internal/store_watcher.cpp
+++ b/src/gateway/internal/store_watcher.cpp
@@ -150,6 +150,13 @@
     return true;
 }
 
+void store_watcher::onRelayOfKnownRevision(std::uint64_t revision, time_point now)
+{
+    if (revision >= m_revision) {
+        m_lastRelayAt = now;
+    }
+}
+
 bool store_watcher::isListConfirmed() const
 {
     return m_isListConfirmed;
@@ -179,6 +186,9 @@
     ++m_failures;
     m_missingAnswers += why == store_failure::no_answer ? 1 : 0;
     m_afterKey.clear();
+    if (why == store_failure::too_large && m_hasList) {
+        onHistoryGone();
+    }
 }
 
 bool store_watcher::isReachable() const
--- a/src/programs/gateway/store_reader.cpp
+++ b/src/programs/gateway/store_reader.cpp
@@ -110,10 +110,8 @@
     auto answer = co_await call(std::move(message), longPollTimeout);
     if (!answer) {
         const bool isTooLarge = answer.error().outcome == verdict::ran;
-        onFailure(isTooLarge ? "too_large" : "no_answer", answer.error().detail);
-        if (isTooLarge && !isList) {
-            m_watcher.onHistoryGone(); // A list has pages, and no values that have been replaced.
-        }
+        const auto why = isTooLarge ? store_failure::too_large : store_failure::no_answer;
+        onFailure(isTooLarge ? "too_large" : "no_answer", answer.error().detail, why);
         co_return;
     }
     const auto era = platform::readStoreEra(answer->headers);
@@ -250,6 +248,8 @@
         apply(*changes, revisionBefore, now);
         m_context.state.expire(now);
         m_election.recordCaughtUp();
+    } else {
+        m_watcher.onRelayOfKnownRevision(relay.toRevision, now);
     }
     if (queriedAfter) {
         confirmConfig(*queriedAfter);
