Servers' answers without end share one part of an instance's memory

Cause: each answer was bounded (8 MiB, an event 1 MiB), their sum over the requests of an instance was not. answer_budget counts them: plain answers, unfinished events and events that a caller has not taken, what hedged sends and second copies have read, an error answer that is kept. When an eighth of the memory limit is used up, the largest unfinished answer is ended as a faulty server's (may_have_run), not the newest one, so that small answers of sound servers are served. memory_shares divides the limit; bodies of requests get a quarter (a third before), relayed ones an eighth (a sixth before).

Ruled out: heads, interim heads and chunk extensions, which are bounded. Relays pass answers on piece by piece and keep none.

--- a/src/gateway/event_splitter.h
+++ b/src/gateway/event_splitter.h
@@ -19,6 +19,8 @@
     bool isEventTooLong() const;
     /// Whether bytes are buffered after the last complete event.
     bool hasPartialEvent() const;
+    /// Memory that the buffered bytes take.
+    size_t heldBytes() const;
     /// Discards these bytes, before another server continues the stream.
     void discardPartialEvent();
 
--- a/src/gateway/internal/event_splitter.cpp
+++ b/src/gateway/internal/event_splitter.cpp
@@ -70,9 +70,14 @@
     return !m_pending.empty();
 }
 
+size_t event_splitter::heldBytes() const
+{
+    return m_pending.capacity();
+}
+
 void event_splitter::discardPartialEvent()
 {
-    m_pending.clear();
+    m_pending = {}; // Gives its memory back, which `clear` would keep.
     m_searched = 0;
 }
 
--- a/src/programs/gateway/gateway_context.h
+++ b/src/programs/gateway/gateway_context.h
@@ -2,7 +2,9 @@
 
 #include "base/clock.h"
 #include "base/random_source.h"
+#include "gateway/answer_budget.h"
 #include "gateway/fleet_state.h"
+#include "gateway/memory_shares.h"
 #include "gateway/placement_queue.h"
 #include "gateway/reservation_rule.h"
 #include "http/client.h"
@@ -40,6 +42,7 @@
     std::function<void(server_key, const attempt_id &)> readPace{}; ///< Asks an engine how slow it is; the attempt is for the log.
     std::function<void(server_key, server_start_key, const attempt_id &)> verifyCrash{}; ///< Finds out whether the server really ended.
     std::optional<time_point> finalAnswersAt{}; ///< While the process stops: when `isEnding` becomes true.
+    answer_budget answers{ memory_shares::of(0).answers }; ///< What is held of servers' answers.
     bool isEnding = false; ///< The process is about to end: requests get their final answers now.
     std::map<std::uint64_t, std::function<void()>> onEnding{}; ///< Of the requests that are being served.
 };
--- a/src/programs/gateway/gateway_host.cpp
+++ b/src/programs/gateway/gateway_host.cpp
@@ -1,5 +1,6 @@
 #include "programs/gateway/gateway_host.h"
 
+#include "gateway/memory_shares.h"
 #include "gateway/stop_schedule.h"
 #include "platform/response_head.h"
 #include "programs/gateway/placement_query.h"
@@ -40,17 +41,11 @@
 
 http::server_limits callerLimits(const platform::instance_settings &settings)
 {
-    constexpr std::int64_t bytesPerMegabyte = 1024 * 1024;
     http::server_limits limits;
-    limits.totalBodyBytes = static_cast<size_t>(std::max<std::int64_t>(settings.memoryMegabytes / 3, 32) * bytesPerMegabyte);
+    limits.totalBodyBytes = memory_shares::of(settings.memoryMegabytes).requestBodies;
     return limits;
 }
 
-size_t relayBytes(const platform::instance_settings &settings)
-{
-    return callerLimits(settings).totalBodyBytes / 2;
-}
-
 http::response_message badRequest(int status, int, std::string_view detail)
 {
     return platform::localResponse(status, std::string(detail), std::nullopt);
@@ -137,10 +132,11 @@
               return serveMetrics(exchange);
           },
           badRequest)
-    , m_relayService(context.get_executor(), m_client, m_state, m_log, relayBytes(m_settings))
+    , m_relayService(context.get_executor(), m_client, m_state, m_log, memory_shares::of(m_settings.memoryMegabytes).relayedBodies)
     , m_paceReader(context.get_executor(), m_shared)
     , m_crashVerifier(context.get_executor(), m_shared)
 {
+    m_shared.answers.setLimit(memory_shares::of(m_settings.memoryMegabytes).answers);
     m_shared.readPace = [this](server_key server, const attempt_id &attempt) {
         m_paceReader.readPace(server, attempt);
     };
@@ -266,6 +262,7 @@
     const auto age = confirmed ? std::chrono::duration_cast<milliseconds>(m_clock.now() - *confirmed) : milliseconds(-1);
     m_metrics.setFleetView(
         m_state.routes ? m_state.routes->version() : 0, age, m_state.servers.size(), m_state.loads.peerCount(), m_log.dropped());
+    m_metrics.setHeldAnswers(m_shared.answers.heldBytes());
     auto answer = http::makeResponse(200, m_metrics.text(), "text/plain; version=0.0.4");
     co_await exchange.respond(std::move(answer));
 }
--- a/src/programs/gateway/gateway_metrics.cpp
+++ b/src/programs/gateway/gateway_metrics.cpp
@@ -67,6 +67,7 @@
         = histogram(registry, "room_wait_seconds", "Wait of a long prompt for capacity at the engines by outcome");
     prometheus::Gauge &waitingPrompts
         = gauge(registry, "waiting_prompts", "Long prompts that wait here with a place in the order of all instances").Add({});
+    prometheus::Gauge &heldAnswers = gauge(registry, "held_answer_bytes", "Bytes of servers' answers that are held here").Add({});
     prometheus::Family<prometheus::Counter> &sends = counter(registry, "sends_total", "Sends to backend servers by outcome");
     prometheus::Family<prometheus::Counter> &customerPrefill = prometheus::BuildCounter()
                                                                    .Name("mustardtrail_customer_prefill_seconds_total")
@@ -125,6 +126,11 @@
     m_families->waitingPrompts.Set(static_cast<double>(count));
 }
 
+void gateway_metrics::setHeldAnswers(size_t bytes)
+{
+    m_families->heldAnswers.Set(static_cast<double>(bytes));
+}
+
 void gateway_metrics::recordRoomWait(const std::string &outcome, std::chrono::nanoseconds duration)
 {
     m_families->roomWaits.Add({ { "outcome", outcome } }, latencyBuckets()).Observe(toSeconds(duration));
--- a/src/programs/gateway/gateway_metrics.h
+++ b/src/programs/gateway/gateway_metrics.h
@@ -27,6 +27,8 @@
     void recordUnusedReservation(std::chrono::nanoseconds duration);
     /// Long prompts that wait at this instance with a place in the order of all instances.
     void setWaitingPrompts(size_t count);
+    /// Bytes of servers' answers that this instance holds.
+    void setHeldAnswers(size_t bytes);
     /// Time that such a prompt waited, and how that ended.
     void recordRoomWait(const std::string &outcome, std::chrono::nanoseconds duration);
     /// Prefill time sent to engines for a customer. Customers beyond the first `maxCustomers` are counted together as "other".
--- a/src/programs/gateway/hedged_send.cpp
+++ b/src/programs/gateway/hedged_send.cpp
@@ -101,6 +101,9 @@
         m_context.log.write(log_line("hedge_aborted").add("request", m_sent.attempt->id().str()).add("detail", thrown.what()));
     }
     m_outcome = failed.value_or(verdict::ran);
+    if (failed) {
+        m_held.reset();
+    }
     if (const auto onDone = std::exchange(m_onDone, nullptr)) {
         onDone();
     }
@@ -144,6 +147,7 @@
     if (m_sent.reservations) {
         m_sent.reservations->recordUse();
     }
+    m_held->finish();
     m_answer = std::make_unique<prefetched_answer>(std::move(*answer), std::move(received));
     co_return std::nullopt;
 }
@@ -152,8 +156,17 @@
 {
     event_splitter events;
     m_sent.position.beginAnswer();
+    m_held.emplace(m_context.answers, [this] {
+        if (m_closeConnection) {
+            m_closeConnection();
+        }
+    });
     while (true) {
         const auto bytes = co_await answer.read();
+        if (m_held->isGivenUp()) {
+            rejectLongAnswer(received.size());
+            co_return false;
+        }
         if (!bytes) {
             m_isCutOff = !m_isCancelled && bytes.error().code == error_code::backend_connection_lost;
             co_return false;
@@ -179,12 +192,25 @@
             m_isCutOff = m_sent.isStream && (events.hasPartialEvent() || answer.endsWithConnection());
             co_return !m_isCutOff;
         }
-        if (events.isEventTooLong() || received.size() > m_sent.limits.bodyBytes) {
+        const bool isTooLong = events.isEventTooLong() || received.size() > m_sent.limits.bodyBytes;
+        if (isTooLong || !m_held->resize(received.capacity() + events.heldBytes())) {
+            rejectLongAnswer(received.size());
             co_return false;
         }
     }
 }
 
+void hedged_send::rejectLongAnswer(size_t bytes) const
+{
+    m_context.metrics.recordSendOutcome("answer_too_long");
+    m_context.log.write(log_line("answer_too_long")
+                            .add("request", m_sent.attempt->id().str())
+                            .add("server", m_sent.server.str())
+                            .add("bytes", static_cast<std::int64_t>(bytes))
+                            .add("held", static_cast<std::int64_t>(m_context.answers.heldBytes()))
+                            .add("most", static_cast<std::int64_t>(m_context.answers.limitBytes())));
+}
+
 const hedged_send::order &hedged_send::sent() const
 {
     return m_sent;
@@ -227,6 +253,7 @@
 
 std::unique_ptr<http::response_stream> hedged_send::takeAnswer()
 {
+    m_held.reset();
     return std::move(m_answer);
 }
 
--- a/src/programs/gateway/hedged_send.h
+++ b/src/programs/gateway/hedged_send.h
@@ -65,6 +65,8 @@
     /// False when the answer is lost or no proper one.
     boost::asio::awaitable<bool> readAhead(http::response_stream &answer, std::string &received);
 
+    void rejectLongAnswer(size_t bytes) const;
+
     gateway_context &m_context;
     order m_sent;
     done_hook m_onDone;
@@ -73,6 +75,7 @@
     platform::response_head m_head;
     verdict m_outcome = verdict::may_have_run;
     time_point m_sentAt{};
+    std::optional<answer_budget::share> m_held; ///< While the answer is read, and until it is taken.
     bool m_isDelivered = false;
     bool m_isUnreachable = false;
     bool m_isCutOff = false;
--- a/src/programs/gateway/request_relay.cpp
+++ b/src/programs/gateway/request_relay.cpp
@@ -166,11 +166,38 @@
     return makeFailure(verdict::ran);
 }
 
+void request_session::onAnswerGivenUp()
+{
+    if (m_closeConnection) {
+        m_closeConnection();
+    }
+}
+
+attempt_failure request_session::rejectLongAnswer(size_t bytes, verdict outcome)
+{
+    m_context.metrics.recordSendOutcome("answer_too_long");
+    m_closedBecause = answerTooLong;
+    m_context.log.write(log_line("answer_too_long")
+                            .add("request", m_head.attempt.str())
+                            .add("server", m_lastServer)
+                            .add("bytes", static_cast<std::int64_t>(bytes))
+                            .add("held", static_cast<std::int64_t>(m_context.answers.heldBytes()))
+                            .add("most", static_cast<std::int64_t>(m_context.answers.limitBytes())));
+    return makeFailure(outcome);
+}
+
 asio::awaitable<std::optional<attempt_failure>> request_session::relayStream(http::response_stream &answer)
 {
     m_position.beginAnswer();
+    answer_budget::share held(m_context.answers, [this] {
+        onAnswerGivenUp();
+    });
     while (!m_isCallerGone) {
         auto bytes = co_await answer.read();
+        if (held.isGivenUp()) {
+            m_events.discardPartialEvent();
+            co_return rejectLongAnswer(held.bytes(), verdict::may_have_run);
+        }
         if (!bytes) {
             m_context.metrics.recordSendOutcome("stream_lost");
             co_return toFailure(bytes.error());
@@ -193,10 +220,10 @@
             delivered.recordDelivered(*event);
             completeEvents += event->text;
         }
-        if (m_events.isEventTooLong()) {
-            m_context.metrics.recordSendOutcome("event_too_long");
-            m_closedBecause = "event_too_long";
-            co_return makeFailure(verdict::may_have_run);
+        const size_t bytesHeld = m_events.heldBytes() + completeEvents.capacity();
+        if (m_events.isEventTooLong() || !held.resize(bytesHeld)) {
+            m_events.discardPartialEvent();
+            co_return rejectLongAnswer(bytesHeld, verdict::may_have_run);
         }
         if (completeEvents.empty()) {
             continue;
@@ -263,19 +290,30 @@
     http::response_stream &answer, const platform::response_head &head)
 {
     http::response_message message{ answer.status(), platform::endToEndHeaders(answer.headers()), {} };
+    const verdict lost = head.outcome == verdict::not_run ? verdict::not_run : verdict::may_have_run;
+    auto held = std::make_unique<answer_budget::share>(m_context.answers, [this] {
+        onAnswerGivenUp();
+    });
     while (true) {
         auto bytes = co_await answer.read();
-        if (!bytes || message.body.size() > maxAnswerBytes) {
+        if (held->isGivenUp() || message.body.size() > maxAnswerBytes) {
+            co_return rejectLongAnswer(message.body.size(), lost);
+        }
+        if (!bytes) {
             m_context.metrics.recordSendOutcome("answer_lost");
-            attempt_failure failure = makeFailure(head.outcome == verdict::not_run ? verdict::not_run : verdict::may_have_run);
-            failure.isCutOff = !bytes && failure.outcome != verdict::not_run;
+            attempt_failure failure = makeFailure(lost);
+            failure.isCutOff = failure.outcome != verdict::not_run;
             co_return failure;
         }
         if (bytes->empty()) {
             break;
         }
         message.body += *bytes;
+        if (!held->resize(message.body.capacity())) {
+            co_return rejectLongAnswer(message.body.size(), lost);
+        }
     }
+    held->finish();
     m_faultyServer = head.faultyServer;
     if (head.isSuccess && !m_exchange.hasStarted()) {
         recordLatency(m_context.clock.now());
@@ -293,6 +331,7 @@
     if (head.outcome == verdict::ran && isFailure) {
         failure.hasAnswer = true;
         m_serverFailure = std::move(message);
+        m_heldFailure = std::move(held);
     }
     co_return failure;
 }
--- a/src/programs/gateway/request_session.h
+++ b/src/programs/gateway/request_session.h
@@ -75,6 +75,10 @@
     boost::asio::awaitable<void> refuse(const refusal &answer);
     next_step stepAfter(const attempt_failure &failure);
 
+    /// The answer of the current send is the largest that this instance holds, and there is no room for all.
+    void onAnswerGivenUp();
+    /// Ends the current send, whose answer is longer than a proper one or has no room.
+    attempt_failure rejectLongAnswer(size_t bytes, verdict outcome);
     attempt_failure makeFailure(verdict outcome) const;
     attempt_failure toFailure(const error &problem) const;
     void watchCaller();
@@ -169,6 +173,7 @@
     std::chrono::milliseconds age(time_point now) const;
 
     static constexpr size_t maxAnswerBytes = 8 * 1024 * 1024; ///< Limit of the body of an answer.
+    static constexpr std::string_view answerTooLong = "answer_too_long"; ///< Value of `m_closedBecause`.
     static constexpr std::string_view copyAnswered = "copy_answered"; ///< Value of `m_closedBecause`.
 
     gateway_context &m_context;
@@ -222,6 +227,7 @@
     std::chrono::milliseconds m_longestGap{ 0 }; ///< Between two events.
     std::shared_ptr<reservation_set> m_reservations; ///< Null when the prompt fits on one engine.
     std::vector<std::shared_ptr<hedged_send>> m_hedges; ///< Empty while one send runs alone.
+    std::unique_ptr<answer_budget::share> m_heldFailure; ///< Of `m_serverFailure`.
     std::optional<http::response_message> m_serverFailure; ///< Error answer of a server that may be passed on to the caller.
 };
 
--- a/src/programs/gateway/tests/endless_answers_test.cpp
+++ b/src/programs/gateway/tests/endless_answers_test.cpp
@@ -2,6 +2,10 @@
 
 #include "testing/expect.h"
 
+#include <malloc.h>
+
+#include <algorithm>
+
 using namespace mustardtrail;
 using namespace mustardtrail::gateway::testing;
 using http::testing::raw_connection;
@@ -126,6 +130,24 @@
     return heads;
 }
 
+constexpr size_t memoryLimitMegabytes = 64; // Of the instance.
+constexpr int callersAtOnce = 48; // Their answers take more than the limit if each is read to its own.
+const std::string oneRequest = "POST /once/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a1\r\nDeadline-Ms: 4000\r\nAuthorization: Token "
+                               "secret\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+
+/// The first sends get bytes without end; all others are answered whole.
+boost::asio::awaitable<void> fillMemoryAtFirst(raw_connection &connection)
+{
+    return sends++ < callersAtOnce ? sendWithoutEnd(connection, unframedHead, std::string(16 * 1024, 'x')) : answerWhole(connection);
+}
+
+/// Memory in use by this process, with the instance in it; 0 where the allocator doesn't tell.
+size_t usedMegabytes()
+{
+    const auto use = mallinfo2();
+    return (use.uordblks + use.hblkhd) / (1024 * 1024);
+}
+
 const std::string extension = ";" + std::string(16 * 1024, 'x');
 const std::string trailer = "X-More: " + std::string(16 * 1024, 'x') + "\r\n";
 
@@ -214,3 +236,38 @@
     cr_assert(answer.isComplete);
     cr_assert_lt(sentBytes, eventLimit);
 }
+
+// An instance was ended for its memory, with all its requests: each answer had a limit, their sum had none.
+Test(endless_answers, ofManyRequestsStayWithinTheMemoryOfTheInstance)
+{
+    fake_platform platform;
+    platform.setMemoryLimit(memoryLimitMegabytes);
+    platform.addRawServer("i-1", "desk", fillMemoryAtFirst);
+    platform.addRawServer("i-2", "desk", fillMemoryAtFirst);
+    platform.start();
+    std::vector<raw_caller> callers;
+    for (int count = 0; count < callersAtOnce; ++count) {
+        callers.push_back(platform.openCaller(oneRequest));
+    }
+    size_t mostUsed = 0;
+    const auto runAndMeasure = [&](int steps, const std::function<bool()> &isDone) {
+        for (int step = 0; step < steps && !isDone(); ++step) {
+            platform.runFor(milliseconds(5));
+            mostUsed = std::max(mostUsed, usedMegabytes());
+        }
+    };
+    runAndMeasure(200, [] {
+        return sends >= callersAtOnce;
+    });
+    expectEqual(sends, callersAtOnce);
+    expectEqual(platform.call("/once/x").body, "whole");
+    runAndMeasure(700, [&callers] {
+        return std::ranges::all_of(callers, &raw_caller::isClosed);
+    });
+    cr_assert_lt(mostUsed, memoryLimitMegabytes, "%zu MB", mostUsed);
+    // 504 would mean that nothing but the deadline has ended a request.
+    const auto isFailed = [](const raw_caller &caller) {
+        return caller.onlyAnswer().starts_with("502");
+    };
+    expectEqual(std::ranges::count_if(callers, isFailed), callersAtOnce);
+}
--- a/src/programs/gateway/tests/fake_platform.cpp
+++ b/src/programs/gateway/tests/fake_platform.cpp
@@ -140,7 +140,7 @@
     settings.peerPort = peerPort;
     settings.metricsPort = metricsPort;
     settings.store = m_storeAddress;
-    settings.memoryMegabytes = 260;
+    settings.memoryMegabytes = m_memoryMegabytes;
     settings.isFirstStart = true;
     settings.stopGrace = m_stopGrace;
     settings.keyRevocationLimit = m_keyRevocationLimit;
@@ -199,6 +199,11 @@
     m_stopGrace = grace;
 }
 
+void fake_platform::setMemoryLimit(std::int64_t megabytes)
+{
+    m_memoryMegabytes = megabytes;
+}
+
 void fake_platform::setKeyRevocationLimit(milliseconds limit)
 {
     m_keyRevocationLimit = limit;
--- a/src/programs/gateway/tests/fake_platform.h
+++ b/src/programs/gateway/tests/fake_platform.h
@@ -73,6 +73,8 @@
     void stopFirstInstance();
     /// Time that an instance started from now on has to stop.
     void setStopGrace(std::chrono::milliseconds grace);
+    /// Memory limit of an instance started from now on.
+    void setMemoryLimit(std::int64_t megabytes);
     /// Time within which an instance started from now on stops serving requests with a key if it does not hear from the store.
     void setKeyRevocationLimit(std::chrono::milliseconds limit);
     /// Makes the store answer 503 from now on.
@@ -128,6 +130,7 @@
     int m_immediateAnswers = 0;
     std::chrono::milliseconds m_stopGrace{ 8'000 };
     std::chrono::milliseconds m_keyRevocationLimit{ 5'000 };
+    std::int64_t m_memoryMegabytes = 260;
     unsigned m_era = 1;
     unsigned m_revision = 9;
 };
