--- a/src/programs/gateway/server_client.cpp
+++ b/src/programs/gateway/server_client.cpp
@@ -26,6 +26,7 @@
 constexpr milliseconds relayConnectTimeout{ 100 }; ///< Other instances are near, and known to be alive.
 constexpr milliseconds relayAvoidance{ 1'000 }; ///< A few reports, which tell whether the instance is alive.
 constexpr milliseconds probeTimeout{ 250 };
+constexpr size_t maxCallAnswerBytes = 256 * 1024; ///< Far more than a report, or the answer to an order.
 constexpr milliseconds probeInterval{ 100 }; ///< Between looks for a path that is due.
 
 bool isUnsent(const error &problem)
@@ -179,7 +180,7 @@
 asio::awaitable<result<http::response_message>> server_client::call(
     endpoint server, http::request_message message, http::call_limits limits, attempt_id attempt)
 {
-    const size_t maxBytes = limits.bodyBytes;
+    const size_t maxBytes = std::min(limits.bodyBytes, maxCallAnswerBytes);
     auto opened = co_await openOnAnyPath(server, std::move(message), std::move(limits), attempt);
     if (!opened) {
         co_return tl::unexpected(opened.error());
