--- a/src/programs/gateway/tests/dripping_answers_test.cpp
+++ b/src/programs/gateway/tests/dripping_answers_test.cpp
@@ -123,3 +123,15 @@
 {
     expectEndedAtTheDeadline(unframedHead, "x");
 }
+
+Test(dripping_answers, commentsAfterEventsEndAtTheDeadline)
+{
+    fake_platform platform;
+    platform.addRawServer("i-1", "reading", firstDrips(unframedHead + firstEvents, ": go on\n\n"));
+    platform.start();
+    const caller_answer answer = platform.call("/stream/x", "secret", milliseconds(400));
+    cr_assert(answer.body.starts_with(firstEvents));
+    cr_assert_not(answer.isComplete);
+    platform.runFor(milliseconds(100));
+    expectEqual(dripping, 0);
+}
