A stream that has been read to its end is not given up for its memory

While the caller took the end of a stream, the budget of answers could still close the connection, which may be kept for another request. Found by reading, not seen; no test of its own. endless_answers (15), dripping_answers (8), broken_stream (13), silent_server (10) pass.

--- a/src/programs/gateway/request_relay.cpp
+++ b/src/programs/gateway/request_relay.cpp
@@ -235,6 +235,7 @@
         m_position = delivered;
         watchStall(stallTimeout());
     }
+    held.finish();
     // A server that ends before its first event closes the connection as one without anything to say would.
     const bool endedBeforeFirstEvent = !m_firstEventOfSendAt && answer.endsWithConnection();
     const bool isComplete = !m_isCallerGone && !m_events.hasPartialEvent() && !endedBeforeFirstEvent;
