--- a/src/programs/gateway/request_relay.cpp
+++ b/src/programs/gateway/request_relay.cpp
@@ -125,7 +125,7 @@
     if (head.isForOtherRequest) {
         m_context.metrics.recordSendOutcome("other_request");
         attempt_failure failure = makeFailure(head.outcome);
-        failure.detail = "answer to another request";
+        failure.detail = "answer to another request, or a head with two values of Attempt-Id, Not-Run or Response-Stamp";
         co_return failure;
     }
     if (head.isSuccess && m_route->isStream) {
