--- a/src/http/tests/strict_reader.cpp
+++ b/src/http/tests/strict_reader.cpp
@@ -1,5 +1,6 @@
 #include "http/tests/strict_reader.h"
 
+#include <algorithm>
 #include <regex>
 
 namespace mustardtrail::http::testing
