--help shows what a program does and its flags

The gateway also names its environment variable, where settings and policy are described, and its exit codes.

Programs other than the gateway were not run, and mustardtrail-ctl parses its flags itself.

--- a/src/programs/gateway/main.cpp
+++ b/src/programs/gateway/main.cpp
@@ -17,9 +17,9 @@
 #include <sstream>
 
 ABSL_FLAG(std::string, settings, "", "settings file of the platform; default: the file named by MUSTARDTRAIL_CONFIG");
-ABSL_FLAG(bool, check_settings, false, "read the settings, print what is wrong, and exit");
+ABSL_FLAG(bool, check_settings, false, "read the settings and the policy, print what is wrong, and exit");
 ABSL_FLAG(std::string, policy, "", "INI file of the operator, read at the start and on SIGHUP; default: none");
-ABSL_FLAG(std::string, log_level, "info", "debug, info or warning");
+ABSL_FLAG(std::string, log_level, "info", "least severe level that is logged: debug, info or warning");
 
 using namespace mustardtrail;
 using namespace mustardtrail::gateway;
@@ -28,6 +28,13 @@
 namespace
 {
 
+constexpr char usage[] = "Serves callers' requests of one instance on the users' platform.\n\n"
+                         "Environment:\n"
+                         "  MUSTARDTRAIL_CONFIG  settings file, used unless --settings names one\n\n"
+                         "The settings' format is described in the platform's own pages, and read by platform/instance_settings.h.\n"
+                         "The policy and the log are described in docs/OPERATIONS.md. Exit codes: 0 success, 1 bad command line,\n"
+                         "2 settings or policy with problems, 3 an address could not be bound.";
+
 std::string settingsPath()
 {
     const std::string given = absl::GetFlag(FLAGS_settings);
@@ -125,7 +132,7 @@
     // Installed first: until its handler exists, any of these signals ends the process, even SIGHUP, which only reloads settings.
     asio::io_context context(1);
     asio::signal_set handled(context, SIGTERM, SIGINT, SIGHUP);
-    absl::SetProgramUsageMessage("Serves callers' requests of one instance on the users' platform.");
+    absl::SetProgramUsageMessage(usage);
     host::parseCommandLine(argc, argv);
     const auto settings = readSettings();
     if (!settings) {
