Answers that their callers do not take leave room for others

A quarter of the budget is left to unfinished answers, whatever the finished ones hold, and an answer that finishes beyond the whole budget is given up. A stream counts after each write what it still holds.

answer_budget/leavesUnfinishedAnswersAPartBesideFinishedOnes uses the result of finish(), which the code before does not have; by the rule before, the answers of 15 and 10 beside 95 of 100 are given up.

--- a/src/gateway/answer_budget.h
+++ b/src/gateway/answer_budget.h
@@ -25,7 +25,10 @@
 
 private:
     size_t m_limitBytes;
-    size_t m_heldBytes = 0;
+    size_t m_unfinishedBytes = 0;
+    size_t m_finishedBytes = 0;
+    size_t unfinishedRoom() const;
+
     std::set<share *> m_unfinished; ///< Answers that can be given up.
 };
 
@@ -41,8 +44,9 @@
 
     /// Sets the bytes that the answer holds. Returns false when it is to be given up, also if it was given up before.
     bool resize(size_t bytes);
-    /// The answer is complete: it counts on and is not given up any more.
-    void finish();
+    /// The answer is complete: it counts on and is not given up any more. Returns false when it is to be given up, as too many finished
+    /// ones wait for their callers.
+    bool finish();
     bool isGivenUp() const;
     size_t bytes() const;
 
@@ -53,6 +57,7 @@
     std::function<void()> m_onGivenUp;
     size_t m_bytes = 0;
     bool m_isGivenUp = false;
+    bool m_isFinished = false;
 };
 
 } // namespace mustardtrail::gateway
--- a/src/gateway/internal/answer_budget.cpp
+++ b/src/gateway/internal/answer_budget.cpp
@@ -6,6 +6,13 @@
 namespace mustardtrail::gateway
 {
 
+namespace
+{
+
+constexpr size_t partsOfLimit = 4; // One of them is left to unfinished answers, however much the finished ones hold.
+
+} // namespace
+
 answer_budget::answer_budget(size_t limitBytes)
     : m_limitBytes(limitBytes)
 {
@@ -21,9 +28,14 @@
     return m_limitBytes;
 }
 
+size_t answer_budget::unfinishedRoom() const
+{
+    return std::max(m_limitBytes - std::min(m_limitBytes, m_finishedBytes), m_limitBytes / partsOfLimit);
+}
+
 size_t answer_budget::heldBytes() const
 {
-    return m_heldBytes;
+    return m_unfinishedBytes + m_finishedBytes;
 }
 
 answer_budget::share::share(answer_budget &budget, std::function<void()> onGivenUp)
@@ -35,18 +47,21 @@
 
 answer_budget::share::~share()
 {
-    m_budget.m_heldBytes -= m_isGivenUp ? 0 : m_bytes;
-    m_budget.m_unfinished.erase(this);
+    if (m_isFinished) {
+        m_budget.m_finishedBytes -= m_bytes;
+    } else if (!m_isGivenUp) {
+        giveUp();
+    }
 }
 
 bool answer_budget::share::resize(size_t bytes)
 {
-    if (m_isGivenUp) {
-        return false;
+    if (m_isGivenUp || m_isFinished) {
+        return m_isFinished;
     }
-    m_budget.m_heldBytes = m_budget.m_heldBytes - m_bytes + bytes;
+    m_budget.m_unfinishedBytes = m_budget.m_unfinishedBytes - m_bytes + bytes;
     m_bytes = bytes;
-    while (m_budget.m_heldBytes > m_budget.m_limitBytes && !m_budget.m_unfinished.empty()) {
+    while (m_budget.m_unfinishedBytes > m_budget.unfinishedRoom()) {
         share *largest = *std::ranges::max_element(m_budget.m_unfinished, {}, &share::m_bytes);
         if (m_bytes == largest->m_bytes) {
             largest = this;
@@ -66,13 +81,20 @@
 void answer_budget::share::giveUp()
 {
     m_isGivenUp = true;
-    m_budget.m_heldBytes -= m_bytes;
+    m_budget.m_unfinishedBytes -= m_bytes;
     m_budget.m_unfinished.erase(this);
 }
 
-void answer_budget::share::finish()
+bool answer_budget::share::finish()
 {
-    m_budget.m_unfinished.erase(this);
+    if (m_isGivenUp || m_isFinished) {
+        return m_isFinished;
+    }
+    giveUp();
+    m_isFinished = m_budget.m_finishedBytes + m_bytes <= m_budget.m_limitBytes;
+    m_isGivenUp = !m_isFinished;
+    m_budget.m_finishedBytes += m_isFinished ? m_bytes : 0;
+    return m_isFinished;
 }
 
 bool answer_budget::share::isGivenUp() const
--- a/src/programs/gateway/hedged_send.cpp
+++ b/src/programs/gateway/hedged_send.cpp
@@ -147,7 +147,10 @@
     if (m_sent.reservations) {
         m_sent.reservations->recordUse();
     }
-    m_held->finish();
+    if (!m_held->finish()) {
+        rejectLongAnswer(received.size());
+        co_return verdict::may_have_run;
+    }
     m_answer = std::make_unique<prefetched_answer>(std::move(*answer), std::move(received));
     co_return std::nullopt;
 }
--- a/src/programs/gateway/request_relay.cpp
+++ b/src/programs/gateway/request_relay.cpp
@@ -242,6 +242,7 @@
         const bool open = co_await m_exchange.write(completeEvents);
         m_isCallerGone = m_isCallerGone || !open;
         m_position = delivered;
+        held.resize(m_events.heldBytes());
         watchStall(stallTimeout());
     }
     held.finish();
@@ -323,7 +324,9 @@
             co_return rejectLongAnswer(message.body.size(), lost);
         }
     }
-    held->finish();
+    if (!held->finish()) {
+        co_return rejectLongAnswer(message.body.size(), lost);
+    }
     m_faultyServer = head.faultyServer;
     if (head.isSuccess && !m_exchange.hasStarted()) {
         recordLatency(m_context.clock.now());
