Only a lost connection makes the later sends of a request open new ones

A time-out or a silent server is no sign that other connections are lost, so such second sends use kept connections as before.

The tests of lost_connections now check that a loss took place.

--- a/src/gateway/sent_attempt.h
+++ b/src/gateway/sent_attempt.h
@@ -18,8 +18,7 @@
     /// Records a send. Returns whether it needs a new connection: on one that carried the attempt before, or any other request if
     /// the attempt has no id, an extra response to that earlier request could not be told from the response to this send.
     bool recordSend(const endpoint &server);
-    /// A send got no answer: what happened to its connection may have happened to all that were open then, also to other servers. Each
-    /// later send needs a new connection.
+    /// The connection of a send was lost: so may be all that were open then, also to other servers. Each later send needs a new one.
     void recordLoss();
 
 private:
--- a/src/gateway/tests/sent_attempt_test.cpp
+++ b/src/gateway/tests/sent_attempt_test.cpp
@@ -20,7 +20,7 @@
 }
 
 // The second send of a stream went over a connection that was lost in the same moment as the first one.
-Test(sent_attempt, needsANewConnectionAfterASendWithoutAnAnswer)
+Test(sent_attempt, needsANewConnectionAfterALostOne)
 {
     sent_attempt attempt(attempt_id("a1"));
     cr_assert_not(attempt.recordSend({ "10.0.0.1", 80 }));
--- a/src/programs/gateway/request_hedge.cpp
+++ b/src/programs/gateway/request_hedge.cpp
@@ -102,7 +102,6 @@
                             .add("server", server->entry.id.str())
                             .add("lastEvent", static_cast<std::int64_t>(m_position.lastId().value_or(-1)))
                             .add("age", age(now)));
-    m_attempt->recordLoss();
     launchHedge(placed, *server, std::nullopt, now);
     return true;
 }
--- a/src/programs/gateway/request_retry.cpp
+++ b/src/programs/gateway/request_retry.cpp
@@ -30,7 +30,7 @@
 {
     m_mayHaveRun = m_mayHaveRun || failure.outcome != verdict::not_run;
     m_possibleRuns += failure.outcome != verdict::not_run ? 1 : 0;
-    if (failure.outcome != verdict::not_run && !failure.hasAnswer) {
+    if (failure.isCutOff && m_closedBecause.empty()) {
         m_attempt->recordLoss();
     }
 }
--- a/src/programs/gateway/tests/lost_connections_test.cpp
+++ b/src/programs/gateway/tests/lost_connections_test.cpp
@@ -62,6 +62,7 @@
 const std::string firstEvents = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
 const std::string lastEvent = "id: 3\ndata: c\n\n";
 
+int lost = 0; ///< Requests that were answered by a reset.
 bool areConnectionsLost = false; ///< All that were open are: the next request on each is answered by a reset.
 
 std::string chunk(const std::string &bytes)
@@ -95,6 +96,7 @@
         co_await connection.send(streamHead + chunk(firstEvents));
         co_await connection.pause(milliseconds(20));
     }
+    lost += isOpen ? 1 : 0;
     connection.reset();
 }
 
@@ -114,7 +116,9 @@
     }
     platform.runFor(milliseconds(300));
     areConnectionsLost = true;
-    return platform.call(path);
+    caller_answer answer = platform.call(path);
+    cr_assert_gt(lost, 0);
+    return answer;
 }
 
 } // namespace
