Sends that reach no server do not spend the budget of second sends

Callers of streams got no complete answer while two fifths of the servers refused connections from everywhere: each stream's second send was refused at one or two of them, the budget of the instance was used up, and the stream was cut although it had run once of the two times allowed.

The budget limits arrivals at servers beyond the first, and a refused connection is none. Answers that refuse a request are arrivals and cost as before.

--- a/src/programs/gateway/request_retry.cpp
+++ b/src/programs/gateway/request_retry.cpp
@@ -46,7 +46,9 @@
         logResendDenied(why);
         return stepIfWithinBudget;
     }
-    if (m_deliveredSends == 0) {
+    // Nothing has arrived at a server, so what the budget gave to that send is still to be used.
+    const bool isUnused = failure.isUnreachable && failure.outcome == verdict::not_run;
+    if (m_deliveredSends == 0 || isUnused) {
         return stepIfWithinBudget;
     }
     const auto cause = failure.outcome == verdict::not_run ? resend_budget::cause::refused : resend_budget::cause::interrupted;
