--- a/src/gateway/answer_budget.h
+++ b/src/gateway/answer_budget.h
@@ -52,6 +52,8 @@
 
 private:
     void giveUp();
+    /// It is no unfinished answer any more, and counts nothing as one.
+    void leaveUnfinished();
 
     answer_budget &m_budget;
     std::function<void()> m_onGivenUp;
--- a/src/gateway/internal/answer_budget.cpp
+++ b/src/gateway/internal/answer_budget.cpp
@@ -50,7 +50,7 @@
     if (m_isFinished) {
         m_budget.m_finishedBytes -= m_bytes;
     } else if (!m_isGivenUp) {
-        giveUp();
+        leaveUnfinished();
     }
 }
 
@@ -81,6 +81,11 @@
 void answer_budget::share::giveUp()
 {
     m_isGivenUp = true;
+    leaveUnfinished();
+}
+
+void answer_budget::share::leaveUnfinished()
+{
     m_budget.m_unfinishedBytes -= m_bytes;
     m_budget.m_unfinished.erase(this);
 }
@@ -90,11 +95,14 @@
     if (m_isGivenUp || m_isFinished) {
         return m_isFinished;
     }
-    giveUp();
-    m_isFinished = m_budget.m_finishedBytes + m_bytes <= m_budget.m_limitBytes;
-    m_isGivenUp = !m_isFinished;
-    m_budget.m_finishedBytes += m_isFinished ? m_bytes : 0;
-    return m_isFinished;
+    if (m_budget.m_finishedBytes + m_bytes > m_budget.m_limitBytes) {
+        giveUp();
+        return false;
+    }
+    leaveUnfinished();
+    m_isFinished = true;
+    m_budget.m_finishedBytes += m_bytes;
+    return true;
 }
 
 bool answer_budget::share::isGivenUp() const
--- a/src/gateway/internal/retry_rule.cpp
+++ b/src/gateway/internal/retry_rule.cpp
@@ -39,4 +39,11 @@
     return state.mayHaveRun ? next_step::fail : next_step::refuse;
 }
 
+bool needsResendBudget(const attempt_failure &failure, unsigned deliveredSends)
+{
+    // What the budget gave to a send that reached no server is still to be used.
+    const bool hasUnusedShare = failure.isUnreachable && failure.outcome == verdict::not_run;
+    return deliveredSends > 0 && !hasUnusedShare;
+}
+
 } // namespace mustardtrail::gateway
--- a/src/gateway/retry_rule.h
+++ b/src/gateway/retry_rule.h
@@ -31,4 +31,8 @@
 /// only once.
 next_step decideRetry(const attempt_failure &failure, const retry_state &state);
 
+/// Whether another send after the failed one takes a new share of the resend budget, which limits arrivals at servers beyond the first.
+/// `deliveredSends`: sends of the request that have reached a server so far.
+bool needsResendBudget(const attempt_failure &failure, unsigned deliveredSends);
+
 } // namespace mustardtrail::gateway
--- a/src/gateway/tests/retry_rule_test.cpp
+++ b/src/gateway/tests/retry_rule_test.cpp
@@ -90,3 +90,18 @@
     answered.hasAnswer = true;
     cr_assert(decideRetry(answered, afterPossibleRun(retry_semantics::once)) == next_step::relay_failure);
 }
+
+// Sends whose connections were refused used up the budget, and streams were cut though servers were reached.
+Test(retry_rule, aSendThatReachedNoServerLeavesItsShareOfTheBudgetToTheNext)
+{
+    attempt_failure unreached;
+    unreached.outcome = verdict::not_run;
+    unreached.isUnreachable = true;
+    attempt_failure refused;
+    refused.outcome = verdict::not_run;
+    cr_assert_not(needsResendBudget(unreached, 0));
+    cr_assert_not(needsResendBudget(unreached, 1));
+    cr_assert_not(needsResendBudget(lostAnswer(), 0));
+    cr_assert(needsResendBudget(lostAnswer(), 1));
+    cr_assert(needsResendBudget(refused, 1));
+}
--- a/src/programs/gateway/hedged_send.cpp
+++ b/src/programs/gateway/hedged_send.cpp
@@ -1,6 +1,7 @@
 #include "programs/gateway/hedged_send.h"
 
 #include "gateway/event_splitter.h"
+#include "programs/gateway/long_answer.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -148,7 +149,7 @@
         m_sent.reservations->recordUse();
     }
     if (!m_held->finish()) {
-        rejectLongAnswer(received.size());
+        recordLongAnswer(m_context, m_sent.attempt->id(), m_sent.server.str(), received.size());
         co_return verdict::may_have_run;
     }
     m_answer = std::make_unique<prefetched_answer>(std::move(*answer), std::move(received));
@@ -167,7 +168,7 @@
     while (true) {
         const auto bytes = co_await answer.read();
         if (m_held->isGivenUp()) {
-            rejectLongAnswer(received.size());
+            recordLongAnswer(m_context, m_sent.attempt->id(), m_sent.server.str(), received.size());
             co_return false;
         }
         if (!bytes) {
@@ -197,23 +198,12 @@
         }
         const bool isTooLong = events.isEventTooLong() || received.size() > m_sent.limits.bodyBytes;
         if (isTooLong || !m_held->resize(received.capacity() + events.heldBytes())) {
-            rejectLongAnswer(received.size());
+            recordLongAnswer(m_context, m_sent.attempt->id(), m_sent.server.str(), received.size());
             co_return false;
         }
     }
 }
 
-void hedged_send::rejectLongAnswer(size_t bytes) const
-{
-    m_context.metrics.recordSendOutcome("answer_too_long");
-    m_context.log.write(log_line("answer_too_long")
-                            .add("request", m_sent.attempt->id().str())
-                            .add("server", m_sent.server.str())
-                            .add("bytes", static_cast<std::int64_t>(bytes))
-                            .add("held", static_cast<std::int64_t>(m_context.answers.heldBytes()))
-                            .add("most", static_cast<std::int64_t>(m_context.answers.limitBytes())));
-}
-
 const hedged_send::order &hedged_send::sent() const
 {
     return m_sent;
--- a/src/programs/gateway/hedged_send.h
+++ b/src/programs/gateway/hedged_send.h
@@ -65,8 +65,6 @@
     /// False when the answer is lost or no proper one.
     boost::asio::awaitable<bool> readAhead(http::response_stream &answer, std::string &received);
 
-    void rejectLongAnswer(size_t bytes) const;
-
     gateway_context &m_context;
     order m_sent;
     done_hook m_onDone;
--- a/src/programs/gateway/request_quarantine.cpp
+++ b/src/programs/gateway/request_quarantine.cpp
@@ -10,10 +10,14 @@
     return m_firstEventOfSendAt && now - *m_firstEventOfSendAt >= answerEstablishedAfter;
 }
 
+bool request_session::isConnectionLost(const attempt_failure &failure) const
+{
+    return failure.isCutOff && m_closedBecause.empty();
+}
+
 void request_session::recordServerEnd(const attempt_failure &failure, time_point now)
 {
-    const bool isEndOfServer = failure.isCutOff && m_closedBecause.empty();
-    if (!isEndOfServer || isAnswerEstablished(now) || m_parts.empty()) {
+    if (!isConnectionLost(failure) || isAnswerEstablished(now) || m_parts.empty()) {
         return;
     }
     recordCrash(m_currentServer, m_currentStart, m_lastServer, m_sentAt, now);
--- a/src/programs/gateway/request_relay.cpp
+++ b/src/programs/gateway/request_relay.cpp
@@ -1,5 +1,7 @@
 #include "programs/gateway/request_session.h"
 
+#include "programs/gateway/long_answer.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -20,15 +22,6 @@
     return std::lround(factor * percent);
 }
 
-// For callers these promise that the request has not run and never will; a server's own word for it is another field.
-bool promisesNotRun(int status)
-{
-    constexpr int requestTimeout = 408;
-    constexpr int tooManyRequests = 429;
-    constexpr int serviceUnavailable = 503;
-    return status == requestTimeout || status == tooManyRequests || status == serviceUnavailable;
-}
-
 } // namespace
 
 std::string request_session::sharedPartsText() const
@@ -184,14 +177,8 @@
 
 attempt_failure request_session::rejectLongAnswer(size_t bytes, verdict outcome)
 {
-    m_context.metrics.recordSendOutcome("answer_too_long");
+    recordLongAnswer(m_context, m_head.attempt, m_lastServer, bytes);
     m_closedBecause = answerTooLong;
-    m_context.log.write(log_line("answer_too_long")
-                            .add("request", m_head.attempt.str())
-                            .add("server", m_lastServer)
-                            .add("bytes", static_cast<std::int64_t>(bytes))
-                            .add("held", static_cast<std::int64_t>(m_context.answers.heldBytes()))
-                            .add("most", static_cast<std::int64_t>(m_context.answers.limitBytes())));
     return makeFailure(outcome);
 }
 
@@ -340,7 +327,7 @@
     }
     m_context.metrics.recordSendOutcome("status_" + std::to_string(message.status));
     attempt_failure failure = makeFailure(head.outcome);
-    const bool isFailure = message.status >= 300 && !promisesNotRun(message.status);
+    const bool isFailure = message.status >= 300 && !platform::promisesNotRun(message.status);
     if (head.outcome == verdict::ran && isFailure) {
         failure.hasAnswer = true;
         m_serverFailure = std::move(message);
--- a/src/programs/gateway/request_retry.cpp
+++ b/src/programs/gateway/request_retry.cpp
@@ -30,7 +30,7 @@
 {
     m_mayHaveRun = m_mayHaveRun || failure.outcome != verdict::not_run;
     m_possibleRuns += failure.outcome != verdict::not_run ? 1 : 0;
-    if (failure.isCutOff && m_closedBecause.empty()) {
+    if (isConnectionLost(failure)) {
         m_attempt->recordLoss();
     }
 }
@@ -46,9 +46,7 @@
         logResendDenied(why);
         return stepIfWithinBudget;
     }
-    // Nothing has arrived at a server, so what the budget gave to that send is still to be used.
-    const bool isUnused = failure.isUnreachable && failure.outcome == verdict::not_run;
-    if (m_deliveredSends == 0 || isUnused) {
+    if (!needsResendBudget(failure, m_deliveredSends)) {
         return stepIfWithinBudget;
     }
     const auto cause = failure.outcome == verdict::not_run ? resend_budget::cause::refused : resend_budget::cause::interrupted;
--- a/src/programs/gateway/request_session.h
+++ b/src/programs/gateway/request_session.h
@@ -156,6 +156,8 @@
     /// Returns the id of the work in the fleet state.
     std::uint64_t registerWork(const placement_decision &placed, time_point now);
     void recordFailure(const placement_decision &placed, const attempt_failure &failure);
+    /// Whether the connection of the failed send ended, and not because this instance closed it.
+    bool isConnectionLost(const attempt_failure &failure) const;
     /// Takes the end of the server as evidence against the parts of the prompt.
     void recordServerEnd(const attempt_failure &failure, time_point now);
     void recordCrash(server_key server, server_start_key start, const std::string &serverId, time_point sentAt, time_point now);
@@ -172,7 +174,6 @@
     std::chrono::milliseconds age(time_point now) const;
 
     static constexpr size_t maxAnswerBytes = 8 * 1024 * 1024; ///< Limit of the body of an answer.
-    static constexpr std::string_view answerTooLong = "answer_too_long"; ///< Value of `m_closedBecause`.
     static constexpr std::string_view copyAnswered = "copy_answered"; ///< Value of `m_closedBecause`.
 
     gateway_context &m_context;
--- a/src/programs/gateway/store_reader.cpp
+++ b/src/programs/gateway/store_reader.cpp
@@ -18,7 +18,6 @@
 {
 
 constexpr milliseconds callTimeout{ 1'000 }; ///< Hundreds of times the usual response time; after it the store counts as unreachable.
-constexpr int tooManyCallsStatus = 429;
 constexpr int pollsPerChangeBound = 4; ///< Of the bound, a quarter remains for the wait at the store and two for replacing a failed reader.
 constexpr milliseconds relayMargin{ 200 }; ///< Allows for a slow answer of the store and the transfer of the relay.
 constexpr size_t maxRelayBytes = 16'000; ///< Compressed: a few hundred routes or servers; each instance reads a larger answer itself.
@@ -132,7 +131,7 @@
         co_return;
     }
     if (answer->status != 200) {
-        const auto why = answer->status == tooManyCallsStatus ? store_failure::beyond_limit : store_failure::no_answer;
+        const auto why = answer->status == platform::beyondLimitStatus ? store_failure::beyond_limit : store_failure::no_answer;
         onFailure("refused", "status=" + std::to_string(answer->status), why);
         co_return;
     }
