--- a/src/programs/gateway/gateway_host.cpp
+++ b/src/programs/gateway/gateway_host.cpp
@@ -124,7 +124,9 @@
           [this](http::exchange &exchange) {
               return serveCaller(exchange);
           },
-          badRequest)
+          [this](int status, int, std::string_view problem) {
+              return refuseUnread(status, problem);
+          })
     , m_readinessServer(
           context.get_executor(),
           {},
@@ -248,6 +250,14 @@
     }
 }
 
+// Its head may not have been read either, so the line names no request.
+http::response_message gateway_host::refuseUnread(int status, std::string_view problem)
+{
+    m_metrics.recordRefusal("unread");
+    m_log.write(log_line("request_unread").add("status", static_cast<std::int64_t>(status)).add("detail", problem));
+    return badRequest(status, 0, problem);
+}
+
 asio::awaitable<void> gateway_host::serveReadiness(http::exchange &exchange)
 {
     const bool ready = isReady();
--- a/src/programs/gateway/gateway_host.h
+++ b/src/programs/gateway/gateway_host.h
@@ -37,6 +37,8 @@
 
 private:
     boost::asio::awaitable<void> serveCaller(http::exchange &exchange);
+    /// Answers a request of a caller that could not be read to its end.
+    http::response_message refuseUnread(int status, std::string_view problem);
     boost::asio::awaitable<void> serveReadiness(http::exchange &exchange);
     boost::asio::awaitable<void> serveMetrics(http::exchange &exchange);
     boost::asio::awaitable<void> retryPlacements();
