Bodies at the addresses of probes and metrics are not read

The servers of the readiness probe and of the metrics had the default limits: bodies of 16 MiB, 512 MiB in all, on an instance of 160 MB. Their requests have no bodies. 64 KiB each and 1 MiB in all now.

unread_request/aBodyAtTheAddressOfTheReadinessProbeIsNotRead failed before (the instance waited for the body) and passes after.

--- a/src/programs/gateway/gateway_host.cpp
+++ b/src/programs/gateway/gateway_host.cpp
@@ -30,6 +30,8 @@
 constexpr milliseconds placementRetryInterval{ 16 }; ///< Mean time between placement attempts; a fraction of a batch step.
 constexpr milliseconds unusableConnectionsInterval{ 250 };
 constexpr size_t connectionsLookedAt = 256; ///< In each interval: a system call for each, while all other work waits.
+constexpr size_t maxProbeBodyBytes = 64 * 1024;
+constexpr size_t maxProbeBodiesBytes = 1024 * 1024; ///< Of all that arrive at once.
 constexpr milliseconds lateLoopThreshold{ 50 }; ///< Above the delay of a timer in a process that runs undisturbed.
 constexpr double configAgeFraction = 0.8; ///< Of the key revocation limit; the rest covers requests that are already running.
 
@@ -49,6 +51,15 @@
     return limits;
 }
 
+/// Of the platform's probes and queries, which have no bodies.
+http::server_limits probeLimits()
+{
+    http::server_limits limits;
+    limits.bodyBytes = maxProbeBodyBytes;
+    limits.totalBodyBytes = maxProbeBodiesBytes;
+    return limits;
+}
+
 http::response_message badRequest(int status, int, std::string_view detail)
 {
     return platform::localResponse(status, std::string(detail), std::nullopt);
@@ -129,14 +140,14 @@
           })
     , m_readinessServer(
           context.get_executor(),
-          {},
+          probeLimits(),
           [this](http::exchange &exchange) {
               return serveReadiness(exchange);
           },
           badRequest)
     , m_metricsServer(
           context.get_executor(),
-          {},
+          probeLimits(),
           [this](http::exchange &exchange) {
               return serveMetrics(exchange);
           },
--- a/src/programs/gateway/tests/fake_platform.cpp
+++ b/src/programs/gateway/tests/fake_platform.cpp
@@ -316,6 +316,11 @@
     m_host->applyPolicy(policy);
 }
 
+endpoint fake_platform::readinessAddress() const
+{
+    return m_settings.readiness;
+}
+
 int fake_platform::readiness()
 {
     return get(m_settings.readiness, "/api/readyz").status;
--- a/src/programs/gateway/tests/fake_platform.h
+++ b/src/programs/gateway/tests/fake_platform.h
@@ -102,6 +102,8 @@
     void runFor(std::chrono::milliseconds time);
     boost::asio::any_io_executor executor();
     int readiness();
+    /// Of the first instance.
+    endpoint readinessAddress() const;
     /// Metrics of the first instance, as text.
     std::string metrics();
 
--- a/src/programs/gateway/tests/unread_request_test.cpp
+++ b/src/programs/gateway/tests/unread_request_test.cpp
@@ -32,3 +32,15 @@
     expectEqual(caller.onlyAnswer().substr(0, 3), "400");
     cr_assert_neq(platform.metrics().find("refusals_total{reason=\"unread\"} 1"), std::string::npos);
 }
+
+// Bodies sent to the address of the readiness probe were read up to 512 MiB.
+Test(unread_request, aBodyAtTheAddressOfTheReadinessProbeIsNotRead)
+{
+    fake_platform platform;
+    addSoundServer(platform);
+    platform.start();
+    const raw_caller caller(
+        platform.executor(), platform.readinessAddress(), "POST /api/readyz HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\n");
+    platform.runFor(answerTime);
+    expectEqual(caller.onlyAnswer().substr(0, 3), "413");
+}
