--- a/src/programs/gateway/tests/endless_answers_test.cpp
+++ b/src/programs/gateway/tests/endless_answers_test.cpp
@@ -271,3 +271,24 @@
     };
     expectEqual(std::ranges::count_if(callers, isFailed), callersAtOnce);
 }
+
+// Its answers would go on to take the callers' time and the instance's memory.
+Test(endless_answers, theServerOfOneLosesItsTurn)
+{
+    int faultySends = 0;
+    fake_platform platform;
+    platform.addRawServer("i-1", "desk", [&faultySends](raw_connection &connection) {
+        ++faultySends;
+        return sendWithoutEnd(connection, unframedHead, std::string(16 * 1024, 'x'));
+    });
+    platform.addRawServer("i-2", "desk", answerWhole);
+    platform.start();
+    for (int call = 0; call < 50 && faultySends == 0; ++call) {
+        expectEqual(platform.call("/again/x").body, "whole");
+    }
+    expectEqual(faultySends, 1);
+    for (int call = 0; call < 10; ++call) {
+        expectEqual(platform.call("/again/x").body, "whole");
+    }
+    expectEqual(faultySends, 1);
+}
