--- a/src/programs/gateway/tests/endless_answers_test.cpp
+++ b/src/programs/gateway/tests/endless_answers_test.cpp
@@ -198,6 +198,16 @@
     expectFailedBeforeTheDeadline(unframedHead, std::string(16 * 1024, 'x'));
 }
 
+Test(endless_answers, plainBodyWithALength)
+{
+    expectServedElsewhere("HTTP/1.1 200 OK\r\n" + signature + "Content-Length: 900000000000\r\n\r\n", std::string(16 * 1024, 'x'));
+}
+
+Test(endless_answers, plainBodyInChunks)
+{
+    expectServedElsewhere(chunkedHead, chunk(std::string(16 * 1024, 'x')));
+}
+
 Test(endless_answers, chunkExtensionInAStream)
 {
     expectContinuedElsewhere("4", extension);
