A request that arrives while the event loop stands still is not too late

Callers saw 408 for a body, all of which had arrived, when the instance stood still (a change of the configuration at a fraction of a core) across the limit of progress.

Cause: the wait for a limit that passes while the loop stands still has ended, and cannot be cancelled any more, when the read that completes before it sets the timer anew. Its handler took the new limit for the one that had passed. A limit whose timer fires late is also judged before what has arrived meanwhile was read.

Now a wait counts only for the limit that it was started for, and a limit whose timer is late by more than 50 ms is extended by the time for which the loop stood still. A peer that sends nothing more is still refused.

Ruled out: the order in which the loop handles sockets and timers; sockets go first, the head's test passes before too.

--- a/src/http/internal/connection.cpp
+++ b/src/http/internal/connection.cpp
@@ -26,6 +26,7 @@
 {
 
 constexpr std::chrono::milliseconds drainLimit{ 500 };
+constexpr std::chrono::milliseconds lateTimerThreshold{ 50 }; ///< Above the delay of a timer in a process that runs undisturbed.
 
 using parser = beast::http::request_parser<beast::http::string_body>;
 
@@ -93,11 +94,11 @@
 
     void expireAt(std::chrono::steady_clock::time_point when)
     {
-        m_timer.expires_at(when);
-        m_timer.async_wait([this, passed = m_passed](boost::system::error_code failure) {
-            if (!failure && passed.use_count() > 1) {
-                *passed = true;
-                m_stream.cancel();
+        m_timer.expires_at(std::max(when, std::chrono::steady_clock::now()));
+        m_timer.async_wait([this, passed = m_passed, expiry = m_timer.expiry()](boost::system::error_code failure) {
+            // A wait that has ended cannot be cancelled any more when the timer is set anew.
+            if (!failure && passed.use_count() > 1 && expiry == m_timer.expiry()) {
+                onTimer();
             }
         });
     }
@@ -105,10 +106,30 @@
     {
         return *m_passed;
     }
+    /// Time that was added since the event loop did not run.
+    std::chrono::nanoseconds addedTime() const
+    {
+        return m_addedTime;
+    }
 
 private:
+    // While the event loop did not run, nothing was read: what the peer sent in that time has still to be seen.
+    void onTimer()
+    {
+        const auto now = std::chrono::steady_clock::now();
+        const std::chrono::nanoseconds late = now - m_timer.expiry();
+        if (late > lateTimerThreshold) {
+            m_addedTime += late;
+            expireAt(now + late);
+            return;
+        }
+        *m_passed = true;
+        m_stream.cancel();
+    }
+
     beast::tcp_stream &m_stream;
     asio::steady_timer m_timer;
+    std::chrono::nanoseconds m_addedTime{ 0 };
     std::shared_ptr<bool> m_passed = std::make_shared<bool>(false);
 };
 
@@ -254,6 +275,7 @@
     source.body_limit(limits.bodyBytes);
     boost::system::error_code failure;
     auto token = asio::redirect_error(asio::use_awaitable, failure);
+    const auto now = std::chrono::steady_clock::now;
     if (m_buffer.size() == 0) {
         m_stream.expires_after(limits.idle);
         m_isIdle = true;
@@ -265,7 +287,6 @@
             co_return false;
         }
     }
-    const auto now = std::chrono::steady_clock::now;
     const auto readEnd = now() + limits.wholeRequest;
     read_deadline deadline(m_stream);
     deadline.expireAt(now() + limits.progress);
@@ -286,7 +307,7 @@
         co_await beast::http::async_write(m_stream, continueResponse, token);
     }
     while (!failure && !source.is_done()) {
-        deadline.expireAt(std::min(readEnd, now() + limits.progress));
+        deadline.expireAt(std::min(readEnd + deadline.addedTime(), now() + limits.progress));
         co_await beast::http::async_read_some(m_stream, m_buffer, source, token);
         if (!reservation.growTo(source.get().body().size())) {
             co_return co_await refuse(503, error_code::memory_budget_spent, "bodies");
