A request on an idle connection is served although the idle limit passed while the loop stood still

Callers saw a reset in place of an answer: the instance closed a kept connection with their request in it.

Cause: the expiry of the stream closes the socket by itself, whatever has arrived. The event loop looks at 128 sockets in a round, so after a stand-still with many requests it handles the expired timers before the rest of the sockets.

The wait for the next request now ends as it does when the server stops: it is cancelled, and what has arrived is served.

Ruled out: requests that arrived before the limit passed (400 of 400 served before too, as the timer's descriptor becomes ready after theirs).

--- a/src/http/internal/connection.cpp
+++ b/src/http/internal/connection.cpp
@@ -81,7 +81,7 @@
 };
 
 /// Cancels the reads of a connection when the deadline passes. The stream's own expiry would close the
-/// socket, and the error response could not be sent.
+/// socket: the error response could not be sent, and a request that has just arrived would be lost.
 class read_deadline
 {
 public:
@@ -277,7 +277,8 @@
     auto token = asio::redirect_error(asio::use_awaitable, failure);
     const auto now = std::chrono::steady_clock::now;
     if (m_buffer.size() == 0) {
-        m_stream.expires_after(limits.idle);
+        read_deadline idle(m_stream);
+        idle.expireAt(now() + limits.idle);
         m_isIdle = true;
         const size_t count = co_await m_stream.async_read_some(m_buffer.prepare(4096), token);
         m_isIdle = false;
--- a/src/http/tests/blocked_loop_test.cpp
+++ b/src/http/tests/blocked_loop_test.cpp
@@ -12,6 +12,7 @@
 #include <boost/asio/write.hpp>
 
 #include <future>
+#include <list>
 #include <thread>
 
 using namespace mustardtrail;
@@ -25,6 +26,7 @@
 
 constexpr milliseconds limit{ 300 };
 constexpr milliseconds untilLimitHasPassed{ 500 };
+constexpr unsigned manyConnections = 400; ///< More than the event loop looks at before it handles its timers.
 
 const std::string getRequest = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
 const std::string blockingRequest = "GET /block HTTP/1.1\r\nHost: a\r\n\r\n";
@@ -122,6 +124,34 @@
 
 } // namespace
 
+Test(blocked_loop, requestsThatArriveMeanwhileAreServedAlthoughTheIdleLimitPassed)
+{
+    server_limits limits;
+    limits.idle = limit;
+    blockable_server server(limits);
+    std::list<caller> callers;
+    for (unsigned each = 0; each < manyConnections; ++each) {
+        callers.emplace_back(server.address());
+    }
+    caller blocking(server.address());
+    for (caller &each : callers) {
+        each.send(getRequest);
+        expectEqual(each.responseLine(), "HTTP/1.1 200 OK");
+    }
+    blocking.send(blockingRequest);
+    server.waitUntilBlocked();
+    std::this_thread::sleep_for(untilLimitHasPassed);
+    for (caller &each : callers) {
+        each.send(getRequest);
+    }
+    server.goOn();
+    unsigned served = 0;
+    for (caller &each : callers) {
+        served += each.responseLine() == "HTTP/1.1 200 OK" ? 1 : 0;
+    }
+    expectEqual(served, manyConnections);
+}
+
 Test(blocked_loop, aHeadThatIsCompletedMeanwhileIsNotLate)
 {
     server_limits limits;
