A sound engine's short silence does not end the lease of its memory

Callers saw a stream of a prompt that spans several engines cut off after one of them had been silent for a second or so: an engine cuts off a request whose memory expires.

Cause: a lease lasted exactly three renewal intervals (2,625 and 875 ms), and the third renewal came at the lease's end plus what the timer was late. A renewal without an answer was not sent again before the next interval, so a silence that swallowed two renewals ended the lease. The times counted from the event loop's timer, not from the last grant.

Each engine has its own lease_schedule now. It counts from the order that the engine last granted, and sends an order without an answer again after 300 ms, as long as the lease lasts; a refusal keeps the usual pace. Lease and interval are derived from the bound on freed memory less what a silence of 1.7 s and a late event loop take: 3,100 and 400 ms of 4,000. Interval, lease and order margin together are as long as before (LEAK); unproven memory is renewed until 5.4 s (5.9 s) of 9 s (STUCK).

Evidence: silent_helper, three engines, one silent, ten phases, with an answer that pauses or goes on.

Cost, computed from the intervals: 2.5 orders a second for each engine of such a prompt (1.1 before), 3.3 at most while it is silent, each of these with a question where the use needs a proof.

--- a/src/gateway/internal/reservation_rule.cpp
+++ b/src/gateway/internal/reservation_rule.cpp
@@ -11,16 +11,20 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds orderMargin{ 500 }; ///< From the decision on a renewal until the engine has carried it out.
+constexpr milliseconds longestSilence{ 1'700 }; ///< Of a sound engine.
+constexpr milliseconds retryDelay{ 1'000 }; ///< From the end of the silence to the next renewal, on an instance with a late event loop.
+constexpr int maxRenewalsPerLease = 9; ///< Bounds the orders where the limits leave too little time to outlast a silence.
 
 } // namespace
 
 reservation_limits reservation_limits::within(milliseconds unusedLimit, milliseconds freedLimit)
 {
-    constexpr int renewalsPerLease = 3;
     reservation_limits limits;
     // A renewal without proof comes at most one interval after the end of the request.
-    limits.renewalInterval = std::max(freedLimit - orderMargin, orderMargin) / (renewalsPerLease + 1);
-    limits.lease = limits.renewalInterval * renewalsPerLease;
+    const milliseconds intervalAndLease = std::max(freedLimit - orderMargin, orderMargin);
+    limits.renewalInterval = std::max((intervalAndLease - longestSilence - retryDelay) / 2, intervalAndLease / (maxRenewalsPerLease + 1));
+    limits.lease = intervalAndLease - limits.renewalInterval;
+    limits.retryInterval = std::min(limits.retryInterval, limits.renewalInterval);
     limits.unproven = std::max(unusedLimit - limits.lease - orderMargin, limits.renewalInterval);
     return limits;
 }
--- a/src/gateway/reservation_rule.h
+++ b/src/gateway/reservation_rule.h
@@ -12,9 +12,10 @@
     /// `unusedLimit`: how long memory may be reserved and not used; `freedLimit`: how long after the end of the request that used it.
     static reservation_limits within(std::chrono::milliseconds unusedLimit, std::chrono::milliseconds freedLimit);
 
-    std::chrono::milliseconds lease{ 2'625 };
-    std::chrono::milliseconds renewalInterval{ 875 }; ///< Two renewals may fail before the lease expires.
-    std::chrono::milliseconds unproven{ 5'875 }; ///< After this time a lease is renewed only for memory that an engine reports as used.
+    std::chrono::milliseconds lease{ 3'100 }; ///< Outlasts a sound engine's silence, with the renewals before and after it.
+    std::chrono::milliseconds renewalInterval{ 400 };
+    std::chrono::milliseconds retryInterval{ 300 }; ///< Between renewals that the engine does not answer.
+    std::chrono::milliseconds unproven{ 5'400 }; ///< After this time a lease is renewed only for memory that an engine reports as used.
 };
 
 /// What an engine says of the memory that is reserved there.
--- a/src/programs/gateway/reservation_renewal.cpp
+++ b/src/programs/gateway/reservation_renewal.cpp
@@ -93,7 +93,7 @@
     return granted != m_starts.end() && start != 0 && start != granted->second;
 }
 
-asio::awaitable<bool> reservation_renewal::reserveAt(const share &target)
+asio::awaitable<renewal_outcome> reservation_renewal::reserveAt(const share &target)
 {
     const auto limits = http::call_limits::within(callTimeout);
     auto message = platform::reserveRequest(target.id, nameFor(target.server), target.tokens, m_context.reservations.lease);
@@ -103,10 +103,10 @@
     if (m_isReleased) {
         // The engine may have received the release first.
         asio::co_spawn(m_executor, releaseAt(target), asio::detached);
-        co_return false;
+        co_return renewal_outcome::refused;
     }
     if (status == 200) {
-        co_return true;
+        co_return renewal_outcome::granted;
     }
     m_context.log.write(log_line("reservation_refused")
                             .add("request", m_attempt.str())
@@ -115,7 +115,7 @@
                             .add("tokens", target.tokens)
                             .add("held", heldFor())
                             .add("status", status));
-    co_return false;
+    co_return answer ? renewal_outcome::refused : renewal_outcome::unanswered;
 }
 
 asio::awaitable<bool> reservation_renewal::acquire()
@@ -139,7 +139,10 @@
         release();
         co_return false;
     }
-    asio::co_spawn(m_executor, renew(), asio::detached);
+    // Beside each other: one after the other, silent engines would hold up the renewals at the rest until leases expire.
+    for (const share &each : m_shares) {
+        asio::co_spawn(m_executor, keepRenewed(each, m_schedules.at(each.server)), asio::detached);
+    }
     co_return true;
 }
 
@@ -147,10 +150,11 @@
 {
     const auto self = shared_from_this();
     for (const share &each : m_shares) {
-        const bool isGranted = !m_isReleased && co_await reserveAt(each);
-        if (!isGranted) {
+        const time_point sentAt = m_context.clock.now();
+        if (m_isReleased || co_await reserveAt(each) != renewal_outcome::granted) {
             co_return false;
         }
+        m_schedules.emplace(each.server, lease_schedule(m_context.reservations, sentAt));
     }
     co_return true;
 }
@@ -161,43 +165,44 @@
     m_settled.cancel();
 }
 
-asio::awaitable<void> reservation_renewal::renew()
+asio::awaitable<void> reservation_renewal::keepRenewed(share target, lease_schedule schedule)
 {
     const auto self = shared_from_this();
     monotonic_timer timer(m_executor);
     while (true) {
-        timer.expires_after(m_context.reservations.renewalInterval);
-        boost::system::error_code ignored;
-        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        if (schedule.nextAt() > m_context.clock.now()) { // A turn of a late event loop would hold up an order that is due.
+            timer.expires_at(schedule.nextAt());
+            boost::system::error_code ignored;
+            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        }
         if (m_isReleased) {
             co_return;
         }
-        // Beside each other: one after the other, silent engines would hold up the renewals at the rest until leases expire.
-        const std::vector<share> targets = m_shares; // A renewal takes its engine out when that has started again.
-        for (const share &each : targets) {
-            asio::co_spawn(m_executor, renewAt(each), asio::detached);
+        if (hasRestarted(target)) {
+            // A renewal would reserve the memory anew, for nobody.
+            forget(target);
+            co_return;
         }
+        const time_point startedAt = m_context.clock.now();
+        const renewal_outcome outcome = co_await renewAt(target);
+        schedule.record(outcome, startedAt);
     }
 }
 
-asio::awaitable<void> reservation_renewal::renewAt(share target)
+void reservation_renewal::forget(const share &target)
+{
+    m_context.log.write(log_line("reservation_lost")
+                            .add("request", m_attempt.str())
+                            .add("name", nameFor(target.server))
+                            .add("server", target.id.str())
+                            .add("held", heldFor()));
+    std::erase_if(m_shares, [&](const share &each) {
+        return each.server == target.server;
+    });
+}
+
+asio::awaitable<renewal_outcome> reservation_renewal::renewAt(const share &target)
 {
-    const auto self = shared_from_this();
-    if (m_isReleased) {
-        co_return;
-    }
-    if (hasRestarted(target)) {
-        // The memory is gone with the former start; a renewal would reserve it anew, for nobody.
-        m_context.log.write(log_line("reservation_lost")
-                                .add("request", m_attempt.str())
-                                .add("name", nameFor(target.server))
-                                .add("server", target.id.str())
-                                .add("held", heldFor()));
-        std::erase_if(m_shares, [&](const share &each) {
-            return each.server == target.server;
-        });
-        co_return;
-    }
     if (needsProofOfUse(*m_age, m_context.reservations, m_context.clock.now())) {
         const memory_use use = co_await askForUse(target);
         const renewal_step step = renewalStep(use, *m_age);
@@ -205,10 +210,10 @@
             giveUp(target);
         }
         if (step != renewal_step::renew || m_isReleased) {
-            co_return;
+            co_return use == memory_use::unknown ? renewal_outcome::unanswered : renewal_outcome::refused;
         }
     }
-    co_await reserveAt(target);
+    co_return co_await reserveAt(target);
 }
 
 asio::awaitable<memory_use> reservation_renewal::askForUse(const share &target)
--- a/src/programs/gateway/reservation_renewal.h
+++ b/src/programs/gateway/reservation_renewal.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/lease_schedule.h"
 #include "programs/gateway/monotonic_timer.h"
 #include "programs/gateway/reservation_set.h"
 
@@ -28,9 +29,12 @@
     boost::asio::awaitable<bool> reserveAll();
     /// Ends the acquisition with this result, unless it has ended.
     void settle(bool isGranted);
-    boost::asio::awaitable<bool> reserveAt(const share &target);
-    boost::asio::awaitable<void> renew();
-    boost::asio::awaitable<void> renewAt(share target);
+    boost::asio::awaitable<renewal_outcome> reserveAt(const share &target);
+    /// Renews the lease at one engine until the release, or until that engine has started again.
+    boost::asio::awaitable<void> keepRenewed(share target, lease_schedule schedule);
+    boost::asio::awaitable<renewal_outcome> renewAt(const share &target);
+    /// The memory at this engine is gone with its former start.
+    void forget(const share &target);
     boost::asio::awaitable<memory_use> askForUse(const share &target);
     void giveUp(const share &target);
     boost::asio::awaitable<void> releaseAt(share target);
@@ -45,6 +49,7 @@
     std::uint64_t m_work;
     std::vector<share> m_shares;
     std::map<server_key, server_start_key> m_starts; ///< Of the engines, when the memory was reserved.
+    std::map<server_key, lease_schedule> m_schedules; ///< From the first grants on.
     attempt_id m_attempt;
     std::optional<reservation_age> m_age; ///< From the first order on.
     std::optional<time_point> m_usedAt;
--- a/src/programs/gateway/tests/engine_memory.cpp
+++ b/src/programs/gateway/tests/engine_memory.cpp
@@ -52,6 +52,7 @@
     const time_point now = m_clock.now();
     std::erase_if(m_reservations, [&](const auto &entry) {
         noteHold(entry.second);
+        m_lapsed += now >= entry.second.leaseEndsAt ? 1 : 0;
         return now >= entry.second.leaseEndsAt;
     });
     http::response_message answer;
@@ -92,6 +93,11 @@
     }));
 }
 
+size_t engine_memory::lapsedCount() const
+{
+    return m_lapsed + m_reservations.size() - heldCount();
+}
+
 milliseconds engine_memory::longestHoldAfterUse() const
 {
     milliseconds longest = m_longestEndedAfterUse;
--- a/src/programs/gateway/tests/engine_memory.h
+++ b/src/programs/gateway/tests/engine_memory.h
@@ -24,6 +24,8 @@
     void beginUse();
     void endUse();
     size_t heldCount() const;
+    /// Reservations whose lease has run out.
+    size_t lapsedCount() const;
     /// The longest time for which one reservation has been held without a break.
     std::chrono::milliseconds longestHold() const;
     /// The longest time for which one was held after its use.
@@ -41,6 +43,7 @@
 
     system_monotonic_clock m_clock;
     std::map<std::string, reservation> m_reservations;
+    size_t m_lapsed = 0; ///< Without those that are still in the ledger.
     std::chrono::milliseconds m_longestEnded{ 0 };
     std::chrono::milliseconds m_longestEndedAfterUse{ 0 };
 };
