An engine's report of unused memory does not end an answer that has begun

Callers lost a stream that paused: the instance closed its connection to the server itself (reservation_given_up used=yes, send_failed why=memory_unused), and the stream was cut where the budget or the route allowed no second run.

Cause: one engine's report that no request uses the memory counted as proof that the answer had ended. It is none: a request may be preempted in the middle of its stream and read again, and a report is some hundred ms old. What an engine reports of the memory of a preempted request is not documented, and was not observed. To free the memory the send need not end either. The bound on freed memory holds without it, as the lease that is not renewed expires; an answer that has no further event is watched like any silent one.

After the first event the lease is now left to expire at that engine, which is asked again at each interval and renewed once it reports the use, or an event comes. Before the first event nothing changes: the send is given up. reservation_not_renewed says what the engine reported.

Evidence: unused_reservation/aReportOfUnusedMemoryDoesNotEndAnAnswerThatGoesOn fails on the code before (the send is given up) and passes now. memoryOfAnAnswerThatHasEndedUnnoticedIsFreed and aSilentEngineKeepsNoMemoryForAPromptThatHasEndedThere hold the bound of 4 s before and after.

Not covered: memory that stays unused for a lease (3.1 s) is freed although its request was only preempted; an instance can't tell this from an end without a word.

--- a/src/gateway/internal/reservation_rule.cpp
+++ b/src/gateway/internal/reservation_rule.cpp
@@ -44,7 +44,8 @@
     case memory_use::used:
         return renewal_step::renew;
     case memory_use::unused:
-        return renewal_step::give_up;
+        // A request that is preempted in the middle of its answer goes on later.
+        return age.lastEventAt ? renewal_step::skip : renewal_step::give_up;
     case memory_use::gone:
         return renewal_step::skip;
     case memory_use::unknown:
--- a/src/gateway/reservation_rule.h
+++ b/src/gateway/reservation_rule.h
@@ -39,7 +39,7 @@
 enum class renewal_step {
     renew,
     skip, ///< Let the lease expire.
-    give_up, ///< No request uses the memory: end the send that it is reserved for.
+    give_up, ///< No request has begun to use the memory: end the send that it is reserved for.
 };
 
 /// The next step after the engine's answer to that question.
--- a/src/programs/gateway/reservation_renewal.cpp
+++ b/src/programs/gateway/reservation_renewal.cpp
@@ -22,6 +22,21 @@
 constexpr milliseconds callTimeout{ 300 }; ///< A healthy engine answers these calls within milliseconds.
 constexpr int maxReleaseAttempts = 4; ///< By the end of these attempts the lease is about to expire anyway.
 
+std::string_view nameOf(memory_use use)
+{
+    switch (use) {
+    case memory_use::unknown:
+        return "unknown";
+    case memory_use::gone:
+        return "gone";
+    case memory_use::unused:
+        return "unused";
+    case memory_use::used:
+        break;
+    }
+    return "used";
+}
+
 } // namespace
 
 reservation_renewal::reservation_renewal(
@@ -208,6 +223,8 @@
         const renewal_step step = renewalStep(use, *m_age);
         if (step == renewal_step::give_up) {
             giveUp(target);
+        } else if (step == renewal_step::skip && !m_isReleased) {
+            recordSkip(target, use);
         }
         if (step != renewal_step::renew || m_isReleased) {
             co_return use == memory_use::unknown ? renewal_outcome::unanswered : renewal_outcome::refused;
@@ -231,6 +248,17 @@
     co_return platform::readMemoryUse(*answer, nameFor(target.server));
 }
 
+void reservation_renewal::recordSkip(const share &target, memory_use use)
+{
+    m_context.log.write(log_line("reservation_not_renewed")
+                            .add("request", m_attempt.str())
+                            .add("name", nameFor(target.server))
+                            .add("server", target.id.str())
+                            .add("held", heldFor())
+                            .add("reported", nameOf(use))
+                            .add("used", m_usedAt ? "yes" : "no"));
+}
+
 void reservation_renewal::giveUp(const share &target)
 {
     if (m_isReleased) {
@@ -240,8 +268,7 @@
                             .add("request", m_attempt.str())
                             .add("name", nameFor(target.server))
                             .add("server", target.id.str())
-                            .add("held", heldFor())
-                            .add("used", m_usedAt ? "yes" : "no"));
+                            .add("held", heldFor()));
     release();
     if (const auto hook = std::exchange(m_onGivenUp, nullptr)) {
         hook();
--- a/src/programs/gateway/reservation_renewal.h
+++ b/src/programs/gateway/reservation_renewal.h
@@ -36,6 +36,7 @@
     /// The memory at this engine is gone with its former start.
     void forget(const share &target);
     boost::asio::awaitable<memory_use> askForUse(const share &target);
+    void recordSkip(const share &target, memory_use use);
     void giveUp(const share &target);
     boost::asio::awaitable<void> releaseAt(share target);
     /// Identifies the running start of the engine; 0 while it is not listed.
--- a/src/programs/gateway/reservation_set.h
+++ b/src/programs/gateway/reservation_set.h
@@ -43,8 +43,8 @@
     void release();
     /// Records an event of the answer: the request uses the memory.
     void recordUse();
-    /// Sets a hook that runs when an engine reports that no request uses the memory, or none has begun to use it for too long.
-    /// Nothing is renewed any more then, so the send has to end.
+    /// Sets a hook that runs when memory is still without use, by the engine's report, long after it was reserved. Nothing is
+    /// renewed any more then, so the send has to end. An answer that has begun is not given up.
     void onGivenUp(std::function<void()> hook);
     /// Name of the reservation at this server.
     std::string nameFor(server_key server) const;
--- a/src/programs/gateway/tests/unused_reservation_test.cpp
+++ b/src/programs/gateway/tests/unused_reservation_test.cpp
@@ -154,3 +154,38 @@
     cr_assert_gt(memory.longestHoldAfterUse().count(), 0);
     cr_assert_leq(memory.longestHoldAfterUse().count(), freedLimit.count());
 }
+
+Test(unused_reservation, aReportOfUnusedMemoryDoesNotEndAnAnswerThatGoesOn)
+{
+    engine_memory memory;
+    send_bench bench;
+    auto reservations = makeReservation(bench, bench.addServer(silentEngine(memory)));
+    bool isGivenUp = false;
+    reservations->onGivenUp([&isGivenUp] {
+        isGivenUp = true;
+    });
+    cr_assert(acquire(bench, *reservations));
+    reservations->recordUse();
+    // The request is preempted for a while.
+    bench.runFor(2 * reservation_limits().renewalInterval + milliseconds(200));
+    expectEqual(isGivenUp, false);
+    memory.beginUse();
+    bench.runFor(leaseTime);
+    expectEqual(isGivenUp, false);
+    expectEqual(memory.heldCount(), size_t{ 1 });
+    expectEqual(memory.lapsedCount(), size_t{ 0 });
+}
+
+Test(unused_reservation, memoryOfAnAnswerThatHasEndedUnnoticedIsFreed)
+{
+    engine_memory memory;
+    send_bench bench;
+    auto reservations = makeReservation(bench, bench.addServer(silentEngine(memory)));
+    cr_assert(acquire(bench, *reservations));
+    memory.beginUse();
+    reservations->recordUse();
+    memory.endUse();
+    bench.runFor(freedLimit);
+    expectEqual(memory.heldCount(), size_t{ 0 });
+    cr_assert_leq(memory.longestHoldAfterUse().count(), freedLimit.count());
+}
