An instance that stood still renews a lease that ends soon before it asks for its use

Callers of an instance with a late event loop lost streams whose memory expired while the instance asked whether it was used.

Cause: after a stand-still the last event looks old, so the renewal asked the engine first. On a late event loop the question and its answer take longer than what is left of the lease.

When less than 500 ms of the lease is left, and the answer has begun, lease_schedule has the lease renewed first and the use asked for after it. Before the first event, after the lease's end and after a report of unused memory the question still comes first.

Ruled out: to renew after each stand-still without a question. A stand-still of s holds the memory of an answer that has ended for up to s and a lease, beyond the bound from 0.9 s on.

Not covered: events that arrived during a stand-still count from when they are read.

--- a/src/gateway/lease_schedule.h
+++ b/src/gateway/lease_schedule.h
@@ -12,7 +12,14 @@
     unanswered, ///< The engine may be silent for a moment only.
 };
 
-/// Times of the renewals of one lease.
+/// What to send to the engine at a renewal.
+enum class renewal_order {
+    renew,
+    ask_first, ///< For the use of the memory; the answer decides.
+    renew_first, ///< The lease may end before an answer: ask after the renewal, and release the memory if it is not used.
+};
+
+/// Times and orders of the renewals of one lease.
 class lease_schedule
 {
 public:
@@ -21,11 +28,14 @@
 
     void record(renewal_outcome outcome, time_point sentAt);
     time_point nextAt() const;
+    /// The order to send now.
+    renewal_order orderAt(const reservation_age &age, time_point now) const;
 
 private:
     reservation_limits m_limits;
     time_point m_leaseEndsAt; ///< Or later: the lease runs from the arrival of the order.
     time_point m_nextAt;
+    bool m_isRefused = false; ///< At the last renewal.
 };
 
 } // namespace mustardtrail::gateway
--- a/src/gateway/tests/lease_schedule_test.cpp
+++ b/src/gateway/tests/lease_schedule_test.cpp
@@ -29,6 +29,7 @@
     milliseconds silence{};
     milliseconds loopDelay{}; ///< Of each timer and each answer on the instance.
     bool hasEvents = true;
+    milliseconds standStill{}; ///< Of the instance, from the grant on.
 
     bool isSilentAt(time_point now) const
     {
@@ -42,7 +43,8 @@
         }
         const time_point silentFrom = start + phase;
         const bool isPaused = now >= silentFrom && now < silentFrom + silence + eventInterval;
-        return { start, isPaused ? silentFrom : now - eventInterval };
+        const bool isUnread = now - start <= standStill + loopDelay;
+        return { start, isUnread ? start : isPaused ? silentFrom : now - eventInterval };
     }
 
     /// Whether a renewal arrives in each lease.
@@ -51,11 +53,11 @@
         const reservation_limits limits = usualLimits();
         lease_schedule schedule(limits, start);
         time_point leaseEndsAt = start + limits.lease;
-        time_point now = start;
+        time_point now = start + standStill;
         while (now < start + playTime) {
             now = schedule.nextAt() > now ? schedule.nextAt() + loopDelay : now;
             const time_point startedAt = now;
-            const renewal_outcome outcome = renew(now, leaseEndsAt);
+            const renewal_outcome outcome = renew(schedule, now, leaseEndsAt);
             if (outcome == renewal_outcome::refused) {
                 return false;
             }
@@ -66,10 +68,10 @@
 
 private:
     /// Advances the time by what the orders take.
-    renewal_outcome renew(time_point &now, time_point &leaseEndsAt) const
+    renewal_outcome renew(const lease_schedule &schedule, time_point &now, time_point &leaseEndsAt) const
     {
         const reservation_age age = ageAt(now);
-        if (needsProofOfUse(age, usualLimits(), now)) {
+        if (schedule.orderAt(age, now) == renewal_order::ask_first) {
             const memory_use use = isSilentAt(now) ? memory_use::unknown : memory_use::used;
             now += (use == memory_use::unknown ? callTimeout : milliseconds(0)) + loopDelay;
             if (renewalStep(use, age) != renewal_step::renew) {
@@ -120,6 +122,37 @@
     expectEqual(lostPhases(milliseconds(200), false), 0);
 }
 
+Test(lease_schedule, anInstanceThatStoodStillKeepsALeaseThatHasNotEnded)
+{
+    int lost = 0;
+    for (milliseconds standStill{ 0 }; standStill < usualLimits().lease; standStill += phaseStep) {
+        lost += lease_play{ playTime, milliseconds(0), milliseconds(200), true, standStill }.lasts() ? 0 : 1;
+    }
+    expectEqual(lost, 0);
+}
+
+Test(lease_schedule, aLeaseThatEndsSoonIsRenewedUnprovenOnlyForAnAnswerThatHasBegun)
+{
+    const reservation_limits limits = usualLimits();
+    const lease_schedule schedule(limits, start);
+    const time_point beforeEnd = start + limits.lease - milliseconds(100);
+    const reservation_age begun{ start, start };
+    const reservation_age waiting{ start - limits.unproven, std::nullopt };
+    expectEqual(schedule.orderAt(begun, beforeEnd) == renewal_order::renew_first, true);
+    expectEqual(schedule.orderAt(begun, start + limits.lease) == renewal_order::ask_first, true);
+    expectEqual(schedule.orderAt(begun, start + limits.renewalInterval) == renewal_order::ask_first, true);
+    expectEqual(schedule.orderAt(waiting, beforeEnd) == renewal_order::ask_first, true);
+    expectEqual(schedule.orderAt({ start, beforeEnd }, beforeEnd) == renewal_order::renew, true);
+}
+
+Test(lease_schedule, memoryThatAnEngineReportsAsUnusedIsNotRenewedUnproven)
+{
+    const reservation_limits limits = usualLimits();
+    lease_schedule schedule(limits, start);
+    schedule.record(renewal_outcome::refused, start + limits.renewalInterval);
+    expectEqual(schedule.orderAt({ start, start }, start + limits.lease - milliseconds(100)) == renewal_order::ask_first, true);
+}
+
 Test(lease_schedule, aGrantedRenewalCountsFromItsOrder)
 {
     const reservation_limits limits = usualLimits();
--- a/src/programs/gateway/reservation_renewal.cpp
+++ b/src/programs/gateway/reservation_renewal.cpp
@@ -199,7 +199,8 @@
             co_return;
         }
         const time_point startedAt = m_context.clock.now();
-        const renewal_outcome outcome = co_await renewAt(target);
+        const renewal_order order = schedule.orderAt(*m_age, startedAt);
+        const renewal_outcome outcome = co_await renewAt(target, order);
         schedule.record(outcome, startedAt);
     }
 }
@@ -216,9 +217,9 @@
     });
 }
 
-asio::awaitable<renewal_outcome> reservation_renewal::renewAt(const share &target)
+asio::awaitable<renewal_outcome> reservation_renewal::renewAt(const share &target, renewal_order order)
 {
-    if (needsProofOfUse(*m_age, m_context.reservations, m_context.clock.now())) {
+    if (order == renewal_order::ask_first) {
         const memory_use use = co_await askForUse(target);
         const renewal_step step = renewalStep(use, *m_age);
         if (step == renewal_step::give_up) {
@@ -230,7 +231,23 @@
             co_return use == memory_use::unknown ? renewal_outcome::unanswered : renewal_outcome::refused;
         }
     }
-    co_return co_await reserveAt(target);
+    const renewal_outcome outcome = co_await reserveAt(target);
+    if (order == renewal_order::renew_first && outcome == renewal_outcome::granted) {
+        co_return co_await releaseUnlessUsed(target);
+    }
+    co_return outcome;
+}
+
+asio::awaitable<renewal_outcome> reservation_renewal::releaseUnlessUsed(const share &target)
+{
+    const time_point askedAt = m_context.clock.now();
+    const memory_use use = co_await askForUse(target);
+    const bool isUsed = renewalStep(use, *m_age) == renewal_step::renew || m_age->lastEventAt >= askedAt;
+    if (!isUsed && !m_isReleased) {
+        recordSkip(target, use);
+        co_await releaseAt(target);
+    }
+    co_return isUsed ? renewal_outcome::granted : renewal_outcome::refused;
 }
 
 asio::awaitable<memory_use> reservation_renewal::askForUse(const share &target)
--- a/src/programs/gateway/reservation_renewal.h
+++ b/src/programs/gateway/reservation_renewal.h
@@ -32,7 +32,9 @@
     boost::asio::awaitable<renewal_outcome> reserveAt(const share &target);
     /// Renews the lease at one engine until the release, or until that engine has started again.
     boost::asio::awaitable<void> keepRenewed(share target, lease_schedule schedule);
-    boost::asio::awaitable<renewal_outcome> renewAt(const share &target);
+    boost::asio::awaitable<renewal_outcome> renewAt(const share &target, renewal_order order);
+    /// Asks for the use after an unproven renewal.
+    boost::asio::awaitable<renewal_outcome> releaseUnlessUsed(const share &target);
     /// The memory at this engine is gone with its former start.
     void forget(const share &target);
     boost::asio::awaitable<memory_use> askForUse(const share &target);
--- a/src/programs/gateway/tests/unused_reservation_test.cpp
+++ b/src/programs/gateway/tests/unused_reservation_test.cpp
@@ -7,9 +7,12 @@
 #include "testing/expect.h"
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <thread>
+
 using namespace mustardtrail;
 using namespace mustardtrail::gateway;
 using namespace mustardtrail::gateway::testing;
@@ -189,3 +192,20 @@
     expectEqual(memory.heldCount(), size_t{ 0 });
     cr_assert_leq(memory.longestHoldAfterUse().count(), freedLimit.count());
 }
+
+Test(unused_reservation, anInstanceThatStoodStillKeepsNoMemoryOfAnAnswerThatHasEndedMeanwhile)
+{
+    engine_memory memory;
+    send_bench bench;
+    auto reservations = makeReservation(bench, bench.addServer(silentEngine(memory)));
+    cr_assert(acquire(bench, *reservations));
+    memory.beginUse();
+    reservations->recordUse();
+    memory.endUse();
+    asio::post(bench.executor(), [] {
+        std::this_thread::sleep_for(leaseTime - milliseconds(500));
+    });
+    bench.runFor(freedLimit);
+    expectEqual(memory.heldCount(), size_t{ 0 });
+    cr_assert_leq(memory.longestHoldAfterUse().count(), freedLimit.count());
+}
