Events that are read after a stand-still do not prove that memory is used

Memory stayed reserved for an answer that had ended, beyond the bound on freed memory (LEAK), on an instance that had stood still.

Cause: an event counts from when the event loop reads it. After a stand-still those that had arrived before it count as new, and the lease is renewed without a question.

A renewal that is late by an interval or more asks for the use although events have just been read (or renews first, where the lease ends soon).

--- a/src/gateway/internal/lease_schedule.cpp
+++ b/src/gateway/internal/lease_schedule.cpp
@@ -34,7 +34,9 @@
 
 renewal_order lease_schedule::orderAt(const reservation_age &age, time_point now) const
 {
-    if (!needsProofOfUse(age, m_limits, now)) {
+    // After a stand-still of the event loop, events that had arrived long before are read as new ones.
+    const bool isLate = now - m_nextAt >= m_limits.renewalInterval;
+    if (!(isLate && age.lastEventAt) && !needsProofOfUse(age, m_limits, now)) {
         return renewal_order::renew;
     }
     // After its end a renewal would reserve the memory anew; before the first event it might keep unused memory for too long.
--- a/src/programs/gateway/tests/unused_reservation_test.cpp
+++ b/src/programs/gateway/tests/unused_reservation_test.cpp
@@ -209,3 +209,21 @@
     expectEqual(memory.heldCount(), size_t{ 0 });
     cr_assert_leq(memory.longestHoldAfterUse().count(), freedLimit.count());
 }
+
+Test(unused_reservation, eventsThatAreReadAfterAStandStillKeepNoMemoryOfAnAnswerThatHasEnded)
+{
+    engine_memory memory;
+    send_bench bench;
+    auto reservations = makeReservation(bench, bench.addServer(silentEngine(memory)));
+    cr_assert(acquire(bench, *reservations));
+    memory.beginUse();
+    reservations->recordUse();
+    memory.endUse();
+    asio::post(bench.executor(), [&reservations] {
+        std::this_thread::sleep_for(leaseTime / 2);
+        reservations->recordUse();
+    });
+    bench.runFor(freedLimit);
+    expectEqual(memory.heldCount(), size_t{ 0 });
+    cr_assert_leq(memory.longestHoldAfterUse().count(), freedLimit.count());
+}
