Bytes of any server end the verdict that paths are lost from silence

Cause: only the heads of answers counted as signs of life, not the bytes of the streams that were being answered. Nothing but a connection opened by a probe ended a verdict, with delays that double to 4 s.

Now each piece of an answer over the own path (call_limits::onBytes) ends the verdict that all paths are lost and the marks that come from silence, and the loss of that server's own path. Losses and silences before it do not count together with later ones. Paths to other servers that were shown to be lost, as another instance reached them, stay so until a probe opens a connection. Bytes that come through a relay do not count.

Evidence: on the code before, five new tests of server_paths and server_client/theBytesOfAnAnswerShowThatPathsAreNotLost failed (each run once); they pass now.

--- a/src/gateway/internal/server_paths.cpp
+++ b/src/gateway/internal/server_paths.cpp
@@ -16,7 +16,15 @@
 
 void server_paths::recordConnected(const endpoint &server)
 {
-    m_lost.erase(server);
+    endVerdicts(server);
+}
+
+// Paths that were lost one by one stay so: another server says nothing of them.
+void server_paths::endVerdicts(const endpoint &server)
+{
+    std::erase_if(m_lost, [&server](const auto &entry) {
+        return entry.first == server || !entry.second.isConfirmed;
+    });
     m_areAllLost = false;
 }
 
@@ -37,8 +45,9 @@
         path.isConfirmed = true;
         path.lostAt = now;
     }
-    const auto lostTogether = std::count_if(m_lost.begin(), m_lost.end(), [now](const auto &entry) {
-        return entry.second.isConfirmed && now - entry.second.lostAt <= lossWindow;
+    const auto lostTogether = std::count_if(m_lost.begin(), m_lost.end(), [this, now](const auto &entry) {
+        const bool isHeardSince = m_heardAt && *m_heardAt >= entry.second.lostAt;
+        return entry.second.isConfirmed && !isHeardSince && now - entry.second.lostAt <= lossWindow;
     });
     if (!m_areAllLost && static_cast<size_t>(lostTogether) >= minLostPaths) {
         m_areAllLost = true;
@@ -49,14 +58,14 @@
 
 void server_paths::recordHeard(const endpoint &server, time_point now)
 {
-    m_heardAt[server] = now;
+    m_heardAt = now;
+    m_silentAt.clear();
+    endVerdicts(server);
 }
 
 bool server_paths::areSeveralSilent(time_point silentSince, time_point now) const
 {
-    const bool isAnyHeard = std::any_of(m_heardAt.begin(), m_heardAt.end(), [silentSince](const auto &entry) {
-        return entry.second > silentSince;
-    });
+    const bool isAnyHeard = m_heardAt && *m_heardAt > silentSince;
     const auto silent = std::count_if(m_silentAt.begin(), m_silentAt.end(), [now](const auto &entry) {
         return now - entry.second <= lossWindow;
     });
@@ -115,11 +124,9 @@
         return now - entry.second.wantedAt > unusedMaxAge;
     });
     m_areAllLost = m_areAllLost && !m_lost.empty();
-    const auto isOld = [now](const auto &entry) {
+    std::erase_if(m_silentAt, [now](const auto &entry) {
         return now - entry.second > unusedMaxAge;
-    };
-    std::erase_if(m_heardAt, isOld);
-    std::erase_if(m_silentAt, isOld);
+    });
 }
 
 } // namespace mustardtrail::gateway
--- a/src/gateway/server_paths.h
+++ b/src/gateway/server_paths.h
@@ -21,12 +21,12 @@
     void recordConnected(const endpoint &server);
     /// Records that the server was reached through another instance while the own path failed.
     void recordLost(const endpoint &server, time_point now);
-    /// Records that the server answered a request over the own path.
+    /// Records bytes that the server sent over the own path: this path is not lost, and silence of the others shows nothing.
     void recordHeard(const endpoint &server, time_point now);
     /// Records that a request on an open connection to the server has been silent since then. Returns whether the path counts as
-    /// lost: when another server is silent too and none has answered since. Else the server may be slow with that request.
+    /// lost: when another server is silent too and none has been heard since. Else the server may be slow with that request.
     bool recordSilent(const endpoint &server, time_point silentSince, time_point now);
-    /// Whether all paths count as lost: several were within a short time, and no connection has been opened since.
+    /// Whether all paths count as lost: several were within a short time, and no server has been reached or heard since.
     bool areAllLost() const;
     /// Whether other instances had better not send through this one.
     bool hasLostPaths() const;
@@ -51,9 +51,10 @@
 
     bool areSeveralSilent(time_point silentSince, time_point now) const;
     lost_path &markLost(const endpoint &server, time_point now);
+    void endVerdicts(const endpoint &server);
 
     std::map<endpoint, lost_path> m_lost;
-    std::map<endpoint, time_point> m_heardAt;
+    std::optional<time_point> m_heardAt; ///< Any server.
     std::map<endpoint, time_point> m_silentAt; ///< Of the latest request that was silent for too long.
     bool m_areAllLost = false;
     std::chrono::milliseconds m_probeDelay{ firstProbeDelay }; ///< While all are lost: of one path for all.
--- a/src/gateway/tests/server_paths_test.cpp
+++ b/src/gateway/tests/server_paths_test.cpp
@@ -122,3 +122,50 @@
     cr_assert_not(paths.areAllLost());
     cr_assert(paths.mayUseOwnPath(first, at(40'000)));
 }
+
+// An instance sent through others for seconds after sound servers had been silent.
+Test(server_paths, bytesOfAnyServerEndTheVerdictFromSilence)
+{
+    server_paths paths;
+    paths.recordSilent(first, at(-350), at(0));
+    cr_assert(paths.recordSilent(second, at(-340), at(10)));
+    paths.recordHeard(third, at(100));
+    cr_assert(paths.mayUseOwnPath(second, at(110)));
+}
+
+Test(server_paths, aSilenceThatEndedIsNoSignForAnother)
+{
+    server_paths paths;
+    paths.recordSilent(first, at(0), at(350));
+    paths.recordHeard(third, at(400));
+    cr_assert_not(paths.recordSilent(second, at(500), at(850)));
+    cr_assert(paths.mayUseOwnPath(second, at(860)));
+}
+
+Test(server_paths, bytesOfAnyServerEndTheVerdictThatAllAreLost)
+{
+    server_paths paths = allLost(0);
+    paths.recordHeard(third, at(200));
+    cr_assert_not(paths.areAllLost());
+    cr_assert(paths.mayUseOwnPath(third, at(210)));
+    cr_assert_not(paths.mayUseOwnPath(first, at(210)));
+}
+
+Test(server_paths, bytesOfAServerEndTheLossOfItsPath)
+{
+    server_paths paths;
+    paths.recordLost(first, at(0));
+    paths.recordHeard(first, at(200));
+    cr_assert(paths.mayUseOwnPath(first, at(210)));
+}
+
+Test(server_paths, pathsLostWhileServersAreHeardAreNotAll)
+{
+    server_paths paths;
+    paths.recordLost(first, at(0));
+    paths.recordHeard(third, at(50));
+    paths.recordLost(second, at(100));
+    cr_assert_not(paths.areAllLost());
+    paths.recordLost({ "10.0.0.4", 80 }, at(150));
+    cr_assert(paths.areAllLost());
+}
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -32,6 +32,8 @@
     std::function<void(std::function<void()>)> onConnection;
     /// Called when a new connection was opened for this call; not for a pooled one.
     std::function<void()> onOpened;
+    /// Called when bytes of the answer's body have arrived.
+    std::function<void()> onBytes;
     /// Called just before the first byte is sent; a returned error ends the call and nothing is sent.
     std::function<std::optional<error>()> beforeSend;
 
--- a/src/http/internal/client.cpp
+++ b/src/http/internal/client.cpp
@@ -237,7 +237,7 @@
         co_return tl::unexpected(callError(code, verdict::may_have_run, to, failure.message()));
     }
     co_return std::make_unique<client_stream>(
-        pool, to, std::move(connection), std::move(source), limits.progress, sent.has_value(), isReused);
+        pool, to, std::move(connection), std::move(source), limits.progress, std::move(limits.onBytes), sent.has_value(), isReused);
 }
 
 asio::awaitable<result<void>> client::openIdle(endpoint to, std::chrono::milliseconds limit)
--- a/src/http/internal/client_stream.cpp
+++ b/src/http/internal/client_stream.cpp
@@ -49,6 +49,7 @@
     std::unique_ptr<client_connection> connection,
     std::unique_ptr<parser> source,
     std::chrono::milliseconds progress,
+    std::function<void()> onBytes,
     bool isReusable,
     bool isOnReusedConnection)
     : m_pool(std::move(pool))
@@ -56,6 +57,7 @@
     , m_connection(std::move(connection))
     , m_source(std::move(source))
     , m_progress(progress)
+    , m_onBytes(std::move(onBytes))
     , m_isReusable(isReusable)
     , m_isOnReusedConnection(isOnReusedConnection)
 {
@@ -126,6 +128,9 @@
         }
         const size_t count = piece.size() - body.size;
         if (count > 0) {
+            if (m_onBytes) {
+                m_onBytes();
+            }
             piece.resize(count);
             co_return piece;
         }
--- a/src/http/internal/client_stream.h
+++ b/src/http/internal/client_stream.h
@@ -19,6 +19,7 @@
         std::unique_ptr<client_connection> connection,
         std::unique_ptr<parser> source,
         std::chrono::milliseconds progress,
+        std::function<void()> onBytes,
         bool isReusable,
         bool isOnReusedConnection);
     ~client_stream() override;
@@ -38,6 +39,7 @@
     std::unique_ptr<client_connection> m_connection;
     std::unique_ptr<parser> m_source;
     std::chrono::milliseconds m_progress;
+    std::function<void()> m_onBytes; ///< May be empty.
     bool m_isReusable; ///< False when the request was not sent completely.
     bool m_isOnReusedConnection;
     header_list m_headers;
--- a/src/programs/gateway/server_client.cpp
+++ b/src/programs/gateway/server_client.cpp
@@ -123,6 +123,9 @@
     limits.onOpened = [this, server] {
         m_state.paths.recordConnected(server);
     };
+    limits.onBytes = [this, server] {
+        m_state.paths.recordHeard(server, m_clock.now());
+    };
     auto answer = co_await m_direct.open(server, std::move(message), std::move(limits));
     if (answer) {
         m_state.paths.recordHeard(server, m_clock.now());
--- a/src/programs/gateway/tests/server_client_test.cpp
+++ b/src/programs/gateway/tests/server_client_test.cpp
@@ -7,6 +7,8 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 using namespace mustardtrail;
 using namespace mustardtrail::gateway;
@@ -58,6 +60,21 @@
     }
 }
 
+constexpr int piecesOfAnswer = 10;
+
+boost::asio::awaitable<void> answerInPieces(http::exchange &exchange)
+{
+    http::header_list head;
+    co_await exchange.startStream(200, std::move(head));
+    boost::asio::steady_timer wait(exchange.executor());
+    for (int piece = 0; piece < piecesOfAnswer; ++piece) {
+        wait.expires_after(milliseconds(30));
+        co_await wait.async_wait(boost::asio::use_awaitable);
+        co_await exchange.write("piece ");
+    }
+    co_await exchange.finishStream();
+}
+
 /// Sends to a server that only the relay reaches; returns what was read of its answer and how that ended.
 std::string readThrough(const std::string &bytesOfRelay)
 {
@@ -113,3 +130,25 @@
     const std::string serverLost = toString(error_code::backend_connection_lost);
     expectEqual(readThrough("HTTP/1.1 502 Bad Gateway\r\nMustardtrail-Relay: may_have_run\r\nContent-Length: 0\r\n\r\n"), " " + serverLost);
 }
+
+// Only heads of answers counted, so sound servers that were silent together were reached through other instances.
+Test(server_client, theBytesOfAnAnswerShowThatPathsAreNotLost)
+{
+    const endpoint firstSilent{ "10.0.0.1", 80 };
+    const endpoint secondSilent{ "10.0.0.2", 80 };
+    send_bench bench;
+    const endpoint server = bench.addServer(answerInPieces);
+    server_client &servers = bench.context().servers;
+    std::string read;
+    error_code end = error_code::backend_timeout;
+    boost::asio::co_spawn(bench.executor(), readToTheEnd(servers, server, read, end), boost::asio::detached);
+    bench.runFor(milliseconds(100));
+    const time_point silentSince = bench.context().clock.now();
+    servers.recordSilence(firstSilent, silentSince);
+    servers.recordSilence(secondSilent, silentSince);
+    server_paths &paths = bench.context().state.paths;
+    cr_assert_not(paths.mayUseOwnPath(secondSilent, bench.context().clock.now()));
+    bench.runFor(milliseconds(400));
+    expectEqual(toString(end), toString(error_code::none));
+    cr_assert(paths.mayUseOwnPath(secondSilent, bench.context().clock.now()));
+}
