Paths to servers are used again within 3 s of the end of a cut

What callers saw: an instance sent through others for up to 4 s after its paths were back, and the last of many lost paths later still. That is as long as the contact time of the sites (3 to 5 s), after which the cut explains nothing any more.

Cause: the delay of probes doubled to 4 s, and one path was probed in each tenth of a second, so 30 paths that had been lost one by one took 3 s. Now the delay ends at 2 s, and all probes that are due go out together.

Changed test: onePathIsProbedWhileAllAreLost... counted the four probes of 0.5, 1, 2 and 4 s; it now requires the times of all six.

Not covered: while all paths are lost one path stands for all; where the probed server itself is down, the next one is tried 2 s later.

--- a/src/gateway/server_paths.h
+++ b/src/gateway/server_paths.h
@@ -37,7 +37,7 @@
     static constexpr size_t minLostPaths = 2; ///< For the verdict that all are lost: one may be lost by itself.
     static constexpr std::chrono::milliseconds lossWindow{ 1'000 }; ///< In which they were lost; covers a few requests.
     static constexpr std::chrono::milliseconds firstProbeDelay{ 500 }; ///< Doubled after each failed probe.
-    static constexpr std::chrono::milliseconds maxProbeDelay{ 4'000 };
+    static constexpr std::chrono::milliseconds maxProbeDelay{ 2'000 }; ///< Paths must be back within 3 s of the end of a cut.
     static constexpr std::chrono::seconds unusedMaxAge{ 30 }; ///< A path that no request wanted for so long is forgotten.
 
 private:
--- a/src/gateway/tests/server_paths_test.cpp
+++ b/src/gateway/tests/server_paths_test.cpp
@@ -109,7 +109,7 @@
             probed.insert(*probe);
         }
     }
-    expectEqual(probedAt.size(), size_t{ 4 }); // After 0.5, 1, 2 and 4 s.
+    cr_assert(probedAt == (std::vector<int>{ 600, 1'600, 3'600, 5'600, 7'600, 9'600 })); // After 0.5, 1, 2, 2, 2 and 2 s.
     expectEqual(probed.size(), size_t{ 2 });
 }
 
@@ -169,3 +169,21 @@
     paths.recordLost({ "10.0.0.4", 80 }, at(150));
     cr_assert(paths.areAllLost());
 }
+
+// After a long cut an instance sent through others for longer than the sites allow.
+Test(server_paths, aPathIsProbedWithinThreeSecondsOfTheEndOfItsCut)
+{
+    constexpr int limit = 3'000 - 500; // Less a failing probe and the time between two looks.
+    server_paths lostAlone;
+    lostAlone.recordLost(first, at(0));
+    server_paths lostTogether = allLost(0);
+    for (server_paths *paths : { &lostAlone, &lostTogether }) {
+        int last = 0;
+        for (int now = 0; now < 30'000; now += 100) {
+            if (paths->takeProbe(at(now))) {
+                cr_assert_leq(now - last, limit);
+                last = now;
+            }
+        }
+    }
+}
--- a/src/programs/gateway/server_client.cpp
+++ b/src/programs/gateway/server_client.cpp
@@ -222,7 +222,7 @@
         std::erase_if(m_avoidedUntil, [now](const auto &entry) {
             return now >= entry.second;
         });
-        if (const auto due = m_state.paths.takeProbe(now)) {
+        while (const auto due = m_state.paths.takeProbe(now)) {
             asio::co_spawn(m_executor, probe(*due), asio::detached);
         }
     }
--- a/src/programs/gateway/tests/server_client_test.cpp
+++ b/src/programs/gateway/tests/server_client_test.cpp
@@ -10,6 +10,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <vector>
+
 using namespace mustardtrail;
 using namespace mustardtrail::gateway;
 using namespace mustardtrail::gateway::testing;
@@ -152,3 +154,22 @@
     expectEqual(toString(end), toString(error_code::none));
     cr_assert(paths.mayUseOwnPath(secondSilent, bench.context().clock.now()));
 }
+
+// A probe for each tenth of a second left the last of many paths unused for seconds after a cut.
+Test(server_client, allPathsThatAreDueAreProbedAtOnce)
+{
+    constexpr int serverCount = 30;
+    send_bench bench;
+    server_paths &paths = bench.context().state.paths;
+    std::vector<endpoint> lost;
+    for (int number = 0; number < serverCount; ++number) {
+        lost.push_back(bench.addServer(answerInPieces));
+        paths.recordLost(lost.back(), bench.context().clock.now());
+    }
+    paths.recordConnected({ "10.0.0.1", 80 });
+    boost::asio::co_spawn(bench.executor(), bench.context().servers.probeLostPaths(), boost::asio::detached);
+    bench.runFor(server_paths::firstProbeDelay + milliseconds(600));
+    for (const endpoint &each : lost) {
+        cr_assert(paths.mayUseOwnPath(each, bench.context().clock.now()));
+    }
+}
