A question to a server that reached nobody is no answer

After a connection to a server was lost, its report was asked for three times within a second. Where the paths of the asking instance and of its relays were cut, nobody was reached, the log said runs=no, and the evidence of a crash stood for a minute: sound prompts were held back until their trial (503, prompt_part_quarantined).

What was seen of a server is now one type, server_evidence, and server_inquiry decides on it: only the server itself shows that it runs or ended. An instance that shows an answer from the server to a request sent since the doubt is asked through first; a relay that reached nobody is avoided for a second. A question goes on to the next way also when a connection opened and was then lost, as it may be put more than once. A refused connection proves an end only on the own path of an instance that has not lost others.

Ruled out: counting a relay's refusal as proof, since it does not say whether the relay's own path is cut.

--- a/src/gateway/internal/load_tracker.cpp
+++ b/src/gateway/internal/load_tracker.cpp
@@ -183,6 +183,20 @@
     }
 }
 
+std::set<peer_address> load_tracker::hearersOf(server_key server, time_point since) const
+{
+    std::set<peer_address> hearers;
+    for (const auto &[peer, reported] : m_peers) {
+        const bool hasHeard = std::any_of(reported.work.begin(), reported.work.end(), [&](const server_work &work) {
+            return work.server == server && work.isDecoding && work.sentAt >= since;
+        });
+        if (hasHeard) {
+            hearers.insert(peer);
+        }
+    }
+    return hearers;
+}
+
 size_t load_tracker::busyInstances() const
 {
     return 1 + static_cast<size_t>(std::count_if(m_peers.begin(), m_peers.end(), [](const auto &entry) {
--- a/src/gateway/internal/relay_choice.cpp
+++ b/src/gateway/internal/relay_choice.cpp
@@ -42,10 +42,10 @@
 {
     const std::string key = server + ' ' + std::to_string(sender);
     const bool prefersFar = unitFrom(rendezvousWeight(key, "far")) < shareOfFarRelays(candidates);
-    std::vector<std::tuple<bool, bool, bool, std::uint64_t, peer_address>> ranked; // Best first.
+    std::vector<std::tuple<bool, bool, bool, bool, std::uint64_t, peer_address>> ranked; // Best first.
     for (const relay_candidate &each : candidates) {
         const std::uint64_t weight = rendezvousWeight(key, std::to_string(each.instance));
-        ranked.emplace_back(each.hasFailed, each.hasLostPaths, each.isNear == prefersFar, ~weight, each.instance);
+        ranked.emplace_back(each.hasFailed, !each.hasHeardServer, each.hasLostPaths, each.isNear == prefersFar, ~weight, each.instance);
     }
     std::sort(ranked.begin(), ranked.end());
     std::vector<peer_address> chosen;
--- a/src/gateway/load_tracker.h
+++ b/src/gateway/load_tracker.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace mustardtrail::gateway
@@ -61,6 +62,8 @@
     std::chrono::milliseconds pictureAge(time_point now) const;
     /// Returns the known prefill that was sent to the server since then, this instance's request `except` left out.
     std::chrono::microseconds prefillSentSince(server_key server, time_point since, std::uint64_t except) const;
+    /// Other instances that the server answers a request sent since then: they have heard it.
+    std::set<peer_address> hearersOf(server_key server, time_point since) const;
     /// Instances that have work at any server, this one included.
     size_t busyInstances() const;
 
--- a/src/gateway/relay_choice.h
+++ b/src/gateway/relay_choice.h
@@ -15,6 +15,7 @@
     bool isNear = false; ///< In the own data centre.
     bool hasLostPaths = false; ///< Has lost paths to backend servers itself.
     bool hasFailed = false; ///< A send through it failed lately.
+    bool hasHeardServer = false; ///< Since the server was last doubted.
 };
 
 /// Returns at most `maxRelays` instances in the order in which to try them. The same for the same server and sender, spread
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -32,6 +32,8 @@
     std::function<void(std::function<void()>)> onConnection;
     /// Called when a new connection was opened for this call; not for a pooled one.
     std::function<void()> onOpened;
+    /// Called when the machine of the endpoint refused a new connection for this call.
+    std::function<void()> onRefused;
     /// Called just before the first byte is sent; a returned error ends the call and nothing is sent.
     std::function<std::optional<error>()> beforeSend;
 
--- a/src/http/internal/client.cpp
+++ b/src/http/internal/client.cpp
@@ -75,8 +75,11 @@
     co_return result<void>{};
 }
 
-asio::awaitable<result<std::unique_ptr<client_connection>>> connect(
-    asio::any_io_executor executor, endpoint to, std::chrono::milliseconds limit, std::shared_ptr<partitioned_links> partitions)
+asio::awaitable<result<std::unique_ptr<client_connection>>> connect(asio::any_io_executor executor,
+    endpoint to,
+    std::chrono::milliseconds limit,
+    std::shared_ptr<partitioned_links> partitions,
+    std::function<void()> onRefused)
 {
     const auto end = std::chrono::steady_clock::now() + limit;
     if (partitions && partitions->contains(to)) {
@@ -92,6 +95,9 @@
         connection->stream.expires_at(end);
         co_await connection->stream.async_connect(remote, asio::redirect_error(asio::use_awaitable, failure));
     }
+    if (failure == asio::error::connection_refused && onRefused) {
+        onRefused();
+    }
     if (failure) {
         co_return tl::unexpected(callError(error_code::backend_connect_failed, verdict::not_run, to, failure.message()));
     }
@@ -191,7 +197,7 @@
     const auto pool = m_pool;
     std::unique_ptr<client_connection> connection = limits.freshConnection ? nullptr : pool->take(to, limits.maxIdleForReuse);
     if (!connection) {
-        auto connected = co_await connect(m_executor, to, limits.connect, m_partitions);
+        auto connected = co_await connect(m_executor, to, limits.connect, m_partitions, limits.onRefused);
         if (!connected) {
             co_return tl::unexpected(connected.error());
         }
@@ -243,7 +249,7 @@
 asio::awaitable<result<void>> client::openIdle(endpoint to, std::chrono::milliseconds limit)
 {
     const auto pool = m_pool;
-    auto connected = co_await connect(m_executor, to, limit, m_partitions);
+    auto connected = co_await connect(m_executor, to, limit, m_partitions, {});
     if (!connected) {
         co_return tl::unexpected(connected.error());
     }
--- a/src/programs/gateway/crash_verifier.cpp
+++ b/src/programs/gateway/crash_verifier.cpp
@@ -5,9 +5,12 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/ip/address_v4.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
+
 namespace mustardtrail::gateway
 {
 
@@ -19,6 +22,22 @@
 
 constexpr milliseconds callTimeout{ 500 }; ///< Several passes of an engine; a report needs no slot.
 
+server_sign signOf(const server_reply &reply, std::uint64_t startedAt)
+{
+    if (reply.answer) {
+        const bool isOther = platform::isReportOfOtherStart(*reply.answer, startedAt);
+        const server_sign other = isOther ? server_sign::other_start : server_sign::no_report;
+        return platform::isReportOfStart(*reply.answer, startedAt) ? server_sign::bytes : other;
+    }
+    if (reply.isRefused) {
+        return server_sign::refused;
+    }
+    if (reply.answer.error().outcome == verdict::not_run) {
+        return server_sign::nobody_answered;
+    }
+    return reply.answer.error().code == error_code::backend_timeout ? server_sign::silent : server_sign::reset;
+}
+
 } // namespace
 
 crash_verifier::crash_verifier(asio::any_io_executor executor, gateway_context &context)
@@ -29,58 +48,72 @@
 
 void crash_verifier::verify(server_key server, server_start_key start, const attempt_id &attempt)
 {
-    if (m_running.insert(start).second) {
+    const time_point now = m_context.clock.now();
+    const auto [inquiry, isNew] = m_inquiries.try_emplace(start, now);
+    if (isNew) {
         asio::co_spawn(m_executor, verifyNow(server, start, attempt), asio::detached);
     } else {
-        m_lostAgain.insert(start);
+        inquiry->second.recordDoubt(now);
     }
 }
 
-// An answer says nothing of a loss that came after the question.
 asio::awaitable<void> crash_verifier::verifyNow(server_key server, server_start_key start, attempt_id attempt)
 {
     monotonic_timer timer(m_executor);
-    for (const milliseconds delay : delays) {
-        timer.expires_after(delay);
+    server_inquiry &inquiry = m_inquiries.at(start);
+    while (const auto askAt = inquiry.askAt()) {
+        timer.expires_after(std::max(time_point::duration(0), *askAt - m_context.clock.now()));
         boost::system::error_code ignored;
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-        m_lostAgain.erase(start);
-        const finding found = co_await ask(server, start, attempt);
-        const bool isOpen = found == finding::unreached || (found == finding::runs && m_lostAgain.contains(start));
-        if (!isOpen) {
-            break;
+        const server_evidence evidence = co_await ask(server, start, inquiry.doubtedAt(), attempt);
+        inquiry.recordEvidence(evidence, m_context.clock.now());
+        if (lifeShownBy(evidence) == server_life::runs) {
+            m_context.state.quarantine.recordRunning(start, evidence.at, m_context.clock.now());
+            m_context.scheduleReport();
         }
     }
-    m_lostAgain.erase(start);
-    m_running.erase(start);
+    m_inquiries.erase(start);
 }
 
-asio::awaitable<crash_verifier::finding> crash_verifier::ask(server_key server, server_start_key start, attempt_id attempt)
+asio::awaitable<server_evidence> crash_verifier::ask(server_key server, server_start_key start, time_point doubtedAt, attempt_id attempt)
 {
+    server_evidence evidence;
+    evidence.server = start;
+    evidence.at = m_context.clock.now();
+    server_reply reply{ tl::unexpected(error()), {}, false };
     const auto *known = m_context.state.findServer(server);
     if (!known || startKeyOf(known->entry) != start) {
-        co_return finding::other;
+        evidence.seen = server_sign::other_start;
+        log(evidence, server, reply, attempt);
+        co_return evidence;
     }
-    const backend_server_id id = known->entry.id;
     const std::uint64_t startedAt = known->entry.startedAt;
-    const time_point askedAt = m_context.clock.now();
-    auto question = platform::engineReportRequest(id);
+    auto question = platform::engineReportRequest(known->entry.id);
     http::call_limits limits = http::call_limits::within(callTimeout);
     limits.freshConnection = true; // Those in the pool were most likely lost as well.
-    const auto answer = co_await m_context.servers.call(known->entry.address, std::move(question), std::move(limits), attempt);
-    auto found = answer ? finding::other : finding::unreached;
-    if (answer && platform::isReportOfStart(*answer, startedAt)) {
-        found = finding::runs;
-        m_context.state.quarantine.recordRunning(start, askedAt, m_context.clock.now());
-        m_context.scheduleReport();
+    auto hearers = m_context.state.loads.hearersOf(server, doubtedAt);
+    reply = co_await m_context.servers.ask(known->entry.address, std::move(question), std::move(limits), attempt, std::move(hearers));
+    evidence.relay = reply.relay;
+    evidence.seen = signOf(reply, startedAt);
+    evidence.hasObserverLostOthers = m_context.state.paths.hasLostPaths();
+    if (evidence.seen == server_sign::refused) {
+        evidence.relay.reset();
     }
+    log(evidence, server, reply, attempt);
+    co_return evidence;
+}
+
+void crash_verifier::log(const server_evidence &evidence, server_key server, const server_reply &reply, const attempt_id &attempt)
+{
+    const auto *known = m_context.state.findServer(server);
     m_context.log.write(log_line("crash_verified")
                             .add("request", attempt.str())
-                            .add("server", id.str())
-                            .add("runs", found == finding::runs ? "yes" : "no")
-                            .add("status", answer ? answer->status : 0)
-                            .add("error", answer ? "" : answer.error().detail));
-    co_return found;
+                            .add("server", known ? known->entry.id.str() : std::string("departed"))
+                            .add("runs", toString(lifeShownBy(evidence)))
+                            .add("seen", toString(evidence.seen))
+                            .add("path", evidence.relay ? asio::ip::address_v4(*evidence.relay).to_string() : std::string("own"))
+                            .add("status", reply.answer ? reply.answer->status : 0)
+                            .add("error", reply.answer ? "" : reply.answer.error().detail));
 }
 
 } // namespace mustardtrail::gateway
--- a/src/programs/gateway/server_client.cpp
+++ b/src/programs/gateway/server_client.cpp
@@ -82,7 +82,7 @@
     endpoint server, http::request_message message, http::call_limits limits, attempt_id attempt)
 {
     path_plan plan(m_state.paths.mayUseOwnPath(server, m_clock.now()), [this, server] {
-        return relaysFor(server, m_clock.now());
+        return relaysFor(server, {}, m_clock.now());
     });
     opened_answer answer = tl::unexpected(error{ error_code::backend_connect_failed, verdict::not_run, {}, {} });
     bool hasOwnPathFailed = false;
@@ -136,11 +136,12 @@
     return avoided != m_avoidedUntil.end() && now < avoided->second;
 }
 
-std::vector<peer_address> server_client::relaysFor(const endpoint &server, time_point now) const
+std::vector<peer_address> server_client::relaysFor(const endpoint &server, const std::set<peer_address> &first, time_point now) const
 {
     auto candidates = m_state.peers.relayCandidates(now);
     for (relay_candidate &each : candidates) {
         each.hasFailed = isAvoided({ each.instance, {} }, now) || isAvoided({ each.instance, server }, now);
+        each.hasHeardServer = first.contains(each.instance);
     }
     return chooseRelays(candidates, toString(server), m_self);
 }
@@ -151,6 +152,7 @@
     http::request_message relayed = addressedTo(server, message, limits.freshConnection);
     const endpoint relayAddress{ textOf(relay), m_relayPort };
     limits.connect = std::min(limits.connect, relayConnectTimeout);
+    limits.onRefused = {}; // Of the server, not of the relay.
     limits.freshConnection = false; // Instances answer in order; it is the relay's connection to the server that must be new.
     auto answer = co_await m_direct.open(relayAddress, std::move(relayed), std::move(limits));
     const time_point now = m_clock.now();
@@ -182,6 +184,12 @@
 {
     const size_t maxBytes = std::min(limits.bodyBytes, maxCallAnswerBytes);
     auto opened = co_await openOnAnyPath(server, std::move(message), std::move(limits), attempt);
+    co_return co_await readAnswer(server, std::move(opened), maxBytes, attempt);
+}
+
+asio::awaitable<result<http::response_message>> server_client::readAnswer(
+    endpoint server, opened_answer opened, size_t maxBytes, attempt_id attempt)
+{
     if (!opened) {
         co_return tl::unexpected(opened.error());
     }
@@ -194,6 +202,38 @@
     co_return co_await http::readWhole(**opened, maxBytes);
 }
 
+// A question may be put more than once, so any failure leads to the next way: a path that resets connections lets them open first.
+asio::awaitable<server_reply> server_client::ask(
+    endpoint server, http::request_message message, http::call_limits limits, attempt_id attempt, std::set<peer_address> firstRelays)
+{
+    const size_t maxBytes = std::min(limits.bodyBytes, maxCallAnswerBytes);
+    path_plan plan(m_state.paths.mayUseOwnPath(server, m_clock.now()), [this, server, firstRelays] {
+        return relaysFor(server, firstRelays, m_clock.now());
+    });
+    server_reply reply{ tl::unexpected(error{ error_code::backend_connect_failed, verdict::not_run, {}, {} }), {}, false };
+    limits.onRefused = [&reply] {
+        reply.isRefused = true;
+    };
+    while (const auto way = plan.next()) {
+        reply.relay = way->relay;
+        opened_answer opened;
+        if (way->relay) {
+            opened = co_await openThrough(*way->relay, server, message, limits);
+            logRelayed(*way->relay, server, opened, attempt);
+        } else {
+            opened = co_await openDirectly(server, message, limits);
+        }
+        reply.answer = co_await readAnswer(server, std::move(opened), maxBytes, attempt);
+        if (reply.answer) {
+            break;
+        }
+        if (way->relay) {
+            m_avoidedUntil[{ *way->relay, server }] = m_clock.now() + relayAvoidance;
+        }
+    }
+    co_return reply;
+}
+
 void server_client::recordSilence(const endpoint &server, time_point silentSince)
 {
     const time_point now = m_clock.now();
@@ -203,7 +243,7 @@
         }
         return;
     }
-    if (const auto relays = relaysFor(server, now); !relays.empty()) {
+    if (const auto relays = relaysFor(server, {}, now); !relays.empty()) {
         m_avoidedUntil[{ relays.front(), server }] = now + relayAvoidance;
     }
 }
--- a/src/programs/gateway/server_client.h
+++ b/src/programs/gateway/server_client.h
@@ -11,10 +11,19 @@
 
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 
 namespace mustardtrail::gateway
 {
 
+/// What became of a question to a backend server.
+struct server_reply {
+    result<http::response_message> answer;
+    std::optional<peer_address> relay; ///< Of the last way that was tried; none: the own path.
+    bool isRefused = false; ///< The server's machine refused a connection over the own path.
+};
+
 /// Sends requests to backend servers: over this instance's own path or, where that is lost, through another instance. A relayed
 /// send has the answers, errors and verdicts of a send to the server itself, and `peer_connection_lost` where the other one may have ended.
 class server_client
@@ -35,6 +44,9 @@
     /// are `backend_answer_invalid`.
     boost::asio::awaitable<result<http::response_message>> call(
         endpoint server, http::request_message message, http::call_limits limits, attempt_id attempt);
+    /// Asks the server over the own path and then through other instances, until it answers. Those in `firstRelays` go first.
+    boost::asio::awaitable<server_reply> ask(
+        endpoint server, http::request_message message, http::call_limits limits, attempt_id attempt, std::set<peer_address> firstRelays);
     /// Records that a send to the server has been silent since then, which is too long.
     void recordSilence(const endpoint &server, time_point silentSince);
     /// Tries lost paths again, until the event loop ends.
@@ -53,7 +65,9 @@
         peer_address relay, endpoint server, const http::request_message &message, http::call_limits limits);
     void logRelayed(peer_address relay, const endpoint &server, const opened_answer &answer, const attempt_id &attempt);
     bool isAvoided(const relayed_path &path, time_point now) const;
-    std::vector<peer_address> relaysFor(const endpoint &server, time_point now) const;
+    std::vector<peer_address> relaysFor(const endpoint &server, const std::set<peer_address> &first, time_point now) const;
+    boost::asio::awaitable<result<http::response_message>> readAnswer(
+        endpoint server, opened_answer opened, size_t maxBytes, attempt_id attempt);
     boost::asio::awaitable<void> probe(endpoint server);
 
     boost::asio::any_io_executor m_executor;
--- a/src/programs/gateway/tests/lost_connections_test.cpp
+++ b/src/programs/gateway/tests/lost_connections_test.cpp
@@ -23,12 +23,16 @@
 int promptsReceived = 0;
 int reportsAsked = 0;
 int connectionsToLose = lostConnections;
+bool areQuestionsLost = false;
 
 /// Tells its report at any time, as it never ends; the first connections with a prompt are lost while the answer begins.
 boost::asio::awaitable<void> loseConnectionsAtFirst(http::exchange &exchange)
 {
     if (fake_platform::isQuestion(exchange)) {
         ++reportsAsked;
+        if (areQuestionsLost) {
+            co_return;
+        }
         co_await exchange.respond(http::makeResponse(200, R"({"stage":"both","seq":1,"running":0})", "application/json"));
         co_return;
     }
@@ -139,6 +143,24 @@
     cr_assert_gt(reportsAsked, 0);
 }
 
+// Three questions within a second found the paths lost, and the prompts were held back until their trial.
+Test(lost_connections, aServerThatWasNotReachedIsAskedAgainUntilItIsHeard)
+{
+    fake_platform platform;
+    addServers(platform);
+    platform.start();
+    areQuestionsLost = true;
+    connectionsToLose = 6;
+    for (int request = 0; request < lostConnections; ++request) {
+        callWithSharedPart(platform, request);
+    }
+    expectEqual(callWithSharedPart(platform, lostConnections).status, 503);
+    platform.runFor(milliseconds(1'600));
+    areQuestionsLost = false;
+    platform.runFor(milliseconds(2'500));
+    expectEqual(callWithSharedPart(platform, lostConnections + 1).status, 200);
+}
+
 Test(lost_connections, anInstanceThatDidNotLoseThemHoldsNoPromptBackEither)
 {
     fake_platform platform;
