What an instance sees that has just lost several servers convicts no part of a prompt

When the connections of an instance to all servers were reset, each loss counted as a crash of its server. Second sends that were reset again made several crashes in a row of it, sound parts of prompts were held back at all instances, and their requests got 503.

A crash now names some of the instances that observed it. An instance that loses three servers within 100 ms, all answering requests sent before the first loss, tells so; what it sees then and for a second after counts only when an observer that is not in doubt saw the same crash, or when there is proof that this start ended (another start, it left the list, a refused connection at a sound instance). A part that ends its servers is sent to the next one after the crash before, so it is no such moment, however fast. Reports carry the observers and the moments; a crash of an earlier release names none and counts.

Ruled out: holding all evidence back for a moment, since the news of the third crash would come later; taking lost paths as the sign, since a guilty prompt that is sent through other instances must be found too (crashing_part).

Tests changed, each stricter: the report that must fit a datagram also holds the most moments of loss; mixed_releases removes the two new fields from the previous schema as well.

--- a/src/gateway/crash_evidence.h
+++ b/src/gateway/crash_evidence.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/clock.h"
+#include "gateway/peer_address.h"
 #include "gateway/prompt_part.h"
 #include "gateway/server_work.h"
 
@@ -11,6 +12,9 @@
 namespace mustardtrail::gateway
 {
 
+/// Observer of a crash that an instance of an earlier release told of, or of which there is proof. Never in doubt.
+inline constexpr peer_address unnamedObserver = 0;
+
 /// End of one start of a backend server, with the parts of the prompts that it was reading or had just begun to answer.
 struct crash_evidence {
     server_start_key server = 0;
@@ -18,6 +22,14 @@
     std::map<prompt_part, time_point> sentAt; ///< When a request with the part was sent to the server.
     std::map<prompt_part, unsigned> positions{}; ///< In the prompt, of those after the first; the last one of several.
     std::set<prompt_part> answeredBefore{}; ///< An answer on the part had been written in the seconds before the crash.
+    std::set<peer_address> observers{}; ///< Instances that lost their connections to it; some of them. None: `unnamedObserver`.
+};
+
+/// An instance lost its connections to several servers at once.
+struct observer_loss {
+    peer_address observer = 0;
+    time_point from{};
+    time_point until{};
 };
 
 /// Adds what another instance knows of the same crash, for at most `maxParts` parts. Returns whether it is news.
@@ -49,6 +61,7 @@
     std::vector<written_part> written;
     std::vector<quarantined_part> quarantined;
     std::vector<server_sighting> sightings;
+    std::vector<observer_loss> losses{};
 };
 
 } // namespace mustardtrail::gateway
--- a/src/gateway/internal/fleet_state.cpp
+++ b/src/gateway/internal/fleet_state.cpp
@@ -66,12 +66,14 @@
         m_log("waiting_prompts_ignored", std::to_string(from), "entries=" + std::to_string(entries) + " why=" + std::string(why));
     })
     , rateLimits(self)
-    , quarantine([this](prompt_part part, bool isQuarantined) {
-        m_log(isQuarantined ? "prompt_part_quarantined" : "prompt_part_released", std::to_string(part), {});
-        if (isQuarantined && onQuarantined) {
-            onQuarantined(part);
-        }
-    })
+    , quarantine(
+          [this](prompt_part part, bool isQuarantined) {
+              m_log(isQuarantined ? "prompt_part_quarantined" : "prompt_part_released", std::to_string(part), {});
+              if (isQuarantined && onQuarantined) {
+                  onQuarantined(part);
+              }
+          },
+          self)
     , resends(fleetLimits.resend, fleetLimits.resendSlackFrom)
     , peers(self, ownDataCentre)
     , m_log(std::move(log))
--- a/src/gateway/internal/load_report.cpp
+++ b/src/gateway/internal/load_report.cpp
@@ -158,6 +158,9 @@
         wire::Crash &each = *target.add_crashes();
         each.set_server_start(crash.server);
         each.set_ms_ago(ageOf(crash.at, now));
+        for (const peer_address observer : crash.observers) {
+            each.add_observers(observer);
+        }
         for (const auto &[part, sentAt] : crash.sentAt) {
             wire::CrashSuspect &suspect = *each.add_suspects();
             suspect.set_part(part);
@@ -184,6 +187,12 @@
         each.set_server_start(sighting.server);
         each.set_ms_ago(ageOf(sighting.at, now));
     }
+    for (const observer_loss &loss : news.losses) {
+        wire::ObserverLoss &each = *target.add_observer_losses();
+        each.set_observer(loss.observer);
+        each.set_from_ms_ago(ageOf(loss.from, now));
+        each.set_length_ms(ageOf(loss.from, loss.until));
+    }
 }
 
 quarantine_news readQuarantineNews(const wire::Report &source, time_point now)
@@ -192,6 +201,7 @@
     quarantine_news news;
     for (const wire::Crash &each : source.crashes()) {
         crash_evidence crash{ each.server_start(), now - milliseconds(each.ms_ago()), {} };
+        crash.observers.insert(each.observers().begin(), each.observers().end());
         for (const wire::CrashSuspect &suspect : each.suspects()) {
             crash.sentAt[suspect.part()] = now - milliseconds(suspect.sent_ms_ago());
             if (suspect.position() > 0) {
@@ -212,6 +222,10 @@
     for (const wire::ServerSighting &each : source.server_sightings()) {
         news.sightings.push_back({ each.server_start(), now - milliseconds(each.ms_ago()) });
     }
+    for (const wire::ObserverLoss &each : source.observer_losses()) {
+        const time_point from = now - milliseconds(each.from_ms_ago());
+        news.losses.push_back({ each.observer(), from, from + milliseconds(each.length_ms()) });
+    }
     return news;
 }
 
--- a/src/gateway/internal/prompt_quarantine.cpp
+++ b/src/gateway/internal/prompt_quarantine.cpp
@@ -32,21 +32,42 @@
 
 } // namespace
 
-prompt_quarantine::prompt_quarantine(change_hook onChange)
+prompt_quarantine::prompt_quarantine(change_hook onChange, peer_address self)
     : m_onChange(std::move(onChange))
+    , m_self(self)
+    , m_losses(self)
 {
 }
 
+void prompt_quarantine::recordLostConnection(server_start_key server, time_point sentAt, time_point now)
+{
+    if (m_losses.recordOwn(server, sentAt, now)) {
+        judge(now);
+    }
+}
+
+void prompt_quarantine::recordEnded(server_start_key server, time_point now)
+{
+    const auto found = m_crashes.find(server);
+    if (found != m_crashes.end() && addObservers(found->second.evidence, { unnamedObserver })) {
+        found->second.changedAt = now;
+        judge(now);
+    }
+}
+
 void prompt_quarantine::recordCrash(server_start_key server, const std::vector<prompt_part> &parts, time_point sentAt, time_point now)
 {
+    recordLostConnection(server, sentAt, now);
+    const bool isInDoubt = m_losses.isDoubtful(m_self, now);
     crash_evidence evidence{ server, now, {} };
+    evidence.observers.insert(m_self);
     for (unsigned position = 0; position < parts.size(); ++position) {
         const prompt_part part = parts[position];
         evidence.sentAt[part] = sentAt;
         evidence.positions[part] = position;
         if (const auto found = m_quarantined.find(part); found != m_quarantined.end()) {
             const bool wasTrial = std::exchange(found->second.isOnTrial, false);
-            quarantine({ part, now, found->second.failedTrials + (wasTrial ? 1 : 0), found->second.crashes }, now);
+            quarantine({ part, now, found->second.failedTrials + (wasTrial && !isInDoubt ? 1 : 0), found->second.crashes }, now);
         }
     }
     if (addEvidence(evidence, true, now)) {
@@ -118,6 +139,7 @@
         record.evidence.at = evidence.at;
     }
     bool isNewsOfIt = mergeEvidence(record.evidence, evidence, maxPartsPerCrash);
+    isNewsOfIt = addObservers(record.evidence, evidence.observers) || isNewsOfIt;
     std::vector<written_part> answers;
     for (const auto &[part, sentAt] : record.evidence.sentAt) {
         if (const auto answeredAt = m_ownAnswers.find(part)) {
@@ -205,6 +227,37 @@
     return m_sightings.refutes(crash.evidence, crash.isOwn);
 }
 
+bool prompt_quarantine::isDoubtful(const crash_evidence &crash) const
+{
+    return std::all_of(crash.observers.begin(), crash.observers.end(), [&](peer_address observer) {
+        return m_losses.isDoubtful(observer, crash.at);
+    });
+}
+
+bool prompt_quarantine::addObservers(crash_evidence &known, const std::set<peer_address> &observers) const
+{
+    static const std::set<peer_address> unnamed{ unnamedObserver };
+    bool isAnyAdded = false;
+    for (const peer_address observer : observers.empty() ? unnamed : observers) {
+        const bool isUseless = !known.observers.empty() && m_losses.isDoubtful(observer, known.at);
+        if (isUseless || known.observers.contains(observer)) {
+            continue;
+        }
+        if (known.observers.size() >= maxObserversPerCrash) {
+            const auto doubtful = std::find_if(known.observers.begin(), known.observers.end(), [&](peer_address each) {
+                return m_losses.isDoubtful(each, known.at);
+            });
+            if (doubtful == known.observers.end()) {
+                continue;
+            }
+            known.observers.erase(doubtful);
+        }
+        known.observers.insert(observer);
+        isAnyAdded = true;
+    }
+    return isAnyAdded;
+}
+
 crash_judgement prompt_quarantine::judgement(time_point now) const
 {
     std::vector<crash_judgement::known_crash> crashes;
@@ -213,7 +266,7 @@
         crashes.push_back({ &record.evidence, record.isOwn, isSettled });
     }
     return { std::move(crashes), [this](prompt_part part, const crash_evidence &crash) {
-                return isSuspectOf(part, crash);
+                return isSuspectOf(part, crash) && !isDoubtful(crash);
             } };
 }
 
@@ -288,6 +341,9 @@
 void prompt_quarantine::merge(const quarantine_news &news, time_point now)
 {
     bool isNews = false;
+    for (const observer_loss &each : news.losses) {
+        isNews = m_losses.recordHeard(each, now) || isNews;
+    }
     for (const server_sighting &each : news.sightings) {
         isNews = m_sightings.recordHeard(each, now) || isNews;
     }
@@ -348,6 +404,7 @@
 {
     judgeSettled(now);
     m_sightings.expire(now);
+    m_losses.expire(now);
     std::erase_if(m_crashes, [now](const auto &entry) {
         return now - entry.second.evidence.at > evidenceMaxAge;
     });
--- a/src/gateway/internal/prompt_quarantine_news.cpp
+++ b/src/gateway/internal/prompt_quarantine_news.cpp
@@ -46,6 +46,8 @@
     }
     news.sightings = m_sightings.news(maxAge, now);
     keepLatest(news.sightings, maxSightingsInNews);
+    news.losses = m_losses.news(maxAge, now);
+    news.losses.resize(std::min(news.losses.size(), maxLossesInNews));
     return news;
 }
 
--- a/src/gateway/prompt_quarantine.h
+++ b/src/gateway/prompt_quarantine.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/crash_evidence.h"
+#include "gateway/observer_losses.h"
 #include "gateway/part_suspicion.h"
 #include "gateway/recent_answers.h"
 #include "gateway/server_sightings.h"
@@ -27,7 +28,13 @@
     /// Called when a part is quarantined or released, here or by news from another instance.
     using change_hook = std::function<void(prompt_part part, bool isQuarantined)>;
 
-    explicit prompt_quarantine(change_hook onChange = {});
+    explicit prompt_quarantine(change_hook onChange = {}, peer_address self = unnamedObserver);
+
+    /// Records that a connection to this start of the server was lost, whatever the request was that was sent at `sentAt`. What this
+    /// instance saw while it lost several servers at once counts only when another instance saw it too, or when there is proof.
+    void recordLostConnection(server_start_key server, time_point sentAt, time_point now);
+    /// Records proof that this start of the server has ended.
+    void recordEnded(server_start_key server, time_point now);
 
     /// Records that the server ended while it was reading a request with these parts, or had just begun to answer it.
     void recordCrash(server_start_key server, const std::vector<prompt_part> &parts, time_point sentAt, time_point now);
@@ -63,6 +70,8 @@
     static constexpr size_t maxWrittenInNews = 1'024; ///< So that a report fits a datagram; others stay suspects for longer.
     static constexpr size_t maxQuarantined = 256;
     static constexpr size_t maxSightingsInNews = 128;
+    static constexpr size_t maxLossesInNews = 256;
+    static constexpr size_t maxObserversPerCrash = 4; ///< So that one whose paths were cut does not stand alone.
 
 private:
     struct crash_record {
@@ -111,11 +120,17 @@
     void tellEvidenceAgain(prompt_part part, time_point now);
     bool isSuspectOf(prompt_part part, const crash_evidence &crash) const;
     bool isRefuted(const crash_record &crash) const;
+    /// Whether all that observed the crash lost several servers at that moment.
+    bool isDoubtful(const crash_evidence &crash) const;
+    /// Returns whether an observer was added: those not in doubt go first.
+    bool addObservers(crash_evidence &known, const std::set<peer_address> &observers) const;
     void dropOldestCrash();
 
     change_hook m_onChange;
     std::map<server_start_key, crash_record> m_crashes; ///< Also those that a sighting refutes.
     server_sightings m_sightings;
+    peer_address m_self;
+    observer_losses m_losses;
     std::map<prompt_part, written_record> m_written; ///< Answers that cleared a part.
     recent_answers m_ownAnswers;
     std::map<prompt_part, quarantine_record> m_quarantined;
--- a/src/gateway/tests/mixed_releases_test.cpp
+++ b/src/gateway/tests/mixed_releases_test.cpp
@@ -26,7 +26,15 @@
 
 /// Fields that the release before this one does not have, by message.
 const std::map<std::string, std::vector<std::string>> fieldsOfThisRelease{ { "Work", { "event_gap_ms" } },
-    { "Report", { "waiting_prompts", "customer_use", "slow_servers", "second_copy_use", "latency_counts", "leaving_server_ages_ms" } } };
+    { "Crash", { "observers" } },
+    { "Report",
+        { "waiting_prompts",
+            "customer_use",
+            "slow_servers",
+            "second_copy_use",
+            "latency_counts",
+            "leaving_server_ages_ms",
+            "observer_losses" } } };
 
 wire::Report reportWithAllFields()
 {
@@ -51,6 +59,8 @@
     message.add_slow_servers()->set_slowness_percent(400);
     message.add_second_copy_use()->set_request_ms(700);
     message.add_latency_counts()->add_sends(3);
+    message.add_crashes()->add_observers(5);
+    message.add_observer_losses()->set_observer(5);
     return message;
 }
 
@@ -141,3 +151,11 @@
     expectEqual(report.work.front().eventGapTarget.count(), 250);
     expectEqual(report.work.front().memoryTokens, 1'000);
 }
+
+Test(mixed_releases, aCrashThatThePreviousReleaseToldOfCountsThoughItNamesNoObserver)
+{
+    const load_report report = decoded(passedThroughPreviousRelease(reportWithAllFields().SerializeAsString()));
+    expectEqual(report.quarantine.crashes.size(), 1U);
+    cr_assert(report.quarantine.crashes.front().observers.empty());
+    cr_assert(report.quarantine.losses.empty());
+}
--- a/src/gateway/tests/quarantine_news_test.cpp
+++ b/src/gateway/tests/quarantine_news_test.cpp
@@ -96,8 +96,14 @@
     for (server_start_key server = 1; server <= server_sightings::maxSightings; ++server) {
         quarantine.recordRunning(server << 32U, at(11'000), at(11'000));
     }
+    quarantine_news losses;
+    for (peer_address observer = 1; observer <= prompt_quarantine::maxLossesInNews; ++observer) {
+        losses.losses.push_back({ observer << 22U, at(9'900), at(11'000) });
+    }
+    quarantine.merge(losses, at(11'000));
     load_report report;
     report.quarantine = quarantine.news(prompt_quarantine::newsMaxAge, at(11'500));
+    expectEqual(report.quarantine.losses.size(), prompt_quarantine::maxLossesInNews);
     cr_assert(encodeLoadReport(report, at(11'500)).size() <= maxDatagramBytes);
 }
 
--- a/src/programs/gateway/crash_verifier.cpp
+++ b/src/programs/gateway/crash_verifier.cpp
@@ -67,8 +67,13 @@
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
         const server_evidence evidence = co_await ask(server, start, inquiry.doubtedAt(), attempt);
         inquiry.recordEvidence(evidence, m_context.clock.now());
-        if (lifeShownBy(evidence) == server_life::runs) {
+        const server_life life = lifeShownBy(evidence);
+        if (life == server_life::runs) {
             m_context.state.quarantine.recordRunning(start, evidence.at, m_context.clock.now());
+        } else if (life == server_life::ended) {
+            m_context.state.quarantine.recordEnded(start, m_context.clock.now());
+        }
+        if (life != server_life::unknown) {
             m_context.scheduleReport();
         }
     }
--- a/src/programs/gateway/request_quarantine.cpp
+++ b/src/programs/gateway/request_quarantine.cpp
@@ -17,7 +17,11 @@
 
 void request_session::recordServerEnd(const attempt_failure &failure, time_point now)
 {
-    if (!isConnectionLost(failure) || isAnswerEstablished(now) || m_parts.empty()) {
+    if (!isConnectionLost(failure)) {
+        return;
+    }
+    m_context.state.quarantine.recordLostConnection(m_currentStart, m_sentAt, now);
+    if (isAnswerEstablished(now) || m_parts.empty()) {
         return;
     }
     recordCrash(m_currentServer, m_currentStart, m_lastServer, m_sentAt, now);
