--- a/src/http/client.h
+++ b/src/http/client.h
@@ -34,6 +34,8 @@
     std::function<void()> onOpened;
     /// Called when bytes of the answer's body have arrived.
     std::function<void()> onBytes;
+    /// Called when the machine of the endpoint refused a new connection for this call.
+    std::function<void()> onRefused;
     /// Called just before the first byte is sent; a returned error ends the call and nothing is sent.
     std::function<std::optional<error>()> beforeSend;
 
