Bytes on an open connection prompt a probe and do not end the verdict that all paths are lost

Open connections may live on while new ones are refused; then each other server would cost a request its own failed attempt, as long as one stream goes on. Only what silence alone has marked ends with the first byte.

--- a/src/gateway/internal/server_paths.cpp
+++ b/src/gateway/internal/server_paths.cpp
@@ -16,16 +16,16 @@
 
 void server_paths::recordConnected(const endpoint &server)
 {
-    endVerdicts(server);
+    endSilence(server);
+    m_areAllLost = false;
 }
 
 // Paths that were lost one by one stay so: another server says nothing of them.
-void server_paths::endVerdicts(const endpoint &server)
+void server_paths::endSilence(const endpoint &server)
 {
     std::erase_if(m_lost, [&server](const auto &entry) {
         return entry.first == server || !entry.second.isConfirmed;
     });
-    m_areAllLost = false;
 }
 
 server_paths::lost_path &server_paths::markLost(const endpoint &server, time_point now)
@@ -45,14 +45,13 @@
         path.isConfirmed = true;
         path.lostAt = now;
     }
-    const auto lostTogether = std::count_if(m_lost.begin(), m_lost.end(), [this, now](const auto &entry) {
-        const bool isHeardSince = m_heardAt && *m_heardAt >= entry.second.lostAt;
-        return entry.second.isConfirmed && !isHeardSince && now - entry.second.lostAt <= lossWindow;
+    const auto lostTogether = std::count_if(m_lost.begin(), m_lost.end(), [now](const auto &entry) {
+        return entry.second.isConfirmed && now - entry.second.lostAt <= lossWindow;
     });
     if (!m_areAllLost && static_cast<size_t>(lostTogether) >= minLostPaths) {
         m_areAllLost = true;
         m_probeDelay = firstProbeDelay;
-        m_probeAt = now + m_probeDelay;
+        m_probedAt = now;
     }
 }
 
@@ -60,7 +59,8 @@
 {
     m_heardAt = now;
     m_silentAt.clear();
-    endVerdicts(server);
+    endSilence(server);
+    m_probeDelay = firstProbeDelay; // Open connections may live on where no new one can be opened, so a probe has to tell.
 }
 
 bool server_paths::areSeveralSilent(time_point silentSince, time_point now) const
@@ -99,13 +99,13 @@
 std::optional<endpoint> server_paths::takeProbe(time_point now)
 {
     if (m_areAllLost) {
-        if (now < m_probeAt || m_lost.empty()) {
+        if (now < m_probedAt + m_probeDelay || m_lost.empty()) {
             return std::nullopt;
         }
         const auto next = m_lastProbed ? m_lost.upper_bound(*m_lastProbed) : m_lost.begin();
         m_lastProbed = next == m_lost.end() ? m_lost.begin()->first : next->first;
         m_probeDelay = std::min(2 * m_probeDelay, maxProbeDelay);
-        m_probeAt = now + m_probeDelay;
+        m_probedAt = now;
         return m_lastProbed;
     }
     for (auto &[server, path] : m_lost) {
--- a/src/gateway/server_paths.h
+++ b/src/gateway/server_paths.h
@@ -21,12 +21,13 @@
     void recordConnected(const endpoint &server);
     /// Records that the server was reached through another instance while the own path failed.
     void recordLost(const endpoint &server, time_point now);
-    /// Records bytes that the server sent over the own path: this path is not lost, and silence of the others shows nothing.
+    /// Records bytes that the server sent over the own path: this path is not lost, silence of the others shows nothing, and a verdict
+    /// that all are lost is put to the test soon.
     void recordHeard(const endpoint &server, time_point now);
     /// Records that a request on an open connection to the server has been silent since then. Returns whether the path counts as
     /// lost: when another server is silent too and none has been heard since. Else the server may be slow with that request.
     bool recordSilent(const endpoint &server, time_point silentSince, time_point now);
-    /// Whether all paths count as lost: several were within a short time, and no server has been reached or heard since.
+    /// Whether all paths count as lost: several were within a short time, and no connection has been opened since.
     bool areAllLost() const;
     /// Whether other instances had better not send through this one.
     bool hasLostPaths() const;
@@ -51,14 +52,15 @@
 
     bool areSeveralSilent(time_point silentSince, time_point now) const;
     lost_path &markLost(const endpoint &server, time_point now);
-    void endVerdicts(const endpoint &server);
+    /// Forgets the path to this server, and those that only silence marks as lost.
+    void endSilence(const endpoint &server);
 
     std::map<endpoint, lost_path> m_lost;
     std::optional<time_point> m_heardAt; ///< Any server.
     std::map<endpoint, time_point> m_silentAt; ///< Of the latest request that was silent for too long.
     bool m_areAllLost = false;
     std::chrono::milliseconds m_probeDelay{ firstProbeDelay }; ///< While all are lost: of one path for all.
-    time_point m_probeAt{};
+    time_point m_probedAt{}; ///< Or the start of the verdict.
     std::optional<endpoint> m_lastProbed;
 };
 
