The end of an instance that relays is told from the end of the server

What callers saw: when an instance that relayed stopped, the senders took the cut answers for crashes of the servers. Sound servers were avoided and sound prompts came under suspicion (crash evidence).

Cause: within a body a cut looked the same whether the server or the relay had ended. A relay that stopped cut what it relayed when its process ended.

Now a relay ends the body with a mark in the trailer where the server was lost, for senders that say that they know it; a cut without the mark is the end of the relay (peer_connection_lost): also of one that is killed. It is no crash evidence, no failure of the server, and the relay goes last for a second. Senders that do not know the mark see a cut as before. A stopping relay closes what it still relays when the final answers of its own requests are due, and leaves the servers.

Checked and found to hold already: a relay that ends before its answer is no end of the server.

--- a/src/http/client.h
+++ b/src/http/client.h
@@ -50,6 +50,8 @@
     virtual const header_list &headers() const = 0;
     /// Whether the body has neither a length nor chunks, so that only the end of the connection shows its end.
     virtual bool endsWithConnection() const = 0;
+    /// Last value of a trailer field, once the body has ended; empty when absent.
+    virtual std::string_view trailer(std::string_view name) const = 0;
     /// Whether the connection carried a request before this one; the response may then be an extra one to that request.
     virtual bool isOnReusedConnection() const = 0;
     /// Returns the next bytes, an empty string at the end of the body, or an error when the response is truncated.
--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -29,6 +29,8 @@
     virtual boost::asio::awaitable<bool> write(std::string_view bytes) = 0;
     /// Ends a chunked response. Without it the connection is closed, so that the peer detects a truncated response.
     virtual boost::asio::awaitable<bool> finishStream() = 0;
+    /// Ends a chunked response with these trailer fields.
+    virtual boost::asio::awaitable<bool> finishStreamWith(header_list trailers) = 0;
 
     virtual bool hasStarted() const = 0;
     /// Sets a hook that runs at most once, on the connection's executor, when the peer closes before the response is finished.
--- a/src/http/internal/client_stream.cpp
+++ b/src/http/internal/client_stream.cpp
@@ -7,7 +7,9 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include <algorithm>
 #include <charconv>
+#include <iterator>
 
 namespace mustardtrail::http
 {
@@ -85,6 +87,20 @@
     return m_source->need_eof();
 }
 
+// The parser appends the trailer to the fields of the head.
+std::string_view client_stream::trailer(std::string_view name) const
+{
+    const auto inHead = std::ranges::count_if(m_headers.fields(), [name](const auto &field) {
+        return beast::iequals(field.first, beast::string_view(name.data(), name.size()));
+    });
+    const auto [begin, end] = m_source->get().equal_range(beast::string_view(name.data(), name.size()));
+    if (std::distance(begin, end) <= inHead) {
+        return {};
+    }
+    const auto value = std::prev(end)->value();
+    return { value.data(), value.size() };
+}
+
 bool client_stream::isOnReusedConnection() const
 {
     return m_isOnReusedConnection;
--- a/src/http/internal/client_stream.h
+++ b/src/http/internal/client_stream.h
@@ -27,6 +27,7 @@
     int status() const override;
     const header_list &headers() const override;
     bool endsWithConnection() const override;
+    std::string_view trailer(std::string_view name) const override;
     bool isOnReusedConnection() const override;
     boost::asio::awaitable<result<std::string>> read() override;
     void close() override;
--- a/src/http/internal/server_exchange.cpp
+++ b/src/http/internal/server_exchange.cpp
@@ -158,14 +158,24 @@
 }
 
 asio::awaitable<bool> server_exchange::finishStream()
+{
+    return finishStreamWith({});
+}
+
+asio::awaitable<bool> server_exchange::finishStreamWith(header_list trailers)
 {
     expectPhase(phase::streaming);
     if (m_broken) {
         co_return false;
     }
     m_stream.expires_after(m_limits.progress);
+    std::string end = "0\r\n";
+    for (const auto &[name, value] : trailers.fields()) {
+        end += name + ": " + value + "\r\n";
+    }
+    end += "\r\n";
     boost::system::error_code failure;
-    co_await asio::async_write(m_stream, beast::http::make_chunk_last(), asio::redirect_error(asio::use_awaitable, failure));
+    co_await asio::async_write(m_stream, asio::buffer(end), asio::redirect_error(asio::use_awaitable, failure));
     m_broken = m_broken || failure;
     m_phase = failure ? phase::streaming : phase::answered;
     co_return !failure;
--- a/src/http/internal/server_exchange.h
+++ b/src/http/internal/server_exchange.h
@@ -29,6 +29,7 @@
     boost::asio::awaitable<bool> startStream(int status, header_list headers) override;
     boost::asio::awaitable<bool> write(std::string_view bytes) override;
     boost::asio::awaitable<bool> finishStream() override;
+    boost::asio::awaitable<bool> finishStreamWith(header_list trailers) override;
     bool hasStarted() const override;
     void onDisconnect(std::function<void()> hook) override;
     boost::asio::any_io_executor executor() const override;
--- a/src/programs/gateway/gateway_host.cpp
+++ b/src/programs/gateway/gateway_host.cpp
@@ -348,6 +348,7 @@
     } while (m_clock.now() < schedule.finalAnswersAt() && isBusy());
     const bool mayHoldMemory = !m_shared.onEnding.empty(); // Engines' memory is released in the background.
     endRequests();
+    m_relayService.endRequests();
     schedule.beginFinalAnswers(m_clock.now());
     while ((isBusy() || mayHoldMemory) && schedule.waitsForAnswers(m_clock.now())) {
         timer.expires_after(drainPollInterval);
--- a/src/programs/gateway/hedged_send.cpp
+++ b/src/programs/gateway/hedged_send.cpp
@@ -38,6 +38,10 @@
     {
         return m_rest->endsWithConnection();
     }
+    std::string_view trailer(std::string_view name) const override
+    {
+        return m_rest->trailer(name);
+    }
     bool isOnReusedConnection() const override
     {
         return m_rest->isOnReusedConnection();
--- a/src/programs/gateway/relay_service.cpp
+++ b/src/programs/gateway/relay_service.cpp
@@ -17,7 +17,7 @@
 constexpr milliseconds maxReuseIdle{ 1'000 }; ///< The request may be one that must not be lost to a server that closes meanwhile.
 constexpr milliseconds progressLimit{ 60'000 }; ///< The sender knows the request's time and closes its connection in time.
 
-http::server_limits limitsFor(size_t maxBodyBytes)
+http::server_limits serverLimits(size_t maxBodyBytes)
 {
     http::server_limits limits;
     limits.totalBodyBytes = maxBodyBytes;
@@ -44,7 +44,7 @@
     message.target = request.target;
     message.body = request.body;
     message.headers = platform::endToEndHeaders(request.headers);
-    for (const std::string_view field : { relay_field::server, relay_field::connection }) {
+    for (const std::string_view field : { relay_field::server, relay_field::connection, relay_field::end }) {
         message.headers = withoutFirst(field, message.headers);
     }
     return message;
@@ -79,7 +79,7 @@
     , m_log(log)
     , m_server(
           std::move(executor),
-          limitsFor(maxBodyBytes),
+          serverLimits(maxBodyBytes),
           [this](http::exchange &exchange) {
               return serve(exchange);
           },
@@ -98,6 +98,17 @@
     m_server.disableKeepAlive();
 }
 
+void relay_service::endRequests()
+{
+    m_isStopping = m_isEnding = true;
+    const auto closers = m_closers; // A request that ends removes its own.
+    for (const auto &close : closers) {
+        if (*close) {
+            (*close)();
+        }
+    }
+}
+
 void relay_service::stop()
 {
     m_server.stop();
@@ -116,18 +127,20 @@
         co_return;
     }
     ++m_running;
+    const auto close = std::make_shared<closer>();
+    m_closers.insert(close);
     try {
-        co_await passOn(exchange, *server);
+        co_await passOn(exchange, *server, close);
     } catch (const std::exception &thrown) {
         // Without a finished answer the connection closes: the sender takes the request as one that may have run.
         m_log.write(log_line("relay_aborted").add("server", toString(*server)).add("detail", thrown.what()));
     }
+    m_closers.erase(close);
     --m_running;
 }
 
-asio::awaitable<void> relay_service::passOn(http::exchange &exchange, endpoint server)
+http::call_limits relay_service::limitsFor(http::exchange &exchange, std::shared_ptr<closer> close)
 {
-    const auto close = std::make_shared<std::function<void()>>();
     const auto isSenderGone = std::make_shared<bool>(false);
     exchange.onDisconnect([close, isSenderGone] {
         *isSenderGone = true;
@@ -140,12 +153,18 @@
     limits.firstByte = limits.progress = progressLimit;
     limits.maxIdleForReuse = maxReuseIdle;
     limits.freshConnection = exchange.request().headers.find(relay_field::connection) == relay_field::isNew;
-    limits.onConnection = [close, isSenderGone](std::function<void()> closer) {
-        *close = std::move(closer);
+    limits.onConnection = [close, isSenderGone](std::function<void()> closeConnection) {
+        *close = std::move(closeConnection);
         if (*isSenderGone) {
             (*close)();
         }
     };
+    return limits;
+}
+
+asio::awaitable<void> relay_service::passOn(http::exchange &exchange, endpoint server, std::shared_ptr<closer> close)
+{
+    auto limits = limitsFor(exchange, close);
     auto answer = co_await m_client.open(server, withoutRelayFields(exchange.request()), std::move(limits));
     m_log.write(log_line("request_relayed")
                     .add("request", platform::readRequestHead(exchange.request()).attempt.str())
@@ -154,27 +173,43 @@
                     .add("error", answer ? "" : answer.error().detail));
     if (!answer) {
         const bool isUnsent = answer.error().outcome == verdict::not_run;
+        if (!isUnsent && m_isEnding) {
+            co_return; // The connection closes, which shows that this instance ended.
+        }
         co_await exchange.respond(refusal(502, isUnsent ? relay_field::notRun : relay_field::mayHaveRun));
         co_return;
     }
-    auto bytes = co_await (*answer)->read();
+    co_await passAnswerOn(exchange, **answer);
+}
+
+asio::awaitable<void> relay_service::passAnswerOn(http::exchange &exchange, http::response_stream &answer)
+{
+    const bool knowsMark = exchange.request().headers.find(relay_field::end) == relay_field::isMarked;
+    auto bytes = co_await answer.read();
+    if (!bytes && m_isEnding) {
+        co_return;
+    }
     // Servers that a prompt crashes often end here. A cut after the head would look like the end of this instance.
-    if (!bytes && isSuccess((*answer)->status())) {
+    if (!bytes && isSuccess(answer.status())) {
         co_await exchange.respond(refusal(502, relay_field::mayHaveRun));
         co_return;
     }
-    http::header_list headers = relayedHeaders(**answer);
-    bool isOpen = co_await exchange.startStream((*answer)->status(), std::move(headers));
+    http::header_list headers = relayedHeaders(answer);
+    bool isOpen = co_await exchange.startStream(answer.status(), std::move(headers));
     while (isOpen && bytes && !bytes->empty()) {
         isOpen = co_await exchange.write(*bytes);
         if (isOpen) {
-            bytes = co_await (*answer)->read();
+            bytes = co_await answer.read();
         }
     }
-    // Without the end of the stream the sender sees an answer that is cut off.
-    if (isOpen && bytes) {
-        co_await exchange.finishStream();
+    if (!isOpen || (!bytes && (m_isEnding || !knowsMark))) {
+        co_return; // The sender sees an answer that is cut off.
+    }
+    http::header_list mark;
+    if (!bytes) {
+        mark.add(std::string(relay_field::end), std::string(relay_field::serverLost));
     }
+    co_await exchange.finishStreamWith(std::move(mark));
 }
 
 } // namespace mustardtrail::gateway
--- a/src/programs/gateway/request_relay.cpp
+++ b/src/programs/gateway/request_relay.cpp
@@ -47,6 +47,7 @@
     attempt_failure failure = makeFailure(problem.outcome);
     failure.detail = std::string(toString(problem.code)) + ' ' + problem.detail;
     failure.isUnreachable = problem.code == error_code::backend_connect_failed;
+    failure.isByRelay = problem.code == error_code::peer_connection_lost && m_closedBecause.empty();
     failure.isCutOff = problem.code == error_code::backend_connection_lost && problem.outcome != verdict::not_run;
     return failure;
 }
@@ -300,7 +301,8 @@
         if (!bytes) {
             m_context.metrics.recordSendOutcome("answer_lost");
             attempt_failure failure = makeFailure(lost);
-            failure.isCutOff = failure.outcome != verdict::not_run;
+            failure.isByRelay = m_closedBecause.empty() && bytes.error().code == error_code::peer_connection_lost;
+            failure.isCutOff = failure.outcome != verdict::not_run && !failure.isByRelay;
             co_return failure;
         }
         if (bytes->empty()) {
--- a/src/programs/gateway/request_retry.cpp
+++ b/src/programs/gateway/request_retry.cpp
@@ -107,7 +107,7 @@
     const bool hasNoAnswer = failure.outcome != verdict::not_run && !failure.hasAnswer;
     const bool isResponding = m_context.state.serverSuspicion.isResponding(m_currentServer, now);
     const bool isOvertaken = m_closedBecause == copyAnswered; // Slow, which is no sign of a failure.
-    if (failure.isUnreachable || (hasNoAnswer && !isResponding && !isOvertaken)) {
+    if (!failure.isByRelay && (failure.isUnreachable || (hasNoAnswer && !isResponding && !isOvertaken))) {
         m_context.state.recordFailure(placed.parts.front().server, m_currentStart, failure.isUnreachable, now);
     }
 }
--- a/src/programs/gateway/server_client.cpp
+++ b/src/programs/gateway/server_client.cpp
@@ -39,8 +39,9 @@
 {
     const std::string_view connection = needsNewConnection ? relay_field::isNew : relay_field::isReused;
     http::request_message addressed = message;
-    addressed.headers
-        = { { std::string(relay_field::server), toString(server) }, { std::string(relay_field::connection), std::string(connection) } };
+    addressed.headers = { { std::string(relay_field::server), toString(server) },
+        { std::string(relay_field::connection), std::string(connection) },
+        { std::string(relay_field::end), std::string(relay_field::isMarked) } };
     for (const auto &[name, value] : message.headers.fields()) {
         addressed.headers.add(name, value);
     }
@@ -155,6 +156,15 @@
     const endpoint relayAddress{ textOf(relay), m_relayPort };
     limits.connect = std::min(limits.connect, relayConnectTimeout);
     limits.freshConnection = false; // Instances answer in order; it is the relay's connection to the server that must be new.
+    const auto isClosedHere = std::make_shared<bool>(false);
+    if (limits.onConnection) {
+        limits.onConnection = [isClosedHere, onConnection = limits.onConnection](std::function<void()> close) {
+            onConnection([isClosedHere, close = std::move(close)] {
+                *isClosedHere = true;
+                close();
+            });
+        };
+    }
     auto answer = co_await m_direct.open(relayAddress, std::move(relayed), std::move(limits));
     const time_point now = m_clock.now();
     if (!answer) {
@@ -169,7 +179,11 @@
     }
     const std::string_view outcome = (*answer)->headers().find(relay_field::outcome);
     if (outcome == relay_field::passedOn) {
-        co_return std::make_unique<relayed_answer>(std::move(*answer));
+        co_return std::make_unique<relayed_answer>(std::move(*answer), [this, relay, isClosedHere] {
+            if (!*isClosedHere) {
+                m_avoidedUntil[{ relay, {} }] = m_clock.now() + relayAvoidance;
+            }
+        });
     }
     if (outcome == relay_field::notRun) {
         m_avoidedUntil[{ relay, server }] = now + relayAvoidance;
--- a/src/programs/gateway/tests/relay_service_test.cpp
+++ b/src/programs/gateway/tests/relay_service_test.cpp
@@ -58,6 +58,21 @@
     co_await wait.async_wait(boost::asio::use_awaitable);
 }
 
+boost::asio::awaitable<void> streamForever(http::exchange &exchange)
+{
+    exchange.onDisconnect([] {
+        isServersCallerGone = true;
+    });
+    http::header_list head;
+    bool isOpen = co_await exchange.startStream(200, std::move(head));
+    boost::asio::steady_timer wait(exchange.executor());
+    while (isOpen) {
+        isOpen = co_await exchange.write("id: 1\ndata: a\n\n");
+        wait.expires_after(milliseconds(20));
+        co_await wait.async_wait(boost::asio::use_awaitable);
+    }
+}
+
 boost::asio::awaitable<void> callRelay(
     http::client &client, endpoint relay, http::request_message message, result<http::response_message> &got)
 {
@@ -95,6 +110,16 @@
         return got;
     }
 
+    /// Calls, and ends the relay's requests while the server answers.
+    result<http::response_message> callBeforeTheEnd()
+    {
+        boost::asio::steady_timer end(m_bench.executor(), milliseconds(100));
+        end.async_wait([this](boost::system::error_code) {
+            m_service.endRequests();
+        });
+        return call(m_server, { { std::string(relay_field::end), std::string(relay_field::isMarked) } });
+    }
+
     const endpoint &server() const
     {
         return m_server;
@@ -185,3 +210,27 @@
     expectEqual(got->headers.find(relay_field::outcome), relay_field::notRun);
     expectEqual(runs, 0);
 }
+
+// An end of the relay was taken for a crash of the server.
+Test(relay_service, marksTheEndOfTheServerForASenderThatKnowsTheMark)
+{
+    relay_bench relay(breakOff);
+    const auto got = relay.call(relay.server(), { { std::string(relay_field::end), std::string(relay_field::isMarked) } });
+    cr_assert(got.has_value());
+    expectEqual(got->body, std::string("id: 1\ndata: a\n\n"));
+    expectEqual(runs, 1);
+}
+
+Test(relay_service, doesNotMarkItsOwnEndAsThatOfTheServer)
+{
+    relay_bench relay(streamForever);
+    cr_assert_not(relay.callBeforeTheEnd().has_value());
+    cr_assert(isServersCallerGone);
+}
+
+Test(relay_service, doesNotSayThatTheServerWasLostWhenItEndsBeforeTheAnswer)
+{
+    relay_bench relay(answerNever);
+    cr_assert_not(relay.callBeforeTheEnd().has_value());
+    cr_assert(isServersCallerGone);
+}
