A relay that stops hands back what it has not passed on

What callers saw: a relay that got its SIGTERM while it connected to the server still sent the request, and might end within its answer.

Cause: only requests that began after the signal were handed back. The check is now also made just before the first byte is sent to the server; the sender gets not_run and tries another path.

Evidence: relay_service/handsBackWhatItHasNotPassedOnWhenItsInstanceStops failed once on the code before ("passed" for "not_run").

--- a/src/programs/gateway/relay_service.cpp
+++ b/src/programs/gateway/relay_service.cpp
@@ -159,6 +159,12 @@
             (*close)();
         }
     };
+    limits.beforeSend = [this]() -> std::optional<error> {
+        if (!m_isStopping) {
+            return std::nullopt;
+        }
+        return error{ error_code::instance_stopping, verdict::not_run, "relay stops", {} };
+    };
     return limits;
 }
 
--- a/src/programs/gateway/tests/relay_service_test.cpp
+++ b/src/programs/gateway/tests/relay_service_test.cpp
@@ -110,6 +110,18 @@
         return got;
     }
 
+    /// Calls while the relay cannot connect to the server at first, and stops meanwhile.
+    result<http::response_message> callBeforeAStop()
+    {
+        m_bench.client().setPartitionedEndpoints({ m_server });
+        boost::asio::steady_timer stop(m_bench.executor(), milliseconds(40));
+        stop.async_wait([this](boost::system::error_code) {
+            m_service.refuseRequests();
+            m_bench.client().setPartitionedEndpoints({});
+        });
+        return call(m_server);
+    }
+
     /// Calls, and ends the relay's requests while the server answers.
     result<http::response_message> callBeforeTheEnd()
     {
@@ -211,6 +223,15 @@
     expectEqual(runs, 0);
 }
 
+Test(relay_service, handsBackWhatItHasNotPassedOnWhenItsInstanceStops)
+{
+    relay_bench relay(answerWhole);
+    const auto got = relay.callBeforeAStop();
+    cr_assert(got.has_value());
+    expectEqual(got->headers.find(relay_field::outcome), relay_field::notRun);
+    expectEqual(runs, 0);
+}
+
 // An end of the relay was taken for a crash of the server.
 Test(relay_service, marksTheEndOfTheServerForASenderThatKnowsTheMark)
 {
