A request that loses its relay goes on at the same server over another path

What callers saw: a stream whose relay stopped was cut, or took its second server, although its own server was sound.

Cause: the loss of a relay counted as a failure of the server: that was excluded for the rest of the request, and the run there was counted against the limit of servers.

Now the request, if it may be repeated or resumed, is placed on the same server again. Possible runs are counted by server, so this is no second one; it still takes a share of the resend budget, as it is an arrival. Where that server cannot take it now, another one may within the limit.

--- a/src/programs/gateway/request_hedge.cpp
+++ b/src/programs/gateway/request_hedge.cpp
@@ -79,7 +79,7 @@
     }
     retry_state state = retryState(now);
     state.mayHaveRun = true;
-    state.possibleRuns = m_possibleRuns + 1 + static_cast<unsigned>(m_hedges.size());
+    state.possibleRuns = possibleRunsWithSends();
     state.hasBudget
         = m_context.state.resends.hasRoom(m_service, resend_budget::cause::interrupted, now, m_context.state.peers.largestFleetSize());
     const attempt_failure lost = makeFailure(verdict::may_have_run);
@@ -185,7 +185,9 @@
     hedge.cancel();
     const bool mayHaveRun = hedge.isDelivered() && hedge.outcome() != verdict::not_run;
     m_mayHaveRun = m_mayHaveRun || mayHaveRun;
-    m_possibleRuns += mayHaveRun ? 1 : 0;
+    if (mayHaveRun) {
+        m_possibleRuns.insert(hedge.sent().server);
+    }
     m_deliveredSends += hedge.isDelivered() ? 1 : 0;
     if (hedge.sent().reservations) {
         hedge.sent().reservations->release();
--- a/src/programs/gateway/request_retry.cpp
+++ b/src/programs/gateway/request_retry.cpp
@@ -18,7 +18,7 @@
     retry_state state;
     state.retrySemantics = m_route->retrySemantics;
     state.mayHaveRun = m_mayHaveRun;
-    state.possibleRuns = m_possibleRuns;
+    state.possibleRuns = static_cast<unsigned>(m_possibleRuns.size());
     state.maxServers = m_route->maxServers;
     state.hasTime = now + minTimeForSend < m_deadlineAt && m_sends < maxSends && !m_context.isEnding;
     state.hasOtherServer = !m_context.state.candidates(m_service, m_excluded, server_scope::fleet, now).empty();
@@ -26,10 +26,18 @@
     return state;
 }
 
+unsigned request_session::possibleRunsWithSends() const
+{
+    const size_t current = m_possibleRuns.contains(backend_server_id(m_lastServer)) ? 0 : 1;
+    return static_cast<unsigned>(m_possibleRuns.size() + current + m_hedges.size());
+}
+
 void request_session::countRun(const attempt_failure &failure)
 {
     m_mayHaveRun = m_mayHaveRun || failure.outcome != verdict::not_run;
-    m_possibleRuns += failure.outcome != verdict::not_run ? 1 : 0;
+    if (failure.outcome != verdict::not_run) {
+        m_possibleRuns.insert(backend_server_id(m_lastServer));
+    }
     if (isConnectionLost(failure)) {
         m_attempt->recordLoss();
     }
@@ -40,6 +48,11 @@
     const time_point now = m_context.clock.now();
     countRun(failure);
     retry_state state = retryState(now);
+    const bool isRelayLost = failure.isByRelay && failure.outcome != verdict::not_run;
+    if (isRelayLost) {
+        m_resendTo = backend_server_id(m_lastServer);
+        --state.possibleRuns; // The next send goes to the same server.
+    }
     const next_step stepIfWithinBudget = decideRetry(failure, state);
     if (stepIfWithinBudget != next_step::send_again) {
         const std::string_view why = !state.hasOtherServer ? "no_server" : !state.hasTime ? "no_time" : "not_allowed";
@@ -64,11 +77,30 @@
                             .add("request", m_head.attempt.str())
                             .add("service", m_service.str())
                             .add("why", why)
-                            .add("runs", m_possibleRuns)
+                            .add("runs", static_cast<std::int64_t>(m_possibleRuns.size()))
                             .add("most", m_route->maxServers)
                             .add("lastEvent", static_cast<std::int64_t>(m_position.lastId().value_or(-1))));
 }
 
+// The server whose answer was lost on the way is still at work, so another one would be one server more.
+placement_decision request_session::placeAfterRelayLoss(time_point now)
+{
+    const auto excluded = m_excluded;
+    for (const placement_candidate &each : m_context.state.candidates(m_service, excluded, server_scope::fleet, now)) {
+        const auto *server = m_context.state.findServer(each.key);
+        if (server && server->entry.id != *m_resendTo) {
+            m_excluded.insert(server->entry.id);
+        }
+    }
+    const placement_decision decision = choosePlacement(now);
+    m_excluded = excluded;
+    if (decision.next == placement_decision::action::send || m_possibleRuns.size() >= m_route->maxServers) {
+        return decision;
+    }
+    m_resendTo.reset();
+    return choosePlacement(now);
+}
+
 void request_session::recordFailure(const placement_decision &placed, const attempt_failure &failure)
 {
     const time_point now = m_context.clock.now();
@@ -95,7 +127,8 @@
             helperFailed = part.server != placed.parts.front().server;
         }
     }
-    if (helperFailed || !primary) {
+    const bool isRelayLost = failure.isByRelay && failure.outcome != verdict::not_run;
+    if (helperFailed || !primary || isRelayLost) {
         return;
     }
     // Servers that refused become eligible again once another server has run part of the request and failed.
--- a/src/programs/gateway/request_second_copy.cpp
+++ b/src/programs/gateway/request_second_copy.cpp
@@ -174,7 +174,7 @@
         state.copyForecast = m_route->isStream && copy.predictedFirstEvent.count() > 0 ? copy.predictedFirstEvent : typical.value;
     }
     state.timeLeft = duration_cast<microseconds>(m_deadlineAt - now);
-    state.attempts = m_possibleRuns + 1 + static_cast<unsigned>(m_hedges.size());
+    state.attempts = possibleRunsWithSends();
     state.maxAttempts = m_route->maxServers;
     state.hasBudget = m_context.state.resends.hasRoom(m_service, resend_budget::cause::copy, now, m_context.state.peers.largestFleetSize());
     state.admittedShare = m_context.secondCopies.account.admittedShare(m_service, copies.limit, copyWork(copy, now), now);
--- a/src/programs/gateway/request_session.cpp
+++ b/src/programs/gateway/request_session.cpp
@@ -182,7 +182,7 @@
     if (const auto held = quarantineDecision(now)) {
         return *held;
     }
-    placement_decision decision = choosePlacement(now);
+    placement_decision decision = m_resendTo ? placeAfterRelayLoss(now) : choosePlacement(now);
     if (decision.next == placement_decision::action::send) {
         m_isTrial = m_context.state.quarantine.tryTrial(m_parts, now);
     }
--- a/src/programs/gateway/request_session.h
+++ b/src/programs/gateway/request_session.h
@@ -157,6 +157,9 @@
     std::uint64_t registerWork(const placement_decision &placed, time_point now);
     void recordFailure(const placement_decision &placed, const attempt_failure &failure);
     /// Whether the connection of the failed send ended, and not because this instance closed it.
+    placement_decision placeAfterRelayLoss(time_point now);
+    /// Servers that may have run the request if all current sends have.
+    unsigned possibleRunsWithSends() const;
     bool isConnectionLost(const attempt_failure &failure) const;
     /// Takes the end of the server as evidence against the parts of the prompt.
     void recordServerEnd(const attempt_failure &failure, time_point now);
@@ -198,7 +201,8 @@
     bool m_isCallerGone = false;
     bool m_isDeadlinePassed = false;
     bool m_mayHaveRun = false;
-    unsigned m_possibleRuns = 0; ///< Sends that may have run.
+    std::set<backend_server_id> m_possibleRuns; ///< Servers that may have run it.
+    std::optional<backend_server_id> m_resendTo; ///< The send to it lost its relay; the next one goes there too if it can.
     unsigned m_deliveredSends = 0; ///< Sends that reached a server.
     unsigned m_sends = 0;
     std::uint64_t m_workId = 0; ///< Identifies the current placement in the fleet state; 0: none.
--- a/src/programs/gateway/tests/fake_platform.cpp
+++ b/src/programs/gateway/tests/fake_platform.cpp
@@ -179,6 +179,11 @@
     }
 }
 
+void fake_platform::reconnectFirstInstance()
+{
+    m_host->setPartitionedEndpoints({});
+}
+
 const std::string &fake_platform::firstConfig()
 {
     return configText;
@@ -194,6 +199,11 @@
     asio::co_spawn(m_context, m_host->stop(), asio::detached);
 }
 
+void fake_platform::stopSecondInstance()
+{
+    asio::co_spawn(m_context, m_secondHost->stop(), asio::detached);
+}
+
 void fake_platform::setStopGrace(milliseconds grace)
 {
     m_stopGrace = grace;
--- a/src/programs/gateway/tests/fake_platform.h
+++ b/src/programs/gateway/tests/fake_platform.h
@@ -55,6 +55,8 @@
     void startSecondInstance();
     /// The first instance loses its paths to all backend servers, on open connections and for new ones; the second does not.
     void cutFirstInstanceFromServers();
+    /// The first instance reaches all backend servers again.
+    void reconnectFirstInstance();
     /// Makes the store go back to a copy that holds the configuration alone: its revisions go back, its era rises.
     void restoreStoreWithoutServers();
     /// Writes so many megabytes of values that are replaced at once: changes hold them all, lists do not.
@@ -75,6 +77,8 @@
     void callSecondInstance();
     /// Stops the first instance as the platform does; it ends itself before `grace` has passed, and with it the event loop.
     void stopFirstInstance();
+    /// Stops the second instance in the same way.
+    void stopSecondInstance();
     /// Time that an instance started from now on has to stop.
     void setStopGrace(std::chrono::milliseconds grace);
     /// Memory limit of an instance started from now on.
--- a/src/programs/gateway/tests/instance_without_servers_test.cpp
+++ b/src/programs/gateway/tests/instance_without_servers_test.cpp
@@ -4,6 +4,10 @@
 
 #include "testing/expect.h"
 
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 using namespace mustardtrail;
 using namespace mustardtrail::gateway::testing;
 using mustardtrail::testing::expectEqual;
@@ -55,6 +59,34 @@
     return served;
 }
 
+// Criterion runs each test in its own process, so this is zero at first in each test.
+int streams = 0;
+
+/// The first run goes on until its caller leaves; the next one goes on after its last event.
+boost::asio::awaitable<void> answerUntilLeft(http::exchange &exchange)
+{
+    if (fake_platform::isQuestion(exchange)) {
+        co_await exchange.respond(http::makeResponse(200, "{}", "application/json"));
+        co_return;
+    }
+    const bool isContinuation = exchange.request().headers.find("Last-Event-Id") == "2";
+    ++streams;
+    http::header_list head{ { "Attempt-Id", "a1" }, { "Response-Stamp", "stamp" } };
+    co_await exchange.startStream(200, std::move(head));
+    if (isContinuation) {
+        co_await exchange.write("id: 3\ndata: c\n\n");
+        co_await exchange.finishStream();
+        co_return;
+    }
+    co_await exchange.write("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    boost::asio::steady_timer untilLeft(exchange.executor(), std::chrono::seconds(3));
+    exchange.onDisconnect([&untilLeft] {
+        untilLeft.cancel();
+    });
+    boost::system::error_code ignored;
+    co_await untilLeft.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+}
+
 } // namespace
 
 Test(instance_without_servers, servesItsCallersThroughAnotherInstance)
@@ -88,3 +120,23 @@
         expectEqual(runs, 1);
     }
 }
+
+// Streams broke when the instance that relayed them was stopped, as their servers counted as lost.
+Test(instance_without_servers, aStreamGoesOnAtItsServerWhenTheRelayStops)
+{
+    fake_platform platform;
+    platform.setStopGrace(milliseconds(1'600));
+    platform.addServer("reading1", "reading", answerUntilLeft);
+    platform.start();
+    platform.startSecondInstance();
+    platform.cutFirstInstanceFromServers();
+    raw_caller caller = platform.openCaller("POST /stream/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a1\r\nDeadline-Ms: 9000\r\n"
+                                            "Authorization: Token secret\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+    platform.runFor(milliseconds(600));
+    expectEqual(streams, 1);
+    platform.stopSecondInstance();
+    platform.reconnectFirstInstance();
+    platform.runFor(milliseconds(1'400));
+    expectEqual(streams, 2);
+    expectEqual(caller.stream(), "whole id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n");
+}
