The trouble of a relay is not held against the server

What callers saw: when relays were full, stopped or had lost their own paths, the server counted as out of reach at the sender, and so its data centre as doubtful.

Cause: each not_run of a relay counted like a connection that it had tried in vain.

Now a relay that tried says so (reason "unreached"); one that knows its path to be lost hands the request back at once. Where relays handed the send back and none tried, the error is peer_connect_failed: not run, the request goes to another server, and nothing is recorded of this one. The server is unreachable, as before, where a relay tried in vain or none is there to try. An older relay gives no reason, so nothing is held then.

Checked and found to hold already: relay_service/handsBackWhatItHasNoMemoryFor.

--- a/src/gateway/internal/server_paths.cpp
+++ b/src/gateway/internal/server_paths.cpp
@@ -14,6 +14,11 @@
     return found == m_lost.end() && !m_areAllLost;
 }
 
+bool server_paths::isLost(const endpoint &server) const
+{
+    return m_areAllLost || m_lost.contains(server);
+}
+
 void server_paths::recordConnected(const endpoint &server)
 {
     endVerdicts(server);
--- a/src/gateway/server_paths.h
+++ b/src/gateway/server_paths.h
@@ -17,6 +17,8 @@
 public:
     /// Whether to send to the server over this instance's own path, not through another instance.
     bool mayUseOwnPath(const endpoint &server, time_point now);
+    /// Whether the path counts as lost, to other instances that would send over it.
+    bool isLost(const endpoint &server) const;
     /// Records a connection that this instance opened to the server.
     void recordConnected(const endpoint &server);
     /// Records that the server was reached through another instance while the own path failed.
--- a/src/programs/gateway/relay_fields.h
+++ b/src/programs/gateway/relay_fields.h
@@ -13,6 +13,7 @@
 inline constexpr std::string_view connection
     = "Mustardtrail-Relay-Connection"; ///< Of the relay to the server: in a request "new" demands a new one.
 inline constexpr std::string_view end = "Mustardtrail-Relay-End"; ///< In a request: whether the sender knows the mark in the trailer.
+inline constexpr std::string_view reason = "Mustardtrail-Relay-Reason"; ///< Of an answer that the request has not run.
 
 inline constexpr std::string_view passedOn = "passed"; ///< The answer is the server's.
 inline constexpr std::string_view notRun = "not_run"; ///< The relay has sent nothing to the server.
@@ -23,6 +24,7 @@
 inline constexpr std::string_view isReused = "reused";
 inline constexpr std::string_view isMarked = "marked"; ///< A cut without a mark is then the end of the relay.
 inline constexpr std::string_view serverLost = "server_lost"; ///< The mark: the server was lost within its answer.
+inline constexpr std::string_view unreached = "unreached"; ///< The relay tried to connect to the server; without it the trouble is its own.
 
 } // namespace mustardtrail::gateway::relay_field
 
--- a/src/programs/gateway/relay_service.cpp
+++ b/src/programs/gateway/relay_service.cpp
@@ -122,7 +122,7 @@
 asio::awaitable<void> relay_service::serve(http::exchange &exchange)
 {
     const auto server = endpointFromString(exchange.request().headers.find(relay_field::server));
-    if (m_isStopping || !server || !m_state.servers.isKnownAddress(*server)) {
+    if (m_isStopping || !server || !m_state.servers.isKnownAddress(*server) || m_state.paths.isLost(*server)) {
         co_await exchange.respond(refusal(503, relay_field::notRun));
         co_return;
     }
@@ -182,7 +182,11 @@
         if (!isUnsent && m_isEnding) {
             co_return; // The connection closes, which shows that this instance ended.
         }
-        co_await exchange.respond(refusal(502, isUnsent ? relay_field::notRun : relay_field::mayHaveRun));
+        http::response_message message = refusal(502, isUnsent ? relay_field::notRun : relay_field::mayHaveRun);
+        if (answer.error().code == error_code::backend_connect_failed) {
+            message.headers.add(std::string(relay_field::reason), std::string(relay_field::unreached));
+        }
+        co_await exchange.respond(std::move(message));
         co_return;
     }
     co_await passAnswerOn(exchange, **answer);
--- a/src/programs/gateway/request_relay.cpp
+++ b/src/programs/gateway/request_relay.cpp
@@ -46,8 +46,9 @@
 {
     attempt_failure failure = makeFailure(problem.outcome);
     failure.detail = std::string(toString(problem.code)) + ' ' + problem.detail;
-    failure.isUnreachable = problem.code == error_code::backend_connect_failed;
-    failure.isByRelay = problem.code == error_code::peer_connection_lost && m_closedBecause.empty();
+    failure.isUnreachable = problem.code == error_code::backend_connect_failed || problem.code == error_code::peer_connect_failed;
+    const bool isPeers = problem.code == error_code::peer_connection_lost || problem.code == error_code::peer_connect_failed;
+    failure.isByRelay = isPeers && m_closedBecause.empty();
     failure.isCutOff = problem.code == error_code::backend_connection_lost && problem.outcome != verdict::not_run;
     return failure;
 }
--- a/src/programs/gateway/server_client.cpp
+++ b/src/programs/gateway/server_client.cpp
@@ -87,9 +87,10 @@
     });
     opened_answer answer = tl::unexpected(error{ error_code::backend_connect_failed, verdict::not_run, {}, {} });
     bool hasOwnPathFailed = false;
+    relay_signs signs;
     while (const auto way = plan.next()) {
         if (way->relay) {
-            answer = co_await openThrough(*way->relay, server, message, limits);
+            answer = co_await openThrough(*way->relay, server, message, limits, signs);
             logRelayed(*way->relay, server, answer, attempt);
         } else {
             answer = co_await openDirectly(server, message, limits);
@@ -103,6 +104,9 @@
             break;
         }
         hasOwnPathFailed = hasOwnPathFailed || !way->relay;
+        if (signs.isHandedBack && !signs.isUnreached) {
+            answer.error().code = error_code::peer_connect_failed; // Nobody else has tried to reach the server.
+        }
     }
     co_return answer;
 }
@@ -150,7 +154,7 @@
 }
 
 asio::awaitable<server_client::opened_answer> server_client::openThrough(
-    peer_address relay, endpoint server, const http::request_message &message, http::call_limits limits)
+    peer_address relay, endpoint server, const http::request_message &message, http::call_limits limits, relay_signs &signs)
 {
     http::request_message relayed = addressedTo(server, message, limits.freshConnection);
     const endpoint relayAddress{ textOf(relay), m_relayPort };
@@ -186,6 +190,9 @@
         });
     }
     if (outcome == relay_field::notRun) {
+        const bool isUnreached = (*answer)->headers().find(relay_field::reason) == relay_field::unreached;
+        signs.isUnreached = signs.isUnreached || isUnreached;
+        signs.isHandedBack = signs.isHandedBack || !isUnreached;
         m_avoidedUntil[{ relay, server }] = now + relayAvoidance;
         co_return tl::unexpected(
             error{ error_code::backend_connect_failed, verdict::not_run, "peer=" + toString(server) + " relay=" + textOf(relay), {} });
--- a/src/programs/gateway/server_client.h
+++ b/src/programs/gateway/server_client.h
@@ -43,6 +43,11 @@
 private:
     /// A relay, and a server behind it; without a server, the way to the relay.
     using relayed_path = std::pair<peer_address, endpoint>;
+    /// What the relays of one send say of the server.
+    struct relay_signs {
+        bool isHandedBack = false; ///< A relay was full, stopped or had lost its own path.
+        bool isUnreached = false; ///< A relay tried and could not connect to the server.
+    };
     using opened_answer = result<std::unique_ptr<http::response_stream>>;
 
     boost::asio::awaitable<opened_answer> openOnAnyPath(
@@ -50,7 +55,7 @@
     boost::asio::awaitable<opened_answer> openDirectly(endpoint server, http::request_message message, http::call_limits limits);
     /// The error is `not_run` and `backend_connect_failed` when the relay has sent nothing to the server.
     boost::asio::awaitable<opened_answer> openThrough(
-        peer_address relay, endpoint server, const http::request_message &message, http::call_limits limits);
+        peer_address relay, endpoint server, const http::request_message &message, http::call_limits limits, relay_signs &signs);
     void logRelayed(peer_address relay, const endpoint &server, const opened_answer &answer, const attempt_id &attempt);
     bool isAvoided(const relayed_path &path, time_point now) const;
     std::vector<peer_address> relaysFor(const endpoint &server, time_point now) const;
--- a/src/programs/gateway/tests/relay_service_test.cpp
+++ b/src/programs/gateway/tests/relay_service_test.cpp
@@ -97,9 +97,10 @@
         m_address = *m_service.listen({ "127.0.0.1", 0 });
     }
 
-    result<http::response_message> call(const endpoint &server, const http::header_list &more = {})
+    result<http::response_message> call(const endpoint &server, const http::header_list &more = {}, size_t bodyBytes = 0)
     {
         http::request_message message;
+        message.body = std::make_shared<const std::string>(bodyBytes, 'b');
         message.headers.add(std::string(relay_field::server), toString(server));
         for (const auto &[name, value] : more.fields()) {
             message.headers.add(name, value);
@@ -132,6 +133,17 @@
         return call(m_server, { { std::string(relay_field::end), std::string(relay_field::isMarked) } });
     }
 
+    /// The relay's own path to the server is lost.
+    void losePath()
+    {
+        m_bench.context().state.paths.recordLost(m_server, m_bench.context().clock.now());
+    }
+
+    void cutFromServer()
+    {
+        m_bench.client().setPartitionedEndpoints({ m_server });
+    }
+
     const endpoint &server() const
     {
         return m_server;
@@ -255,3 +267,35 @@
     cr_assert_not(relay.callBeforeTheEnd().has_value());
     cr_assert(isServersCallerGone);
 }
+
+Test(relay_service, saysThatItTriedToReachTheServer)
+{
+    relay_bench relay(answerWhole);
+    relay.cutFromServer();
+    const auto got = relay.call(relay.server());
+    cr_assert(got.has_value());
+    expectEqual(got->headers.find(relay_field::outcome), relay_field::notRun);
+    expectEqual(got->headers.find(relay_field::reason), relay_field::unreached);
+}
+
+Test(relay_service, handsBackWhatItHasNoMemoryFor)
+{
+    relay_bench relay(answerWhole);
+    const auto got = relay.call(relay.server(), {}, 4 * maxBodyBytes);
+    cr_assert(got.has_value());
+    expectEqual(got->headers.find(relay_field::outcome), relay_field::notRun);
+    expectEqual(got->headers.find(relay_field::reason), std::string());
+    expectEqual(runs, 0);
+}
+
+// A server was held to be out of reach since a relay had lost its own path to it.
+Test(relay_service, handsBackWhatNeedsAPathThatItHasLost)
+{
+    relay_bench relay(answerWhole);
+    relay.losePath();
+    const auto got = relay.call(relay.server());
+    cr_assert(got.has_value());
+    expectEqual(got->headers.find(relay_field::outcome), relay_field::notRun);
+    expectEqual(got->headers.find(relay_field::reason), std::string());
+    expectEqual(runs, 0);
+}
--- a/src/programs/gateway/tests/server_client_test.cpp
+++ b/src/programs/gateway/tests/server_client_test.cpp
@@ -141,6 +141,21 @@
     expectEqual(readThrough(head + "4\r\npart\r\n0\r\n\r\n"), "part " + toString(error_code::none));
 }
 
+// A server was held to be out of reach because the relays were full.
+Test(server_client, doesNotHoldTheTroubleOfARelayAgainstTheServer)
+{
+    const std::string refusal = "HTTP/1.1 503 Service Unavailable\r\nMustardtrail-Relay: not_run\r\nContent-Length: 0\r\n";
+    expectEqual(readThrough(refusal + "\r\n"), " " + toString(error_code::peer_connect_failed));
+    const std::string unreached = "Mustardtrail-Relay-Reason: unreached\r\n\r\n";
+    expectEqual(readThrough(refusal + unreached), " " + toString(error_code::backend_connect_failed));
+}
+
+Test(server_client, takesTheWordOfARelayForTheEndOfTheServer)
+{
+    const std::string serverLost = toString(error_code::backend_connection_lost);
+    expectEqual(readThrough("HTTP/1.1 502 Bad Gateway\r\nMustardtrail-Relay: may_have_run\r\nContent-Length: 0\r\n\r\n"), " " + serverLost);
+}
+
 // Only heads of answers counted, so sound servers that were silent together were reached through other instances.
 Test(server_client, theBytesOfAnAnswerShowThatPathsAreNotLost)
 {
