--- a/src/programs/gateway/request_relay.cpp
+++ b/src/programs/gateway/request_relay.cpp
@@ -46,7 +46,9 @@
 {
     attempt_failure failure = makeFailure(problem.outcome);
     failure.detail = std::string(toString(problem.code)) + ' ' + problem.detail;
-    failure.isUnreachable = problem.code == error_code::backend_connect_failed;
+    failure.isUnreachable = problem.code == error_code::backend_connect_failed || problem.code == error_code::peer_connect_failed;
+    const bool isPeers = problem.code == error_code::peer_connection_lost || problem.code == error_code::peer_connect_failed;
+    failure.isByRelay = isPeers && m_closedBecause.empty();
     failure.isCutOff = problem.code == error_code::backend_connection_lost && problem.outcome != verdict::not_run;
     return failure;
 }
@@ -62,6 +64,7 @@
     m_currentServer = placed.parts.front().server;
     m_currentStart = startKeyOf(server->entry);
     m_isStallExtended = false;
+    m_resendTo.reset();
     m_lastServer = server->entry.id.str();
     m_faultyServer.clear();
     m_closedBecause = {};
@@ -300,7 +303,8 @@
         if (!bytes) {
             m_context.metrics.recordSendOutcome("answer_lost");
             attempt_failure failure = makeFailure(lost);
-            failure.isCutOff = failure.outcome != verdict::not_run;
+            failure.isByRelay = m_closedBecause.empty() && bytes.error().code == error_code::peer_connection_lost;
+            failure.isCutOff = failure.outcome != verdict::not_run && !failure.isByRelay;
             co_return failure;
         }
         if (bytes->empty()) {
--- a/src/programs/gateway/server_client.cpp
+++ b/src/programs/gateway/server_client.cpp
@@ -39,8 +39,9 @@
 {
     const std::string_view connection = needsNewConnection ? relay_field::isNew : relay_field::isReused;
     http::request_message addressed = message;
-    addressed.headers
-        = { { std::string(relay_field::server), toString(server) }, { std::string(relay_field::connection), std::string(connection) } };
+    addressed.headers = { { std::string(relay_field::server), toString(server) },
+        { std::string(relay_field::connection), std::string(connection) },
+        { std::string(relay_field::end), std::string(relay_field::isMarked) } };
     for (const auto &[name, value] : message.headers.fields()) {
         addressed.headers.add(name, value);
     }
@@ -86,9 +87,10 @@
     });
     opened_answer answer = tl::unexpected(error{ error_code::backend_connect_failed, verdict::not_run, {}, {} });
     bool hasOwnPathFailed = false;
+    relay_signs signs;
     while (const auto way = plan.next()) {
         if (way->relay) {
-            answer = co_await openThrough(*way->relay, server, message, limits);
+            answer = co_await openThrough(*way->relay, server, message, limits, signs);
             logRelayed(*way->relay, server, answer, attempt);
         } else {
             answer = co_await openDirectly(server, message, limits);
@@ -102,6 +104,9 @@
             break;
         }
         hasOwnPathFailed = hasOwnPathFailed || !way->relay;
+        if (signs.isHandedBack && !signs.isUnreached) {
+            answer.error().code = error_code::peer_connect_failed; // Nobody else has tried to reach the server.
+        }
     }
     co_return answer;
 }
@@ -150,13 +155,22 @@
 }
 
 asio::awaitable<server_client::opened_answer> server_client::openThrough(
-    peer_address relay, endpoint server, const http::request_message &message, http::call_limits limits)
+    peer_address relay, endpoint server, const http::request_message &message, http::call_limits limits, relay_signs &signs)
 {
     http::request_message relayed = addressedTo(server, message, limits.freshConnection);
     const endpoint relayAddress{ textOf(relay), m_relayPort };
     limits.connect = std::min(limits.connect, relayConnectTimeout);
     limits.onRefused = {}; // Of the server, not of the relay.
     limits.freshConnection = false; // Instances answer in order; it is the relay's connection to the server that must be new.
+    const auto isClosedHere = std::make_shared<bool>(false);
+    if (limits.onConnection) {
+        limits.onConnection = [isClosedHere, onConnection = limits.onConnection](std::function<void()> close) {
+            onConnection([isClosedHere, close = std::move(close)] {
+                *isClosedHere = true;
+                close();
+            });
+        };
+    }
     auto answer = co_await m_direct.open(relayAddress, std::move(relayed), std::move(limits));
     const time_point now = m_clock.now();
     if (!answer) {
@@ -171,9 +185,16 @@
     }
     const std::string_view outcome = (*answer)->headers().find(relay_field::outcome);
     if (outcome == relay_field::passedOn) {
-        co_return std::make_unique<relayed_answer>(std::move(*answer));
+        co_return std::make_unique<relayed_answer>(std::move(*answer), [this, relay, isClosedHere] {
+            if (!*isClosedHere) {
+                m_avoidedUntil[{ relay, {} }] = m_clock.now() + relayAvoidance;
+            }
+        });
     }
     if (outcome == relay_field::notRun) {
+        const bool isUnreached = (*answer)->headers().find(relay_field::reason) == relay_field::unreached;
+        signs.isUnreached = signs.isUnreached || isUnreached;
+        signs.isHandedBack = signs.isHandedBack || !isUnreached;
         m_avoidedUntil[{ relay, server }] = now + relayAvoidance;
         co_return tl::unexpected(
             error{ error_code::backend_connect_failed, verdict::not_run, "peer=" + toString(server) + " relay=" + textOf(relay), {} });
