A refused connection is no proof that a server ended

Only the server, by the report of another start, and the list show an end now; the question stays open after a refusal. server_inquiry/onlyTheServerItselfShowsThatItEnded failed to hold for a refusal before, by its own line, which is turned round: a refusal shows nothing, whoever saw it. aRefusalSeenByAnInstanceThatHasLostOtherServersShowsNothing is a case of that and is gone with the field that it set.

--- a/src/gateway/internal/server_evidence.cpp
+++ b/src/gateway/internal/server_evidence.cpp
@@ -11,8 +11,7 @@
         return server_life::runs;
     case server_sign::other_start:
         return server_life::ended;
-    case server_sign::refused:
-        return evidence.relay || evidence.hasObserverLostOthers ? server_life::unknown : server_life::ended;
+    case server_sign::refused: // A cut refuses new connections as well, and the first instances to see it have lost no others yet.
     case server_sign::reset:
     case server_sign::silent:
     case server_sign::no_report:
--- a/src/gateway/server_evidence.h
+++ b/src/gateway/server_evidence.h
@@ -31,7 +31,6 @@
     std::optional<peer_address> relay; ///< Without one: over the observer's own path.
     server_sign seen = server_sign::nobody_answered;
     time_point at{}; ///< The server was in this state then or later: when it was asked.
-    bool hasObserverLostOthers = false; ///< Connections to several servers at the same moment, so that its own path is in doubt.
 };
 
 server_life lifeShownBy(const server_evidence &evidence);
--- a/src/gateway/tests/server_inquiry_test.cpp
+++ b/src/gateway/tests/server_inquiry_test.cpp
@@ -20,35 +20,29 @@
 
 server_evidence directly(server_sign seen, int time)
 {
-    return { 7, observer, {}, seen, at(time), false };
+    return { 7, observer, {}, seen, at(time) };
 }
 
 server_evidence through(server_sign seen, int time)
 {
-    return { 7, observer, relay, seen, at(time), false };
+    return { 7, observer, relay, seen, at(time) };
 }
 
 } // namespace
 
+// A cut refused new connections, and the servers behind it were taken for ended.
 Test(server_inquiry, onlyTheServerItselfShowsThatItEnded)
 {
-    for (const server_sign seen : { server_sign::reset, server_sign::silent, server_sign::nobody_answered, server_sign::no_report }) {
+    for (const server_sign seen :
+        { server_sign::refused, server_sign::reset, server_sign::silent, server_sign::nobody_answered, server_sign::no_report }) {
         cr_assert_eq(lifeShownBy(directly(seen, 0)), server_life::unknown);
         cr_assert_eq(lifeShownBy(through(seen, 0)), server_life::unknown);
     }
-    cr_assert_eq(lifeShownBy(directly(server_sign::refused, 0)), server_life::ended);
-    cr_assert_eq(lifeShownBy(through(server_sign::refused, 0)), server_life::unknown);
+    cr_assert_eq(lifeShownBy(directly(server_sign::other_start, 0)), server_life::ended);
     cr_assert_eq(lifeShownBy(through(server_sign::other_start, 0)), server_life::ended);
     cr_assert_eq(lifeShownBy(through(server_sign::bytes, 0)), server_life::runs);
 }
 
-Test(server_inquiry, aRefusalSeenByAnInstanceThatHasLostOtherServersShowsNothing)
-{
-    server_evidence evidence = directly(server_sign::refused, 0);
-    evidence.hasObserverLostOthers = true;
-    cr_assert_eq(lifeShownBy(evidence), server_life::unknown);
-}
-
 Test(server_inquiry, aQuestionThatReachedNobodyIsAskedAgainUntilItDecays)
 {
     server_inquiry inquiry(at(0));
--- a/src/programs/gateway/crash_verifier.cpp
+++ b/src/programs/gateway/crash_verifier.cpp
@@ -100,7 +100,6 @@
     reply = co_await m_context.servers.ask(known->entry.address, std::move(question), std::move(limits), attempt, std::move(hearers));
     evidence.relay = reply.relay;
     evidence.seen = signOf(reply, startedAt);
-    evidence.hasObserverLostOthers = m_context.state.paths.hasLostPaths();
     if (evidence.seen == server_sign::refused) {
         evidence.relay.reset();
     }
