Instances that were cut off learn why a part was released

An instance that was cut off while the others learned that its servers ran held the part back until its trial (10 s), and so did one that had heard the verdict from it. Who hears such a verdict and knows its crashes told the crashes again, but not what refutes them: that the servers were heard since, and that their observers had lost several servers at once. Those are told again with them.

--- a/src/gateway/internal/observer_losses.cpp
+++ b/src/gateway/internal/observer_losses.cpp
@@ -85,6 +85,15 @@
     });
 }
 
+void observer_losses::tellAgain(peer_address observer, time_point now)
+{
+    if (const auto known = m_losses.find(observer); known != m_losses.end()) {
+        for (loss_record &each : known->second) {
+            each.changedAt = now;
+        }
+    }
+}
+
 std::vector<observer_loss> observer_losses::news(milliseconds maxAge, time_point now) const
 {
     std::vector<observer_loss> news;
--- a/src/gateway/internal/prompt_quarantine.cpp
+++ b/src/gateway/internal/prompt_quarantine.cpp
@@ -394,8 +394,13 @@
 void prompt_quarantine::tellEvidenceAgain(prompt_part part, time_point now)
 {
     for (auto &[server, record] : m_crashes) {
-        if (record.evidence.sentAt.contains(part)) {
-            record.changedAt = now;
+        if (!record.evidence.sentAt.contains(part)) {
+            continue;
+        }
+        record.changedAt = now;
+        m_sightings.tellAgain(server, now);
+        for (const peer_address observer : record.evidence.observers) {
+            m_losses.tellAgain(observer, now);
         }
     }
 }
--- a/src/gateway/internal/server_sightings.cpp
+++ b/src/gateway/internal/server_sightings.cpp
@@ -43,6 +43,13 @@
     return found != m_sightings.end() && crash.at <= found->second.at + uncertainty;
 }
 
+void server_sightings::tellAgain(server_start_key server, time_point now)
+{
+    if (const auto known = m_sightings.find(server); known != m_sightings.end()) {
+        known->second.changedAt = now;
+    }
+}
+
 std::vector<server_sighting> server_sightings::news(milliseconds maxAge, time_point now) const
 {
     std::vector<server_sighting> news;
--- a/src/gateway/observer_losses.h
+++ b/src/gateway/observer_losses.h
@@ -25,6 +25,8 @@
     bool recordHeard(const observer_loss &loss, time_point now);
     /// Whether the observer had just lost several servers at that time.
     bool isDoubtful(peer_address observer, time_point at) const;
+    /// Tells the others again what is known of the observer.
+    void tellAgain(peer_address observer, time_point now);
     /// Moments of loss that became known within `maxAge`.
     std::vector<observer_loss> news(std::chrono::milliseconds maxAge, time_point now) const;
     void expire(time_point now);
--- a/src/gateway/server_sightings.h
+++ b/src/gateway/server_sightings.h
@@ -19,6 +19,8 @@
     bool recordHeard(const server_sighting &sighting, time_point now);
     /// Whether the server ran after this crash. `isOwn`: this instance saw the crash, so that its time is exact.
     bool refutes(const crash_evidence &crash, bool isOwn) const;
+    /// Tells the others again what is known of the server.
+    void tellAgain(server_start_key server, time_point now);
     /// Sightings that became known within `maxAge`.
     std::vector<server_sighting> news(std::chrono::milliseconds maxAge, time_point now) const;
     void expire(time_point now);
