A stream that the end of a stopping process cuts has its final line, and its server and memory are released

What callers saw: streams that were still running when a stopping process ended were cut; the log held `stopped running=N` and nothing else of them. Memory that they had reserved at other engines stayed until its lease ended.

Cause: `onEnding` interrupts only requests whose answer has not begun, and the process then ended without asking the others. Their coroutines were dropped, and with them the final line, the close of the connection and the release.

Now each request without a final line gets it before the event loop ends (`stream_broken detail=instance_ends`, or `request_cut` where no answer had begun), its connection to the backend server is closed and its reservations are released. The process waits for the release orders until 150 ms before its kill, and only where a request was cut. The line does not depend on the request's coroutine, which may wait for a caller that does not read; only the first final line is written.

A connection with a duplicated descriptor, which exists only where partitions are simulated, is now shut down when it is closed and not partitioned: until then its server saw the close only when the call's coroutine was destroyed.

--- a/src/gateway/internal/stop_schedule.cpp
+++ b/src/gateway/internal/stop_schedule.cpp
@@ -48,6 +48,11 @@
     return true;
 }
 
+bool stop_schedule::waitsForReleases(time_point now) const
+{
+    return now < m_killTime - minStopMargin;
+}
+
 void stop_schedule::recordDelay(std::chrono::nanoseconds late)
 {
     m_end += std::chrono::duration_cast<time_point::duration>(late);
--- a/src/gateway/stop_schedule.h
+++ b/src/gateway/stop_schedule.h
@@ -22,6 +22,8 @@
     void beginFinalAnswers(time_point now);
     /// Whether to wait for the final answers once more; the one wait after their time lets due answers be written.
     bool waitsForAnswers(time_point now);
+    /// Whether the process may wait on until the memory of requests that were cut has been released.
+    bool waitsForReleases(time_point now) const;
     /// Records how late a wait ended. Time in which the event loop was blocked does not count for the final answers.
     void recordDelay(std::chrono::nanoseconds late);
 
--- a/src/gateway/tests/stop_schedule_test.cpp
+++ b/src/gateway/tests/stop_schedule_test.cpp
@@ -81,6 +81,13 @@
     cr_assert_not(schedule.waitsForAnswers(after(7'940)));
 }
 
+Test(stop_schedule, waitsForReleasesUntilShortlyBeforeTheKill)
+{
+    const stop_schedule schedule(signalledAt, grace);
+    cr_assert(schedule.waitsForReleases(after(7'849)));
+    cr_assert_not(schedule.waitsForReleases(after(7'850)));
+}
+
 Test(stop_schedule, waitsOnlyOnceWithoutAGrace)
 {
     stop_schedule schedule(signalledAt, milliseconds(0));
--- a/src/http/internal/connection_pool.h
+++ b/src/http/internal/connection_pool.h
@@ -4,6 +4,7 @@
 #include "http/client.h"
 #include "http/internal/partitioned_links.h"
 
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
@@ -33,6 +34,10 @@
     void close()
     {
         isClosed = true;
+        if (socketDuplicate && !isPartitioned()) { // Else the server would see it closed only with the duplicate.
+            boost::system::error_code ignored;
+            stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_both, ignored);
+        }
         stream.close();
     }
 
--- a/src/programs/gateway/gateway_context.h
+++ b/src/programs/gateway/gateway_context.h
@@ -45,6 +45,8 @@
     answer_budget answers{ memory_shares::of(0).answers }; ///< What is held of servers' answers.
     bool isEnding = false; ///< The process is about to end: requests get their final answers now.
     std::map<std::uint64_t, std::function<void()>> onEnding{}; ///< Of the requests that are being served.
+    std::map<std::uint64_t, std::function<void()>> onProcessEnd{}; ///< Of the requests that are being served.
+    unsigned runningReleases = 0; ///< Orders to engines that end reservations.
 };
 
 } // namespace mustardtrail::gateway
--- a/src/programs/gateway/gateway_host.cpp
+++ b/src/programs/gateway/gateway_host.cpp
@@ -73,6 +73,16 @@
     }
 }
 
+void callHooks(const std::map<std::uint64_t, std::function<void()>> &hooks)
+{
+    const auto present = hooks; // A request that ends removes its hook.
+    for (const auto &[id, hook] : present) {
+        if (hooks.contains(id)) {
+            hook();
+        }
+    }
+}
+
 } // namespace
 
 gateway_host::gateway_host(asio::io_context &context, platform::instance_settings settings, http::simulated_partitions allowed)
@@ -354,6 +364,14 @@
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
         schedule.recordDelay(m_clock.now() - timer.expiry());
     }
+    const bool isCut = cutRequests();
+    while (isCut && schedule.waitsForReleases(m_clock.now())) {
+        timer.expires_after(drainPollInterval);
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        if (m_shared.runningReleases == 0) {
+            break;
+        }
+    }
     m_peerLink.reportLeaving();
     m_log.write(log_line("stopped").add("running", static_cast<std::int64_t>(m_activeRequests)));
     m_context.stop();
@@ -362,12 +380,14 @@
 void gateway_host::endRequests()
 {
     m_shared.isEnding = true;
-    const auto hooks = m_shared.onEnding; // A request that ends removes its hook.
-    for (const auto &[id, onEnding] : hooks) {
-        if (m_shared.onEnding.contains(id)) {
-            onEnding();
-        }
-    }
+    callHooks(m_shared.onEnding);
+}
+
+bool gateway_host::cutRequests()
+{
+    const bool areRunning = !m_shared.onProcessEnd.empty();
+    callHooks(m_shared.onProcessEnd);
+    return areRunning;
 }
 
 } // namespace mustardtrail::gateway
--- a/src/programs/gateway/gateway_host.h
+++ b/src/programs/gateway/gateway_host.h
@@ -45,6 +45,8 @@
     boost::asio::awaitable<void> closeUnusableConnections();
     /// Gives the requests that are still being served their final answers.
     void endRequests();
+    /// Returns whether requests were cut.
+    bool cutRequests();
     bool isReady() const;
     void addSeeds(const std::vector<endpoint> &seeds);
 
--- a/src/programs/gateway/request_session.cpp
+++ b/src/programs/gateway/request_session.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace mustardtrail::gateway
 {
@@ -15,7 +16,6 @@
 namespace
 {
 
-constexpr std::string_view instanceEnds = "instance_ends";
 constexpr milliseconds noViewRetryAfter{ 500 }; ///< A starting or disconnected instance usually recovers within this time.
 
 } // namespace
@@ -46,6 +46,7 @@
     }
     m_context.onQuarantined.erase(m_hook);
     m_context.onEnding.erase(m_hook);
+    m_context.onProcessEnd.erase(m_hook);
     *m_alive = false;
 }
 
@@ -94,6 +95,9 @@
     m_context.onEnding[m_hook] = [this] {
         onEnding();
     };
+    m_context.onProcessEnd[m_hook] = [this] {
+        onProcessEnd();
+    };
     m_context.state.resends.countRequest(m_service, m_arrivedAt);
     return std::nullopt;
 }
@@ -337,14 +341,6 @@
     m_hedgeTimer.cancel();
 }
 
-void request_session::onEnding()
-{
-    // No other answer can take the place of one that has begun; it may still end in time.
-    if (!m_exchange.hasStarted()) {
-        interrupt();
-    }
-}
-
 void request_session::onReservationGivenUp()
 {
     if (m_closeConnection) {
@@ -355,6 +351,9 @@
 
 void request_session::logOutcome(std::string_view event, int status, std::string_view reason)
 {
+    if (std::exchange(m_hasOutcome, true)) {
+        return;
+    }
     const time_point now = m_context.clock.now();
     const std::string routeName = m_route ? m_route->name : "none";
     m_context.metrics.recordAnswer(routeName, status, now - m_arrivedAt);
--- a/src/programs/gateway/request_session.h
+++ b/src/programs/gateway/request_session.h
@@ -134,6 +134,8 @@
     void interrupt();
     /// The process is about to end: a request whose answer has not begun gets its final answer now.
     void onEnding();
+    /// The process ends now: a request without a final line gets it, and what it holds at backend servers is released.
+    void onProcessEnd();
     /// Ends the current send: its prompt has no memory at the engines any more.
     void onReservationGivenUp();
     std::chrono::milliseconds firstEventTimeout(const placement_decision &placed) const;
@@ -170,10 +172,12 @@
     void countRun(const attempt_failure &failure);
     std::string sharedPartsText() const;
     void logResendDenied(std::string_view why);
+    /// Writes the final line of the request; only the first call has an effect.
     void logOutcome(std::string_view event, int status, std::string_view reason);
     std::chrono::milliseconds age(time_point now) const;
 
     static constexpr size_t maxAnswerBytes = 8 * 1024 * 1024; ///< Limit of the body of an answer.
+    static constexpr std::string_view instanceEnds = "instance_ends"; ///< Reason of refusals, value of `m_closedBecause`.
     static constexpr std::string_view copyAnswered = "copy_answered"; ///< Value of `m_closedBecause`.
 
     gateway_context &m_context;
@@ -197,6 +201,7 @@
     std::function<void()> m_closeConnection;
     bool m_isCallerGone = false;
     bool m_isDeadlinePassed = false;
+    bool m_hasOutcome = false; ///< Its final line has been written.
     bool m_mayHaveRun = false;
     unsigned m_possibleRuns = 0; ///< Sends that may have run.
     unsigned m_deliveredSends = 0; ///< Sends that reached a server.
--- a/src/programs/gateway/reservation_renewal.cpp
+++ b/src/programs/gateway/reservation_renewal.cpp
@@ -259,6 +259,13 @@
 asio::awaitable<void> reservation_renewal::releaseAt(share target)
 {
     const auto self = shared_from_this();
+    ++m_context.runningReleases;
+    co_await orderRelease(target);
+    --m_context.runningReleases;
+}
+
+asio::awaitable<void> reservation_renewal::orderRelease(const share &target)
+{
     monotonic_timer timer(m_executor);
     for (int attempt = 0; attempt < maxReleaseAttempts; ++attempt) {
         const auto limits = http::call_limits::within(callTimeout);
--- a/src/programs/gateway/reservation_renewal.h
+++ b/src/programs/gateway/reservation_renewal.h
@@ -34,6 +34,7 @@
     boost::asio::awaitable<memory_use> askForUse(const share &target);
     void giveUp(const share &target);
     boost::asio::awaitable<void> releaseAt(share target);
+    boost::asio::awaitable<void> orderRelease(const share &target);
     /// Identifies the running start of the engine; 0 while it is not listed.
     server_start_key startOf(const share &target) const;
     bool hasRestarted(const share &target) const;
