A stopping instance refuses at once what it cannot finish before its process ends

What callers saw: a stopping instance took streams, and kept requests waiting, whose answers could not be complete before its process ended. Such a stream was cut; such a waiting request was refused only with the final answers.

Cause: a placement knew nothing of the stop, except for requests that may run only once.

`finish_forecast` decides from the predicted first event and the least time that nine in ten of the last 10 s' streams of the route needed, both against the stop schedule: the first event before the final answers, the end before that of the process. What has not begun to run is refused as not run (503 `instance_ends`, Retry-After 0), also while it waits, each time it is judged. A resumed stream and a route with fewer than ten known streams are judged by the first event alone. The inputs are logged (`request_cannot_finish`).

Nothing that a request tells predicts its length well enough. So the measured length of recent streams is used, and at its tenth, since a higher share would refuse streams that would have ended.

Failed first: late_request/aStreamThatCannotEndBeforeTheProcessIsRefusedAtOnceAsNotRun and aRequestThatWaitsIsRefusedOnceItsStreamCannotEndBeforeTheProcess, on the code before; aStreamThatEndsBeforeTheProcessIsServed and aStreamOfUnknownLengthIsServed passed before and after.

That the refused are served elsewhere was not traced.

--- a/src/gateway/internal/stop_schedule.cpp
+++ b/src/gateway/internal/stop_schedule.cpp
@@ -20,7 +20,7 @@
     : m_killTime(now + grace)
     , m_finalAnswersAt(m_killTime - stopMargin - finalAnswerTime)
     , m_acceptUntil(std::min(now + balancerRemovalDelay, m_finalAnswersAt))
-    , m_end(m_killTime - stopMargin)
+    , m_end(endsAt())
 {
 }
 
@@ -34,6 +34,11 @@
     return m_finalAnswersAt;
 }
 
+time_point stop_schedule::endsAt() const
+{
+    return m_killTime - stopMargin;
+}
+
 void stop_schedule::beginFinalAnswers(time_point now)
 {
     m_end = std::max(now, m_finalAnswersAt) + finalAnswerTime;
--- a/src/gateway/stop_schedule.h
+++ b/src/gateway/stop_schedule.h
@@ -19,6 +19,8 @@
     time_point acceptUntil() const;
     /// When requests that have not been served get their final answers.
     time_point finalAnswersAt() const;
+    /// When the process ends if its event loop is not blocked.
+    time_point endsAt() const;
     void beginFinalAnswers(time_point now);
     /// Whether to wait for the final answers once more; the one wait after their time lets due answers be written.
     bool waitsForAnswers(time_point now);
--- a/src/programs/gateway/gateway_context.h
+++ b/src/programs/gateway/gateway_context.h
@@ -4,9 +4,11 @@
 #include "base/random_source.h"
 #include "gateway/answer_budget.h"
 #include "gateway/fleet_state.h"
+#include "gateway/latency_quantiles.h"
 #include "gateway/memory_shares.h"
 #include "gateway/placement_queue.h"
 #include "gateway/reservation_rule.h"
+#include "gateway/stop_schedule.h"
 #include "http/client.h"
 #include "programs/gateway/gateway_metrics.h"
 #include "programs/gateway/rate_limited_log.h"
@@ -41,7 +43,8 @@
     second_copies &secondCopies = state.secondCopies;
     std::function<void(server_key, const attempt_id &)> readPace{}; ///< Asks an engine how slow it is; the attempt is for the log.
     std::function<void(server_key, server_start_key, const attempt_id &)> verifyCrash{}; ///< Finds out whether the server really ended.
-    std::optional<time_point> finalAnswersAt{}; ///< While the process stops: when `isEnding` becomes true.
+    std::optional<stop_schedule> stopSchedule{}; ///< While the process stops; `isEnding` becomes true with the final answers.
+    latency_quantiles streamLengths{}; ///< From the first event to the end; see `recordLength`.
     answer_budget answers{ memory_shares::of(0).answers }; ///< What is held of servers' answers.
     bool isEnding = false; ///< The process is about to end: requests get their final answers now.
     std::map<std::uint64_t, std::function<void()>> onEnding{}; ///< Of the requests that are being served.
--- a/src/programs/gateway/gateway_host.cpp
+++ b/src/programs/gateway/gateway_host.cpp
@@ -337,9 +337,8 @@
 
 asio::awaitable<void> gateway_host::stop()
 {
-    stop_schedule schedule(m_clock.now(), m_settings.stopGrace);
+    stop_schedule &schedule = m_shared.stopSchedule.emplace(m_clock.now(), m_settings.stopGrace);
     m_shared.isStopping = true;
-    m_shared.finalAnswersAt = schedule.finalAnswersAt();
     m_callerServer.disableKeepAlive();
     m_relayService.refuseRequests();
     m_log.write(log_line("stop_begins").add("running", static_cast<std::int64_t>(m_activeRequests)));
--- a/src/programs/gateway/request_relay.cpp
+++ b/src/programs/gateway/request_relay.cpp
@@ -246,6 +246,7 @@
         m_context.state.quarantine.recordWritten(m_parts, m_context.clock.now());
     }
     m_context.metrics.recordSendOutcome("served");
+    recordStreamLength();
     if (m_exchange.hasStarted()) {
         co_await m_exchange.finishStream();
         co_return std::nullopt;
--- a/src/programs/gateway/request_session.cpp
+++ b/src/programs/gateway/request_session.cpp
@@ -70,7 +70,7 @@
     }
     // Its answer would come after the final ones. It would have run then, and could not be sent again.
     const bool mayOnlyRunOnce = m_route->retrySemantics == retry_semantics::once;
-    if (mayOnlyRunOnce && m_context.finalAnswersAt && m_arrivedAt + m_route->latencyTarget > *m_context.finalAnswersAt) {
+    if (mayOnlyRunOnce && m_context.stopSchedule && m_arrivedAt + m_route->latencyTarget > m_context.stopSchedule->finalAnswersAt()) {
         return refusal{ 503, std::string(instanceEnds), milliseconds(0) };
     }
     if (m_routes->needsKeys() && !m_route->isPublic) {
@@ -187,6 +187,9 @@
         return *held;
     }
     placement_decision decision = choosePlacement(now);
+    if (const auto refused = refuseUnlessItCanFinish(decision, now)) {
+        return *refused;
+    }
     if (decision.next == placement_decision::action::send) {
         m_isTrial = m_context.state.quarantine.tryTrial(m_parts, now);
     }
--- a/src/programs/gateway/request_session.h
+++ b/src/programs/gateway/request_session.h
@@ -134,6 +134,10 @@
     void interrupt();
     /// The process is about to end: a request whose answer has not begun gets its final answer now.
     void onEnding();
+    /// Refuses a request that this instance, which stops, cannot finish as placed; it may not have begun to run.
+    std::optional<placement_decision> refuseUnlessItCanFinish(const placement_decision &placed, time_point now) const;
+    /// Records how long the stream, which is complete, took from its first event.
+    void recordStreamLength();
     /// The process ends now: a request without a final line gets it, and what it holds at backend servers is released.
     void onProcessEnd();
     /// Ends the current send: its prompt has no memory at the engines any more.
