A request that arrives after the acceptance of a stopping instance is refused as not run although its timer is late

What callers saw: an instance whose event loop stood still around the end of its acceptance (2.5 s after the signal) still took what came until its timer fired, and may have cut it when its process ended.

Cause: only the timer that stops the server ended the acceptance. Now `stop_schedule::accepts` judges each request by when it was read: up to 50 ms after the end of the acceptance it is served, later it is refused as not run (503 `instance_ends`, Retry-After 0). Nothing is left unread: the server still reads what has arrived before it closes.

The 50 ms are for what arrived in time and is read a moment later.

Limits: the time when bytes reached the socket is not known, so a request that arrived in time and was read more than 50 ms late is refused too. The acceptance counts from `stop()`; how long the signal waited for a blocked event loop is not known either.

Failed first: late_request/aRequestThatArrivesAfterTheAcceptanceInABlockedProcessIsRefusedAsNotRun (got 200 on the code before); aRequestThatArrivesBeforeTheEndOfTheAcceptanceInABlockedProcessIsAnswered passed before and after.

--- a/src/gateway/internal/stop_schedule.cpp
+++ b/src/gateway/internal/stop_schedule.cpp
@@ -14,6 +14,8 @@
 constexpr milliseconds stopMargin{ 600 }; ///< Subtracted from the stop grace period, so that the process exits before it is killed.
 constexpr milliseconds minStopMargin{ 150 }; ///< Least time between late final answers and the kill.
 
+constexpr milliseconds maxReadDelay{ 50 }; ///< Of a request that has arrived at a process that runs undisturbed.
+
 } // namespace
 
 stop_schedule::stop_schedule(time_point now, milliseconds grace)
@@ -29,6 +31,11 @@
     return m_acceptUntil;
 }
 
+bool stop_schedule::accepts(time_point arrivedAt) const
+{
+    return arrivedAt <= m_acceptUntil + maxReadDelay;
+}
+
 time_point stop_schedule::finalAnswersAt() const
 {
     return m_finalAnswersAt;
--- a/src/gateway/stop_schedule.h
+++ b/src/gateway/stop_schedule.h
@@ -17,6 +17,8 @@
 
     /// When the instance may stop accepting requests.
     time_point acceptUntil() const;
+    /// Whether a request that was read then is to be served; it may have arrived shortly before.
+    bool accepts(time_point arrivedAt) const;
     /// When requests that have not been served get their final answers.
     time_point finalAnswersAt() const;
     /// When the process ends if its event loop is not blocked.
--- a/src/gateway/tests/stop_schedule_test.cpp
+++ b/src/gateway/tests/stop_schedule_test.cpp
@@ -26,6 +26,15 @@
     cr_assert(schedule.finalAnswersAt() == after(7'000));
 }
 
+// The server reads what has arrived in time a moment later.
+Test(stop_schedule, acceptsWhatArrivedInTimeAndNothingThatALateTimerLetIn)
+{
+    const stop_schedule schedule(signalledAt, grace);
+    cr_assert(schedule.accepts(after(2'500)));
+    cr_assert(schedule.accepts(after(2'550)));
+    cr_assert_not(schedule.accepts(after(2'551)));
+}
+
 Test(stop_schedule, stopsAcceptingBeforeTheFinalAnswersOfAShortGrace)
 {
     const stop_schedule schedule(signalledAt, milliseconds(3'000));
--- a/src/programs/gateway/request_session.cpp
+++ b/src/programs/gateway/request_session.cpp
@@ -58,7 +58,9 @@
 std::optional<request_session::refusal> request_session::admit()
 {
     const http::request_message &request = m_exchange.request();
-    if (m_context.isEnding) {
+    // The timer that stops the server may fire late.
+    const bool isLate = m_context.stopSchedule && !m_context.stopSchedule->accepts(m_arrivedAt);
+    if (m_context.isEnding || isLate) {
         return refusal{ 503, std::string(instanceEnds), milliseconds(0) };
     }
     if (!m_context.state.mayServe(m_arrivedAt)) {
--- a/src/programs/gateway/tests/late_request_test.cpp
+++ b/src/programs/gateway/tests/late_request_test.cpp
@@ -3,10 +3,14 @@
 #include "programs/gateway/tests/fake_platform.h"
 #include "testing/expect.h"
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 
 #include <string>
+#include <thread>
 #include <vector>
 
 using namespace mustardtrail;
@@ -23,6 +27,7 @@
 constexpr milliseconds processTime = stopGrace - milliseconds(600); ///< From the stop until the process ends.
 constexpr int usualStreams = 12; ///< More than the least number of streams that show how long one lasts.
 constexpr int engineSlots = 4;
+constexpr std::uint16_t callerPort = 8'001; ///< Of all instances of the fake platform.
 
 const std::string refused = "503 {\"error\":\"instance_ends\"}";
 
@@ -56,6 +61,14 @@
     };
 }
 
+asio::awaitable<void> answerAtOnce(http::exchange &exchange)
+{
+    ++sends;
+    http::response_message message;
+    message.headers = { { "Attempt-Id", "a1" }, { "Response-Stamp", "stamp" } };
+    co_await exchange.respond(std::move(message));
+}
+
 bool isWhole(const raw_caller &caller)
 {
     return caller.onlyAnswer().starts_with("200 ");
@@ -76,6 +89,35 @@
     }
 }
 
+/// What is received on a connection that was written to while the event loop stood still.
+std::string answerToARequestInABlock(milliseconds blockedAt, milliseconds sentAt, milliseconds runsAgainAt)
+{
+    fake_platform platform;
+    platform.setStopGrace(stopGrace);
+    platform.addServer("i-1", "desk", answerAtOnce);
+    platform.start();
+    const std::string request = requestTo("/again/x");
+    asio::ip::tcp::socket socket(platform.executor());
+    socket.connect({ asio::ip::make_address(platform.readinessAddress().address), callerPort });
+    platform.runFor(milliseconds(50));
+    platform.stopFirstInstance();
+    asio::steady_timer block(platform.executor(), blockedAt);
+    block.async_wait([&](boost::system::error_code) {
+        std::this_thread::sleep_for(sentAt - blockedAt);
+        asio::write(socket, asio::buffer(request));
+        std::this_thread::sleep_for(runsAgainAt - sentAt);
+    });
+    platform.runFor(runsAgainAt + milliseconds(500));
+    std::string received(socket.available(), '\0');
+    asio::read(socket, asio::buffer(received));
+    return received;
+}
+
+bool isRefused(const std::string &received)
+{
+    return received.starts_with("HTTP/1.1 503 ") && received.ends_with("{\"error\":\"instance_ends\"}");
+}
+
 } // namespace
 
 Test(late_request, aStreamThatCannotEndBeforeTheProcessIsRefusedAtOnceAsNotRun)
@@ -149,3 +191,21 @@
     cr_assert(isOneWhole, "%s %s", second.onlyAnswer().c_str(), third.onlyAnswer().c_str());
     expectEqual(sends, before + 2);
 }
+
+// The timer that ends the acceptance fires late in an event loop that stood still.
+Test(late_request, aRequestThatArrivesAfterTheAcceptanceInABlockedProcessIsRefusedAsNotRun)
+{
+    const std::string received
+        = answerToARequestInABlock(acceptTime - milliseconds(200), acceptTime + milliseconds(200), acceptTime + milliseconds(500));
+    cr_assert(isRefused(received), "%s", received.c_str());
+    expectEqual(sends, 0);
+}
+
+Test(late_request, aRequestThatArrivesBeforeTheEndOfTheAcceptanceInABlockedProcessIsAnswered)
+{
+    const std::string received
+        = answerToARequestInABlock(acceptTime - milliseconds(400), acceptTime - milliseconds(200), acceptTime + milliseconds(500));
+    const bool isServed = received.starts_with("HTTP/1.1 200 ");
+    cr_assert(isServed || isRefused(received), "%s", received.c_str());
+    expectEqual(sends, isServed ? 1 : 0);
+}
