--- a/src/gateway/tests/stop_schedule_test.cpp
+++ b/src/gateway/tests/stop_schedule_test.cpp
@@ -26,6 +26,15 @@
     cr_assert(schedule.finalAnswersAt() == after(7'000));
 }
 
+// The server reads what has arrived in time a moment later.
+Test(stop_schedule, acceptsWhatArrivedInTimeAndNothingThatALateTimerLetIn)
+{
+    const stop_schedule schedule(signalledAt, grace);
+    cr_assert(schedule.accepts(after(2'500)));
+    cr_assert(schedule.accepts(after(2'550)));
+    cr_assert_not(schedule.accepts(after(2'551)));
+}
+
 Test(stop_schedule, stopsAcceptingBeforeTheFinalAnswersOfAShortGrace)
 {
     const stop_schedule schedule(signalledAt, milliseconds(3'000));
@@ -81,6 +90,13 @@
     cr_assert_not(schedule.waitsForAnswers(after(7'940)));
 }
 
+Test(stop_schedule, waitsForReleasesUntilShortlyBeforeTheKill)
+{
+    const stop_schedule schedule(signalledAt, grace);
+    cr_assert(schedule.waitsForReleases(after(7'849)));
+    cr_assert_not(schedule.waitsForReleases(after(7'850)));
+}
+
 Test(stop_schedule, waitsOnlyOnceWithoutAGrace)
 {
     stop_schedule schedule(signalledAt, milliseconds(0));
--- a/src/programs/gateway/request_session.cpp
+++ b/src/programs/gateway/request_session.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace mustardtrail::gateway
 {
@@ -15,7 +16,6 @@
 namespace
 {
 
-constexpr std::string_view instanceEnds = "instance_ends";
 constexpr milliseconds noViewRetryAfter{ 500 }; ///< A starting or disconnected instance usually recovers within this time.
 
 } // namespace
@@ -46,6 +46,7 @@
     }
     m_context.onQuarantined.erase(m_hook);
     m_context.onEnding.erase(m_hook);
+    m_context.onProcessEnd.erase(m_hook);
     *m_alive = false;
 }
 
@@ -57,7 +58,9 @@
 std::optional<request_session::refusal> request_session::admit()
 {
     const http::request_message &request = m_exchange.request();
-    if (m_context.isEnding) {
+    // The timer that stops the server may fire late.
+    const bool isLate = m_context.stopSchedule && !m_context.stopSchedule->accepts(m_arrivedAt);
+    if (m_context.isEnding || isLate) {
         return refusal{ 503, std::string(instanceEnds), milliseconds(0) };
     }
     if (!m_context.state.mayServe(m_arrivedAt)) {
@@ -69,7 +72,7 @@
     }
     // Its answer would come after the final ones. It would have run then, and could not be sent again.
     const bool mayOnlyRunOnce = m_route->retrySemantics == retry_semantics::once;
-    if (mayOnlyRunOnce && m_context.finalAnswersAt && m_arrivedAt + m_route->latencyTarget > *m_context.finalAnswersAt) {
+    if (mayOnlyRunOnce && m_context.stopSchedule && m_arrivedAt + m_route->latencyTarget > m_context.stopSchedule->finalAnswersAt()) {
         return refusal{ 503, std::string(instanceEnds), milliseconds(0) };
     }
     if (m_routes->needsKeys() && !m_route->isPublic) {
@@ -94,6 +97,9 @@
     m_context.onEnding[m_hook] = [this] {
         onEnding();
     };
+    m_context.onProcessEnd[m_hook] = [this] {
+        onProcessEnd();
+    };
     m_context.state.resends.countRequest(m_service, m_arrivedAt);
     return std::nullopt;
 }
@@ -183,6 +189,9 @@
         return *held;
     }
     placement_decision decision = m_resendTo ? placeAfterRelayLoss(now) : choosePlacement(now);
+    if (const auto refused = refuseUnlessItCanFinish(decision, now)) {
+        return *refused;
+    }
     if (decision.next == placement_decision::action::send) {
         m_isTrial = m_context.state.quarantine.tryTrial(m_parts, now);
     }
@@ -337,14 +346,6 @@
     m_hedgeTimer.cancel();
 }
 
-void request_session::onEnding()
-{
-    // No other answer can take the place of one that has begun; it may still end in time.
-    if (!m_exchange.hasStarted()) {
-        interrupt();
-    }
-}
-
 void request_session::onReservationGivenUp()
 {
     if (m_closeConnection) {
@@ -355,6 +356,9 @@
 
 void request_session::logOutcome(std::string_view event, int status, std::string_view reason)
 {
+    if (std::exchange(m_hasOutcome, true)) {
+        return;
+    }
     const time_point now = m_context.clock.now();
     const std::string routeName = m_route ? m_route->name : "none";
     m_context.metrics.recordAnswer(routeName, status, now - m_arrivedAt);
--- a/src/programs/gateway/server_client.cpp
+++ b/src/programs/gateway/server_client.cpp
@@ -235,6 +235,7 @@
         return relaysFor(server, firstRelays, m_clock.now());
     });
     server_reply reply{ tl::unexpected(error{ error_code::backend_connect_failed, verdict::not_run, {}, {} }), {}, false };
+    relay_signs signs;
     limits.onRefused = [&reply] {
         reply.isRefused = true;
     };
@@ -242,7 +243,7 @@
         reply.relay = way->relay;
         opened_answer opened;
         if (way->relay) {
-            opened = co_await openThrough(*way->relay, server, message, limits);
+            opened = co_await openThrough(*way->relay, server, message, limits, signs);
             logRelayed(*way->relay, server, opened, attempt);
         } else {
             opened = co_await openDirectly(server, message, limits);
