A server that is not listed any more is not known to have ended

A server that had left the list counted as proof of its end, which no moment of loss of the observer puts in doubt: beside a cut, a sound server that a change of the configuration or a restored store takes away turned doubtful evidence into proof against a prompt. The question now ends without an answer; only another start proves an end. Found by a review, by reading; no test.

--- a/src/programs/gateway/crash_verifier.cpp
+++ b/src/programs/gateway/crash_verifier.cpp
@@ -88,7 +88,8 @@
     server_reply reply{ tl::unexpected(error()), {}, false };
     const auto *known = m_context.state.findServer(server);
     if (!known || startKeyOf(known->entry) != start) {
-        evidence.seen = server_sign::other_start;
+        // A server may leave the list for other reasons than its end, such as a change of the configuration or a restored store.
+        evidence.seen = known ? server_sign::other_start : server_sign::no_report;
         log(evidence, server, reply, attempt);
         co_return evidence;
     }
