Limits of reads pass in a process that is late again and again, and not for what has been read whole

A limit whose timer is late was extended each time, without a bound, so that a process that is always 50 to 200 ms late never ended a slow read, just when memory for bodies is short. All extensions of one request together now take 10 s. A request that was read whole in the turn in which its limit passed got 408; it is served.

--- a/src/http/internal/connection.cpp
+++ b/src/http/internal/connection.cpp
@@ -26,6 +26,7 @@
 {
 
 constexpr std::chrono::milliseconds drainLimit{ 500 };
+constexpr std::chrono::seconds maxAddedTime{ 10 }; ///< To the limits of one request, in a process that is late again and again.
 constexpr std::chrono::milliseconds lateTimerThreshold{ 50 }; ///< Above the delay of a timer in a process that runs undisturbed.
 
 using parser = beast::http::request_parser<beast::http::string_body>;
@@ -118,7 +119,7 @@
     {
         const auto now = std::chrono::steady_clock::now();
         const std::chrono::nanoseconds late = now - m_timer.expiry();
-        if (late > lateTimerThreshold) {
+        if (late > lateTimerThreshold && m_addedTime < maxAddedTime) {
             m_addedTime += late;
             expireAt(now + late);
             return;
@@ -292,7 +293,7 @@
     read_deadline deadline(m_stream);
     deadline.expireAt(now() + limits.progress);
     co_await beast::http::async_read_header(m_stream, m_buffer, source, token);
-    if (deadline.hasPassed()) {
+    if (failure && deadline.hasPassed()) {
         co_return co_await refuse(statusOf(error_code::request_timeout), error_code::request_timeout, "header");
     }
     if (failure) {
@@ -314,7 +315,7 @@
             co_return co_await refuse(503, error_code::memory_budget_spent, "bodies");
         }
     }
-    if (deadline.hasPassed()) {
+    if (deadline.hasPassed() && !source.is_done()) {
         co_return co_await refuse(statusOf(error_code::request_timeout), error_code::request_timeout, "body");
     }
     if (failure) {
