No further hedge is sent when one has answered as the timer fires

A timer that has fired cannot be cancelled, so a hedge that answered in the same turn of the event loop was followed by another: a needless run, and a share of the budget. Found by a review, by reading; no test.

--- a/src/programs/gateway/request_hedge.cpp
+++ b/src/programs/gateway/request_hedge.cpp
@@ -213,7 +213,7 @@
         co_await m_hedgeTimer.async_wait(asio::redirect_error(asio::use_awaitable, cancelled));
         if (m_isCallerGone || m_isDeadlinePassed || m_context.isEnding) {
             dropHedges(m_closedBecause);
-        } else if (!cancelled && mayHedge()) {
+        } else if (!cancelled && !answeredHedge() && mayHedge()) {
             startHedge();
         }
     }
