A request that loses its relay may go back to a server that was silent before

A server that had been silent for a while was excluded for the request, also if no hedge was sent; when its relay was lost later, the request could go neither there nor, at the route's limit, elsewhere, and the stream was cut. Found by a review, by reading; no test.

--- a/src/programs/gateway/request_retry.cpp
+++ b/src/programs/gateway/request_retry.cpp
@@ -47,10 +47,13 @@
 {
     const time_point now = m_context.clock.now();
     countRun(failure);
-    retry_state state = retryState(now);
     const bool isRelayLost = failure.isByRelay && failure.outcome != verdict::not_run;
     if (isRelayLost) {
         m_resendTo = backend_server_id(m_lastServer);
+        m_excluded.erase(*m_resendTo); // It may have been silent for a while.
+    }
+    retry_state state = retryState(now);
+    if (isRelayLost) {
         --state.possibleRuns; // The next send goes to the same server.
     }
     const next_step stepIfWithinBudget = decideRetry(failure, state);
