The renewals of a reservation start from a copy of its engines

A renewal that is due at once takes its engine out of the list when that has started again, while the list is walked through. A reservation that is given up there counted as granted. Found by a review, by reading; no test.

--- a/src/programs/gateway/reservation_renewal.cpp
+++ b/src/programs/gateway/reservation_renewal.cpp
@@ -155,10 +155,11 @@
         co_return false;
     }
     // Beside each other: one after the other, silent engines would hold up the renewals at the rest until leases expire.
-    for (const share &each : m_shares) {
+    const std::vector<share> targets = m_shares; // A renewal takes its engine out when that has started again.
+    for (const share &each : targets) {
         asio::co_spawn(m_executor, keepRenewed(each, m_schedules.at(each.server)), asio::detached);
     }
-    co_return true;
+    co_return !m_isReleased;
 }
 
 asio::awaitable<bool> reservation_renewal::reserveAll()
