An own attempt to connect that failed counts, also when relays hand the request back

With all relays full, stopping or cut off, or of an earlier release, a dead server was never suspected: each request spent 250 ms on it. The error is that of the relays only where this instance has not tried itself. Found by a review, by reading; no test.

--- a/src/programs/gateway/server_client.cpp
+++ b/src/programs/gateway/server_client.cpp
@@ -104,8 +104,8 @@
             break;
         }
         hasOwnPathFailed = hasOwnPathFailed || !way->relay;
-        if (signs.isHandedBack && !signs.isUnreached) {
-            answer.error().code = error_code::peer_connect_failed; // Nobody else has tried to reach the server.
+        if (signs.isHandedBack && !signs.isUnreached && !hasOwnPathFailed) {
+            answer.error().code = error_code::peer_connect_failed; // Nobody has tried to reach the server.
         }
     }
     co_return answer;
