A cut in an answer that an earlier release relays counts as the end of the server

A relay now says in the head of its answer that it marks the end; only then does a cut without a mark count as its own.

--- a/src/programs/gateway/relay_fields.h
+++ b/src/programs/gateway/relay_fields.h
@@ -12,7 +12,8 @@
 inline constexpr std::string_view body = "Mustardtrail-Relay-Body"; ///< How the end of the server's answer was shown.
 inline constexpr std::string_view connection
     = "Mustardtrail-Relay-Connection"; ///< Of the relay to the server: in a request "new" demands a new one.
-inline constexpr std::string_view end = "Mustardtrail-Relay-End"; ///< In a request: whether the sender knows the mark in the trailer.
+inline constexpr std::string_view end
+    = "Mustardtrail-Relay-End"; ///< Of a request: the sender knows the mark in the trailer; of an answer: the relay writes it.
 inline constexpr std::string_view reason = "Mustardtrail-Relay-Reason"; ///< Of an answer that the request has not run.
 
 inline constexpr std::string_view passedOn = "passed"; ///< The answer is the server's.
@@ -23,6 +24,7 @@
 inline constexpr std::string_view isNew = "new";
 inline constexpr std::string_view isReused = "reused";
 inline constexpr std::string_view isMarked = "marked"; ///< A cut without a mark is then the end of the relay.
+inline constexpr std::string_view isUnmarked = "unmarked";
 inline constexpr std::string_view serverLost = "server_lost"; ///< The mark: the server was lost within its answer.
 inline constexpr std::string_view unreached = "unreached"; ///< The relay tried to connect to the server; without it the trouble is its own.
 
--- a/src/programs/gateway/relay_service.cpp
+++ b/src/programs/gateway/relay_service.cpp
@@ -56,13 +56,14 @@
 }
 
 // The fields of the relay go before the server's own, which may have the same names.
-http::header_list relayedHeaders(const http::response_stream &answer)
+http::header_list relayedHeaders(const http::response_stream &answer, bool isEndMarked)
 {
     const std::string_view body = answer.endsWithConnection() ? relay_field::endsWithConnection : relay_field::isFramed;
     const std::string_view connection = answer.isOnReusedConnection() ? relay_field::isReused : relay_field::isNew;
     http::header_list headers{ { std::string(relay_field::outcome), std::string(relay_field::passedOn) },
         { std::string(relay_field::body), std::string(body) },
-        { std::string(relay_field::connection), std::string(connection) } };
+        { std::string(relay_field::connection), std::string(connection) },
+        { std::string(relay_field::end), std::string(isEndMarked ? relay_field::isMarked : relay_field::isUnmarked) } };
     const http::header_list serverFields = platform::endToEndHeaders(answer.headers());
     for (const auto &[name, value] : serverFields.fields()) {
         headers.add(name, value);
@@ -204,7 +205,7 @@
         co_await exchange.respond(refusal(502, relay_field::mayHaveRun));
         co_return;
     }
-    http::header_list headers = relayedHeaders(answer);
+    http::header_list headers = relayedHeaders(answer, knowsMark);
     bool isOpen = co_await exchange.startStream(answer.status(), std::move(headers));
     while (isOpen && bytes && !bytes->empty()) {
         isOpen = co_await exchange.write(*bytes);
--- a/src/programs/gateway/relayed_answer.h
+++ b/src/programs/gateway/relayed_answer.h
@@ -27,6 +27,7 @@
     http::header_list m_headers;
     bool m_endsWithConnection;
     bool m_isOnReusedConnection; ///< Of the relay to the server.
+    bool m_isEndMarked; ///< An earlier release writes no mark, so that a cut may be the end of the server.
 };
 
 } // namespace mustardtrail::gateway
--- a/src/programs/gateway/tests/relay_service_test.cpp
+++ b/src/programs/gateway/tests/relay_service_test.cpp
@@ -73,11 +73,19 @@
     }
 }
 
+std::string markOfAnswer; ///< That the last answer ended with.
+
 boost::asio::awaitable<void> callRelay(
     http::client &client, endpoint relay, http::request_message message, result<http::response_message> &got)
 {
     http::call_limits limits = http::call_limits::within(milliseconds(400));
-    got = co_await client.call(relay, std::move(message), limits);
+    auto answer = co_await client.open(relay, std::move(message), std::move(limits));
+    if (!answer) {
+        got = tl::unexpected(answer.error());
+        co_return;
+    }
+    got = co_await http::readWhole(**answer, 2 * maxBodyBytes);
+    markOfAnswer = (*answer)->trailer(relay_field::end);
 }
 
 /// A relay that knows one backend server.
@@ -251,6 +259,7 @@
     const auto got = relay.call(relay.server(), { { std::string(relay_field::end), std::string(relay_field::isMarked) } });
     cr_assert(got.has_value());
     expectEqual(got->body, std::string("id: 1\ndata: a\n\n"));
+    expectEqual(std::string_view(markOfAnswer), relay_field::serverLost);
     expectEqual(runs, 1);
 }
 
--- a/src/programs/gateway/tests/server_client_test.cpp
+++ b/src/programs/gateway/tests/server_client_test.cpp
@@ -101,8 +101,13 @@
     return read + ' ' + toString(end);
 }
 
-const std::string relayedHead = "HTTP/1.1 200 OK\r\nMustardtrail-Relay: passed\r\nMustardtrail-Relay-Body: framed\r\n"
-                                "Mustardtrail-Relay-Connection: new\r\nTransfer-Encoding: chunked\r\n\r\n";
+std::string headOfRelay(const std::string &more)
+{
+    return "HTTP/1.1 200 OK\r\nMustardtrail-Relay: passed\r\nMustardtrail-Relay-Body: framed\r\nMustardtrail-Relay-Connection: new\r\n"
+        + more + "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+const std::string relayedHead = headOfRelay("Mustardtrail-Relay-End: marked\r\n");
 
 } // namespace
 
@@ -128,6 +133,14 @@
     expectEqual(readThrough(relayedHead + "4\r\npart\r\n0\r\n\r\n"), "part " + toString(error_code::none));
 }
 
+// An earlier release writes no mark.
+Test(server_client, takesACutInABodyOfARelayThatWritesNoMarkForTheEndOfTheServer)
+{
+    const std::string lost = std::string("part ") + toString(error_code::backend_connection_lost);
+    expectEqual(readThrough(headOfRelay("") + "4\r\npart\r\n"), lost);
+    expectEqual(readThrough(headOfRelay("Mustardtrail-Relay-End: unmarked\r\n") + "4\r\npart\r\n"), lost);
+}
+
 Test(server_client, takesTheMarkAfterARelayedBodyForTheEndOfTheServer)
 {
     const std::string mark = "0\r\nMustardtrail-Relay-End: server_lost\r\n\r\n";
