A relay marks the end of the server only where its connection was lost on paths that work

A time limit of the relay, an answer that it could not read and a cut of its own paths were marked as the end of the server, and counted as a crash at the sender. Found by a review, by reading; no test.

--- a/src/programs/gateway/relay_service.cpp
+++ b/src/programs/gateway/relay_service.cpp
@@ -193,6 +193,12 @@
     co_await passAnswerOn(exchange, **answer);
 }
 
+// A time limit here and an answer that cannot be read are no end of the server; nor is what this instance sees while its paths are lost.
+bool relay_service::isServerLost(const error &problem) const
+{
+    return problem.code == error_code::backend_connection_lost && !m_state.paths.hasLostPaths();
+}
+
 asio::awaitable<void> relay_service::passAnswerOn(http::exchange &exchange, http::response_stream &answer)
 {
     const bool knowsMark = exchange.request().headers.find(relay_field::end) == relay_field::isMarked;
@@ -213,7 +219,7 @@
             bytes = co_await answer.read();
         }
     }
-    if (!isOpen || (!bytes && (m_isEnding || !knowsMark))) {
+    if (!isOpen || (!bytes && (m_isEnding || !knowsMark || !isServerLost(bytes.error())))) {
         co_return; // The sender sees an answer that is cut off.
     }
     http::header_list mark;
--- a/src/programs/gateway/relay_service.h
+++ b/src/programs/gateway/relay_service.h
@@ -35,6 +35,7 @@
 
     boost::asio::awaitable<void> serve(http::exchange &exchange);
     boost::asio::awaitable<void> passOn(http::exchange &exchange, endpoint server, std::shared_ptr<closer> close);
+    bool isServerLost(const error &problem) const;
     boost::asio::awaitable<void> passAnswerOn(http::exchange &exchange, http::response_stream &answer);
     http::call_limits limitsFor(http::exchange &exchange, std::shared_ptr<closer> close);
 
