--- a/src/gateway/internal/observer_losses.cpp
+++ b/src/gateway/internal/observer_losses.cpp
@@ -29,7 +29,8 @@
 std::optional<time_point> observer_losses::firstOfSeveral() const
 {
     std::optional<time_point> earliest;
-    for (const auto &[server, first] : m_lost) {
+    for (const auto &each : m_lost) {
+        const lost_connection &first = each.second;
         const auto together = std::count_if(m_lost.begin(), m_lost.end(), [&first](const auto &entry) {
             return entry.second.at >= first.at && entry.second.sentAt <= first.at;
         });
