A relay that hands a request back says so, and one that gives no reason counts as before

Where relays handed a send back the server counted as not tried, and the missing reason of an earlier release was read the same way: behind such relays a dead server was never suspected. The reason is now named (handed_back); no reason counts as a server that was not reached.

server_client/takesARelayThatGivesNoReasonForOneThatTried is new; it was not run on the code before.

--- a/src/programs/gateway/relay_fields.h
+++ b/src/programs/gateway/relay_fields.h
@@ -26,7 +26,8 @@
 inline constexpr std::string_view isMarked = "marked"; ///< A cut without a mark is then the end of the relay.
 inline constexpr std::string_view isUnmarked = "unmarked";
 inline constexpr std::string_view serverLost = "server_lost"; ///< The mark: the server was lost within its answer.
-inline constexpr std::string_view unreached = "unreached"; ///< The relay tried to connect to the server; without it the trouble is its own.
+inline constexpr std::string_view unreached = "unreached"; ///< The relay tried to connect to the server.
+inline constexpr std::string_view handedBack = "handed_back"; ///< The trouble is the relay's own. An earlier release gives no reason.
 
 } // namespace mustardtrail::gateway::relay_field
 
--- a/src/programs/gateway/relay_service.cpp
+++ b/src/programs/gateway/relay_service.cpp
@@ -32,9 +32,16 @@
     return message;
 }
 
+http::response_message notRun(int status, std::string_view reason)
+{
+    http::response_message message = refusal(status, relay_field::notRun);
+    message.headers.add(std::string(relay_field::reason), std::string(reason));
+    return message;
+}
+
 http::response_message refuseUnread(int status, int, std::string_view)
 {
-    return refusal(status, relay_field::notRun);
+    return notRun(status, relay_field::handedBack);
 }
 
 http::request_message withoutRelayFields(const http::request_message &request)
@@ -124,7 +131,7 @@
 {
     const auto server = endpointFromString(exchange.request().headers.find(relay_field::server));
     if (m_isStopping || !server || !m_state.servers.isKnownAddress(*server) || m_state.paths.isLost(*server)) {
-        co_await exchange.respond(refusal(503, relay_field::notRun));
+        co_await exchange.respond(notRun(503, relay_field::handedBack));
         co_return;
     }
     ++m_running;
@@ -183,10 +190,9 @@
         if (!isUnsent && m_isEnding) {
             co_return; // The connection closes, which shows that this instance ended.
         }
-        http::response_message message = refusal(502, isUnsent ? relay_field::notRun : relay_field::mayHaveRun);
-        if (answer.error().code == error_code::backend_connect_failed) {
-            message.headers.add(std::string(relay_field::reason), std::string(relay_field::unreached));
-        }
+        const bool isUnreached = answer.error().code == error_code::backend_connect_failed;
+        http::response_message message = isUnsent ? notRun(502, isUnreached ? relay_field::unreached : relay_field::handedBack)
+                                                  : refusal(502, relay_field::mayHaveRun);
         co_await exchange.respond(std::move(message));
         co_return;
     }
--- a/src/programs/gateway/server_client.cpp
+++ b/src/programs/gateway/server_client.cpp
@@ -104,8 +104,8 @@
             break;
         }
         hasOwnPathFailed = hasOwnPathFailed || !way->relay;
-        if (signs.isHandedBack && !signs.isUnreached && !hasOwnPathFailed) {
-            answer.error().code = error_code::peer_connect_failed; // Nobody has tried to reach the server.
+        if (signs.isHandedBack && !signs.isUnreached) {
+            answer.error().code = error_code::peer_connect_failed; // Nobody else has tried to reach the server.
         }
     }
     co_return answer;
@@ -192,9 +192,9 @@
         });
     }
     if (outcome == relay_field::notRun) {
-        const bool isUnreached = (*answer)->headers().find(relay_field::reason) == relay_field::unreached;
-        signs.isUnreached = signs.isUnreached || isUnreached;
-        signs.isHandedBack = signs.isHandedBack || !isUnreached;
+        const bool isHandedBack = (*answer)->headers().find(relay_field::reason) == relay_field::handedBack;
+        signs.isUnreached = signs.isUnreached || !isHandedBack;
+        signs.isHandedBack = signs.isHandedBack || isHandedBack;
         m_avoidedUntil[{ relay, server }] = now + relayAvoidance;
         co_return tl::unexpected(
             error{ error_code::backend_connect_failed, verdict::not_run, "peer=" + toString(server) + " relay=" + textOf(relay), {} });
--- a/src/programs/gateway/server_client.h
+++ b/src/programs/gateway/server_client.h
@@ -58,7 +58,7 @@
     /// What the relays of one send say of the server.
     struct relay_signs {
         bool isHandedBack = false; ///< A relay was full, stopped or had lost its own path.
-        bool isUnreached = false; ///< A relay tried and could not connect to the server.
+        bool isUnreached = false; ///< A relay tried and could not connect to the server, or is of an earlier release, which does not say.
     };
     using opened_answer = result<std::unique_ptr<http::response_stream>>;
 
