--- a/src/programs/gateway/store_reader.cpp
+++ b/src/programs/gateway/store_reader.cpp
@@ -20,7 +20,7 @@
 constexpr int pollsPerChangeBound = 4; ///< Of the bound, a quarter remains for the wait at the store and two for replacing a failed reader.
 constexpr milliseconds relayMargin{ 200 }; ///< Allows for a slow answer of the store and the transfer of the relay.
 constexpr size_t maxRelayBytes = 16'000; ///< Compressed: a few hundred routes or servers; each instance reads a larger answer itself.
-constexpr size_t maxAnswerBytesOnLoop = 16 * 1024; ///< About a tenth of a millisecond of a core, twice that with the compression.
+constexpr size_t maxAnswerBytesOnLoop = 16 * 1024; ///< A tenth of a millisecond of a core; a switch of threads would cost more delay.
 constexpr size_t maxRelayBytesOnLoop = 1'024; ///< Compressed, of the same cost.
 constexpr std::uint64_t maxRelaysInWork = 8; ///< Each expands to megabytes; beyond it the store is read.
 const std::string allKeys; // Empty prefix: one watch over all keys costs a single priced call.
@@ -130,11 +130,10 @@
         onFailure("older_era", "era=" + std::to_string(*era));
         co_return;
     }
-    const std::uint64_t knownEra = m_watcher.position().era;
     const auto pass = m_changeInWork.lineUp();
     co_await m_changeInWork.enter(pass);
     const store_query expected = m_watcher.nextQuery();
-    if (m_watcher.position().era != knownEra || expected.type != storeQuery.type || expected.afterKey != storeQuery.afterKey) {
+    if (expected.type != storeQuery.type || expected.afterKey != storeQuery.afterKey) {
         co_return; // The store was restored, as this answer or another instance showed: all is listed anew.
     }
     if (answer->status == platform::historyGoneStatus) {
@@ -149,6 +148,7 @@
         co_return;
     }
     const bool isForRelay = !isList && !m_election.isBehind() && !echoes.empty();
+    const std::uint64_t knownEra = m_watcher.position().era;
     auto decoded = co_await decode(storeQuery.type, std::move(answer->body), isForRelay);
     if (!isAwaited(expected, knownEra)) {
         m_context.log.write(log_line("store_answer_dropped").add("revision", static_cast<std::int64_t>(expected.afterRevision)));
