--- a/src/gateway/internal/fleet_state.cpp
+++ b/src/gateway/internal/fleet_state.cpp
@@ -88,7 +88,7 @@
     if (routes && version <= routes->version()) {
         return;
     }
-    routes = published.table;
+    routes = std::make_shared<const route_table>(published.config);
     for (const auto &[service, profile] : published.config->services) {
         m_latestNaming[service] = routes;
     }
--- a/src/gateway/published_change.h
+++ b/src/gateway/published_change.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "gateway/listed_server.h"
-#include "gateway/route_table.h"
+#include "gateway/published_config.h"
 
 #include <memory>
 #include <variant>
@@ -10,15 +10,7 @@
 {
 
 struct config_published {
-    /// Builds the route table, which takes long for a large configuration.
-    explicit config_published(std::shared_ptr<const published_config> published)
-        : config(std::move(published))
-        , table(std::make_shared<const route_table>(config))
-    {
-    }
-
     std::shared_ptr<const published_config> config;
-    std::shared_ptr<const route_table> table;
 };
 
 struct server_listed {
--- a/src/programs/gateway/gateway_host.cpp
+++ b/src/programs/gateway/gateway_host.cpp
@@ -134,10 +134,8 @@
           [this](peer_address by, const store_relay &relay, std::optional<time_point> queriedAfter) {
               m_storeReader.onRelay(by, relay, queriedAfter);
           })
-    , m_worker(context.get_executor())
     , m_storeReader(context.get_executor(),
           m_shared,
-          m_worker,
           peerAddressOf(m_settings.address),
           m_settings.store,
           { m_settings.changeApplyLimit, m_settings.reconnectLimit })
@@ -231,11 +229,6 @@
     return m_client.setPartitionedEndpoints(std::move(endpoints));
 }
 
-background_worker &gateway_host::worker()
-{
-    return m_worker;
-}
-
 void gateway_host::reload(const platform::instance_settings &settings)
 {
     addSeeds(settings.seeds);
@@ -381,7 +374,6 @@
     }
     m_peerLink.reportLeaving();
     m_log.write(log_line("stopped").add("running", static_cast<std::int64_t>(m_activeRequests)));
-    m_worker.stop();
     m_context.stop();
 }
 
--- a/src/programs/gateway/gateway_host.h
+++ b/src/programs/gateway/gateway_host.h
@@ -2,7 +2,6 @@
 
 #include "http/server.h"
 #include "platform/instance_settings.h"
-#include "programs/gateway/background_worker.h"
 #include "programs/gateway/crash_verifier.h"
 #include "programs/gateway/engine_pace_reader.h"
 #include "programs/gateway/operator_policy.h"
@@ -35,8 +34,6 @@
     boost::asio::awaitable<void> stop();
     /// Simulates the loss of this instance's own paths to these endpoints, for tests. False when this is forbidden.
     bool setPartitionedEndpoints(std::set<endpoint> endpoints);
-    /// Decodes changes of the configuration; for tests.
-    background_worker &worker();
 
 private:
     boost::asio::awaitable<void> serveCaller(http::exchange &exchange);
@@ -64,7 +61,6 @@
     server_client m_servers;
     gateway_context m_shared;
     peer_link m_peerLink;
-    background_worker m_worker;
     store_reader m_storeReader;
     http::server m_callerServer;
     http::server m_readinessServer;
--- a/src/programs/gateway/store_reader.cpp
+++ b/src/programs/gateway/store_reader.cpp
@@ -1,10 +1,11 @@
 #include "programs/gateway/store_reader.h"
 
 #include "platform/header_names.h"
-#include "platform/store_reply.h"
+#include "platform/published_changes.h"
+#include "programs/gateway/relayed_changes.h"
 
-#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 namespace mustardtrail::gateway
@@ -20,23 +21,13 @@
 constexpr int pollsPerChangeBound = 4; ///< Of the bound, a quarter remains for the wait at the store and two for replacing a failed reader.
 constexpr milliseconds relayMargin{ 200 }; ///< Allows for a slow answer of the store and the transfer of the relay.
 constexpr size_t maxRelayBytes = 16'000; ///< Compressed: a few hundred routes or servers; each instance reads a larger answer itself.
-constexpr size_t maxAnswerBytesOnLoop = 16 * 1024; ///< A tenth of a millisecond of a core; a switch of threads would cost more delay.
-constexpr size_t maxRelayBytesOnLoop = 1'024; ///< Compressed, of the same cost.
-constexpr std::uint64_t maxRelaysInWork = 8; ///< Each expands to megabytes; beyond it the store is read.
 const std::string allKeys; // Empty prefix: one watch over all keys costs a single priced call.
 
 } // namespace
 
-store_reader::store_reader(asio::any_io_executor executor,
-    gateway_context &context,
-    background_worker &worker,
-    peer_address self,
-    endpoint store,
-    store_time_limits limits)
-    : m_executor(executor)
-    , m_context(context)
-    , m_worker(worker)
-    , m_changeInWork(executor)
+store_reader::store_reader(
+    asio::any_io_executor executor, gateway_context &context, peer_address self, endpoint store, store_time_limits limits)
+    : m_context(context)
     , m_store(std::move(store))
     , m_watcher(limits.changeApply / pollsPerChangeBound, limits.reconnect)
     , m_election(self, limits.changeApply / pollsPerChangeBound + store_watcher::longPollTimeout + relayMargin)
@@ -130,10 +121,7 @@
         onFailure("older_era", "era=" + std::to_string(*era));
         co_return;
     }
-    const auto pass = m_changeInWork.lineUp();
-    co_await m_changeInWork.enter(pass);
-    const store_query expected = m_watcher.nextQuery();
-    if (expected.type != storeQuery.type || expected.afterKey != storeQuery.afterKey) {
+    if (const store_query expected = m_watcher.nextQuery(); expected.type != storeQuery.type || expected.afterKey != storeQuery.afterKey) {
         co_return; // The store was restored, as this answer or another instance showed: all is listed anew.
     }
     if (answer->status == platform::historyGoneStatus) {
@@ -147,70 +135,42 @@
         onFailure("refused", "status=" + std::to_string(answer->status), why);
         co_return;
     }
-    const bool isForRelay = !isList && !m_election.isBehind() && !echoes.empty();
-    const std::uint64_t knownEra = m_watcher.position().era;
-    auto decoded = co_await decode(storeQuery.type, std::move(answer->body), isForRelay);
-    if (!isAwaited(expected, knownEra)) {
-        m_context.log.write(log_line("store_answer_dropped").add("revision", static_cast<std::int64_t>(expected.afterRevision)));
-        co_return;
-    }
-    if (!decoded) {
-        onFailure("unreadable", decoded.error().detail);
+    const auto reply = isList ? platform::readListReply(answer->body) : platform::readWatchReply(answer->body);
+    if (!reply) {
+        onFailure("unreadable", reply.error().detail);
         co_return;
     }
     m_context.metrics.recordStoreCall("answered");
     m_didStoreWait = longPollTimeout > milliseconds(0);
-    for (const std::string &item : decoded->unreadableItems) {
+    for (const std::string &item : reply->unreadableItems) {
         m_context.log.write(log_line("store_item_unreadable").add("detail", item));
     }
     if (!m_wasReachable) {
         m_wasReachable = true;
-        m_context.log.write(log_line("store_reachable").add("revision", static_cast<std::int64_t>(decoded->revision)));
+        m_context.log.write(log_line("store_reachable").add("revision", static_cast<std::int64_t>(reply->revision)));
     }
     if (isList) {
         if (storeQuery.afterKey.empty()) {
             m_listedChanges.clear();
             m_listRequestedAt = queriedAt;
         }
-        onListPage(std::move(*decoded));
-    } else if (onChanges(*decoded, queriedAt) && isForRelay) {
-        relayChanges(storeQuery.afterRevision, std::move(*decoded), std::move(echoes));
+        onListPage(*reply);
+    } else if (onChanges(*reply, queriedAt)) {
+        relayChanges(storeQuery, *reply, std::move(echoes));
     }
 }
 
-asio::awaitable<result<decoded_answer>> store_reader::decode(store_query::kind asked, std::string body, bool isForRelay)
+void store_reader::onListPage(const platform::store_reply &reply)
 {
-    const bool isSmall = body.size() <= maxAnswerBytesOnLoop;
-    std::function<result<decoded_answer>()> work = [asked, body = std::move(body), after = m_watcher.revision(), isForRelay]() mutable {
-        return decodeAnswer(asked, std::move(body), after, isForRelay);
-    };
-    std::string problem;
-    try {
-        if (isSmall) {
-            co_return work();
+    for (const platform::store_change &change : reply.changes) {
+        if (auto published = platform::readPublishedChange(change)) {
+            m_listedChanges.push_back(std::move(*published));
         }
-        auto decoded = co_await m_worker.compute(std::move(work));
-        co_return decoded;
-    } catch (const std::exception &thrown) {
-        problem = thrown.what();
     }
-    m_context.log.write(log_line("store_answer_not_decoded").add("detail", problem));
-    co_return tl::unexpected(error{ error_code::peer_message_invalid, verdict::not_run, std::move(problem), {} });
-}
-
-bool store_reader::isAwaited(const store_query &asked, std::uint64_t era) const
-{
-    const store_query now = m_watcher.nextQuery();
-    return m_watcher.position().era == era && now.type == asked.type && now.afterKey == asked.afterKey
-        && now.afterRevision == asked.afterRevision;
-}
-
-void store_reader::onListPage(decoded_answer answer)
-{
-    std::move(answer.changes.begin(), answer.changes.end(), std::back_inserter(m_listedChanges));
+    const std::string lastKey = reply.changes.empty() ? std::string() : reply.changes.back().key;
     const time_point now = m_context.clock.now();
     const bool isRestored = m_watcher.isFirstListOfEra();
-    if (!m_watcher.onPage(answer.revision, answer.hasMore, answer.lastKey, now)) {
+    if (!m_watcher.onPage(reply.revision, reply.hasMore, lastKey, now)) {
         return;
     }
     if (isRestored) {
@@ -224,39 +184,46 @@
     m_listedChanges.clear();
 }
 
-bool store_reader::onChanges(const decoded_answer &answer, time_point queriedAt)
+bool store_reader::onChanges(const platform::store_reply &reply, time_point queriedAt)
 {
     const time_point now = m_context.clock.now();
-    if (!m_watcher.onChanges(answer.revision, answer.count, now)) {
-        m_context.log.write(log_line("store_answer_old").add("revision", static_cast<std::int64_t>(answer.revision)));
+    const std::uint64_t revisionBefore = m_watcher.revision();
+    if (!m_watcher.onChanges(reply.revision, reply.changes.size(), now)) {
+        m_context.log.write(log_line("store_answer_old").add("revision", static_cast<std::int64_t>(reply.revision)));
         return false;
     }
-    apply(answer.changes, now);
+    apply(reply.changes, revisionBefore, now);
     confirmConfig(queriedAt);
     return true;
 }
 
-void store_reader::apply(const std::vector<published_change> &changes, time_point now)
+void store_reader::apply(const std::vector<platform::store_change> &changes, std::uint64_t afterRevision, time_point now)
 {
-    for (const published_change &change : changes) {
-        m_context.state.apply(change, now, m_watcher.graceUntil());
+    for (const platform::store_change &change : changes) {
+        if (change.revision <= afterRevision) {
+            continue;
+        }
+        if (const auto published = platform::readPublishedChange(change)) {
+            m_context.state.apply(*published, now, m_watcher.graceUntil());
+        }
     }
 }
 
-void store_reader::relayChanges(std::uint64_t fromRevision, decoded_answer answer, std::vector<clock_echo> echoes)
+void store_reader::relayChanges(const store_query &storeQuery, const platform::store_reply &reply, std::vector<clock_echo> echoes)
 {
-    if (m_election.isBehind()) {
+    if (m_election.isBehind() || echoes.empty()) {
         return;
     }
     const auto graceLeft = std::chrono::duration_cast<milliseconds>(m_watcher.graceUntil() - m_context.clock.now());
     store_relay relay;
     relay.era = m_watcher.position().era;
-    relay.fromRevision = fromRevision;
-    relay.toRevision = answer.revision;
+    relay.fromRevision = storeQuery.afterRevision;
+    relay.toRevision = reply.revision;
     relay.graceLeft = std::max(graceLeft, milliseconds(0));
     relay.echoes = std::move(echoes);
-    if (answer.forRelay.size() <= maxRelayBytes) {
-        relay.changes = std::move(answer.forRelay);
+    std::string changes = encodeRelayedChanges(reply.changes);
+    if (changes.size() <= maxRelayBytes) {
+        relay.changes = std::move(changes);
     }
     m_context.relayStoreChanges(std::move(relay));
 }
@@ -268,90 +235,26 @@
     }
     const time_point now = m_context.clock.now();
     m_election.recordRelay(by, now);
-    const received_relay received{ by, relay, queriedAfter, now };
-    if (relay.toRevision <= m_watcher.revision()) {
-        onKnownRelay(received);
-    } else if (m_changeInWork.size() == 0 && (!relay.changes || relay.changes->size() <= maxRelayBytesOnLoop)) {
-        applyRelay(received, relay.changes ? decodeRelay(*relay.changes, m_watcher.revision()) : std::nullopt);
-    } else if (m_changeInWork.size() >= maxRelaysInWork) {
-        requestMissing(received, false);
+    if (relay.toRevision > m_watcher.revision()) {
+        const std::uint64_t revisionBefore = m_watcher.revision();
+        const auto changes = relay.changes ? decodeRelayedChanges(*relay.changes) : std::nullopt;
+        if (!changes || !m_watcher.onRelay(relay.fromRevision, relay.toRevision, now + relay.graceLeft, now)) {
+            m_election.recordMissedChanges(relay.changes.has_value(), now);
+            m_context.requestMissingChanges(by);
+            m_queryTimer.cancel();
+            return;
+        }
+        apply(*changes, revisionBefore, now);
+        m_context.state.expire(now);
+        m_election.recordCaughtUp();
     } else {
-        asio::co_spawn(m_executor, decodeAndApply(received, m_changeInWork.lineUp()), [](std::exception_ptr failure) {
-            if (failure) {
-                std::rethrow_exception(failure);
-            }
-        });
-    }
-}
-
-asio::awaitable<void> store_reader::decodeAndApply(received_relay received, ordered_section::pass pass)
-{
-    co_await m_changeInWork.enter(pass);
-    const store_query expected = m_watcher.nextQuery();
-    if (received.relay.era != m_watcher.position().era || !m_watcher.hasList()) {
-        co_return; // The store was restored since.
-    }
-    if (received.relay.toRevision <= expected.afterRevision) {
-        onKnownRelay(received);
-        co_return;
+        m_watcher.onRelayOfKnownRevision(relay.toRevision, now);
     }
-    const auto changes = co_await decode(received.relay);
-    if (isAwaited(expected, received.relay.era)) {
-        applyRelay(received, changes);
+    if (queriedAfter) {
+        confirmConfig(*queriedAfter);
     }
 }
 
-asio::awaitable<store_reader::relayed_changes> store_reader::decode(const store_relay &relay)
-{
-    if (!relay.changes) {
-        co_return std::nullopt;
-    }
-    std::function<relayed_changes()> work = [bytes = *relay.changes, after = m_watcher.revision()] {
-        return decodeRelay(bytes, after);
-    };
-    std::string problem;
-    try {
-        auto changes = co_await m_worker.compute(std::move(work));
-        co_return changes;
-    } catch (const std::exception &thrown) {
-        problem = thrown.what();
-    }
-    m_context.log.write(log_line("relay_not_decoded").add("detail", problem));
-    co_return std::nullopt;
-}
-
-void store_reader::applyRelay(const received_relay &received, const relayed_changes &changes)
-{
-    const store_relay &relay = received.relay;
-    const time_point graceUntil = received.receivedAt + relay.graceLeft;
-    if (!changes || !m_watcher.onRelay(relay.fromRevision, relay.toRevision, graceUntil, received.receivedAt)) {
-        requestMissing(received, relay.changes.has_value());
-        return;
-    }
-    const time_point now = m_context.clock.now();
-    apply(*changes, now);
-    m_context.state.expire(now);
-    m_election.recordCaughtUp();
-    if (received.queriedAfter) {
-        confirmConfig(*received.queriedAfter);
-    }
-}
-
-void store_reader::onKnownRelay(const received_relay &received)
-{
-    m_watcher.onRelayOfKnownRevision(received.relay.toRevision, received.receivedAt);
-    if (received.queriedAfter) {
-        confirmConfig(*received.queriedAfter);
-    }
-}
-
-void store_reader::requestMissing(const received_relay &received, bool willBeResent)
-{
-    m_election.recordMissedChanges(willBeResent, m_context.clock.now());
-    m_context.requestMissingChanges(received.by);
-    m_queryTimer.cancel();
-}
-
 // A restored store may lack a configuration that took a key away, until the operator has written it again.
 void store_reader::confirmConfig(time_point queriedAt)
 {
--- a/src/programs/gateway/tests/fake_platform.cpp
+++ b/src/programs/gateway/tests/fake_platform.cpp
@@ -336,11 +336,6 @@
     return get(m_settings.readiness, "/api/readyz").status;
 }
 
-background_worker &fake_platform::worker()
-{
-    return m_host->worker();
-}
-
 std::string fake_platform::metrics()
 {
     return ask("/metrics").body;
--- a/src/programs/gateway/tests/fake_platform.h
+++ b/src/programs/gateway/tests/fake_platform.h
@@ -108,8 +108,6 @@
     int readiness();
     /// Of the first instance.
     endpoint readinessAddress() const;
-    /// The first instance's thread that decodes large changes.
-    background_worker &worker();
     /// Metrics of the first instance, as text.
     std::string metrics();
 
