--- a/src/gateway/server_evidence.h
+++ b/src/gateway/server_evidence.h
@@ -13,11 +13,11 @@
 /// What an instance saw of a backend server.
 enum class server_sign {
     bytes, ///< Of this start of the server.
-    other_start, ///< The server was started anew, or has left the list.
+    other_start, ///< The server was started anew.
     refused, ///< The connection, by the machine of the server.
     reset, ///< The connection was closed or reset before an answer.
     silent,
-    no_report, ///< An answer that tells nothing of the start.
+    no_report, ///< An answer that tells nothing of the start, or the server has left the list.
     nobody_answered, ///< Neither on the own path nor through another instance.
 };
 
