Sends that nobody ran do not use up a request's right to a second run

Callers of prompts on several engines saw their stream cut with time and a run left, or got 503 for a prompt that had not run, when sound engines had been silent for a second or so while the memory for the prompt was ordered.

Cause: one limit of six counted every send of a request, also those whose memory an engine had not granted (300 ms each while it is silent). After five of them the first run was the last send; the log called that no_time. Besides, such a send left out the sound first engine, not the one that had refused, and the silent one was chosen again.

Each kind of failed send is now bounded by itself (send_tally), anew after each send that may have run; the log names the limit that is reached. A send that got no memory leaves its share of the budget to the next.

Ruled out: the budget (no line names it) and an end of the lease (none lapsed).

--- a/src/gateway/attempt_failure.h
+++ b/src/gateway/attempt_failure.h
@@ -14,6 +14,7 @@
 struct attempt_failure {
     verdict outcome = verdict::may_have_run;
     bool isUnreachable = false; ///< No connection could be opened.
+    bool isUnreserved = false; ///< Nothing was sent, as an engine granted no memory.
     bool isCutOff = false; ///< The connection ended before the answer was complete.
     bool isByRelay = false; ///< The instance that relays ended or handed the send back, which is no sign about the server.
     bool hasAnswer = false; ///< The server sent an error response, which can be relayed to the caller.
--- a/src/gateway/fleet_state.h
+++ b/src/gateway/fleet_state.h
@@ -20,6 +20,7 @@
 #include "gateway/server_paths.h"
 #include "gateway/server_rate_limits.h"
 #include "gateway/server_suspicion.h"
+#include "gateway/unanswered_orders.h"
 #include "gateway/waiting_prompts.h"
 
 #include <functional>
@@ -125,6 +126,7 @@
     customer_use customerUse;
     cell_summaries summaries;
     server_suspicion serverSuspicion;
+    unanswered_orders unansweredOrders;
     quiet_servers quiet;
     server_rate_limits rateLimits;
     prompt_quarantine quarantine;
--- a/src/gateway/internal/fleet_state.cpp
+++ b/src/gateway/internal/fleet_state.cpp
@@ -206,8 +206,8 @@
     placement_candidate candidate;
     candidate.key = keyOf(server.entry.id);
     candidate.slots = server.entry.slots;
-    candidate.isSuspected
-        = serverSuspicion.isSuspected(candidate.key, now) || dataCentreSuspicion.isSuspected(server.entry.dataCentre, now);
+    candidate.isSuspected = serverSuspicion.isSuspected(candidate.key, now) || unansweredOrders.isSilent(candidate.key, now)
+        || dataCentreSuspicion.isSuspected(server.entry.dataCentre, now);
     const auto &known = loads.loads(now);
     if (const auto load = known.find(candidate.key); load != known.end()) {
         candidate.load = load->second;
--- a/src/gateway/internal/retry_rule.cpp
+++ b/src/gateway/internal/retry_rule.cpp
@@ -27,7 +27,7 @@
 next_step decideRetry(const attempt_failure &failure, const retry_state &state)
 {
     const bool hasServers = state.hasOtherServer && state.possibleRuns < state.maxServers;
-    if (hasServers && state.hasBudget && state.hasTime && mayRepeat(failure, state)) {
+    if (hasServers && state.hasBudget && state.hasTime && state.mayBeSent && mayRepeat(failure, state)) {
         return next_step::send_again;
     }
     if (failure.hasStarted) {
@@ -42,7 +42,7 @@
 bool needsResendBudget(const attempt_failure &failure, unsigned deliveredSends)
 {
     // What the budget gave to a send that reached no server is still to be used.
-    const bool hasUnusedShare = failure.isUnreachable && failure.outcome == verdict::not_run;
+    const bool hasUnusedShare = (failure.isUnreachable || failure.isUnreserved) && failure.outcome == verdict::not_run;
     return deliveredSends > 0 && !hasUnusedShare;
 }
 
--- a/src/gateway/retry_rule.h
+++ b/src/gateway/retry_rule.h
@@ -25,6 +25,7 @@
     bool hasBudget = false; ///< The resend budget has room.
     bool hasOtherServer = false;
     bool hasTime = false; ///< Another send can complete before the deadline.
+    bool mayBeSent = true; ///< Not too many sends have failed.
 };
 
 /// Decides what to do when a server refused, failed, crashed or lost an answer. Never runs a request twice that may run
--- /dev/null
+++ b/src/gateway/send_tally.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "gateway/attempt_failure.h"
+
+#include <string_view>
+
+namespace mustardtrail::gateway
+{
+
+/// Counts the failed sends of one request by how far they came, and bounds each kind by itself: what nobody ran must not use up the
+/// right to a second run.
+class send_tally
+{
+public:
+    void record(const attempt_failure &failure);
+    /// Names the limit that is reached; empty while the request may be sent again.
+    std::string_view reachedLimit() const;
+
+private:
+    unsigned m_unreserved = 0; ///< Since the last send that may have run, like the next two.
+    unsigned m_unreached = 0;
+    unsigned m_refused = 0;
+    unsigned m_ran = 0; ///< May have run.
+};
+
+} // namespace mustardtrail::gateway
--- /dev/null
+++ b/src/gateway/tests/send_tally_test.cpp
@@ -0,0 +1,78 @@
+#include "gateway/send_tally.h"
+
+#include "testing/expect.h"
+
+using namespace mustardtrail;
+using namespace mustardtrail::gateway;
+using mustardtrail::testing::expectEqual;
+
+namespace
+{
+
+constexpr int manySends = 50;
+
+attempt_failure refused()
+{
+    attempt_failure failure;
+    failure.outcome = verdict::not_run;
+    return failure;
+}
+
+attempt_failure unreached()
+{
+    attempt_failure failure = refused();
+    failure.isUnreachable = true;
+    return failure;
+}
+
+attempt_failure unreserved()
+{
+    attempt_failure failure = refused();
+    failure.isUnreserved = true;
+    return failure;
+}
+
+std::string limitAfter(const attempt_failure &failure)
+{
+    send_tally sends;
+    for (int count = 0; count < manySends; ++count) {
+        sends.record(failure);
+    }
+    return std::string(sends.reachedLimit());
+}
+
+} // namespace
+
+Test(send_tally, boundsEachKindOfSendAndNamesTheLimit)
+{
+    expectEqual(limitAfter(refused()), "refusals");
+    expectEqual(limitAfter(unreached()), "unreached");
+    expectEqual(limitAfter(unreserved()), "reservations");
+    expectEqual(limitAfter(attempt_failure()), "runs");
+}
+
+// Six engines that were silent for a moment ended a request that had not run anywhere.
+Test(send_tally, ordersThatSixEnginesDidNotAnswerDoNotEndARequest)
+{
+    send_tally sends;
+    for (int count = 0; count < 6; ++count) {
+        sends.record(unreserved());
+    }
+    expectEqual(sends.reachedLimit(), "");
+}
+
+// A stream was cut after its first run because five sends before it had not run anywhere.
+Test(send_tally, whatNobodyRanBeforeARunDoesNotCountAfterIt)
+{
+    send_tally sends;
+    for (int count = 0; count < 5; ++count) {
+        sends.record(unreserved());
+        sends.record(refused());
+        sends.record(unreached());
+    }
+    sends.record(attempt_failure());
+    for (int count = 0; count < 5; ++count) {
+        sends.record(refused());
+    }
+    expectEqual(sends.reachedLimit(), "");
+}
--- a/src/programs/gateway/hedged_send.cpp
+++ b/src/programs/gateway/hedged_send.cpp
@@ -125,6 +125,7 @@
         });
         const bool isGranted = co_await m_sent.reservations->acquire();
         if (!isGranted) {
+            m_isUnreserved = true;
             co_return verdict::not_run;
         }
     }
@@ -238,6 +239,11 @@
     return m_isUnreachable;
 }
 
+bool hedged_send::isUnreserved() const
+{
+    return m_isUnreserved;
+}
+
 const platform::response_head &hedged_send::head() const
 {
     return m_head;
--- a/src/programs/gateway/hedged_send.h
+++ b/src/programs/gateway/hedged_send.h
@@ -49,6 +49,8 @@
     /// Meaningful once the send has failed.
     verdict outcome() const;
     bool isUnreachable() const;
+    /// An engine granted no memory, so nothing was sent.
+    bool isUnreserved() const;
     /// Head of the server's answer; without content if there was none.
     const platform::response_head &head() const;
     /// Whether the server ended the connection before the answer was complete.
@@ -76,6 +78,7 @@
     std::optional<answer_budget::share> m_held; ///< While the answer is read, and until it is taken.
     bool m_isDelivered = false;
     bool m_isUnreachable = false;
+    bool m_isUnreserved = false;
     bool m_isCutOff = false;
     bool m_isCancelled = false;
 };
--- a/src/programs/gateway/request_hedge.cpp
+++ b/src/programs/gateway/request_hedge.cpp
@@ -189,7 +189,14 @@
         m_possibleRuns.insert(hedge.sent().server);
     }
     m_deliveredSends += hedge.isDelivered() ? 1 : 0;
+    if (mayHaveRun || hedge.outcome() == verdict::not_run) { // Else it was given up before it reached a server.
+        attempt_failure failure = makeFailure(mayHaveRun ? verdict::may_have_run : verdict::not_run);
+        failure.isUnreachable = hedge.isUnreachable();
+        failure.isUnreserved = hedge.isUnreserved();
+        m_failedSends.record(failure);
+    }
     if (hedge.sent().reservations) {
+        excludeRefusing(*hedge.sent().reservations);
         hedge.sent().reservations->release();
     }
     m_context.state.loads.finish(hedge.sent().workId);
--- a/src/programs/gateway/request_relay.cpp
+++ b/src/programs/gateway/request_relay.cpp
@@ -42,6 +42,23 @@
     return failure;
 }
 
+attempt_failure request_session::makeUnreserved()
+{
+    attempt_failure failure = makeFailure(verdict::not_run);
+    failure.isUnreserved = true;
+    if (m_reservations) {
+        excludeRefusing(*m_reservations);
+    }
+    return failure;
+}
+
+void request_session::excludeRefusing(const reservation_set &reservations)
+{
+    if (const auto refusing = reservations.refusedBy()) {
+        m_excluded.insert(*refusing);
+    }
+}
+
 attempt_failure request_session::toFailure(const error &problem) const
 {
     attempt_failure failure = makeFailure(problem.outcome);
@@ -79,7 +96,7 @@
     }
     const bool isReserved = co_await reserve(placed);
     if (!isReserved || m_isCallerGone) {
-        co_return makeFailure(verdict::not_run);
+        co_return makeUnreserved();
     }
     m_context.log.write(log_line("request_sent")
                             .add("request", m_head.attempt.str())
--- a/src/programs/gateway/request_retry.cpp
+++ b/src/programs/gateway/request_retry.cpp
@@ -8,7 +8,6 @@
 namespace
 {
 
-constexpr unsigned maxSends = 6; ///< Also bounds sends that servers refuse, which are cheap but not free.
 constexpr milliseconds minTimeForSend{ 20 }; ///< With less time left no server can finish the request.
 
 } // namespace
@@ -20,7 +19,8 @@
     state.mayHaveRun = m_mayHaveRun;
     state.possibleRuns = static_cast<unsigned>(m_possibleRuns.size());
     state.maxServers = m_route->maxServers;
-    state.hasTime = now + minTimeForSend < m_deadlineAt && m_sends < maxSends && !m_context.isEnding;
+    state.hasTime = now + minTimeForSend < m_deadlineAt && !m_context.isEnding;
+    state.mayBeSent = m_failedSends.reachedLimit().empty();
     state.hasOtherServer = !m_context.state.candidates(m_service, m_excluded, server_scope::fleet, now).empty();
     state.hasBudget = true;
     return state;
@@ -38,6 +38,7 @@
     if (failure.outcome != verdict::not_run) {
         m_possibleRuns.insert(backend_server_id(m_lastServer));
     }
+    m_failedSends.record(failure);
     if (isConnectionLost(failure)) {
         m_attempt->recordLoss();
     }
@@ -58,8 +59,8 @@
     }
     const next_step stepIfWithinBudget = decideRetry(failure, state);
     if (stepIfWithinBudget != next_step::send_again) {
-        const std::string_view why = !state.hasOtherServer ? "no_server" : !state.hasTime ? "no_time" : "not_allowed";
-        logResendDenied(why);
+        const std::string_view limit = limitOfSends(now);
+        logResendDenied(!state.hasOtherServer ? "no_server" : !limit.empty() ? limit : "not_allowed");
         return stepIfWithinBudget;
     }
     if (!needsResendBudget(failure, m_deliveredSends)) {
@@ -74,6 +75,14 @@
     return step;
 }
 
+std::string_view request_session::limitOfSends(time_point now) const
+{
+    if (m_context.isEnding) {
+        return instanceEnds;
+    }
+    return now + minTimeForSend < m_deadlineAt ? m_failedSends.reachedLimit() : "no_time";
+}
+
 void request_session::logResendDenied(std::string_view why)
 {
     m_context.log.write(log_line("resend_denied")
@@ -131,7 +140,7 @@
         }
     }
     const bool isRelayLost = failure.isByRelay && failure.outcome != verdict::not_run;
-    if (helperFailed || !primary || isRelayLost) {
+    if (failure.isUnreserved || helperFailed || !primary || isRelayLost) {
         return;
     }
     // Servers that refused become eligible again once another server has run part of the request and failed.
--- a/src/programs/gateway/request_session.h
+++ b/src/programs/gateway/request_session.h
@@ -6,6 +6,7 @@
 #include "gateway/request_placement.h"
 #include "gateway/retry_rule.h"
 #include "gateway/second_copy_rule.h"
+#include "gateway/send_tally.h"
 #include "gateway/stream_position.h"
 #include "http/exchange.h"
 #include "platform/request_head.h"
@@ -175,8 +176,14 @@
     void onQuarantined(prompt_part part);
     /// Refuses a request whose parts are in quarantine; a trial of them is allowed once.
     std::optional<placement_decision> quarantineDecision(time_point now) const;
-    /// Counts a failed send among those that may have run.
+    /// Counts a failed send.
     void countRun(const attempt_failure &failure);
+    /// The failure of a send whose prompt got no memory at an engine.
+    attempt_failure makeUnreserved();
+    /// The engine that refused memory is not tried again soon.
+    void excludeRefusing(const reservation_set &reservations);
+    /// Why there is no further send as far as time and the failed sends decide; empty if there may be one.
+    std::string_view limitOfSends(time_point now) const;
     std::string sharedPartsText() const;
     void logResendDenied(std::string_view why);
     /// Writes the final line of the request; only the first call has an effect.
@@ -214,6 +221,7 @@
     std::optional<backend_server_id> m_resendTo; ///< The send to it lost its relay; the next one goes there too if it can.
     unsigned m_deliveredSends = 0; ///< Sends that reached a server.
     unsigned m_sends = 0;
+    send_tally m_failedSends;
     std::uint64_t m_workId = 0; ///< Identifies the current placement in the fleet state; 0: none.
     std::set<backend_server_id> m_excluded; ///< Not eligible next: failed servers, and servers that refused since the last failure.
     std::set<backend_server_id> m_failed; ///< Servers that failed and may have run the request.
--- a/src/programs/gateway/reservation_renewal.cpp
+++ b/src/programs/gateway/reservation_renewal.cpp
@@ -55,6 +55,11 @@
     return "mt" + std::to_string(m_work) + "-" + std::to_string(server);
 }
 
+std::optional<backend_server_id> reservation_renewal::refusedBy() const
+{
+    return m_refusedBy;
+}
+
 milliseconds reservation_renewal::heldFor() const
 {
     const time_point now = m_context.clock.now();
@@ -115,6 +120,11 @@
     const auto answer = co_await m_context.servers.call(target.address, std::move(message), limits, m_attempt);
     const int status = answer ? answer->status : 0;
     m_unanswered += answer ? 0 : 1;
+    if (answer) {
+        m_context.state.unansweredOrders.recordAnswered(target.server);
+    } else {
+        m_context.state.unansweredOrders.recordUnanswered(target.server, m_context.clock.now());
+    }
     if (m_isReleased) {
         // The engine may have received the release first.
         asio::co_spawn(m_executor, releaseAt(target), asio::detached);
@@ -167,7 +177,14 @@
     const auto self = shared_from_this();
     for (const share &each : m_shares) {
         const time_point sentAt = m_context.clock.now();
-        if (m_isReleased || co_await reserveAt(each) != renewal_outcome::granted) {
+        if (m_isReleased) {
+            co_return false;
+        }
+        const renewal_outcome outcome = co_await reserveAt(each);
+        if (outcome == renewal_outcome::refused) {
+            m_refusedBy = each.id;
+        }
+        if (outcome != renewal_outcome::granted) {
             co_return false;
         }
         m_schedules.emplace(each.server, lease_schedule(m_context.reservations, sentAt));
--- a/src/programs/gateway/reservation_renewal.h
+++ b/src/programs/gateway/reservation_renewal.h
@@ -23,6 +23,7 @@
     void release();
     void recordUse();
     void onGivenUp(std::function<void()> hook);
+    std::optional<backend_server_id> refusedBy() const;
     std::string nameFor(server_key server) const;
 
 private:
@@ -60,6 +61,7 @@
     std::function<void()> m_onGivenUp;
     monotonic_timer m_settled; ///< Cancelled when the acquisition ends.
     std::optional<bool> m_isGranted; ///< Result of the acquisition.
+    std::optional<backend_server_id> m_refusedBy; ///< Ended the acquisition.
     unsigned m_unanswered = 0; ///< Orders that an engine may still carry out.
     bool m_isReleased = false;
 };
--- a/src/programs/gateway/reservation_set.cpp
+++ b/src/programs/gateway/reservation_set.cpp
@@ -37,6 +37,11 @@
     m_renewal->onGivenUp(std::move(hook));
 }
 
+std::optional<backend_server_id> reservation_set::refusedBy() const
+{
+    return m_renewal->refusedBy();
+}
+
 std::string reservation_set::nameFor(server_key server) const
 {
     return m_renewal->nameFor(server);
--- a/src/programs/gateway/reservation_set.h
+++ b/src/programs/gateway/reservation_set.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace mustardtrail::gateway
@@ -46,6 +47,8 @@
     /// Sets a hook that runs when memory is still without use, by the engine's report, long after it was reserved. Nothing is
     /// renewed any more then, so the send has to end. An answer that has begun is not given up.
     void onGivenUp(std::function<void()> hook);
+    /// The engine that refused memory, after an acquisition that failed for it.
+    std::optional<backend_server_id> refusedBy() const;
     /// Name of the reservation at this server.
     std::string nameFor(server_key server) const;
 
