A reload while the gateway's libraries are linked no longer ends it

Cause: the time from exec to main, in which 44 libraries are linked. The program now links the C library alone, ignores SIGHUP in its first statement and then loads the gateway as a library beside it. No reload is lost: the settings are read later.

What remains: the window is shortened, not closed, by the time until main.

--- a/cmake/MustardtrailTargets.cmake
+++ b/cmake/MustardtrailTargets.cmake
@@ -1,5 +1,6 @@
-# Shared target options and the two helpers every module uses:
+# Shared target options and the helpers every module uses:
 #   mt_module(NAME SOURCES... DEPENDS...)  static library mt_NAME
+#   mt_library(TARGET NAME... SYMBOLS... SOURCES... DEPENDS...)  shared library that a program loads; SYMBOLS: version script
 #   mt_test(NAME SOURCES... DEPENDS...)    the module's one Criterion program
 find_package(Threads REQUIRED)
 find_package(PkgConfig REQUIRED)
@@ -41,12 +42,30 @@
     add_dependencies(threaded_tests ${NAME}_test)
 endfunction()
 
+# For code that a shared library takes in. Its functions are inlined as in a program.
+function(mt_position_independent TARGET)
+    set_target_properties(${TARGET} PROPERTIES POSITION_INDEPENDENT_CODE ON)
+    target_compile_options(${TARGET} PRIVATE -fno-semantic-interposition)
+endfunction()
+
 function(mt_module NAME)
     cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
     add_library(mt_${NAME} STATIC ${ARG_SOURCES})
+    mt_position_independent(mt_${NAME})
     target_link_libraries(mt_${NAME} PUBLIC mt_options ${ARG_DEPENDS})
 endfunction()
 
+# Its own definitions bind as in a program: at link time.
+function(mt_library TARGET)
+    cmake_parse_arguments(ARG "" "NAME;SYMBOLS" "SOURCES;DEPENDS" ${ARGN})
+    add_library(${TARGET} SHARED ${ARG_SOURCES})
+    target_link_libraries(${TARGET} PRIVATE mt_options ${ARG_DEPENDS})
+    set(symbols ${CMAKE_CURRENT_SOURCE_DIR}/${ARG_SYMBOLS})
+    target_link_options(${TARGET} PRIVATE -Wl,-Bsymbolic -Wl,--version-script=${symbols})
+    set_target_properties(${TARGET} PROPERTIES LINK_DEPENDS ${symbols})
+    set_target_properties(${TARGET} PROPERTIES OUTPUT_NAME ${ARG_NAME} LIBRARY_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/bin)
+endfunction()
+
 function(mt_program NAME)
     cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
     add_executable(${NAME} ${ARG_SOURCES})
