A send looks for its second relay in another data centre while the reach of a cut is unknown

Where all instances of a data centre have lost their paths at once, both relays of each send were among them, for every server that was tried, until six sends had reached nobody. As no relay succeeded, no path counted as lost, no instance said so, and the choice never changed.

The second relay of a send whose own path has just failed is now in another data centre than the first, if one there is not known to be cut off. Instances that told that they had just lost several servers at once (observer_losses) go last as relays for the second that this lasts. Paths that are known to be lost keep the order. What the quarantine knows of observers has moved to a file of its own.

--- a/src/gateway/fleet_state.h
+++ b/src/gateway/fleet_state.h
@@ -110,6 +110,8 @@
     void recordAnswer(server_key server);
     /// Records that the server answers through another instance while this instance's own path to it failed.
     void recordLostPath(const endpoint &server, time_point now);
+    /// Instances through which requests may be sent, with what is known of their paths.
+    std::vector<relay_candidate> relayCandidates(time_point now) const;
     /// Whether requests may be served: a configuration is loaded and was confirmed once; if it requires API keys, it is fresh enough.
     bool mayServe(time_point now) const;
     /// Records that the configuration in force includes all that was published before `queriedAt`, unless an instance nearby
--- a/src/gateway/internal/fleet_state.cpp
+++ b/src/gateway/internal/fleet_state.cpp
@@ -317,17 +317,6 @@
     }
 }
 
-void fleet_state::recordLostPath(const endpoint &server, time_point now)
-{
-    const bool wereAllLost = paths.areAllLost();
-    paths.recordLost(server, now);
-    if (!wereAllLost && paths.areAllLost()) {
-        // What failed lately was reached over paths that are lost.
-        serverSuspicion.forgetOwnFailures();
-        m_log("server_paths_lost", toString(server), {});
-    }
-}
-
 std::optional<time_point> fleet_state::quarantinedUntil(const std::vector<prompt_part> &parts, time_point now) const
 {
     const auto until = quarantine.quarantinedUntil(parts);
--- a/src/gateway/internal/prompt_quarantine.cpp
+++ b/src/gateway/internal/prompt_quarantine.cpp
@@ -39,22 +39,6 @@
 {
 }
 
-void prompt_quarantine::recordLostConnection(server_start_key server, time_point sentAt, time_point now)
-{
-    if (m_losses.recordOwn(server, sentAt, now)) {
-        judge(now);
-    }
-}
-
-void prompt_quarantine::recordEnded(server_start_key server, time_point now)
-{
-    const auto found = m_crashes.find(server);
-    if (found != m_crashes.end() && addObservers(found->second.evidence, { unnamedObserver })) {
-        found->second.changedAt = now;
-        judge(now);
-    }
-}
-
 void prompt_quarantine::recordCrash(server_start_key server, const std::vector<prompt_part> &parts, time_point sentAt, time_point now)
 {
     recordLostConnection(server, sentAt, now);
@@ -227,37 +211,6 @@
     return m_sightings.refutes(crash.evidence, crash.isOwn);
 }
 
-bool prompt_quarantine::isDoubtful(const crash_evidence &crash) const
-{
-    return std::all_of(crash.observers.begin(), crash.observers.end(), [&](peer_address observer) {
-        return m_losses.isDoubtful(observer, crash.at);
-    });
-}
-
-bool prompt_quarantine::addObservers(crash_evidence &known, const std::set<peer_address> &observers) const
-{
-    static const std::set<peer_address> unnamed{ unnamedObserver };
-    bool isAnyAdded = false;
-    for (const peer_address observer : observers.empty() ? unnamed : observers) {
-        const bool isUseless = !known.observers.empty() && m_losses.isDoubtful(observer, known.at);
-        if (isUseless || known.observers.contains(observer)) {
-            continue;
-        }
-        if (known.observers.size() >= maxObserversPerCrash) {
-            const auto doubtful = std::find_if(known.observers.begin(), known.observers.end(), [&](peer_address each) {
-                return m_losses.isDoubtful(each, known.at);
-            });
-            if (doubtful == known.observers.end()) {
-                continue;
-            }
-            known.observers.erase(doubtful);
-        }
-        known.observers.insert(observer);
-        isAnyAdded = true;
-    }
-    return isAnyAdded;
-}
-
 crash_judgement prompt_quarantine::judgement(time_point now) const
 {
     std::vector<crash_judgement::known_crash> crashes;
--- a/src/gateway/internal/relay_choice.cpp
+++ b/src/gateway/internal/relay_choice.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <limits>
 #include <tuple>
+#include <utility>
 
 namespace mustardtrail::gateway
 {
@@ -38,19 +39,32 @@
 
 } // namespace
 
-std::vector<peer_address> chooseRelays(const std::vector<relay_candidate> &candidates, const std::string &server, peer_address sender)
+std::vector<peer_address> chooseRelays(
+    const std::vector<relay_candidate> &candidates, const std::string &server, peer_address sender, relay_spread spread)
 {
     const std::string key = server + ' ' + std::to_string(sender);
     const bool prefersFar = unitFrom(rendezvousWeight(key, "far")) < shareOfFarRelays(candidates);
-    std::vector<std::tuple<bool, bool, bool, bool, std::uint64_t, peer_address>> ranked; // Best first.
+    std::vector<std::pair<std::tuple<bool, bool, bool, bool, std::uint64_t>, relay_candidate>> ranked; // Best first.
     for (const relay_candidate &each : candidates) {
         const std::uint64_t weight = rendezvousWeight(key, std::to_string(each.instance));
-        ranked.emplace_back(each.hasFailed, !each.hasHeardServer, each.hasLostPaths, each.isNear == prefersFar, ~weight, each.instance);
+        ranked.push_back({ { each.hasFailed, !each.hasHeardServer, each.hasLostPaths, each.isNear == prefersFar, ~weight }, each });
+    }
+    std::sort(ranked.begin(), ranked.end(), [](const auto &left, const auto &right) {
+        return std::tie(left.first, left.second.instance) < std::tie(right.first, right.second.instance);
+    });
+    if (spread == relay_spread::across && ranked.size() > 1) {
+        const auto second = std::next(ranked.begin());
+        const auto elsewhere = std::find_if(second, ranked.end(), [first = ranked.front().second](const auto &entry) {
+            const relay_candidate &each = entry.second;
+            return each.isNear != first.isNear && !each.hasFailed && !each.hasLostPaths;
+        });
+        if (elsewhere != ranked.end()) {
+            std::rotate(second, elsewhere, std::next(elsewhere));
+        }
     }
-    std::sort(ranked.begin(), ranked.end());
     std::vector<peer_address> chosen;
     for (size_t index = 0; index < std::min(ranked.size(), maxRelays); ++index) {
-        chosen.push_back(std::get<peer_address>(ranked[index]));
+        chosen.push_back(ranked[index].second.instance);
     }
     return chosen;
 }
--- a/src/gateway/prompt_quarantine.h
+++ b/src/gateway/prompt_quarantine.h
@@ -35,6 +35,10 @@
     void recordLostConnection(server_start_key server, time_point sentAt, time_point now);
     /// Records proof that this start of the server has ended.
     void recordEnded(server_start_key server, time_point now);
+    /// Whether the instance has just lost its connections to several servers at once, as far as is known here.
+    bool hasLostSeveral(peer_address instance, time_point now) const;
+    /// The same of this instance.
+    bool hasLostSeveral(time_point now) const;
 
     /// Records that the server ended while it was reading a request with these parts, or had just begun to answer it.
     void recordCrash(server_start_key server, const std::vector<prompt_part> &parts, time_point sentAt, time_point now);
--- a/src/gateway/tests/quarantine_observer_test.cpp
+++ b/src/gateway/tests/quarantine_observer_test.cpp
@@ -5,6 +5,8 @@
 
 #include "testing/expect.h"
 
+#include <algorithm>
+
 using namespace mustardtrail;
 using namespace mustardtrail::gateway;
 using namespace mustardtrail::gateway::testing;
@@ -108,6 +110,24 @@
     expectEqual(holdingBack(fleet, guilty), instances);
 }
 
+Test(quarantine_observer, anInstanceThatHasJustLostSeveralServersIsNoGoodRelay)
+{
+    fleet_simulation fleet(instances, 3, 4, {}, 25);
+    fleet.runFor(seconds(3));
+    loseServersAtOnce(fleet, 0);
+    fleet.report(0);
+    fleet.runFor(milliseconds(10));
+    const auto lostPaths = [&fleet] {
+        const auto candidates = fleet.state(3).relayCandidates(fleet.now());
+        return std::count_if(candidates.begin(), candidates.end(), [](const relay_candidate &each) {
+            return each.hasLostPaths;
+        });
+    };
+    expectEqual(lostPaths(), 1);
+    fleet.runFor(observer_losses::aftermath + seconds(1));
+    expectEqual(lostPaths(), 0);
+}
+
 Test(quarantine_observer, evidenceFromAnInstanceOfAnEarlierReleaseCounts)
 {
     prompt_quarantine quarantine({}, 1);
--- a/src/gateway/tests/relay_choice_test.cpp
+++ b/src/gateway/tests/relay_choice_test.cpp
@@ -117,6 +117,28 @@
     expectEqual(chosen[1], 1U);
 }
 
+// All instances of a data centre were cut off, and both relays of each send were among them until the request was given up.
+Test(relay_choice, theSecondRelayIsInAnotherDataCentreWhileNobodyKnowsHowFarACutReaches)
+{
+    auto all = instances(6);
+    all[0].isNear = all[1].isNear = false;
+    for (int server = 0; server < 20; ++server) {
+        const auto chosen = chooseRelays(all, "10.0.0." + std::to_string(server) + ":80", 9, relay_spread::across);
+        expectEqual(chosen.size(), maxRelays);
+        cr_assert_gt(chosen[0], 2U);
+        cr_assert_leq(chosen[1], 2U);
+    }
+}
+
+Test(relay_choice, aRelayElsewhereThatIsCutOffOrFailedIsNoSecondOne)
+{
+    auto all = instances(4);
+    all[0].isNear = all[1].isNear = false;
+    all[0].hasLostPaths = true;
+    all[1].hasFailed = true;
+    cr_assert_gt(chooseRelays(all, "10.0.0.1:80", 9, relay_spread::across)[1], 2U);
+}
+
 Test(relay_choice, theLoadOfInstancesThatAreCutOffSpreadsOverAllOthers)
 {
     std::map<peer_address, int> chosen;
--- a/src/programs/gateway/server_client.cpp
+++ b/src/programs/gateway/server_client.cpp
@@ -48,6 +48,12 @@
     return addressed;
 }
 
+// Once a path counts as lost, those that are cut off as well have found out too, and have told it.
+relay_spread spreadAfter(bool wasOwnPathUsed)
+{
+    return wasOwnPathUsed ? relay_spread::across : relay_spread::same_order;
+}
+
 std::string textOf(peer_address instance)
 {
     return asio::ip::address_v4(instance).to_string();
@@ -82,8 +88,9 @@
 asio::awaitable<server_client::opened_answer> server_client::openOnAnyPath(
     endpoint server, http::request_message message, http::call_limits limits, attempt_id attempt)
 {
-    path_plan plan(m_state.paths.mayUseOwnPath(server, m_clock.now()), [this, server] {
-        return relaysFor(server, {}, m_clock.now());
+    const bool mayUseOwnPath = m_state.paths.mayUseOwnPath(server, m_clock.now());
+    path_plan plan(mayUseOwnPath, [this, server, spread = spreadAfter(mayUseOwnPath)] {
+        return relaysFor(server, {}, spread, m_clock.now());
     });
     opened_answer answer = tl::unexpected(error{ error_code::backend_connect_failed, verdict::not_run, {}, {} });
     bool hasOwnPathFailed = false;
@@ -144,14 +151,15 @@
     return avoided != m_avoidedUntil.end() && now < avoided->second;
 }
 
-std::vector<peer_address> server_client::relaysFor(const endpoint &server, const std::set<peer_address> &first, time_point now) const
+std::vector<peer_address> server_client::relaysFor(
+    const endpoint &server, const std::set<peer_address> &first, relay_spread spread, time_point now) const
 {
-    auto candidates = m_state.peers.relayCandidates(now);
+    auto candidates = m_state.relayCandidates(now);
     for (relay_candidate &each : candidates) {
         each.hasFailed = isAvoided({ each.instance, {} }, now) || isAvoided({ each.instance, server }, now);
         each.hasHeardServer = first.contains(each.instance);
     }
-    return chooseRelays(candidates, toString(server), m_self);
+    return chooseRelays(candidates, toString(server), m_self, spread);
 }
 
 asio::awaitable<server_client::opened_answer> server_client::openThrough(
@@ -231,8 +239,9 @@
     endpoint server, http::request_message message, http::call_limits limits, attempt_id attempt, std::set<peer_address> firstRelays)
 {
     const size_t maxBytes = std::min(limits.bodyBytes, maxCallAnswerBytes);
-    path_plan plan(m_state.paths.mayUseOwnPath(server, m_clock.now()), [this, server, firstRelays] {
-        return relaysFor(server, firstRelays, m_clock.now());
+    const bool mayUseOwnPath = m_state.paths.mayUseOwnPath(server, m_clock.now());
+    path_plan plan(mayUseOwnPath, [this, server, firstRelays, spread = spreadAfter(mayUseOwnPath)] {
+        return relaysFor(server, firstRelays, spread, m_clock.now());
     });
     server_reply reply{ tl::unexpected(error{ error_code::backend_connect_failed, verdict::not_run, {}, {} }), {}, false };
     relay_signs signs;
@@ -268,7 +277,7 @@
         }
         return;
     }
-    if (const auto relays = relaysFor(server, {}, now); !relays.empty()) {
+    if (const auto relays = relaysFor(server, {}, relay_spread::same_order, now); !relays.empty()) {
         m_avoidedUntil[{ relays.front(), server }] = now + relayAvoidance;
     }
 }
--- a/src/programs/gateway/server_client.h
+++ b/src/programs/gateway/server_client.h
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/ids.h"
 #include "gateway/fleet_state.h"
+#include "gateway/relay_choice.h"
 #include "gateway/sent_attempt.h"
 #include "http/client.h"
 #include "programs/gateway/rate_limited_log.h"
@@ -70,7 +71,8 @@
         peer_address relay, endpoint server, const http::request_message &message, http::call_limits limits, relay_signs &signs);
     void logRelayed(peer_address relay, const endpoint &server, const opened_answer &answer, const attempt_id &attempt);
     bool isAvoided(const relayed_path &path, time_point now) const;
-    std::vector<peer_address> relaysFor(const endpoint &server, const std::set<peer_address> &first, time_point now) const;
+    std::vector<peer_address> relaysFor(
+        const endpoint &server, const std::set<peer_address> &first, relay_spread spread, time_point now) const;
     boost::asio::awaitable<result<http::response_message>> readAnswer(
         endpoint server, opened_answer opened, size_t maxBytes, attempt_id attempt);
     boost::asio::awaitable<void> probe(endpoint server);
