An instance borrows the second sends that others do not use; hedges come behind cut streams

Callers of an instance that alone lost many connections saw their streams cut with a run left (resend_denied why=budget runs=1 most=2) while all other instances had spent nothing.

Cause: each instance could only use its own share, 0.8 of the rule divided by the instances; and hedges, also those dropped before they reached a server, drew on the same account.

Now a stream that finds no room waits up to 450 ms while its instance asks the others of its cell; each lends what it has not used of half of its share and subtracts it at once, so that no unit can be taken twice with reports of any age, cuts, restarts or earlier releases. A loan is used within 1 s of its ask, by the borrower's clock, and counted by the lender for 1 s and a window; a lender that starts anew gets its full share 1 s later than before. Hedges use three quarters of the share.

--- a/src/gateway/fleet_state.h
+++ b/src/gateway/fleet_state.h
@@ -32,7 +32,7 @@
 
 struct fleet_limits {
     resend_limits resend;
-    time_point resendSlackFrom{}; ///< Start of the full slack; delayed by one window after a restart, as earlier resends are unknown.
+    time_point resendSlackFrom{}; ///< Start of the full slack; delayed after a restart, as earlier resends and loans are unknown.
     std::chrono::milliseconds maxConfigAge{ 0 }; ///< Requests that need a key are refused with an older configuration.
 };
 
@@ -106,6 +106,12 @@
         peer_address from, const instance_id &source, std::uint64_t incarnation, const std::vector<second_copy_use> &use, time_point now);
     /// Records the latencies that another instance reported. Unusable entries are logged and ignored.
     void recordLatencyCounts(peer_address from, const instance_id &source, const std::vector<latency_count> &counts, time_point now);
+    /// Answers the asks of another instance for second sends. `borrower` is the incarnation of its process.
+    std::vector<second_send_loan> lendSecondSends(
+        const std::vector<second_send_ask> &asks, std::uint64_t borrower, const instance_id &source, time_point now);
+    /// Records what another instance lent. Loans that may not be used are logged and ignored. `self`: this process' incarnation.
+    void recordSecondSendLoans(
+        peer_address lender, const instance_id &source, std::uint64_t self, const std::vector<second_send_loan> &loans, time_point now);
     /// Records that an answer from the server has begun.
     void recordAnswer(server_key server);
     /// Records that the server answers through another instance while this instance's own path to it failed.
--- a/src/gateway/internal/load_report.cpp
+++ b/src/gateway/internal/load_report.cpp
@@ -1,6 +1,7 @@
 #include "gateway/load_report.h"
 
 #include "gateway/internal/second_copy_codec.h"
+#include "gateway/internal/second_send_codec.h"
 #include "gateway/internal/slow_server_codec.h"
 #include "gateway/internal/waiting_prompt_wire.h"
 
@@ -309,6 +310,8 @@
     writeSlowServers(report.slowServers, now, message);
     writeSecondCopyUse(report.secondCopyUse, message);
     writeLatencyCounts(report.latencyCounts, message);
+    writeSecondSendAsks(report.secondSendAsks, message);
+    writeSecondSendLoans(report.secondSendLoans, message);
     if (report.relay) {
         write(*report.relay, *message.mutable_relay());
     }
@@ -364,6 +367,8 @@
     report.slowServers = readSlowServers(message, now);
     report.secondCopyUse = readSecondCopyUse(message);
     report.latencyCounts = readLatencyCounts(message);
+    report.secondSendAsks = readSecondSendAsks(message);
+    report.secondSendLoans = readSecondSendLoans(message);
     if (message.has_relay()) {
         report.relay = read(message.relay());
     }
--- a/src/gateway/internal/report_exchange.cpp
+++ b/src/gateway/internal/report_exchange.cpp
@@ -128,6 +128,13 @@
     m_state.recordSlowServers(report.address, report.slowServers, now);
     m_state.recordSecondCopyUse(report.address, report.sender, report.incarnation, report.secondCopyUse, now);
     m_state.recordLatencyCounts(report.address, report.sender, report.latencyCounts, now);
+    m_state.recordSecondSendLoans(report.address, report.sender, m_self.incarnation, report.secondSendLoans, now);
+    auto loans = m_state.lendSecondSends(report.secondSendAsks, report.incarnation, report.sender, now);
+    if (!loans.empty()) {
+        load_report answer = reportTo(report.address, now);
+        answer.secondSendLoans = std::move(loans);
+        received.replies.push_back({ std::move(answer), { report.address } });
+    }
     std::vector<cell_summary> passedOn;
     for (const cell_summary &summary : report.summaries) {
         m_state.peers.recordSignOfLife(summary.cell.dataCentre, summary.measuredAt);
@@ -157,7 +164,9 @@
 {
     m_lastCellReportAt = now;
     if (!targets.empty()) {
-        out.push_back({ reportFor(m_state.peers.ownCell(), now), std::move(targets) });
+        load_report report = reportFor(m_state.peers.ownCell(), now);
+        report.secondSendAsks = m_state.resends.borrowed().takeAsks(targets.size(), now);
+        out.push_back({ std::move(report), std::move(targets) });
     }
 }
 
--- a/src/gateway/load_report.h
+++ b/src/gateway/load_report.h
@@ -9,6 +9,8 @@
 #include "gateway/leaving_server_news.h"
 #include "gateway/rate_limit_news.h"
 #include "gateway/second_copy_use.h"
+#include "gateway/second_send_ask.h"
+#include "gateway/second_send_loan.h"
 #include "gateway/server_work.h"
 #include "gateway/slow_server_news.h"
 #include "gateway/store_position.h"
@@ -47,6 +49,8 @@
     std::vector<slow_server_news> slowServers; ///< Engines that the sender itself observed to be slow.
     std::vector<second_copy_use> secondCopyUse; ///< In periodic reports and after a copy; only while copies are enabled.
     std::vector<latency_count> latencyCounts; ///< Every 2 s; only while copies are enabled.
+    std::vector<second_send_ask> secondSendAsks; ///< While sends wait for a loan; each in one report, to the sender's cell.
+    std::vector<second_send_loan> secondSendLoans; ///< The answer, to the instance that asked.
     std::chrono::microseconds clock{ 0 }; ///< The sender's monotonic clock; the others only echo it.
     std::optional<store_relay> relay;
     store_position storePosition; ///< Latest change of the platform's store that the sender has.
--- a/src/gateway/tests/fleet_simulation.cpp
+++ b/src/gateway/tests/fleet_simulation.cpp
@@ -13,17 +13,22 @@
 
 } // namespace
 
-fleet_simulation::fleet_simulation(
-    unsigned count, unsigned dataCentres, unsigned serversPerDataCentre, network_conditions network, std::uint64_t seed)
+fleet_simulation::fleet_simulation(unsigned count,
+    unsigned dataCentres,
+    unsigned serversPerDataCentre,
+    network_conditions network,
+    std::uint64_t seed,
+    const resend_limits &resend)
     : m_dataCentres(dataCentres)
     , m_serversPerDataCentre(serversPerDataCentre)
     , m_network(network)
+    , m_resend(resend)
     , m_random(seed)
     , m_now(std::chrono::seconds(100))
     , m_nodes(count)
 {
     for (unsigned instance = 0; instance < count; ++instance) {
-        start(instance);
+        start(instance, m_now);
     }
 }
 
@@ -42,11 +47,14 @@
     return keyOf(backend_server_id("engine-" + std::to_string(dataCentre) + "-" + std::to_string(index)));
 }
 
-void fleet_simulation::start(unsigned instance)
+void fleet_simulation::start(unsigned instance, time_point resendSlackFrom)
 {
     node &started = m_nodes[instance];
     const auto ignoreEvents = [](std::string_view, std::string_view, std::string_view) {};
-    started.state = std::make_unique<fleet_state>(addressOf(instance), dataCentreOf(instance), fleet_limits(), ignoreEvents);
+    fleet_limits limits;
+    limits.resend = m_resend;
+    limits.resendSlackFrom = resendSlackFrom;
+    started.state = std::make_unique<fleet_state>(addressOf(instance), dataCentreOf(instance), limits, ignoreEvents);
     std::vector<peer_address> seeds;
     for (unsigned seed = 0; seed < std::min(m_dataCentres, 3U); ++seed) {
         seeds.push_back(addressOf(seed));
@@ -137,7 +145,12 @@
 
 void fleet_simulation::restart(unsigned instance)
 {
-    start(instance);
+    start(instance, m_now + m_resend.window + second_send_loans::lifetime);
+}
+
+void fleet_simulation::restartFirst(unsigned instance)
+{
+    start(instance, m_now);
 }
 
 void fleet_simulation::setCut(unsigned dataCentre, bool isCut)
--- a/src/gateway/tests/fleet_simulation.h
+++ b/src/gateway/tests/fleet_simulation.h
@@ -24,7 +24,12 @@
 public:
     /// `count` instances spread over the data centres in turn, each with `serversPerDataCentre` engines. The first instance of
     /// each of up to three data centres is a seed of all others.
-    fleet_simulation(unsigned count, unsigned dataCentres, unsigned serversPerDataCentre, network_conditions network, std::uint64_t seed);
+    fleet_simulation(unsigned count,
+        unsigned dataCentres,
+        unsigned serversPerDataCentre,
+        network_conditions network,
+        std::uint64_t seed,
+        const resend_limits &resend = {});
 
     void runFor(std::chrono::milliseconds duration);
     /// Freezes the instance: it sends and receives nothing until it is woken up or restarted.
@@ -32,6 +37,8 @@
     void wake(unsigned instance);
     /// Starts the instance anew, without anything that it knew.
     void restart(unsigned instance);
+    /// Starts the instance as at the first start of the fleet, when nothing was sent before.
+    void restartFirst(unsigned instance);
     /// Cuts the data centre off from the others, or ends that.
     void setCut(unsigned dataCentre, bool isCut);
     /// Gives the instance one request at the server and reports it. Returns the request's number.
@@ -82,7 +89,7 @@
         }
     };
 
-    void start(unsigned instance);
+    void start(unsigned instance, time_point resendSlackFrom);
     void send(unsigned from, const std::vector<outgoing_report> &reports);
     bool isCutBetween(unsigned from, unsigned to) const;
     std::chrono::microseconds jitter();
@@ -90,6 +97,7 @@
     unsigned m_dataCentres;
     unsigned m_serversPerDataCentre;
     network_conditions m_network;
+    resend_limits m_resend;
     random_source m_random;
     time_point m_now{};
     std::vector<node> m_nodes;
--- a/src/gateway/tests/mixed_releases_test.cpp
+++ b/src/gateway/tests/mixed_releases_test.cpp
@@ -34,7 +34,9 @@
             "second_copy_use",
             "latency_counts",
             "leaving_server_ages_ms",
-            "observer_losses" } } };
+            "observer_losses",
+            "second_send_asks",
+            "second_send_loans" } } };
 
 wire::Report reportWithAllFields()
 {
@@ -61,6 +63,8 @@
     message.add_latency_counts()->add_sends(3);
     message.add_crashes()->add_observers(5);
     message.add_observer_losses()->set_observer(5);
+    message.add_second_send_asks()->set_number(5);
+    message.add_second_send_loans()->set_ask(5);
     return message;
 }
 
--- a/src/gateway/tests/resend_budget_test.cpp
+++ b/src/gateway/tests/resend_budget_test.cpp
@@ -1,5 +1,6 @@
 #include "gateway/resend_budget.h"
 
+#include "gateway/route_table.h"
 #include "gateway/tests/test_time.h"
 #include "testing/expect.h"
 
@@ -73,6 +74,48 @@
     expectEqual(takeAll(other, cause::interrupted, longAfterStart, 10), 4);
 }
 
+// Guards against hedges for servers that only pause, which use up what streams need whose server is lost.
+Test(resend_budget, hedgesForSilentServersLeaveAQuarterToInterruptedStreams)
+{
+    resend_budget budget = runningBudget({ 0.2, milliseconds(10'000), 100.0 });
+    expectEqual(takeAll(budget, cause::silent, longAfterStart, 10), 6);
+    expectEqual(takeAll(budget, cause::interrupted, longAfterStart, 10), 2);
+    resend_budget small = runningBudget({ 0.2, milliseconds(10'000), 15.0 });
+    expectEqual(takeAll(small, cause::silent, longAfterStart, 10), 1);
+}
+
+Test(resend_budget, aSendThatReachedNoServerGivesItsUnitBack)
+{
+    for (const cause why : { cause::refused, cause::silent, cause::interrupted, cause::copy }) {
+        resend_budget budget = runningBudget({ 0.2, milliseconds(10'000), 100.0 });
+        const auto taken = budget.tryTake(reading, why, at(longAfterStart), 10);
+        const int others = takeAll(budget, why, longAfterStart + 1, 10);
+        budget.giveBack(*taken, at(longAfterStart + 2));
+        expectEqual(takeAll(budget, why, longAfterStart + 2, 10), 1);
+        cr_assert_gt(others, 0);
+    }
+}
+
+Test(resend_budget, whatIsLentIsNotUsedUntilNoWindowHoldsIt)
+{
+    resend_budget budget = runningBudget({ 0.2, milliseconds(10'000), 100.0 });
+    const second_send_ask ask{ keyOf(reading), 1, 100'000 };
+    const auto loan = budget.lend(ask, 5, 10, at(longAfterStart));
+    expectEqual(loan->milliSends, 4'000U);
+    cr_assert_not(budget.lend(ask, 5, 10, at(longAfterStart)).has_value());
+    expectEqual(takeAll(budget, cause::interrupted, longAfterStart, 10), 4);
+    cr_assert_not(budget.lend(ask, 5, 10, at(longAfterStart + 11'000)).has_value());
+    cr_assert(budget.lend(ask, 5, 10, at(longAfterStart + 11'001)).has_value());
+}
+
+Test(resend_budget, aRestartedInstanceLendsNothingWhileItsEarlierLoansMayBeInUse)
+{
+    resend_budget budget({ 0.2, milliseconds(10'000), 100.0 }, at(11'000));
+    const second_send_ask ask{ keyOf(reading), 1, 100'000 };
+    cr_assert_not(budget.lend(ask, 5, 10, at(10'999)).has_value());
+    cr_assert(budget.lend(ask, 5, 10, at(11'000)).has_value());
+}
+
 Test(resend_budget, hasRoomAgainWhenTheWindowHasPassed)
 {
     resend_budget budget = runningBudget({ 0.0, milliseconds(10'000), 10.0 });
--- a/src/programs/gateway/gateway_host.cpp
+++ b/src/programs/gateway/gateway_host.cpp
@@ -39,7 +39,7 @@
 {
     fleet_limits limits;
     limits.resend = { settings.retryBudgetRatio, settings.retryBudgetWindow, settings.retryBudgetSlack };
-    limits.resendSlackFrom = settings.isFirstStart ? now : now + settings.retryBudgetWindow;
+    limits.resendSlackFrom = settings.isFirstStart ? now : now + settings.retryBudgetWindow + second_send_loans::lifetime;
     limits.maxConfigAge = std::chrono::duration_cast<milliseconds>(settings.keyRevocationLimit * configAgeFraction);
     return limits;
 }
--- a/src/programs/gateway/hedged_send.h
+++ b/src/programs/gateway/hedged_send.h
@@ -29,6 +29,7 @@
         http::call_limits limits;
         bool isStream = false;
         stream_position position; ///< Where the caller's stream must go on.
+        std::optional<resend_budget::ticket> resend; ///< Given back if the send reaches no server.
         std::optional<second_copy_account::ticket> copy; ///< Set for a second copy of a request whose server is slow.
     };
 
--- a/src/programs/gateway/request_hedge.cpp
+++ b/src/programs/gateway/request_hedge.cpp
@@ -81,7 +81,7 @@
     state.mayHaveRun = true;
     state.possibleRuns = possibleRunsWithSends();
     state.hasBudget
-        = m_context.state.resends.hasRoom(m_service, resend_budget::cause::interrupted, now, m_context.state.peers.largestFleetSize());
+        = m_context.state.resends.hasRoom(m_service, resend_budget::cause::silent, now, m_context.state.peers.largestFleetSize());
     const attempt_failure lost = makeFailure(verdict::may_have_run);
     return decideRetry(lost, state) == next_step::send_again;
 }
@@ -91,9 +91,11 @@
     const time_point now = m_context.clock.now();
     const placement_decision placed = choosePlacement(now);
     const auto *server = placed.parts.empty() ? nullptr : m_context.state.findServer(placed.parts.front().server);
-    const auto cause = resend_budget::cause::interrupted;
-    if (placed.next != placement_decision::action::send || !server || m_context.state.quarantine.quarantinedUntil(m_parts)
-        || !m_context.state.resends.tryTake(m_service, cause, now, m_context.state.peers.largestFleetSize())) {
+    if (placed.next != placement_decision::action::send || !server || m_context.state.quarantine.quarantinedUntil(m_parts)) {
+        return false;
+    }
+    const auto resend = takeResend(resend_budget::cause::silent, now);
+    if (!resend) {
         return false;
     }
     m_context.log.write(log_line("hedge_sent")
@@ -102,12 +104,13 @@
                             .add("server", server->entry.id.str())
                             .add("lastEvent", static_cast<std::int64_t>(m_position.lastId().value_or(-1)))
                             .add("age", age(now)));
-    launchHedge(placed, *server, std::nullopt, now);
+    launchHedge(placed, *server, resend, std::nullopt, now);
     return true;
 }
 
 void request_session::launchHedge(const placement_decision &placed,
     const server_directory::known_server &server,
+    const std::optional<resend_budget::ticket> &resend,
     std::optional<second_copy_account::ticket> copy,
     time_point now)
 {
@@ -123,6 +126,7 @@
     sent.limits = limitsFor(now);
     sent.isStream = m_route->isStream;
     sent.position = m_position;
+    sent.resend = resend;
     sent.copy = copy;
     ++m_sends;
     m_excluded.insert(sent.server);
@@ -189,6 +193,9 @@
         m_possibleRuns.insert(hedge.sent().server);
     }
     m_deliveredSends += hedge.isDelivered() ? 1 : 0;
+    if (!hedge.isDelivered() && hedge.sent().resend) {
+        m_context.state.resends.giveBack(*hedge.sent().resend, m_context.clock.now());
+    }
     if (mayHaveRun || hedge.outcome() == verdict::not_run) { // Else it was given up before it reached a server.
         attempt_failure failure = makeFailure(mayHaveRun ? verdict::may_have_run : verdict::not_run);
         failure.isUnreachable = hedge.isUnreachable();
--- a/src/programs/gateway/request_relay.cpp
+++ b/src/programs/gateway/request_relay.cpp
@@ -122,11 +122,13 @@
     watchForCopy(placed);
     auto answer = co_await m_context.servers.open(address, std::move(message), std::move(limits), m_attempt);
     if (!answer) {
-        m_deliveredSends += answer.error().outcome == verdict::not_run ? 0 : 1;
+        if (answer.error().outcome != verdict::not_run) {
+            countDelivery();
+        }
         m_context.metrics.recordSendOutcome(std::string(toString(answer.error().code)));
         co_return toFailure(answer.error());
     }
-    ++m_deliveredSends;
+    countDelivery();
     co_return co_await relayAnswer(**answer);
 }
 
--- a/src/programs/gateway/request_retry.cpp
+++ b/src/programs/gateway/request_retry.cpp
@@ -1,8 +1,16 @@
 #include "programs/gateway/request_session.h"
 
+#include "gateway/route_table.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <utility>
+
 namespace mustardtrail::gateway
 {
 
+namespace asio = boost::asio;
 using std::chrono::milliseconds;
 
 namespace
@@ -10,6 +18,28 @@
 
 constexpr milliseconds minTimeForSend{ 20 }; ///< With less time left no server can finish the request.
 
+/// A send that waits for a loan, as long as this object lives.
+class waiting_for_loan
+{
+public:
+    waiting_for_loan(second_send_loans &loans, service_key service)
+        : m_loans(loans)
+        , m_service(service)
+    {
+        m_loans.startWaiting(m_service);
+    }
+    ~waiting_for_loan()
+    {
+        m_loans.stopWaiting(m_service);
+    }
+    waiting_for_loan(const waiting_for_loan &) = delete;
+    waiting_for_loan &operator=(const waiting_for_loan &) = delete;
+
+private:
+    second_send_loans &m_loans;
+    service_key m_service;
+};
+
 } // namespace
 
 retry_state request_session::retryState(time_point now)
@@ -44,10 +74,57 @@
     }
 }
 
-next_step request_session::stepAfter(const attempt_failure &failure)
+std::optional<resend_budget::ticket> request_session::takeResend(resend_budget::cause why, time_point now)
+{
+    return m_context.state.resends.tryTake(m_service, why, now, m_context.state.peers.largestFleetSize());
+}
+
+asio::awaitable<std::optional<resend_budget::ticket>> request_session::takeOrBorrowResend()
+{
+    const time_point start = m_context.clock.now();
+    auto taken = takeResend(resend_budget::cause::interrupted, start);
+    if (taken || m_context.state.peers.reportTargets(m_context.state.peers.ownCell(), start).empty()) {
+        co_return taken;
+    }
+    second_send_loans &loans = m_context.state.resends.borrowed();
+    const waiting_for_loan waiting(loans, keyOf(m_service));
+    const time_point until = std::min(start + second_send_loans::maxWait, m_deadlineAt - minTimeForSend);
+    for (time_point now = start; !taken && now < until; now = m_context.clock.now()) {
+        if (loans.isAskDue(now)) {
+            m_context.scheduleReport();
+        }
+        m_hedgeTimer.expires_after(second_send_loans::checkInterval);
+        boost::system::error_code cancelled;
+        co_await m_hedgeTimer.async_wait(asio::redirect_error(asio::use_awaitable, cancelled));
+        if (m_isCallerGone || m_isDeadlinePassed || m_context.isEnding) {
+            co_return std::nullopt;
+        }
+        taken = takeResend(resend_budget::cause::interrupted, m_context.clock.now());
+    }
+    co_return taken;
+}
+
+void request_session::countDelivery()
+{
+    ++m_deliveredSends;
+    m_resend.reset();
+}
+
+void request_session::giveResendBack()
+{
+    if (const auto unused = std::exchange(m_resend, std::nullopt)) {
+        m_context.state.resends.giveBack(*unused, m_context.clock.now());
+    }
+}
+
+asio::awaitable<next_step> request_session::stepAfter(attempt_failure failure)
 {
     const time_point now = m_context.clock.now();
     countRun(failure);
+    const bool hasReachedNone = failure.outcome == verdict::not_run && (failure.isUnreachable || failure.isUnreserved);
+    if (!hasReachedNone) {
+        m_resend.reset();
+    }
     const bool isRelayLost = failure.isByRelay && failure.outcome != verdict::not_run;
     if (isRelayLost) {
         m_resendTo = backend_server_id(m_lastServer);
@@ -61,18 +138,34 @@
     if (stepIfWithinBudget != next_step::send_again) {
         const std::string_view limit = limitOfSends(now);
         logResendDenied(!state.hasOtherServer ? "no_server" : !limit.empty() ? limit : "not_allowed");
-        return stepIfWithinBudget;
+        co_return stepIfWithinBudget;
     }
     if (!needsResendBudget(failure, m_deliveredSends)) {
-        return stepIfWithinBudget;
+        co_return stepIfWithinBudget;
+    }
+    giveResendBack(); // Of an earlier send that reached no server.
+    if (failure.outcome == verdict::not_run) {
+        m_resend = takeResend(resend_budget::cause::refused, now);
+    } else {
+        m_resend = co_await takeOrBorrowResend();
+        if (m_isCallerGone) {
+            co_return next_step::fail;
+        }
+        const unsigned possibleRuns = state.possibleRuns; // Does not count the server that an unfinished relay still uses.
+        state = retryState(m_context.clock.now());
+        state.possibleRuns = possibleRuns;
     }
-    const auto cause = failure.outcome == verdict::not_run ? resend_budget::cause::refused : resend_budget::cause::interrupted;
-    state.hasBudget = m_context.state.resends.tryTake(m_service, cause, now, m_context.state.peers.largestFleetSize());
+    state.hasBudget = m_resend.has_value();
     const next_step step = decideRetry(failure, state);
     if (step != next_step::send_again) {
-        logResendDenied("budget");
+        const std::string_view limit = limitOfSends(m_context.clock.now());
+        logResendDenied(!state.hasBudget && limit.empty() ? "budget"
+                : !state.hasOtherServer                   ? "no_server"
+                : !limit.empty()                          ? limit
+                                                          : "not_allowed");
+        giveResendBack();
     }
-    return step;
+    co_return step;
 }
 
 std::string_view request_session::limitOfSends(time_point now) const
--- a/src/programs/gateway/request_second_copy.cpp
+++ b/src/programs/gateway/request_second_copy.cpp
@@ -90,9 +90,11 @@
         watchForCopyUntil(m_sentAt + verdict.waitUntil);
         return;
     }
-    const bool isSent = verdict.next == second_copy_verdict::action::send && server
-        && m_context.state.resends.tryTake(m_service, resend_budget::cause::copy, now, m_context.state.peers.largestFleetSize());
-    if (!isSent) {
+    if (verdict.next != second_copy_verdict::action::send || !server) {
+        return;
+    }
+    const auto resend = takeResend(resend_budget::cause::copy, now);
+    if (!resend) {
         return;
     }
     // The first server is not asked again, whichever send answers.
@@ -101,7 +103,7 @@
     }
     const auto ticket = m_context.secondCopies.account.startCopy(m_service, copyWork(copy, now), m_route->isStream, now);
     m_context.metrics.recordSecondCopy("sent");
-    launchHedge(copy, *server, ticket, now);
+    launchHedge(copy, *server, resend, ticket, now);
     watchCopyAge(copyWork(copy, now));
 }
 
--- a/src/programs/gateway/request_session.cpp
+++ b/src/programs/gateway/request_session.cpp
@@ -155,7 +155,11 @@
             co_return;
         }
         recordFailure(placed, *failure);
-        const next_step step = stepAfter(*failure);
+        const next_step step = co_await stepAfter(*failure);
+        if (m_isCallerGone) {
+            logOutcome("caller_gone", 0, m_lastServer);
+            co_return;
+        }
         if (step != next_step::send_again) {
             co_await finishFailed(*failure, step);
             co_return;
@@ -359,6 +363,7 @@
     if (std::exchange(m_hasOutcome, true)) {
         return;
     }
+    giveResendBack();
     const time_point now = m_context.clock.now();
     const std::string routeName = m_route ? m_route->name : "none";
     m_context.metrics.recordAnswer(routeName, status, now - m_arrivedAt);
--- a/src/programs/gateway/request_session.h
+++ b/src/programs/gateway/request_session.h
@@ -73,7 +73,15 @@
         http::response_stream &answer, const platform::response_head &head);
     boost::asio::awaitable<void> finishFailed(const attempt_failure &failure, next_step step);
     boost::asio::awaitable<void> refuse(const refusal &answer);
-    next_step stepAfter(const attempt_failure &failure);
+    boost::asio::awaitable<next_step> stepAfter(attempt_failure failure);
+    std::optional<resend_budget::ticket> takeResend(resend_budget::cause why, time_point now);
+    /// Takes a resend for a stream that is otherwise lost; waits for a loan if the own share is used up. Returns nothing also when
+    /// the request has ended meanwhile.
+    boost::asio::awaitable<std::optional<resend_budget::ticket>> takeOrBorrowResend();
+    /// Counts a send that reached a server.
+    void countDelivery();
+    /// Gives back the resend that was taken for a send which reached no server, if any.
+    void giveResendBack();
 
     /// The answer of the current send is the largest that this instance holds, and there is no room for all.
     void onAnswerGivenUp();
@@ -93,6 +101,7 @@
     bool startHedge();
     void launchHedge(const placement_decision &placed,
         const server_directory::known_server &server,
+        const std::optional<resend_budget::ticket> &resend,
         std::optional<second_copy_account::ticket> copy,
         time_point now);
     void onHedgeDone(const hedged_send *done);
@@ -220,6 +229,7 @@
     std::set<backend_server_id> m_possibleRuns; ///< Servers that may have run it.
     std::optional<backend_server_id> m_resendTo; ///< The send to it lost its relay; the next one goes there too if it can.
     unsigned m_deliveredSends = 0; ///< Sends that reached a server.
+    std::optional<resend_budget::ticket> m_resend; ///< Of the current send, until it has reached a server.
     unsigned m_sends = 0;
     send_tally m_failedSends;
     std::uint64_t m_workId = 0; ///< Identifies the current placement in the fleet state; 0: none.
