A sound part waits for the news of its sixth crash before it is held back

Callers whose prompts begin with a popular part got 503 prompt_part_quarantined for 0.1 to 0.7 s beside a prompt that ends its servers.

At the sixth, one instance saw requests with the popular part only, another one at the same millisecond the request with the guilty part. The first one convicted the popular part at once: whether there is another explanation is asked leaving out crashes of which not all instances have told yet, but which of several is the likeliest was asked with them. The other took the verdict over 3 ms later, most likely as five settled crashes did not let it decide, and gave it up 0.7 s later. Questions to the servers played no part.

To convict the likelier one at once instead was ruled out: prompt_quarantine_search then finds histories in which a sound part is held back after five crashes.

--- a/src/gateway/internal/crash_judgement.cpp
+++ b/src/gateway/internal/crash_judgement.cpp
@@ -90,6 +90,9 @@
                 || (row.count < prompt_quarantine::ambiguousCrashesRequired && hasOtherExplanation(trace, crashes))) {
                 continue;
             }
+            if (mayAnotherBeLikelier(crashes, each.trace, rows)) {
+                continue;
+            }
             const size_t guilty = likeliestFor(crashes, each.trace, rows);
             verdicts[m_traces[guilty].part].crashes = rows[guilty].count;
             const crash_set newlyExplained = m_traces[guilty].present;
@@ -158,6 +161,20 @@
     return found != suspects.end() ? found->trace : trace;
 }
 
+bool crash_judgement::mayAnotherBeLikelier(const crash_set &crashes, size_t trace, const std::vector<crash_row> &rows) const
+{
+    for (const suspect &each : m_suspects[firstOf(crashes)]) { // The likeliest first.
+        if (each.trace == trace) {
+            return false;
+        }
+        const crash_set missing = crashes & ~m_traces[each.trace].suspected;
+        if (rows[each.trace].count >= prompt_quarantine::crashesRequired && missing.any() && (missing & ~m_unsettled).none()) {
+            return true;
+        }
+    }
+    return false;
+}
+
 size_t crash_judgement::firstOf(const crash_set &crashes)
 {
     size_t first = 0;
--- a/src/gateway/internal/crash_judgement.h
+++ b/src/gateway/internal/crash_judgement.h
@@ -73,6 +73,8 @@
     crash_row rowOf(const part_trace &trace, const crash_set &crashes) const;
     /// The part to hold responsible for crashes that convict this one: another that was at all of them may be likelier.
     size_t likeliestFor(const crash_set &crashes, size_t trace, const std::vector<crash_row> &rows) const;
+    /// Whether a likelier part was at all these crashes but those of which not all instances have told yet.
+    bool mayAnotherBeLikelier(const crash_set &crashes, size_t trace, const std::vector<crash_row> &rows) const;
     static size_t firstOf(const crash_set &crashes); ///< There is one.
     time_point latestOf(const crash_set &crashes) const;
     bool hasOtherExplanation(const part_trace &trace, const crash_set &crashes) const;
--- a/src/gateway/tests/quarantine_choice_test.cpp
+++ b/src/gateway/tests/quarantine_choice_test.cpp
@@ -71,6 +71,26 @@
     }
 }
 
+// A part that most prompts begin with was held back at its sixth crash, a moment before the news that the guilty one was there too.
+Test(quarantine_choice, aSoundPartIsNotHeldBackBeforeTheNewsThatTheGuiltyOneWasAtItsSixthCrash)
+{
+    prompt_quarantine here;
+    prompt_quarantine there;
+    for (int number = 1; number <= 6; ++number) {
+        const auto server = static_cast<server_start_key>(number);
+        there.recordCrash(server, { first, guilty }, at(400 * number - 300), at(400 * number));
+        if (number < 6) {
+            here.merge(received(there.news(prompt_quarantine::newsMaxAge, at(400 * number)), 400 * number), at(400 * number));
+        }
+        here.recordCrash(server, { first }, at(400 * number - 300), at(400 * number));
+        cr_assert_not(isQuarantined(here, first));
+    }
+    here.merge(received(there.news(prompt_quarantine::newsMaxAge, at(2'403)), 2'403), at(2'403));
+    here.expire(at(2'400) + 2 * prompt_quarantine::settleTime);
+    cr_assert(isQuarantined(here, guilty));
+    cr_assert_not(isQuarantined(here, first));
+}
+
 Test(quarantine_choice, aPartWithMoreCrashesInARowIsNotHeldBackForALikelierOneThatWasAtAllOfThem)
 {
     prompt_quarantine quarantine;
