An instance that hands sends back, or misses two servers, is avoided as a relay for all servers

Callers got 503 servers_refused within 30 ms while their instance was cut off and others reached every server.

Cause: a relay that handed a send back, as it had lost its own paths too, was avoided for that one server only.

relay_failures, a rule without sockets, now keeps what failed: an instance that hands a send back is avoided for all servers for 1 s, as is one that did not reach two servers; one that did not reach one is avoided for that one, as before.

--- a/src/programs/gateway/server_client.cpp
+++ b/src/programs/gateway/server_client.cpp
@@ -24,7 +24,6 @@
 {
 
 constexpr milliseconds relayConnectTimeout{ 100 }; ///< Other instances are near, and known to be alive.
-constexpr milliseconds relayAvoidance{ 1'000 }; ///< A few reports, which tell whether the instance is alive.
 constexpr milliseconds probeTimeout{ 250 };
 constexpr size_t maxCallAnswerBytes = 256 * 1024; ///< Far more than a report, or the answer to an order.
 constexpr milliseconds probeInterval{ 100 }; ///< Between looks for a path that is due.
@@ -145,18 +144,12 @@
     co_return answer;
 }
 
-bool server_client::isAvoided(const relayed_path &path, time_point now) const
-{
-    const auto avoided = m_avoidedUntil.find(path);
-    return avoided != m_avoidedUntil.end() && now < avoided->second;
-}
-
 std::vector<peer_address> server_client::relaysFor(
     const endpoint &server, const std::set<peer_address> &first, relay_spread spread, time_point now) const
 {
     auto candidates = m_state.relayCandidates(now);
     for (relay_candidate &each : candidates) {
-        each.hasFailed = isAvoided({ each.instance, {} }, now) || isAvoided({ each.instance, server }, now);
+        each.hasFailed = m_relayFailures.hasFailed(each.instance, server, now);
         each.hasHeardServer = first.contains(each.instance);
     }
     return chooseRelays(candidates, toString(server), m_self, spread);
@@ -182,7 +175,7 @@
     auto answer = co_await m_direct.open(relayAddress, std::move(relayed), std::move(limits));
     const time_point now = m_clock.now();
     if (!answer) {
-        m_avoidedUntil[{ relay, {} }] = now + relayAvoidance;
+        m_relayFailures.recordFailed(relay, now);
         error_code &code = answer.error().code;
         if (isUnsent(answer.error())) {
             code = error_code::backend_connect_failed;
@@ -195,7 +188,7 @@
     if (outcome == relay_field::passedOn) {
         co_return std::make_unique<relayed_answer>(std::move(*answer), [this, relay, isClosedHere] {
             if (!*isClosedHere) {
-                m_avoidedUntil[{ relay, {} }] = m_clock.now() + relayAvoidance;
+                m_relayFailures.recordFailed(relay, m_clock.now());
             }
         });
     }
@@ -203,7 +196,11 @@
         const bool isHandedBack = (*answer)->headers().find(relay_field::reason) == relay_field::handedBack;
         signs.isUnreached = signs.isUnreached || !isHandedBack;
         signs.isHandedBack = signs.isHandedBack || isHandedBack;
-        m_avoidedUntil[{ relay, server }] = now + relayAvoidance;
+        if (isHandedBack) {
+            m_relayFailures.recordHandedBack(relay, now);
+        } else {
+            m_relayFailures.recordUnreached(relay, server, now);
+        }
         co_return tl::unexpected(
             error{ error_code::backend_connect_failed, verdict::not_run, "peer=" + toString(server) + " relay=" + textOf(relay), {} });
     }
@@ -262,7 +259,7 @@
             break;
         }
         if (way->relay) {
-            m_avoidedUntil[{ *way->relay, server }] = m_clock.now() + relayAvoidance;
+            m_relayFailures.recordUnreached(*way->relay, server, m_clock.now());
         }
     }
     co_return reply;
@@ -278,7 +275,7 @@
         return;
     }
     if (const auto relays = relaysFor(server, {}, relay_spread::same_order, now); !relays.empty()) {
-        m_avoidedUntil[{ relays.front(), server }] = now + relayAvoidance;
+        m_relayFailures.recordUnreached(relays.front(), server, now);
     }
 }
 
@@ -290,9 +287,7 @@
         boost::system::error_code ignored;
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
         const time_point now = m_clock.now();
-        std::erase_if(m_avoidedUntil, [now](const auto &entry) {
-            return now >= entry.second;
-        });
+        m_relayFailures.expire(now);
         while (const auto due = m_state.paths.takeProbe(now)) {
             asio::co_spawn(m_executor, probe(*due), asio::detached);
         }
--- a/src/programs/gateway/server_client.h
+++ b/src/programs/gateway/server_client.h
@@ -4,13 +4,13 @@
 #include "base/ids.h"
 #include "gateway/fleet_state.h"
 #include "gateway/relay_choice.h"
+#include "gateway/relay_failures.h"
 #include "gateway/sent_attempt.h"
 #include "http/client.h"
 #include "programs/gateway/rate_limited_log.h"
 
 #include <boost/asio/any_io_executor.hpp>
 
-#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -54,8 +54,6 @@
     boost::asio::awaitable<void> probeLostPaths();
 
 private:
-    /// A relay, and a server behind it; without a server, the way to the relay.
-    using relayed_path = std::pair<peer_address, endpoint>;
     /// What the relays of one send say of the server.
     struct relay_signs {
         bool isHandedBack = false; ///< A relay was full, stopped or had lost its own path.
@@ -70,7 +68,6 @@
     boost::asio::awaitable<opened_answer> openThrough(
         peer_address relay, endpoint server, const http::request_message &message, http::call_limits limits, relay_signs &signs);
     void logRelayed(peer_address relay, const endpoint &server, const opened_answer &answer, const attempt_id &attempt);
-    bool isAvoided(const relayed_path &path, time_point now) const;
     std::vector<peer_address> relaysFor(
         const endpoint &server, const std::set<peer_address> &first, relay_spread spread, time_point now) const;
     boost::asio::awaitable<result<http::response_message>> readAnswer(
@@ -84,7 +81,7 @@
     rate_limited_log &m_log;
     peer_address m_self;
     std::uint16_t m_relayPort;
-    std::map<relayed_path, time_point> m_avoidedUntil; ///< Relays that failed, and the ways from a relay to a server that did.
+    relay_failures m_relayFailures;
 };
 
 } // namespace mustardtrail::gateway
