A trailer field of 64 KiB no longer ends the process

Cause: the parser throws for a field value of about 64 KiB, and throws it in the event loop. It is 64 KiB again, for each server. A head whose rest fills it is beyond the largest limit and gets 431.

--- a/src/http/internal/connection.cpp
+++ b/src/http/internal/connection.cpp
@@ -25,7 +25,7 @@
 constexpr std::chrono::milliseconds refusedSilence{ 1'000 }; ///< Longest pause of a caller that sends on after its refusal.
 constexpr std::chrono::milliseconds refusedTime{ 5'000 }; ///< For which it is read on.
 constexpr size_t refusedBytes = 32 * 1024 * 1024; ///< Up to which it is read on.
-constexpr size_t bufferBytesBeyondHead = 48 * 1024;
+constexpr size_t bufferBytes = 64 * 1024; ///< The parser throws for a field of that length, which thus never gets there.
 
 int statusOf(const request_reader::failure &failure)
 {
@@ -46,7 +46,7 @@
 connection::connection(asio::ip::tcp::socket socket, std::shared_ptr<server::shared_state> state)
     : m_state(std::move(state))
     , m_stream(std::move(socket))
-    , m_buffer(m_state->limits.headerBytes + bufferBytesBeyondHead)
+    , m_buffer(bufferBytes)
 {
     ++m_state->openConnections;
     boost::system::error_code ignored;
--- a/src/http/internal/request_reader.cpp
+++ b/src/http/internal/request_reader.cpp
@@ -157,7 +157,11 @@
         if (isWhole) {
             co_return std::nullopt;
         }
-        const auto space = m_buffer.prepare(headReadBytes);
+        const size_t room = m_buffer.max_size() - m_buffer.size();
+        if (room == 0) {
+            co_return failure{ error_code::request_too_large, "field", false, limit_kind::header_bytes, taken + m_buffer.size() };
+        }
+        const auto space = m_buffer.prepare(std::min(headReadBytes, room));
         const size_t count = co_await m_stream.async_read_some(space, asio::redirect_error(asio::use_awaitable, problem));
         m_buffer.commit(count);
         if (problem && m_deadline.hasPassed()) {
--- a/src/http/tests/request_limits_test.cpp
+++ b/src/http/tests/request_limits_test.cpp
@@ -121,6 +121,27 @@
     expectEqual(answerTo(chunked("1\r\nx\r\nffffffffffffffff\r\n")), "HTTP/1.1 413");
 }
 
+// The parser throws for a field of 64 KiB, in the event loop.
+Test(request_limits, aTrailerThatIsTooLongForTheParserIsRefused)
+{
+    server_limits limits;
+    limits.headerBytes = 64 * 1024;
+    http_harness harness(limits, respondOk);
+    const std::string trailer = "0\r\nX-Trailer: " + std::string(70'000, 'y') + "\r\n\r\n";
+    expectEqual(statusOf(harness.raw(chunked(trailer), false)), "HTTP/1.1 400");
+    expectEqual(statusOf(harness.raw(headOf(headerLimit), false)), "HTTP/1.1 200");
+}
+
+Test(request_limits, aHeadOfOneFieldThatFillsTheBufferIsRefused)
+{
+    server_limits limits;
+    limits.headerBytes = 64 * 1024;
+    http_harness harness(limits, respondOk);
+    expectEqual(statusOf(harness.raw(headOf(64 * 1024), false)), "HTTP/1.1 200");
+    expectEqual(statusOf(harness.raw(headOf(64 * 1024 + 1), false)), "HTTP/1.1 431");
+    expectEqual(statusOf(harness.raw(headOf(80'000), false)), "HTTP/1.1 431");
+}
+
 // It reads only when it has sent everything, and a reset would have destroyed the answer by then.
 Test(request_limits, aCallerThatSendsItsWholeBodyFirstGetsTheRefusal)
 {
