A relay takes the longest head that a caller may send

Where the operator allows heads above 16 KiB, a request that an instance can send only through another one was handed back unsent: the relay took heads up to 16 KiB, as callers' requests had been limited to it before, and its own fields count.

A relay takes the callers' upper bound and 4 KiB of fields that an instance adds.

--- a/src/programs/gateway/relay_service.cpp
+++ b/src/programs/gateway/relay_service.cpp
@@ -1,5 +1,6 @@
 #include "programs/gateway/relay_service.h"
 
+#include "gateway/caller_limits.h"
 #include "platform/request_head.h"
 #include "platform/response_head.h"
 #include "programs/gateway/relay_fields.h"
@@ -16,10 +17,12 @@
 constexpr milliseconds connectTimeout{ 150 }; ///< The sender's caller has waited for the sender's own attempt already.
 constexpr milliseconds maxReuseIdle{ 1'000 }; ///< The request may be one that must not be lost to a server that closes meanwhile.
 constexpr milliseconds progressLimit{ 60'000 }; ///< The sender knows the request's time and closes its connection in time.
+constexpr size_t addedHeaderBytes = 4 * 1024; ///< Most that an instance adds to the head of a caller's request.
 
 http::server_limits serverLimits(size_t maxBodyBytes)
 {
     http::server_limits limits;
+    limits.headerBytes = caller_limits::maxHeaderBytes + addedHeaderBytes;
     limits.totalBodyBytes = maxBodyBytes;
     return limits;
 }
--- a/src/programs/gateway/tests/relay_service_test.cpp
+++ b/src/programs/gateway/tests/relay_service_test.cpp
@@ -1,5 +1,6 @@
 #include "programs/gateway/relay_service.h"
 
+#include "gateway/caller_limits.h"
 #include "programs/gateway/relay_fields.h"
 #include "programs/gateway/tests/send_bench.h"
 #include "testing/expect.h"
@@ -181,6 +182,16 @@
     expectEqual(foreignField, std::string());
 }
 
+// The operator may allow callers longer heads than a server takes by itself.
+Test(relay_service, takesTheLongestHeadThatACallerMaySend)
+{
+    relay_bench relay(answerWhole);
+    const auto got = relay.call(relay.server(), { { "X-Fill", std::string(caller_limits::maxHeaderBytes - 100, 'x') } });
+    cr_assert(got.has_value());
+    expectEqual(got->headers.find(relay_field::outcome), relay_field::passedOn);
+    expectEqual(runs, 1);
+}
+
 Test(relay_service, aFieldOfTheCallerDoesNotChooseTheServer)
 {
     relay_bench relay(answerWhole);
--- a/src/programs/gateway/tests/send_bench.cpp
+++ b/src/programs/gateway/tests/send_bench.cpp
@@ -52,7 +52,9 @@
 
 endpoint send_bench::addServer(http::handler serve)
 {
-    m_servers.push_back(std::make_unique<http::server>(m_loop.get_executor(), http::server_limits(), std::move(serve), emptyAnswer));
+    http::server_limits limits;
+    limits.headerBytes = 2 * caller_limits::maxHeaderBytes; // Takes whatever an instance passes on.
+    m_servers.push_back(std::make_unique<http::server>(m_loop.get_executor(), limits, std::move(serve), emptyAnswer));
     return *m_servers.back()->listen({ "127.0.0.1", 0 });
 }
 
