A stream outlasts a moment in which no server takes it

Callers saw a stream cut with seconds and a run left (resend_denied why=unreached, before that no_time): six connections that were refused within milliseconds used up its sends, and servers that were not reached or had refused were not tried again.

Cause: the class of the sends that nobody ran: a count that is spent in no time. A request that has not run is refused as before, so that its caller can come back.

--- a/src/gateway/send_tally.h
+++ b/src/gateway/send_tally.h
@@ -2,6 +2,7 @@
 
 #include "gateway/attempt_failure.h"
 
+#include <chrono>
 #include <string_view>
 
 namespace mustardtrail::gateway
@@ -15,6 +16,8 @@
     void record(const attempt_failure &failure);
     /// Names the limit that is reached; empty while the request may be sent again.
     std::string_view reachedLimit() const;
+    /// How long to wait before the next send: a request that is otherwise lost outlasts a moment in which no server takes it.
+    std::chrono::milliseconds pauseBeforeNext() const;
 
 private:
     unsigned m_unreserved = 0; ///< Since the last send that may have run, like the next two.
--- a/src/gateway/tests/send_tally_test.cpp
+++ b/src/gateway/tests/send_tally_test.cpp
@@ -51,6 +51,28 @@
     expectEqual(limitAfter(attempt_failure()), "runs");
 }
 
+// Connections that were refused within milliseconds used up all sends of a stream while its servers were out of reach for a moment.
+Test(send_tally, aRequestThatMayHaveRunOutlastsASecondInWhichNoServerIsReached)
+{
+    send_tally sends;
+    sends.record(attempt_failure());
+    std::chrono::milliseconds time{ 0 };
+    while (sends.reachedLimit().empty()) {
+        time += sends.pauseBeforeNext();
+        sends.record(unreached());
+    }
+    cr_assert_geq(time.count(), 1'000);
+    expectEqual(sends.reachedLimit(), "unreached");
+}
+
+Test(send_tally, aRequestThatNobodyRanDoesNotWaitForServersThatAreNotReached)
+{
+    send_tally sends;
+    sends.record(unreached());
+    sends.record(unreached());
+    expectEqual(sends.pauseBeforeNext().count(), 0);
+}
+
 // Six engines that were silent for a moment ended a request that had not run anywhere.
 Test(send_tally, ordersThatSixEnginesDidNotAnswerDoNotEndARequest)
 {
--- a/src/programs/gateway/request_retry.cpp
+++ b/src/programs/gateway/request_retry.cpp
@@ -125,6 +125,9 @@
     if (!hasReachedNone) {
         m_resend.reset();
     }
+    const bool isRefused = failure.outcome == verdict::not_run;
+    const bool areReadmitted = isRefused && readmitServers(now);
+    m_isSentInVain = areReadmitted || (isRefused && failure.isUnreachable);
     const bool isRelayLost = failure.isByRelay && failure.outcome != verdict::not_run;
     if (isRelayLost) {
         m_resendTo = backend_server_id(m_lastServer);
@@ -168,6 +171,26 @@
     co_return step;
 }
 
+bool request_session::readmitServers(time_point now)
+{
+    if (!m_mayHaveRun || !m_context.state.candidates(m_service, m_excluded, server_scope::fleet, now).empty()) {
+        return false;
+    }
+    m_excluded = m_failed;
+    return true;
+}
+
+asio::awaitable<void> request_session::pauseBeforeSend()
+{
+    const milliseconds pause = m_failedSends.pauseBeforeNext();
+    if (!m_isSentInVain || pause.count() == 0) {
+        co_return;
+    }
+    m_hedgeTimer.expires_after(pause);
+    boost::system::error_code cancelled;
+    co_await m_hedgeTimer.async_wait(asio::redirect_error(asio::use_awaitable, cancelled));
+}
+
 std::string_view request_session::limitOfSends(time_point now) const
 {
     if (m_context.isEnding) {
--- a/src/programs/gateway/request_session.cpp
+++ b/src/programs/gateway/request_session.cpp
@@ -165,6 +165,7 @@
             co_return;
         }
         m_events.discardPartialEvent();
+        co_await pauseBeforeSend();
     }
 }
 
--- a/src/programs/gateway/request_session.h
+++ b/src/programs/gateway/request_session.h
@@ -191,6 +191,9 @@
     attempt_failure makeUnreserved();
     /// The engine that refused memory is not tried again soon.
     void excludeRefusing(const reservation_set &reservations);
+    /// If the request is otherwise lost, servers that did not run it are tried again. Returns whether there are such servers.
+    bool readmitServers(time_point now);
+    boost::asio::awaitable<void> pauseBeforeSend();
     /// Why there is no further send as far as time and the failed sends decide; empty if there may be one.
     std::string_view limitOfSends(time_point now) const;
     std::string sharedPartsText() const;
@@ -232,6 +235,7 @@
     std::optional<resend_budget::ticket> m_resend; ///< Of the current send, until it has reached a server.
     unsigned m_sends = 0;
     send_tally m_failedSends;
+    bool m_isSentInVain = false; ///< The last send reached no server, or the servers that are left have refused before.
     std::uint64_t m_workId = 0; ///< Identifies the current placement in the fleet state; 0: none.
     std::set<backend_server_id> m_excluded; ///< Not eligible next: failed servers, and servers that refused since the last failure.
     std::set<backend_server_id> m_failed; ///< Servers that failed and may have run the request.
--- a/src/programs/gateway/tests/unreached_servers_test.cpp
+++ b/src/programs/gateway/tests/unreached_servers_test.cpp
@@ -4,6 +4,10 @@
 
 #include "testing/expect.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include <memory>
 #include <string>
 #include <vector>
@@ -55,8 +59,60 @@
           "Content-Length: 0\r\n\r\n";
 }
 
+/// Completes a stream, but refuses connections until it listens.
+class late_server
+{
+public:
+    explicit late_server(fake_platform &platform)
+        : m_acceptor(platform.executor(), boost::asio::ip::tcp::v4())
+    {
+        m_acceptor.bind({ boost::asio::ip::address_v4::loopback(), 0 });
+    }
+
+    endpoint address() const
+    {
+        return { "127.0.0.1", m_acceptor.local_endpoint().port() };
+    }
+
+    void listen()
+    {
+        m_acceptor.listen();
+        boost::asio::co_spawn(m_acceptor.get_executor(), serveOne(), boost::asio::detached);
+    }
+
+private:
+    boost::asio::awaitable<void> serveOne()
+    {
+        raw_connection connection(co_await m_acceptor.async_accept(boost::asio::use_awaitable));
+        co_await connection.readRequest();
+        co_await serve(connection);
+    }
+
+    boost::asio::ip::tcp::acceptor m_acceptor;
+};
+
 } // namespace
 
+// Connections that were refused within milliseconds used up all sends of a stream.
+Test(unreached_servers, doNotEndAStreamWhileTheyAreOutOfReachForAMoment)
+{
+    fake_platform platform;
+    platform.addRawServer("first", "reading", serve);
+    platform.start();
+    const raw_caller caller = platform.openCaller(requestOf(1));
+    for (int steps = 0; steps < 200 && begun < 1; ++steps) {
+        platform.runFor(milliseconds(10));
+    }
+    late_server second(platform);
+    platform.writeItems({ fake_platform::itemOf("servers/second", fake_platform::entryOf("reading", second.address())) });
+    platform.runFor(milliseconds(300));
+    areConnectionsLost = true;
+    platform.runFor(milliseconds(500));
+    second.listen();
+    platform.runFor(milliseconds(1'500));
+    expectEqual(caller.stream(), "whole " + firstEvent + lastEvent);
+}
+
 Test(unreached_servers, doNotSpendTheBudgetOfSecondSends)
 {
     fake_platform platform;
