A begun request that a server refuses keeps its right to the whole share of second sends

A stream whose first server was lost, and whose second one refused it as not run, was cut: the next send was asked for as if the request had not run, with half of the share and no loan, although its caller cannot be asked to come back. The budget's cause now follows from what the request is, not from its last failure.

--- a/src/programs/gateway/request_retry.cpp
+++ b/src/programs/gateway/request_retry.cpp
@@ -147,7 +147,7 @@
         co_return stepIfWithinBudget;
     }
     giveResendBack(); // Of an earlier send that reached no server.
-    if (failure.outcome == verdict::not_run) {
+    if (!m_mayHaveRun) {
         m_resend = takeResend(resend_budget::cause::refused, now);
     } else {
         m_resend = co_await takeOrBorrowResend();
