Memory whose run has ended before its first event is not renewed

Cause: before the first event of an answer a lease was renewed without proof of use for 5 s, as nothing tells a run that reads its prompt from one that has ended without a word.

Once memory that was used is not, it is renewed only if it is used again, as after a preemption; so its last lease ends one interval and one lease after the run. A run that ends before the first question has seen it used is as before.

The fake engine of reservation_renewal_test took each call for a renewal; it now counts orders alone, which is stricter.

--- a/src/gateway/internal/lease_schedule.cpp
+++ b/src/gateway/internal/lease_schedule.cpp
@@ -27,6 +27,15 @@
     m_nextAt = sentAt + (isUrgent ? m_limits.retryInterval : m_limits.renewalInterval);
 }
 
+void lease_schedule::recordUse(memory_use use)
+{
+    if (use == memory_use::unknown) {
+        return;
+    }
+    m_isUseOver = m_wasUsed && use != memory_use::used;
+    m_wasUsed = m_wasUsed || use == memory_use::used;
+}
+
 time_point lease_schedule::nextAt() const
 {
     return m_nextAt;
@@ -37,7 +46,7 @@
     // After a stand-still of the event loop, events that had arrived long before are read as new ones.
     const bool isLate = now - m_nextAt >= m_limits.renewalInterval;
     if (!(isLate && age.lastEventAt) && !needsProofOfUse(age, m_limits, now)) {
-        return renewal_order::renew;
+        return m_isUseOver && !age.lastEventAt ? renewal_order::ask_whether_used : renewal_order::renew;
     }
     // After its end a renewal would reserve the memory anew; before the first event it might keep unused memory for too long.
     const bool endsSoon = now < m_leaseEndsAt && m_leaseEndsAt - now < questionTime;
--- a/src/gateway/tests/lease_schedule_test.cpp
+++ b/src/gateway/tests/lease_schedule_test.cpp
@@ -166,6 +166,26 @@
     expectEqual(schedule.orderAt({ start, std::nullopt }, late) == renewal_order::renew, true);
 }
 
+// Memory stayed reserved for seconds after its engine had lost the run, as no event had come that could have stayed away.
+Test(lease_schedule, memoryWhoseRunHasEndedBeforeTheFirstEventIsNotRenewed)
+{
+    lease_schedule schedule(usualLimits(), start);
+    const reservation_age waiting{ start, std::nullopt };
+    const time_point next = schedule.nextAt();
+    schedule.recordUse(memory_use::unused);
+    expectEqual(schedule.orderAt(waiting, next) == renewal_order::renew, true);
+    schedule.recordUse(memory_use::used);
+    schedule.recordUse(memory_use::unknown);
+    expectEqual(schedule.orderAt(waiting, next) == renewal_order::renew, true);
+    schedule.recordUse(memory_use::unused);
+    expectEqual(schedule.orderAt(waiting, next) == renewal_order::ask_whether_used, true);
+    schedule.recordUse(memory_use::used); // It was preempted for a while.
+    expectEqual(schedule.orderAt(waiting, next) == renewal_order::renew, true);
+    schedule.recordUse(memory_use::gone);
+    expectEqual(schedule.orderAt(waiting, next) == renewal_order::ask_whether_used, true);
+    expectEqual(schedule.orderAt({ start, next }, next) == renewal_order::renew, true);
+}
+
 Test(lease_schedule, aGrantedRenewalCountsFromItsOrder)
 {
     const reservation_limits limits = usualLimits();
--- a/src/programs/gateway/reservation_renewal.cpp
+++ b/src/programs/gateway/reservation_renewal.cpp
@@ -218,9 +218,33 @@
         }
         const time_point startedAt = m_context.clock.now();
         const renewal_order order = schedule.orderAt(*m_age, startedAt);
-        const renewal_outcome outcome = co_await renewAt(target, order);
+        const renewal_outcome outcome = co_await renewAt(target, order, schedule);
         schedule.record(outcome, startedAt);
+        if (outcome == renewal_outcome::granted && order == renewal_order::renew) {
+            co_await watchUse(target, schedule);
+        }
+    }
+}
+
+asio::awaitable<void> reservation_renewal::watchUse(const share &target, lease_schedule &schedule)
+{
+    if (!m_age->lastEventAt && !m_isReleased) {
+        schedule.recordUse(co_await askForUse(target));
+    }
+}
+
+asio::awaitable<renewal_outcome> reservation_renewal::renewIfUsedAgain(const share &target, lease_schedule &schedule)
+{
+    const memory_use use = co_await askForUse(target);
+    schedule.recordUse(use);
+    if (m_isReleased || use == memory_use::unknown) {
+        co_return renewal_outcome::unanswered;
     }
+    if (use != memory_use::used) {
+        recordSkip(target, use);
+        co_return renewal_outcome::refused;
+    }
+    co_return co_await reserveAt(target);
 }
 
 void reservation_renewal::forget(const share &target)
@@ -235,8 +259,11 @@
     });
 }
 
-asio::awaitable<renewal_outcome> reservation_renewal::renewAt(const share &target, renewal_order order)
+asio::awaitable<renewal_outcome> reservation_renewal::renewAt(const share &target, renewal_order order, lease_schedule &schedule)
 {
+    if (order == renewal_order::ask_whether_used) {
+        co_return co_await renewIfUsedAgain(target, schedule);
+    }
     if (order == renewal_order::ask_first) {
         const memory_use use = co_await askForUse(target);
         const renewal_step step = renewalStep(use, *m_age);
--- a/src/programs/gateway/reservation_renewal.h
+++ b/src/programs/gateway/reservation_renewal.h
@@ -33,7 +33,10 @@
     boost::asio::awaitable<renewal_outcome> reserveAt(const share &target);
     /// Renews the lease at one engine until the release, or until that engine has started again.
     boost::asio::awaitable<void> keepRenewed(share target, lease_schedule schedule);
-    boost::asio::awaitable<renewal_outcome> renewAt(const share &target, renewal_order order);
+    boost::asio::awaitable<renewal_outcome> renewAt(const share &target, renewal_order order, lease_schedule &schedule);
+    /// Before the first event only the engine can tell whether the run goes on.
+    boost::asio::awaitable<void> watchUse(const share &target, lease_schedule &schedule);
+    boost::asio::awaitable<renewal_outcome> renewIfUsedAgain(const share &target, lease_schedule &schedule);
     /// Asks for the use after an unproven renewal.
     boost::asio::awaitable<renewal_outcome> releaseUnlessUsed(const share &target);
     /// The memory at this engine is gone with its former start.
--- a/src/programs/gateway/tests/reservation_renewal_test.cpp
+++ b/src/programs/gateway/tests/reservation_renewal_test.cpp
@@ -131,7 +131,9 @@
         }
         const time_point now = m_clock.now();
         engine.hasLostLease = engine.hasLostLease || (engine.leaseEndsAt != time_point() && now >= engine.leaseEndsAt);
-        engine.leaseEndsAt = now + reservation_limits().lease;
+        if (exchange.request().path() == "/api/order") { // A question renews nothing.
+            engine.leaseEndsAt = now + reservation_limits().lease;
+        }
         http::response_message answer;
         answer.status = 200;
         co_await exchange.respond(std::move(answer));
--- a/src/programs/gateway/tests/unused_reservation_test.cpp
+++ b/src/programs/gateway/tests/unused_reservation_test.cpp
@@ -179,6 +179,36 @@
     expectEqual(memory.lapsedCount(), size_t{ 0 });
 }
 
+Test(unused_reservation, memoryOfARunThatEndedUnnoticedBeforeItsFirstEventIsFreed)
+{
+    engine_memory memory;
+    send_bench bench;
+    auto reservations = makeReservation(bench, bench.addServer(silentEngine(memory)));
+    cr_assert(acquire(bench, *reservations));
+    memory.beginUse();
+    bench.runFor(reservation_limits().renewalInterval + milliseconds(200));
+    memory.endUse();
+    bench.runFor(freedLimit);
+    expectEqual(memory.heldCount(), size_t{ 0 });
+    cr_assert_leq(memory.longestHoldAfterUse().count(), freedLimit.count());
+}
+
+Test(unused_reservation, aRunThatIsPreemptedBeforeItsFirstEventKeepsItsMemory)
+{
+    engine_memory memory;
+    send_bench bench;
+    auto reservations = makeReservation(bench, bench.addServer(silentEngine(memory)));
+    cr_assert(acquire(bench, *reservations));
+    memory.beginUse();
+    bench.runFor(reservation_limits().renewalInterval + milliseconds(200));
+    memory.endUse();
+    bench.runFor(2 * reservation_limits().renewalInterval);
+    memory.beginUse();
+    bench.runFor(leaseTime);
+    expectEqual(memory.heldCount(), size_t{ 1 });
+    expectEqual(memory.lapsedCount(), size_t{ 0 });
+}
+
 Test(unused_reservation, memoryOfAnAnswerThatHasEndedUnnoticedIsFreed)
 {
     engine_memory memory;
