Probes of a gateway in a source file of their own; the budget says when its slack is back

When the full slack is back after a restart was computed there, by a rule of the budget; resend_budget computes it now. No change of behaviour.

--- a/src/gateway/internal/resend_budget.cpp
+++ b/src/gateway/internal/resend_budget.cpp
@@ -41,6 +41,11 @@
 {
 }
 
+time_point resend_budget::slackAfterRestart(const resend_limits &limits, time_point now)
+{
+    return now + limits.window + second_send_loans::lifetime;
+}
+
 void resend_budget::dropExpired(service_window &window, time_point now) const
 {
     for (auto *times : { &window.requests, &window.resends, &window.copies }) {
--- a/src/gateway/resend_budget.h
+++ b/src/gateway/resend_budget.h
@@ -44,6 +44,8 @@
     };
 
     resend_budget(resend_limits limits, time_point slackFrom);
+    /// When an instance that starts again has its full slack: until then resends and loans that it does not know may count.
+    static time_point slackAfterRestart(const resend_limits &limits, time_point now);
 
     void countRequest(const service_id &service, time_point now);
     /// Whether the own share has room for a resend.
--- a/src/programs/gateway/gateway_host.cpp
+++ b/src/programs/gateway/gateway_host.cpp
@@ -4,7 +4,6 @@
 #include "gateway/stop_schedule.h"
 #include "platform/response_head.h"
 #include "programs/gateway/monotonic_timer.h"
-#include "programs/gateway/placement_query.h"
 #include "programs/gateway/request_session.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -39,7 +38,7 @@
 {
     fleet_limits limits;
     limits.resend = { settings.retryBudgetRatio, settings.retryBudgetWindow, settings.retryBudgetSlack };
-    limits.resendSlackFrom = settings.isFirstStart ? now : now + settings.retryBudgetWindow + second_send_loans::lifetime;
+    limits.resendSlackFrom = settings.isFirstStart ? now : resend_budget::slackAfterRestart(limits.resend, now);
     limits.maxConfigAge = std::chrono::duration_cast<milliseconds>(settings.keyRevocationLimit * configAgeFraction);
     return limits;
 }
@@ -306,33 +305,6 @@
     return badRequest(passed.status, 0, limit);
 }
 
-asio::awaitable<void> gateway_host::serveReadiness(http::exchange &exchange)
-{
-    const bool ready = isReady();
-    if (ready != m_wasReady) {
-        m_wasReady = ready;
-        m_log.write(log_line("readiness").add("ready", ready ? "yes" : "no").add("stopping", m_shared.isStopping ? "yes" : "no"));
-    }
-    auto answer = platform::localResponse(ready ? 200 : 503, ready ? "none" : "not_ready", std::nullopt);
-    co_await exchange.respond(std::move(answer));
-}
-
-asio::awaitable<void> gateway_host::serveMetrics(http::exchange &exchange)
-{
-    if (exchange.request().path() == "/placement") {
-        auto explained = answerPlacementQuery(m_state, m_shared.queue.size(), exchange.request(), m_clock.now());
-        co_await exchange.respond(std::move(explained));
-        co_return;
-    }
-    const auto confirmed = m_state.freshness.confirmedAt();
-    const auto age = confirmed ? std::chrono::duration_cast<milliseconds>(m_clock.now() - *confirmed) : milliseconds(-1);
-    m_metrics.setFleetView(
-        m_state.routes ? m_state.routes->version() : 0, age, m_state.servers.size(), m_state.loads.peerCount(), m_log.dropped());
-    m_metrics.setHeldAnswers(m_shared.answers.heldBytes());
-    auto answer = http::makeResponse(200, m_metrics.text(), "text/plain; version=0.0.4");
-    co_await exchange.respond(std::move(answer));
-}
-
 asio::awaitable<void> gateway_host::retryPlacements()
 {
     monotonic_timer timer(m_context);
