What an instance's own trouble does to an order says nothing of the engine

Cause: any order without an answer counted. Now only a time-out counts that came in time; a lost path is the matter of server_paths.

--- a/src/gateway/internal/unanswered_orders.cpp
+++ b/src/gateway/internal/unanswered_orders.cpp
@@ -3,19 +3,29 @@
 namespace mustardtrail::gateway
 {
 
-void unanswered_orders::recordUnanswered(server_key server, time_point now)
+namespace
 {
+
+constexpr std::chrono::milliseconds maxLate{ 50 }; // Of the end of an order in a process that runs undisturbed.
+
+} // namespace
+
+void unanswered_orders::record(
+    server_key server, std::optional<error_code> failure, time_point sentAt, std::chrono::milliseconds limit, time_point now)
+{
+    if (!failure) {
+        m_unansweredAt.erase(server);
+        return;
+    }
+    if (*failure != error_code::backend_timeout || now - sentAt > limit + maxLate) {
+        return;
+    }
     std::erase_if(m_unansweredAt, [now](const auto &each) {
         return now - each.second >= maxAge;
     });
     m_unansweredAt[server] = now;
 }
 
-void unanswered_orders::recordAnswered(server_key server)
-{
-    m_unansweredAt.erase(server);
-}
-
 bool unanswered_orders::isSilent(server_key server, time_point now) const
 {
     const auto found = m_unansweredAt.find(server);
--- a/src/gateway/unanswered_orders.h
+++ b/src/gateway/unanswered_orders.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "base/clock.h"
+#include "base/error_code.h"
 #include "gateway/server_work.h"
 
 #include <map>
+#include <optional>
 
 namespace mustardtrail::gateway
 {
@@ -13,8 +15,9 @@
 class unanswered_orders
 {
 public:
-    void recordUnanswered(server_key server, time_point now);
-    void recordAnswered(server_key server);
+    /// Records the end of an order with this time limit. `failure`: why it has no answer; nullopt if it has one. What this instance
+    /// itself is the cause of, a path that it lost or its own stand-still, says nothing of the engine.
+    void record(server_key server, std::optional<error_code> failure, time_point sentAt, std::chrono::milliseconds limit, time_point now);
     bool isSilent(server_key server, time_point now) const;
 
     static constexpr std::chrono::milliseconds maxAge{ 1'000 }; ///< A sound engine is rarely silent for longer.
--- a/src/programs/gateway/reservation_renewal.cpp
+++ b/src/programs/gateway/reservation_renewal.cpp
@@ -115,16 +115,14 @@
 
 asio::awaitable<renewal_outcome> reservation_renewal::reserveAt(const share &target)
 {
+    const time_point sentAt = m_context.clock.now();
     const auto limits = http::call_limits::within(callTimeout);
     auto message = platform::reserveRequest(target.id, nameFor(target.server), target.tokens, m_context.reservations.lease);
     const auto answer = co_await m_context.servers.call(target.address, std::move(message), limits, m_attempt);
     const int status = answer ? answer->status : 0;
     m_unanswered += answer ? 0 : 1;
-    if (answer) {
-        m_context.state.unansweredOrders.recordAnswered(target.server);
-    } else {
-        m_context.state.unansweredOrders.recordUnanswered(target.server, m_context.clock.now());
-    }
+    const auto failure = answer ? std::nullopt : std::optional(answer.error().code);
+    m_context.state.unansweredOrders.record(target.server, failure, sentAt, callTimeout, m_context.clock.now());
     if (m_isReleased) {
         // The engine may have received the release first.
         asio::co_spawn(m_executor, releaseAt(target), asio::detached);
