--- a/src/gateway/internal/retry_rule.cpp
+++ b/src/gateway/internal/retry_rule.cpp
@@ -39,6 +39,11 @@
     return state.mayHaveRun ? next_step::fail : next_step::refuse;
 }
 
+resend_budget::cause causeOfNextSend(const retry_state &state)
+{
+    return state.mayHaveRun ? resend_budget::cause::interrupted : resend_budget::cause::refused;
+}
+
 bool needsResendBudget(const attempt_failure &failure, unsigned deliveredSends)
 {
     // What the budget gave to a send that reached no server is still to be used.
--- a/src/gateway/internal/send_tally.cpp
+++ b/src/gateway/internal/send_tally.cpp
@@ -20,6 +20,7 @@
 
 void send_tally::record(const attempt_failure &failure)
 {
+    m_isInVain = failure.isUnreachable && failure.outcome == verdict::not_run;
     if (failure.outcome != verdict::not_run) {
         m_unreserved = m_unreached = m_refused = 0;
         ++m_ran;
@@ -32,6 +33,11 @@
     }
 }
 
+void send_tally::recordReadmission()
+{
+    m_isInVain = true;
+}
+
 std::string_view send_tally::reachedLimit() const
 {
     if (m_ran >= maxRan) {
@@ -50,7 +56,7 @@
 std::chrono::milliseconds send_tally::pauseBeforeNext() const
 {
     const unsigned inVain = m_unreached + m_refused;
-    if (m_ran == 0 || inVain == 0) {
+    if (!m_isInVain || m_ran == 0 || inVain == 0) {
         return std::chrono::milliseconds(0);
     }
     return firstPause * (1 << std::min(inVain - 1, maxDoublings));
--- a/src/gateway/retry_rule.h
+++ b/src/gateway/retry_rule.h
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "gateway/attempt_failure.h"
+#include "gateway/resend_budget.h"
 #include "gateway/route.h"
 
 namespace mustardtrail::gateway
@@ -32,6 +33,9 @@
 /// only once.
 next_step decideRetry(const attempt_failure &failure, const retry_state &state);
 
+/// For what the budget gives the next send. A request that may have run is lost without it, whatever its last send came to.
+resend_budget::cause causeOfNextSend(const retry_state &state);
+
 /// Whether another send after the failed one takes a new share of the resend budget, which limits arrivals at servers beyond the first.
 /// `deliveredSends`: sends of the request that have reached a server so far.
 bool needsResendBudget(const attempt_failure &failure, unsigned deliveredSends);
--- a/src/gateway/tests/retry_rule_test.cpp
+++ b/src/gateway/tests/retry_rule_test.cpp
@@ -91,6 +91,15 @@
     cr_assert(decideRetry(answered, afterPossibleRun(retry_semantics::once)) == next_step::relay_failure);
 }
 
+// A stream whose next server was full was cut: half of the budget was for it, as for a request that its caller can send again.
+Test(retry_rule, aBegunRequestThatAServerRefusesMayUseTheWholeBudget)
+{
+    retry_state state = afterPossibleRun(retry_semantics::resumable);
+    cr_assert(causeOfNextSend(state) == resend_budget::cause::interrupted);
+    state.mayHaveRun = false;
+    cr_assert(causeOfNextSend(state) == resend_budget::cause::refused);
+}
+
 // Sends whose connections were refused used up the budget, and streams were cut though servers were reached.
 Test(retry_rule, aSendThatReachedNoServerLeavesItsShareOfTheBudgetToTheNext)
 {
--- a/src/gateway/tests/send_tally_test.cpp
+++ b/src/gateway/tests/send_tally_test.cpp
@@ -65,6 +65,18 @@
     expectEqual(sends.reachedLimit(), "unreached");
 }
 
+Test(send_tally, aRefusalIsFollowedByAPauseOnlyWhereTheSameServersAreLeft)
+{
+    send_tally sends;
+    sends.record(attempt_failure());
+    sends.record(refused());
+    expectEqual(sends.pauseBeforeNext().count(), 0);
+    sends.recordReadmission();
+    cr_assert_gt(sends.pauseBeforeNext().count(), 0);
+    sends.record(unreserved());
+    expectEqual(sends.pauseBeforeNext().count(), 0);
+}
+
 Test(send_tally, aRequestThatNobodyRanDoesNotWaitForServersThatAreNotReached)
 {
     send_tally sends;
--- a/src/programs/gateway/request_retry.cpp
+++ b/src/programs/gateway/request_retry.cpp
@@ -125,9 +125,9 @@
     if (!hasReachedNone) {
         m_resend.reset();
     }
-    const bool isRefused = failure.outcome == verdict::not_run;
-    const bool areReadmitted = isRefused && readmitServers(now);
-    m_isSentInVain = areReadmitted || (isRefused && failure.isUnreachable);
+    if (failure.outcome == verdict::not_run) {
+        readmitServers(now);
+    }
     const bool isRelayLost = failure.isByRelay && failure.outcome != verdict::not_run;
     if (isRelayLost) {
         m_resendTo = backend_server_id(m_lastServer);
@@ -147,7 +147,7 @@
         co_return stepIfWithinBudget;
     }
     giveResendBack(); // Of an earlier send that reached no server.
-    if (!m_mayHaveRun) {
+    if (causeOfNextSend(state) == resend_budget::cause::refused) {
         m_resend = takeResend(resend_budget::cause::refused, now);
     } else {
         m_resend = co_await takeOrBorrowResend();
@@ -171,19 +171,18 @@
     co_return step;
 }
 
-bool request_session::readmitServers(time_point now)
+void request_session::readmitServers(time_point now)
 {
-    if (!m_mayHaveRun || !m_context.state.candidates(m_service, m_excluded, server_scope::fleet, now).empty()) {
-        return false;
+    if (m_mayHaveRun && m_context.state.candidates(m_service, m_excluded, server_scope::fleet, now).empty()) {
+        m_excluded = m_failed;
+        m_failedSends.recordReadmission();
     }
-    m_excluded = m_failed;
-    return true;
 }
 
 asio::awaitable<void> request_session::pauseBeforeSend()
 {
     const milliseconds pause = m_failedSends.pauseBeforeNext();
-    if (!m_isSentInVain || pause.count() == 0) {
+    if (pause.count() == 0) {
         co_return;
     }
     m_hedgeTimer.expires_after(pause);
--- a/src/programs/gateway/request_session.h
+++ b/src/programs/gateway/request_session.h
@@ -191,8 +191,8 @@
     attempt_failure makeUnreserved();
     /// The engine that refused memory is not tried again soon.
     void excludeRefusing(const reservation_set &reservations);
-    /// If the request is otherwise lost, servers that did not run it are tried again. Returns whether there are such servers.
-    bool readmitServers(time_point now);
+    /// If the request is otherwise lost, servers that did not run it are tried again.
+    void readmitServers(time_point now);
     boost::asio::awaitable<void> pauseBeforeSend();
     /// Why there is no further send as far as time and the failed sends decide; empty if there may be one.
     std::string_view limitOfSends(time_point now) const;
@@ -230,12 +230,12 @@
     bool m_hasOutcome = false; ///< Its final line has been written.
     bool m_mayHaveRun = false;
     std::set<backend_server_id> m_possibleRuns; ///< Servers that may have run it.
-    std::optional<backend_server_id> m_resendTo; ///< The send to it lost its relay; the next one goes there too if it can.
+    std::optional<backend_server_id>
+        m_resendTo; ///< The send to it lost its relay; until one reaches a server, the next goes there if it can.
     unsigned m_deliveredSends = 0; ///< Sends that reached a server.
     std::optional<resend_budget::ticket> m_resend; ///< Of the current send, until it has reached a server.
     unsigned m_sends = 0;
     send_tally m_failedSends;
-    bool m_isSentInVain = false; ///< The last send reached no server, or the servers that are left have refused before.
     std::uint64_t m_workId = 0; ///< Identifies the current placement in the fleet state; 0: none.
     std::set<backend_server_id> m_excluded; ///< Not eligible next: failed servers, and servers that refused since the last failure.
     std::set<backend_server_id> m_failed; ///< Servers that failed and may have run the request.
