A send that reaches nobody does not end a stream whose relay has ended

A stream whose relay ended was cut by the first send after it that reached nobody, though its server was still at work and there was time: the run there counted against the route's limit, and the server was left out.

Cause: that the next send goes to the same server was forgotten as that send began. It is remembered until a send reaches a server.

--- a/src/programs/gateway/request_relay.cpp
+++ b/src/programs/gateway/request_relay.cpp
@@ -81,7 +81,6 @@
     m_currentServer = placed.parts.front().server;
     m_currentStart = startKeyOf(server->entry);
     m_isStallExtended = false;
-    m_resendTo.reset();
     m_lastServer = server->entry.id.str();
     m_faultyServer.clear();
     m_closedBecause = {};
--- a/src/programs/gateway/request_retry.cpp
+++ b/src/programs/gateway/request_retry.cpp
@@ -108,6 +108,7 @@
 {
     ++m_deliveredSends;
     m_resend.reset();
+    m_resendTo.reset();
 }
 
 void request_session::giveResendBack()
@@ -131,10 +132,12 @@
     const bool isRelayLost = failure.isByRelay && failure.outcome != verdict::not_run;
     if (isRelayLost) {
         m_resendTo = backend_server_id(m_lastServer);
-        m_excluded.erase(*m_resendTo); // It may have been silent for a while.
+    }
+    if (m_resendTo) {
+        m_excluded.erase(*m_resendTo); // It may have been silent for a while, or not reached.
     }
     retry_state state = retryState(now);
-    if (isRelayLost) {
+    if (m_resendTo) {
         --state.possibleRuns; // The next send goes to the same server.
     }
     const next_step stepIfWithinBudget = decideRetry(failure, state);
--- a/src/programs/gateway/tests/fake_platform.cpp
+++ b/src/programs/gateway/tests/fake_platform.cpp
@@ -204,6 +204,11 @@
     asio::co_spawn(m_context, m_secondHost->stop(), asio::detached);
 }
 
+void fake_platform::restartLoop()
+{
+    m_context.restart();
+}
+
 void fake_platform::setStopGrace(milliseconds grace)
 {
     m_stopGrace = grace;
--- a/src/programs/gateway/tests/fake_platform.h
+++ b/src/programs/gateway/tests/fake_platform.h
@@ -79,6 +79,8 @@
     void stopFirstInstance();
     /// Stops the second instance in the same way.
     void stopSecondInstance();
+    /// Lets the event loop, which ended with the second instance, run on for the first.
+    void restartLoop();
     /// Time that an instance started from now on has to stop.
     void setStopGrace(std::chrono::milliseconds grace);
     /// Memory limit of an instance started from now on.
--- a/src/programs/gateway/tests/instance_without_servers_test.cpp
+++ b/src/programs/gateway/tests/instance_without_servers_test.cpp
@@ -87,6 +87,15 @@
     co_await untilLeft.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
 }
 
+std::string configWithOneServerForAStream()
+{
+    std::string config = fake_platform::firstConfig();
+    const std::string two = "\"max_attempts\":2"; // The first one is that of the stream.
+    config.replace(config.find(two), two.size(), "\"max_attempts\":1");
+    const std::string version = "\"version\":1";
+    return config.replace(config.find(version), version.size(), "\"version\":2");
+}
+
 } // namespace
 
 Test(instance_without_servers, servesItsCallersThroughAnotherInstance)
@@ -122,6 +131,30 @@
 }
 
 // Streams broke when the instance that relayed them was stopped, as their servers counted as lost.
+// The end of its relay, and one send that reached nobody after it, cut a stream whose one server was still at work.
+Test(instance_without_servers, aStreamGoesOnAtItsServerThoughThatIsOutOfReachWhenTheRelayStops)
+{
+    fake_platform platform;
+    platform.setStopGrace(milliseconds(1'600));
+    platform.addServer("reading1", "reading", answerUntilLeft);
+    platform.publish(configWithOneServerForAStream());
+    platform.start();
+    platform.startSecondInstance();
+    platform.cutFirstInstanceFromServers();
+    raw_caller caller = platform.openCaller("POST /stream/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a1\r\nDeadline-Ms: 9000\r\n"
+                                            "Authorization: Token secret\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+    platform.runFor(milliseconds(600));
+    expectEqual(streams, 1);
+    platform.stopSecondInstance();
+    platform.runFor(milliseconds(1'400));
+    platform.restartLoop();
+    platform.runFor(milliseconds(500));
+    platform.reconnectFirstInstance();
+    platform.runFor(milliseconds(1'500));
+    expectEqual(streams, 2);
+    expectEqual(caller.stream(), "whole id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n");
+}
+
 Test(instance_without_servers, aStreamGoesOnAtItsServerWhenTheRelayStops)
 {
     fake_platform platform;
