What a lender may still answer is not asked for again

An instance that waited for second sends asked for its whole need each 50 ms while answers were under way, and each lender booked each loan for a window: one need could use up what the others may lend, so that a later one was refused.

Cause: only loans that had arrived were subtracted from the need. What the lenders of the last 150 ms may still answer is now subtracted too.

--- a/src/gateway/internal/second_send_loans.cpp
+++ b/src/gateway/internal/second_send_loans.cpp
@@ -17,9 +17,14 @@
 std::uint64_t second_send_loans::missing(service_loans &loans, time_point now)
 {
     dropExpired(loans, now);
-    const std::uint64_t unused = std::accumulate(loans.asks.begin(), loans.asks.end(), std::uint64_t{ 0 }, [](auto sum, const auto &each) {
-        return sum + each.second.unused;
-    });
+    // A lender books what it lends for a window, used or not, so what may still be answered is not asked for again.
+    const std::uint64_t unused
+        = std::accumulate(loans.asks.begin(), loans.asks.end(), std::uint64_t{ 0 }, [now](auto sum, const auto &each) {
+              const open_ask &ask = each.second;
+              const std::uint64_t answered = std::uint64_t{ ask.milliSends } * ask.lenders.size();
+              const bool isOpen = now - ask.askedAt < answerTime;
+              return sum + ask.unused + (isOpen ? ask.asked - std::min(ask.asked, answered) : 0);
+          });
     const std::uint64_t needed = std::uint64_t{ loans.waiting } * wholeSend;
     const bool mayAsk = !loans.lastAskAt || now - *loans.lastAskAt >= askInterval;
     return mayAsk && needed > unused ? needed - unused : 0;
@@ -53,7 +58,7 @@
         const std::uint64_t ofEach = std::min<std::uint64_t>((needed + lenders - 1) / lenders, std::numeric_limits<std::uint32_t>::max());
         const second_send_ask ask{ service, ++m_lastAsk, static_cast<std::uint32_t>(ofEach) };
         loans.lastAskAt = now;
-        loans.asks[ask.number] = { now, ask.milliSends, {}, 0 };
+        loans.asks[ask.number] = { now, ask.milliSends, ofEach * lenders, {}, 0 };
         asks.push_back(ask);
     }
     return asks;
--- a/src/gateway/second_send_loans.h
+++ b/src/gateway/second_send_loans.h
@@ -32,6 +32,9 @@
 
     static constexpr std::chrono::milliseconds lifetime{ 1'000 };
     static constexpr std::chrono::milliseconds askInterval{ 50 }; ///< Many round trips within a region.
+    static constexpr std::chrono::milliseconds answerTime{
+        150
+    }; ///< After it an ask that a lender has not answered counts as lost or denied.
     static constexpr std::chrono::milliseconds maxWait{ 450 }; ///< Of a send for its loan; by then the periodic reports have come too.
     static constexpr std::chrono::milliseconds checkInterval{ 10 }; ///< While a send waits.
     static constexpr std::uint32_t wholeSend = 1'000;
@@ -40,6 +43,7 @@
     struct open_ask {
         time_point askedAt;
         std::uint32_t milliSends = 0; ///< Of each lender.
+        std::uint64_t asked = 0; ///< Of all lenders together.
         std::set<peer_address> lenders; ///< That have answered.
         std::uint64_t unused = 0;
     };
--- a/src/gateway/tests/second_send_loans_test.cpp
+++ b/src/gateway/tests/second_send_loans_test.cpp
@@ -276,6 +276,23 @@
 }
 
 // 13 KB a second for all control, and an ask each 50 ms at most.
+// Lenders gave away their shares for one need again and again, each time for a window, while their answers were under way.
+Test(second_send_loans, whatALenderMayStillAnswerIsNotAskedForAgain)
+{
+    constexpr peer_address first = 1;
+    const service_key key = keyOf(service);
+    const time_point start{ seconds(100) };
+    second_send_loans loans;
+    loans.startWaiting(key);
+    const auto asks = loans.takeAsks(2, start);
+    expectEqual(asks.front().milliSends, 500U);
+    cr_assert_not(loans.isAskDue(start + 2 * second_send_loans::askInterval));
+    cr_assert(loans.record(first, { key, 7, asks.front().number, 300 }, start + milliseconds(60)));
+    cr_assert(loans.isAskDue(start + milliseconds(61))); // The first lender has no more.
+    expectEqual(loans.takeAsks(2, start + milliseconds(61)).front().milliSends, 100U);
+    cr_assert(loans.isAskDue(start + second_send_loans::answerTime)); // The second one's answer is lost, or it has nothing.
+}
+
 Test(second_send_loans, takeLittleRoomInReports)
 {
     load_report asking;
