A status below 100 is no answer, and no interim one

A server in trouble answers with status 000. No caller got that status as an answer, but a caller whose request may run once waited for its whole time (504 after 2 s), and a proper answer behind a bare head with 000 on the same connection was passed on as its answer.

Cause: the client took each status below 200, but for 101, for an interim one and read on for the next head. Interim ones are 100 to 199.

Now a head with a status below 100 ends the send as one with an answer that cannot be read: 502 where the request may run once, sent again where it may be repeated, at once. The error names the status (before: "no head but interim ones").

Evidence, on the client before: http_test unusual_answers/aStatusBelow* got the time-out for a head without a body on an open connection, unusual_answers/anAnswerBehind* got the second answer; gateway_program_test broken_answers/aStatusOfZeroIsNotPassedOn got 504 for 502.

Handled before, the tests stay: 000 with a body, statuses that are not three digits, repeatable requests.

--- a/src/http/internal/client.cpp
+++ b/src/http/internal/client.cpp
@@ -155,7 +155,7 @@
 bool isInterim(const client_stream::parser &source)
 {
     const unsigned status = source.get().result_int();
-    return status < 200 && status != 101;
+    return status >= 100 && status < 200 && status != 101;
 }
 
 } // namespace
@@ -232,8 +232,9 @@
     if (const auto fault = failure ? std::nullopt : faultOfHead(source->get())) {
         co_return tl::unexpected(callError(error_code::backend_answer_invalid, verdict::may_have_run, to, *fault));
     }
-    if (!failure && source->get().result_int() < 200) {
-        co_return tl::unexpected(callError(error_code::backend_answer_invalid, verdict::may_have_run, to, "no head but interim ones"));
+    if (const unsigned status = source->get().result_int(); !failure && status < 200) {
+        const std::string detail = "status " + std::to_string(status) + " is not final";
+        co_return tl::unexpected(callError(error_code::backend_answer_invalid, verdict::may_have_run, to, detail));
     }
     if (failure && !sent) {
         co_return tl::unexpected(sent.error());
--- a/src/http/tests/unusual_answers_test.cpp
+++ b/src/http/tests/unusual_answers_test.cpp
@@ -6,6 +6,9 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <string>
+#include <vector>
+
 using namespace mustardtrail;
 using namespace mustardtrail::http;
 using mustardtrail::http::testing::raw_connection;
@@ -142,6 +145,31 @@
     }
 }
 
+boost::asio::awaitable<void> sendAndWait(raw_connection &connection, std::string bytes)
+{
+    co_await connection.send(std::move(bytes));
+    co_await connection.waitUntilClosed();
+}
+
+boost::asio::awaitable<void> sendAndClose(raw_connection &connection, std::string bytes)
+{
+    co_await connection.send(std::move(bytes));
+}
+
+raw_server::script stayOpenAfter(std::string bytes)
+{
+    return [bytes = std::move(bytes)](raw_connection &connection) {
+        return sendAndWait(connection, bytes);
+    };
+}
+
+raw_server::script closeAfter(std::string bytes)
+{
+    return [bytes = std::move(bytes)](raw_connection &connection) {
+        return sendAndClose(connection, bytes);
+    };
+}
+
 boost::asio::awaitable<void> closeWithoutAnswer(raw_connection &)
 {
     co_return;
@@ -209,6 +237,33 @@
     expectEqual(bodyOrError(answerOf(unframedReset)), toString(error_code::backend_connection_lost));
 }
 
+// Below 100 there is no status. Waiting for another head after such a one would take the caller's whole time.
+Test(unusual_answers, aStatusBelowThoseOfInterimHeadsIsNoAnswer)
+{
+    const std::string invalid(toString(error_code::backend_answer_invalid));
+    for (const std::string_view status : { "000", "001", "042", "099" }) {
+        const std::string line = "HTTP/1.1 " + std::string(status) + " Trouble\r\n";
+        for (const std::string_view rest : { "Content-Length: 5\r\n\r\nhello", "Content-Length: 0\r\n\r\n", "\r\n" }) {
+            expectEqual(bodyOrError(answerOf(stayOpenAfter(line + std::string(rest)), call_limits::within(milliseconds(400)))), invalid);
+            expectEqual(bodyOrError(answerOf(closeAfter(line + std::string(rest)))), invalid);
+        }
+    }
+}
+
+Test(unusual_answers, anAnswerBehindAStatusBelowThoseOfInterimHeadsIsNone)
+{
+    const std::string bytes = "HTTP/1.1 000 Trouble\r\n\r\n" + unframedHead + "of another answer";
+    expectEqual(bodyOrError(answerOf(closeAfter(bytes))), toString(error_code::backend_answer_invalid));
+}
+
+Test(unusual_answers, aStatusThatIsNotThreeDigitsIsNoAnswer)
+{
+    for (const std::string_view status : { "0", "00", "20", "2000", "-01", "2 0", "" }) {
+        const std::string bytes = "HTTP/1.1 " + std::string(status) + " Trouble\r\nContent-Length: 5\r\n\r\nhello";
+        expectEqual(bodyOrError(answerOf(closeAfter(bytes))), toString(error_code::backend_answer_invalid));
+    }
+}
+
 Test(unusual_answers, bytesOfAnotherProtocolAreNoAnswer)
 {
     expectEqual(bodyOrError(answerOf(noAnswer)), toString(error_code::backend_answer_invalid));
--- /dev/null
+++ b/src/programs/gateway/tests/broken_answers_test.cpp
@@ -0,0 +1,102 @@
+// What callers get when a server in trouble sends an answer that is none.
+
+#include "programs/gateway/tests/fake_platform.h"
+
+#include "testing/expect.h"
+
+using namespace mustardtrail;
+using namespace mustardtrail::gateway::testing;
+using http::testing::raw_connection;
+using http::testing::raw_server;
+using mustardtrail::testing::expectEqual;
+
+namespace
+{
+
+const std::string signature = "Attempt-Id: a1\r\nResponse-Stamp: stamp\r\n";
+const std::string statusLine = "HTTP/1.1 200 OK\r\n";
+const std::string zeroStatus = "HTTP/1.1 000 Trouble\r\n" + signature + "Content-Length: 5\r\n\r\nhello";
+const std::string zeroStatusWithoutBody = "HTTP/1.1 000 Trouble\r\n" + signature + "Content-Length: 0\r\n\r\n";
+const std::string firstEvents = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+const std::string lastEvent = "id: 3\ndata: c\n\n";
+
+// Criterion runs each test in its own process, so this counter starts at zero in each test.
+int sends = 0;
+
+boost::asio::awaitable<void> sendAndWait(raw_connection &connection, std::string bytes)
+{
+    co_await connection.send(std::move(bytes));
+    co_await connection.waitUntilClosed();
+}
+
+boost::asio::awaitable<void> sendAndClose(raw_connection &connection, std::string bytes)
+{
+    co_await connection.send(std::move(bytes));
+}
+
+boost::asio::awaitable<void> answerSoundly(raw_connection &connection)
+{
+    const std::string &request = connection.request();
+    const bool isStream = request.find("/stream/") != std::string::npos;
+    const bool isContinuation = request.find("Last-Event-Id: 2\r\n") != std::string::npos;
+    const std::string body = !isStream ? "whole" : isContinuation ? lastEvent : firstEvents + lastEvent;
+    const std::string head = statusLine + signature + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+    co_await connection.send(head + body);
+    co_await connection.waitUntilClosed();
+}
+
+using ending = boost::asio::awaitable<void> (*)(raw_connection &, std::string);
+
+/// The first send gets these bytes, each other one a whole answer.
+raw_server::script firstGets(std::string bytes, ending end)
+{
+    return [bytes = std::move(bytes), end](raw_connection &connection) {
+        return sends++ == 0 ? end(connection, bytes) : answerSoundly(connection);
+    };
+}
+
+void addServers(fake_platform &platform, const std::string &path, const raw_server::script &serve)
+{
+    const std::string service = path.starts_with("/stream/") ? "reading" : "desk";
+    for (int number = 1; number <= 2; ++number) {
+        platform.addRawServer("i-" + std::to_string(number), service, serve);
+    }
+}
+
+caller_answer answerOf(const std::string &path, const std::string &bytes, ending end)
+{
+    fake_platform platform;
+    sends = 0;
+    addServers(platform, path, firstGets(bytes, end));
+    platform.start();
+    return platform.call(path);
+}
+
+void expectWhole(const caller_answer &answer, const std::string &body)
+{
+    expectEqual(answer.status, 200);
+    expectEqual(answer.body, body);
+    cr_assert(answer.isComplete);
+}
+
+} // namespace
+
+Test(broken_answers, aStatusOfZeroIsNotPassedOn)
+{
+    for (const std::string &bytes : { zeroStatus, zeroStatusWithoutBody }) {
+        for (const ending end : { sendAndWait, sendAndClose }) {
+            expectEqual(answerOf("/once/x", bytes, end).status, 502);
+            expectEqual(sends, 1);
+        }
+    }
+}
+
+Test(broken_answers, aRepeatableRequestThatGotAStatusOfZeroIsSentAgain)
+{
+    for (const std::string &bytes : { zeroStatus, zeroStatusWithoutBody }) {
+        for (const ending end : { sendAndWait, sendAndClose }) {
+            expectWhole(answerOf("/again/x", bytes, end), "whole");
+            expectWhole(answerOf("/stream/x", bytes, end), firstEvents + lastEvent);
+        }
+    }
+}
