A line of a head that begins with a blank makes no answer

A server in trouble sends a field whose name begins with a blank or a tab. Callers got its answer: the line as a part of the field before it, and, where the field was Content-Length or Transfer-Encoding, a body that was not the server's, with the sizes of its chunks as text.

Cause: the parser takes such a line for obsolete line folding and appends it to the value before. Nothing shows that afterwards.

The client now looks at the bytes of a head before the parser takes them, and rejects a line that begins with a blank, in interim heads too, as an answer that cannot be read (bad_obs_fold in the log). RFC 9112, 5.2 lets a gateway reject or replace folded lines; replaced, the hidden field would still be lost. The parser leaves a field in the buffer until the byte behind its line has come, so that a folded line is found wherever the head is divided. Each reader of HTTP answers uses this client.

Handled before, the tests stay: a control byte in any place of a name, an empty name; a blank inside or behind a name. Not rejected: folded lines of trailers, which callers never get and which do not divide the answer.

--- a/src/http/internal/client.cpp
+++ b/src/http/internal/client.cpp
@@ -7,7 +7,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/http/read.hpp>
+#include <boost/beast/core/read_size.hpp>
 
 #include <array>
 #include <utility>
@@ -22,6 +22,7 @@
 {
 
 constexpr size_t writePieceBytes = 256 * 1024;
+constexpr size_t maxReadBytes = 64 * 1024;
 constexpr std::chrono::milliseconds earlyResponseTimeout{ 200 }; ///< A response sent before a close has arrived or is lost.
 constexpr std::chrono::milliseconds unusedIdleLimit{ 1'000 }; ///< Before a first response the server's time-out is not known.
 constexpr int maxInterimHeads = 16; ///< Before the head of one response; servers send one or two.
@@ -129,6 +130,41 @@
     return beast::error::timeout;
 }
 
+/// Why the bytes are not the beginning of a header; need_more while nothing speaks against it.
+boost::system::error_code parseHeader(client_connection &connection, client_stream::parser &source)
+{
+    const auto unparsed = connection.buffer.cdata();
+    if (hasFoldedLine({ static_cast<const char *>(unparsed.data()), unparsed.size() })) {
+        return beast::http::error::bad_obs_fold;
+    }
+    boost::system::error_code failure;
+    connection.buffer.consume(source.put(unparsed, failure));
+    return failure;
+}
+
+/// Like async_read_header of the library, but folded lines make no header.
+asio::awaitable<boost::system::error_code> receiveHeader(client_connection &connection, client_stream::parser &source)
+{
+    boost::system::error_code failure = beast::http::error::need_more;
+    if (connection.buffer.size() > 0) {
+        failure = parseHeader(connection, source);
+    }
+    while (failure == beast::http::error::need_more) {
+        const auto room = connection.buffer.prepare(beast::read_size(connection.buffer, maxReadBytes));
+        boost::system::error_code readFailure;
+        const size_t count = co_await connection.stream.async_read_some(room, asio::redirect_error(asio::use_awaitable, readFailure));
+        if (readFailure == asio::error::eof) {
+            co_return source.got_some() ? beast::http::error::partial_message : beast::http::error::end_of_stream;
+        }
+        if (readFailure) {
+            co_return readFailure;
+        }
+        connection.buffer.commit(count);
+        failure = parseHeader(connection, source);
+    }
+    co_return failure;
+}
+
 /// Reads the response header. During a simulated partition, waits until it heals and then sends the pending bytes.
 asio::awaitable<boost::system::error_code> readHeader(
     client_connection &connection, endpoint to, client_stream::parser &source, std::chrono::steady_clock::time_point end)
@@ -141,9 +177,7 @@
         connection.socketDuplicate->sendPending();
     }
     connection.stream.expires_at(end);
-    boost::system::error_code failure;
-    co_await beast::http::async_read_header(
-        connection.stream, connection.buffer, source, asio::redirect_error(asio::use_awaitable, failure));
+    boost::system::error_code failure = co_await receiveHeader(connection, source);
     if (connection.isPartitioned()) {
         const bool isHealed = co_await connection.partitions->waitUntilHealed(to, end, &connection.isClosed);
         failure = isHealed ? failure : failureOfWait(connection);
--- a/src/http/internal/head_check.cpp
+++ b/src/http/internal/head_check.cpp
@@ -63,4 +63,20 @@
     return signOfSecondHead(head);
 }
 
+// The parser appends such a line to the field before it, which changes that field and hides the one that the line may hold.
+// RFC 9112, 5.2 lets a gateway reject such a response.
+bool hasFoldedLine(std::string_view unparsed)
+{
+    constexpr std::string_view lineEnd = "\r\n";
+    size_t lineBegin = 0;
+    while (lineBegin < unparsed.size() && !unparsed.substr(lineBegin).starts_with(lineEnd)) {
+        if (unparsed[lineBegin] == ' ' || unparsed[lineBegin] == '\t') {
+            return true;
+        }
+        const size_t end = unparsed.find(lineEnd, lineBegin);
+        lineBegin = end == std::string_view::npos ? unparsed.size() : end + lineEnd.size();
+    }
+    return false;
+}
+
 } // namespace mustardtrail::http
--- a/src/http/tests/unusual_answers_test.cpp
+++ b/src/http/tests/unusual_answers_test.cpp
@@ -156,6 +156,20 @@
     co_await connection.send(std::move(bytes));
 }
 
+boost::asio::awaitable<void> sendInTwoParts(raw_connection &connection, std::string first, std::string second)
+{
+    co_await connection.send(std::move(first));
+    co_await connection.pause(milliseconds(2));
+    co_await connection.send(std::move(second));
+}
+
+raw_server::script dividedAt(size_t at, std::string bytes)
+{
+    return [at, bytes = std::move(bytes)](raw_connection &connection) {
+        return sendInTwoParts(connection, bytes.substr(0, at), bytes.substr(at));
+    };
+}
+
 raw_server::script stayOpenAfter(std::string bytes)
 {
     return [bytes = std::move(bytes)](raw_connection &connection) {
@@ -170,6 +184,39 @@
     };
 }
 
+/// Blank and control bytes.
+std::vector<char> bytesThatNoNameHolds()
+{
+    constexpr char deleteByte = 0x7f;
+    std::vector<char> all{ deleteByte };
+    for (char byte = 0; byte <= ' '; ++byte) {
+        all.push_back(byte);
+    }
+    return all;
+}
+
+/// The byte at the start, in the middle and at the end of the name of this field.
+std::vector<std::string> fieldsWith(char byte, const std::string &name, const std::string &value)
+{
+    std::vector<std::string> fields;
+    for (const size_t at : { size_t{ 0 }, name.size() / 2, name.size() }) {
+        fields.push_back(name.substr(0, at) + byte + name.substr(at) + ": " + value + "\r\n");
+    }
+    return fields;
+}
+
+/// Expects that an answer whose head holds this field, in any place, is none.
+void expectNoAnswerWith(const std::string &field)
+{
+    const std::string status = "HTTP/1.1 200 OK\r\n";
+    const std::string body = "\r\n2\r\nok\r\n0\r\n\r\n"; // In chunks, for a head that says so.
+    const std::string invalid(toString(error_code::backend_answer_invalid));
+    for (const std::string &head : { field, "X-Before: b\r\n" + field, field + "X-After: a\r\n", "X-Empty:\r\n" + field }) {
+        expectEqual(bodyOrError(answerOf(closeAfter(status + head + body))), invalid);
+    }
+    expectEqual(bodyOrError(answerOf(closeAfter("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n" + field + "\r\n" + status + body))), invalid);
+}
+
 boost::asio::awaitable<void> closeWithoutAnswer(raw_connection &)
 {
     co_return;
@@ -264,6 +311,39 @@
     }
 }
 
+Test(unusual_answers, aFieldWhoseNameHoldsABlankOrAControlByteMakesNoAnswer)
+{
+    for (const char byte : bytesThatNoNameHolds()) {
+        for (const std::string &field : fieldsWith(byte, "Transfer-Encoding", "chunked")) {
+            expectNoAnswerWith(field);
+        }
+        for (const std::string &field : fieldsWith(byte, "X-Trouble", "v")) {
+            expectNoAnswerWith(field);
+        }
+    }
+}
+
+Test(unusual_answers, aFoldedLineMakesNoAnswerWhereverItsHeadIsDivided)
+{
+    const std::string bytes = "HTTP/1.1 200 OK\r\nX-Before: b\r\n Content-Length: 2\r\n\r\nok";
+    for (size_t at = 1; at < bytes.size(); ++at) {
+        expectEqual(bodyOrError(answerOf(dividedAt(at, bytes))), toString(error_code::backend_answer_invalid));
+    }
+}
+
+Test(unusual_answers, aBodyMayBeginWithABlankWhereverTheAnswerIsDivided)
+{
+    const std::string bytes = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n \r\n ok\r\n\t";
+    for (size_t at = 1; at < bytes.size(); ++at) {
+        expectEqual(bodyOrError(answerOf(dividedAt(at, bytes))), " \r\n ok\r\n\t");
+    }
+}
+
+Test(unusual_answers, aFieldWithoutANameMakesNoAnswer)
+{
+    expectNoAnswerWith(": v\r\n");
+}
+
 Test(unusual_answers, bytesOfAnotherProtocolAreNoAnswer)
 {
     expectEqual(bodyOrError(answerOf(noAnswer)), toString(error_code::backend_answer_invalid));
--- a/src/programs/gateway/tests/broken_answers_test.cpp
+++ b/src/programs/gateway/tests/broken_answers_test.cpp
@@ -23,6 +23,18 @@
 // Criterion runs each test in its own process, so this counter starts at zero in each test.
 int sends = 0;
 
+/// Heads with a field that would frame the body if its name did not hold the byte.
+std::vector<std::string> answersWithANameThatHolds(char byte)
+{
+    const std::string body = "\r\n5\r\nhello\r\n0\r\n\r\n";
+    std::vector<std::string> answers;
+    for (const std::string &name :
+        { byte + std::string("Transfer-Encoding"), std::string("Transfer") + byte + "Encoding", std::string("Transfer-Encoding") + byte }) {
+        answers.push_back(statusLine + signature + name + ": chunked\r\n" + body);
+    }
+    return answers;
+}
+
 boost::asio::awaitable<void> sendAndWait(raw_connection &connection, std::string bytes)
 {
     co_await connection.send(std::move(bytes));
@@ -100,3 +112,22 @@
         }
     }
 }
+
+Test(broken_answers, aHeadWithABlankOrAControlByteInANameIsNotPassedOn)
+{
+    for (const char byte : { ' ', '\t', '\x01', '\x7f' }) {
+        for (const std::string &bytes : answersWithANameThatHolds(byte)) {
+            expectEqual(answerOf("/once/x", bytes, sendAndClose).status, 502);
+            expectEqual(sends, 1);
+        }
+    }
+}
+
+Test(broken_answers, aRepeatableRequestThatGotABlankOrAControlByteInANameIsSentAgain)
+{
+    for (const char byte : { ' ', '\t', '\x01', '\x7f' }) {
+        for (const std::string &bytes : answersWithANameThatHolds(byte)) {
+            expectWhole(answerOf("/again/x", bytes, sendAndClose), "whole");
+        }
+    }
+}
