A part of an early answer is not taken for the whole when its connection is reset

A server in trouble answers a long upload at once with a 200 without a length, sends a part of the body and resets the connection while the upload is still being written. Callers got the part as a whole answer, streams ended after the events so far, and so it went through relays.

Cause: a socket reports a reset once. The write that fails takes the report; the read after it finds the bytes that had arrived and then an end in order, which is how an answer without a length or chunks is complete.

The client keeps what the write saw: unless the server had ended its side before (the write then reports a broken pipe, on Linux), such an answer ends with an error once its bytes are read, as one does that is reset after the upload. So the request is sent again, continued after its last event, or 502. Its head still counts: a Not-Run or a Server-Leaving in it is heard. A whole early answer is passed on as before: with a length, in chunks, without a body, or ended in order, also when the connection is reset after that.

--- a/src/http/internal/client.cpp
+++ b/src/http/internal/client.cpp
@@ -44,6 +44,13 @@
     return text + "Content-Length: " + std::to_string(message.contentLength()) + "\r\n\r\n";
 }
 
+// The socket reports a reset once, to the write, and as a broken pipe if the server had ended its side before. What had arrived can
+// still be read and then seems to end in order.
+bool isResetOf(const boost::system::error_code &writeFailure)
+{
+    return writeFailure != asio::error::broken_pipe;
+}
+
 /// Sends the request in pieces, so that the progress limit applies to each piece.
 asio::awaitable<result<void>> sendRequest(
     client_connection &connection, const endpoint &to, const request_message &message, const call_limits &limits)
@@ -67,6 +74,7 @@
         boost::system::error_code failure;
         sent += co_await asio::async_write(connection.stream, buffers, asio::redirect_error(asio::use_awaitable, failure));
         if (failure) {
+            connection.isReset = isResetOf(failure);
             const verdict outcome = sent == 0 ? verdict::not_run : verdict::may_have_run;
             co_return tl::unexpected(callError(error_code::backend_connection_lost, outcome, to, failure.message()));
         }
--- a/src/http/internal/client_stream.cpp
+++ b/src/http/internal/client_stream.cpp
@@ -62,6 +62,7 @@
     , m_onBytes(std::move(onBytes))
     , m_isReusable(isReusable)
     , m_isOnReusedConnection(isOnReusedConnection)
+    , m_isConnectionReset(m_connection->isReset)
 {
     for (const auto &field : m_source->get()) {
         const auto name = field.name_string();
@@ -154,6 +155,10 @@
     if (!m_source->is_done()) {
         co_return tl::unexpected(readError(error_code::backend_connection_lost, m_to, "closed"));
     }
+    if (m_isConnectionReset && m_source->need_eof()) {
+        m_connection.reset();
+        co_return tl::unexpected(readError(error_code::backend_connection_lost, m_to, "reset while the request was sent"));
+    }
     // Trailer fields are added to those of the head.
     if (const auto fault = m_source->chunked() ? signOfSecondHead(m_source->get()) : std::nullopt) {
         m_connection.reset();
--- a/src/http/internal/client_stream.h
+++ b/src/http/internal/client_stream.h
@@ -43,6 +43,7 @@
     std::function<void()> m_onBytes; ///< May be empty.
     bool m_isReusable; ///< False when the request was not sent completely.
     bool m_isOnReusedConnection;
+    bool m_isConnectionReset; ///< While the request was sent.
     header_list m_headers;
     bool m_isClosed = false;
 };
--- a/src/http/internal/connection_pool.h
+++ b/src/http/internal/connection_pool.h
@@ -59,6 +59,7 @@
     boost::beast::flat_buffer buffer{ maxUnparsedBytes };
     bool hasCarriedRequest = false;
     bool isClosed = false; ///< From this side.
+    bool isReset = false; ///< While a request was sent: the end of the stream then shows no end of a response.
     time_point idleSince{}; ///< Of a clock that counts while the machine is suspended, as the server does.
     std::chrono::milliseconds idleLimit{ 60'000 }; ///< Not reused after being idle this long, as the server may close it.
     std::shared_ptr<client_connection *> selfReference = std::make_shared<client_connection *>(this); ///< Set to null when its call ends.
--- a/src/http/tests/raw_server.cpp
+++ b/src/http/tests/raw_server.cpp
@@ -19,22 +19,29 @@
 namespace
 {
 
+/// Length of the first head in these bytes; nothing while it is incomplete.
+std::optional<size_t> headLength(std::string_view bytes)
+{
+    constexpr std::string_view headEnd = "\r\n\r\n";
+    const size_t end = bytes.find(headEnd);
+    return end == std::string_view::npos ? std::nullopt : std::optional(end + headEnd.size());
+}
+
 /// Length of the first request in these bytes; nothing while its head is incomplete.
 std::optional<size_t> requestLength(std::string_view bytes)
 {
-    constexpr std::string_view headEnd = "\r\n\r\n";
     constexpr std::string_view field = "Content-Length: ";
-    const size_t end = bytes.find(headEnd);
-    if (end == std::string_view::npos) {
+    const auto headBytes = headLength(bytes);
+    if (!headBytes) {
         return std::nullopt;
     }
     size_t bodyBytes = 0;
-    const std::string_view head = bytes.substr(0, end);
+    const std::string_view head = bytes.substr(0, *headBytes);
     if (const size_t at = head.find(field); at != std::string_view::npos) {
         const std::string_view digits = head.substr(at + field.size());
         std::from_chars(digits.data(), digits.data() + digits.size(), bodyBytes);
     }
-    return end + headEnd.size() + bodyBytes;
+    return *headBytes + bodyBytes;
 }
 
 } // namespace
@@ -45,10 +52,20 @@
 }
 
 asio::awaitable<bool> raw_connection::readRequest()
+{
+    return readFirst(requestLength);
+}
+
+asio::awaitable<bool> raw_connection::readHead()
+{
+    return readFirst(headLength);
+}
+
+asio::awaitable<bool> raw_connection::readFirst(std::function<std::optional<size_t>(std::string_view)> lengthOf)
 {
     std::array<char, 4096> piece{};
     while (true) {
-        const auto length = requestLength(m_received);
+        const auto length = lengthOf(m_received);
         if (length && m_received.size() >= *length) {
             m_request = m_received.substr(0, *length);
             m_received.erase(0, *length);
@@ -100,6 +117,12 @@
     co_await timer.async_wait(asio::use_awaitable);
 }
 
+void raw_connection::endSending()
+{
+    boost::system::error_code ignored;
+    m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+}
+
 void raw_connection::reset()
 {
     boost::system::error_code ignored;
@@ -112,9 +135,10 @@
     return m_sentBytes;
 }
 
-raw_server::raw_server(asio::any_io_executor executor, script serve)
+raw_server::raw_server(asio::any_io_executor executor, script serve, request_part readFirst)
     : m_acceptor(executor, { asio::ip::make_address("127.0.0.1"), 0 })
     , m_serve(std::move(serve))
+    , m_readFirst(readFirst)
 {
     asio::co_spawn(executor, acceptAll(), asio::detached);
 }
@@ -137,7 +161,12 @@
 
 asio::awaitable<void> raw_server::serve(raw_connection connection)
 {
-    const bool isRead = co_await connection.readRequest();
+    bool isRead = false;
+    if (m_readFirst == request_part::head) {
+        isRead = co_await connection.readHead();
+    } else {
+        isRead = co_await connection.readRequest();
+    }
     if (isRead) {
         co_await m_serve(connection);
     }
--- a/src/http/tests/raw_server.h
+++ b/src/http/tests/raw_server.h
@@ -7,7 +7,9 @@
 
 #include <chrono>
 #include <functional>
+#include <optional>
 #include <string>
+#include <string_view>
 
 namespace mustardtrail::http::testing
 {
@@ -20,7 +22,9 @@
 
     /// Reads one request with its body; false when the peer has closed.
     boost::asio::awaitable<bool> readRequest();
-    /// The request that was read last: head and body as received.
+    /// Reads the head of one request and leaves its body unread; false when the peer has closed.
+    boost::asio::awaitable<bool> readHead();
+    /// The request that was read last, as received: head and body, or the head alone.
     const std::string &request() const;
     /// False when the peer has closed.
     boost::asio::awaitable<bool> send(std::string bytes);
@@ -28,17 +32,25 @@
     boost::asio::awaitable<void> sendUpTo(size_t bytes, std::string piece);
     boost::asio::awaitable<void> waitUntilClosed();
     boost::asio::awaitable<void> pause(std::chrono::milliseconds time);
+    /// Closes the sending side alone: the peer sees the end in order and can go on sending.
+    void endSending();
     /// Closes so that the peer sees a reset. Without it the connection is closed in order.
     void reset();
     size_t sentBytes() const;
 
 private:
+    /// Reads until the first bytes, as many as `lengthOf` returns, are there; `lengthOf` returns nothing while it cannot tell.
+    boost::asio::awaitable<bool> readFirst(std::function<std::optional<size_t>(std::string_view)> lengthOf);
+
     boost::asio::ip::tcp::socket m_socket;
     std::string m_received;
     std::string m_request;
     size_t m_sentBytes = 0;
 };
 
+/// What a raw_server reads of the first request before it serves the connection.
+enum class request_part { head, whole };
+
 /// Server on a free loopback port that answers with any bytes.
 class raw_server
 {
@@ -46,7 +58,7 @@
     /// Serves one connection, whose first request has been read; the connection is closed when it returns.
     using script = std::function<boost::asio::awaitable<void>(raw_connection &)>;
 
-    raw_server(boost::asio::any_io_executor executor, script serve);
+    raw_server(boost::asio::any_io_executor executor, script serve, request_part readFirst = request_part::whole);
 
     endpoint address() const;
 
@@ -56,6 +68,7 @@
 
     boost::asio::ip::tcp::acceptor m_acceptor;
     script m_serve;
+    request_part m_readFirst;
 };
 
 } // namespace mustardtrail::http::testing
--- a/src/programs/gateway/tests/broken_answers_test.cpp
+++ b/src/programs/gateway/tests/broken_answers_test.cpp
@@ -1,4 +1,4 @@
-// What callers get when a server in trouble sends an answer that is none.
+// What callers get when a server in trouble sends an answer that is none, or only a part of one.
 
 #include "programs/gateway/tests/fake_platform.h"
 
@@ -8,13 +8,18 @@
 using namespace mustardtrail::gateway::testing;
 using http::testing::raw_connection;
 using http::testing::raw_server;
+using http::testing::request_part;
 using mustardtrail::testing::expectEqual;
+using std::chrono::milliseconds;
 
 namespace
 {
 
+constexpr size_t uploadBytes = 12 * 1024 * 1024; ///< More than the socket buffers of both sides hold.
+constexpr milliseconds arrivalTime{ 50 }; ///< The peer has received by then what was sent before a reset.
 const std::string signature = "Attempt-Id: a1\r\nResponse-Stamp: stamp\r\n";
 const std::string statusLine = "HTTP/1.1 200 OK\r\n";
+const std::string unframedHead = statusLine + signature + "\r\n";
 const std::string zeroStatus = "HTTP/1.1 000 Trouble\r\n" + signature + "Content-Length: 5\r\n\r\nhello";
 const std::string zeroStatusWithoutBody = "HTTP/1.1 000 Trouble\r\n" + signature + "Content-Length: 0\r\n\r\n";
 const std::string firstEvents = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
@@ -46,6 +51,20 @@
     co_await connection.send(std::move(bytes));
 }
 
+boost::asio::awaitable<void> sendAndReset(raw_connection &connection, std::string bytes)
+{
+    co_await connection.send(std::move(bytes));
+    co_await connection.pause(arrivalTime);
+    connection.reset();
+}
+
+boost::asio::awaitable<void> sendAndEnd(raw_connection &connection, std::string bytes)
+{
+    co_await connection.send(std::move(bytes));
+    connection.endSending();
+    co_await connection.pause(arrivalTime);
+}
+
 boost::asio::awaitable<void> answerSoundly(raw_connection &connection)
 {
     const std::string &request = connection.request();
@@ -71,7 +90,7 @@
 {
     const std::string service = path.starts_with("/stream/") ? "reading" : "desk";
     for (int number = 1; number <= 2; ++number) {
-        platform.addRawServer("i-" + std::to_string(number), service, serve);
+        platform.addRawServer("i-" + std::to_string(number), service, serve, request_part::head);
     }
 }
 
@@ -84,6 +103,25 @@
     return platform.call(path);
 }
 
+caller_answer answerToUpload(const std::string &path, const std::string &bytes, ending end)
+{
+    fake_platform platform;
+    addServers(platform, path, firstGets(bytes, end));
+    platform.start();
+    return platform.callWithBody(path, std::string(uploadBytes, 'x'));
+}
+
+/// By way of another instance, which alone reaches the servers.
+caller_answer relayedAnswerToUpload(const std::string &path, const std::string &bytes, ending end)
+{
+    fake_platform platform;
+    addServers(platform, path, firstGets(bytes, end));
+    platform.start();
+    platform.startSecondInstance();
+    platform.cutFirstInstanceFromServers();
+    return platform.callWithBody(path, std::string(uploadBytes, 'x'));
+}
+
 void expectWhole(const caller_answer &answer, const std::string &body)
 {
     expectEqual(answer.status, 200);
@@ -131,3 +169,52 @@
         }
     }
 }
+
+Test(broken_answers, aPartOfAnEarlyAnswerIsNotPassedOnWhenTheConnectionIsReset)
+{
+    expectEqual(answerToUpload("/once/x", unframedHead + "ha", sendAndReset).status, 502);
+    expectEqual(sends, 1);
+}
+
+Test(broken_answers, aRepeatableUploadWhoseEarlyAnswerWasResetIsSentAgain)
+{
+    const caller_answer answer = answerToUpload("/again/x", unframedHead + "ha", sendAndReset);
+    expectWhole(answer, "whole");
+    expectEqual(sends, 2);
+}
+
+Test(broken_answers, aStreamThatBeganEarlyAndWasResetIsContinuedElsewhere)
+{
+    const caller_answer answer = answerToUpload("/stream/x", unframedHead + firstEvents, sendAndReset);
+    expectWhole(answer, firstEvents + lastEvent);
+    expectEqual(sends, 2);
+}
+
+Test(broken_answers, aPartOfAnEarlyAnswerIsNotRelayedAsAWholeOne)
+{
+    expectEqual(relayedAnswerToUpload("/once/x", unframedHead + "ha", sendAndReset).status, 502);
+    expectEqual(sends, 1);
+}
+
+Test(broken_answers, aRelayedStreamThatBeganEarlyAndWasResetIsContinuedElsewhere)
+{
+    const caller_answer answer = relayedAnswerToUpload("/stream/x", unframedHead + firstEvents, sendAndReset);
+    expectWhole(answer, firstEvents + lastEvent);
+    expectEqual(sends, 2);
+}
+
+Test(broken_answers, aWholeEarlyAnswerIsPassedOn)
+{
+    const std::string withLength = statusLine + signature + "Content-Length: 5\r\n\r\nearly";
+    const std::string inChunks = statusLine + signature + "Transfer-Encoding: chunked\r\n\r\n5\r\nearly\r\n0\r\n\r\n";
+    expectWhole(answerToUpload("/once/x", withLength, sendAndReset), "early");
+    sends = 0;
+    expectWhole(answerToUpload("/once/x", inChunks, sendAndReset), "early");
+    sends = 0;
+    expectWhole(answerToUpload("/once/x", unframedHead + "early", sendAndEnd), "early");
+}
+
+Test(broken_answers, aWholeEarlyAnswerIsRelayed)
+{
+    expectWhole(relayedAnswerToUpload("/once/x", unframedHead + "early", sendAndEnd), "early");
+}
--- a/src/programs/gateway/tests/fake_platform.cpp
+++ b/src/programs/gateway/tests/fake_platform.cpp
@@ -108,14 +108,15 @@
     });
 }
 
-void fake_platform::addRawServer(const std::string &id, const std::string &service, http::testing::raw_server::script serve)
+void fake_platform::addRawServer(
+    const std::string &id, const std::string &service, http::testing::raw_server::script serve, http::testing::request_part readFirst)
 {
     const auto serveRequest = [serve = std::move(serve)](http::testing::raw_connection &connection) -> asio::awaitable<void> {
         if (!connection.request().starts_with("GET /api/report ")) {
             co_await serve(connection);
         }
     };
-    m_rawServers.push_back(std::make_unique<http::testing::raw_server>(m_context.get_executor(), serveRequest));
+    m_rawServers.push_back(std::make_unique<http::testing::raw_server>(m_context.get_executor(), serveRequest, readFirst));
     addServerAt(id, service, m_rawServers.back()->address());
 }
 
@@ -274,6 +275,13 @@
     return complete(requestOf(path, key, timeLeft));
 }
 
+caller_answer fake_platform::callWithBody(const std::string &path, std::string body)
+{
+    http::request_message message = requestOf(path, "secret", milliseconds(4'000));
+    message.body = std::make_shared<const std::string>(std::move(body));
+    return complete(std::move(message));
+}
+
 caller_answer fake_platform::callWithPrompt(const std::string &path, const std::string &parts)
 {
     http::request_message message = requestOf(path, "secret", milliseconds(4'000));
--- a/src/programs/gateway/tests/fake_platform.h
+++ b/src/programs/gateway/tests/fake_platform.h
@@ -46,7 +46,10 @@
     /// Keeps the gateway's event loop from running for `time`, from `delay` after now, like a machine that is slow or frozen.
     void blockAfter(std::chrono::milliseconds delay, std::chrono::milliseconds time);
     /// Adds a backend server that answers with any bytes. It closes a connection on which it is asked for its report.
-    void addRawServer(const std::string &id, const std::string &service, http::testing::raw_server::script serve);
+    void addRawServer(const std::string &id,
+        const std::string &service,
+        http::testing::raw_server::script serve,
+        http::testing::request_part readFirst = http::testing::request_part::whole);
     /// Starts the gateway and runs the event loop until it is ready.
     void start();
     /// Sets the policy of the first instance.
@@ -95,6 +98,7 @@
     int immediateAnswers() const;
     caller_answer call(
         const std::string &path, const std::string &key = "secret", std::chrono::milliseconds timeLeft = std::chrono::milliseconds(4'000));
+    caller_answer callWithBody(const std::string &path, std::string body);
     /// Calls with a prompt of these parts, written as on the wire.
     caller_answer callWithPrompt(const std::string &path, const std::string &parts);
     /// Calls with a prompt of this size, "PROMPT,ANSWER" in tokens.
