The log names why the body of a plain answer could not be read

send_failed had an empty error when the body of a plain answer ended early or was no proper one; operators could not tell such an answer from one that was given up.

Cause: the read's error was dropped where a plain answer is read whole; streams and heads had it.

Evidence, on the code before: gateway_program_test broken_answers/theLogNames* got error="".

--- a/src/programs/gateway/request_relay.cpp
+++ b/src/programs/gateway/request_relay.cpp
@@ -322,6 +322,7 @@
         if (!bytes) {
             m_context.metrics.recordSendOutcome("answer_lost");
             attempt_failure failure = makeFailure(lost);
+            failure.detail = toFailure(bytes.error()).detail;
             failure.isByRelay = m_closedBecause.empty() && bytes.error().code == error_code::peer_connection_lost;
             failure.isCutOff = failure.outcome != verdict::not_run && !failure.isByRelay;
             co_return failure;
--- a/src/programs/gateway/tests/broken_answers_test.cpp
+++ b/src/programs/gateway/tests/broken_answers_test.cpp
@@ -2,8 +2,14 @@
 
 #include "programs/gateway/tests/fake_platform.h"
 
+#include "host/log.h"
 #include "testing/expect.h"
 
+#include <array>
+
+#include <fcntl.h>
+#include <unistd.h>
+
 using namespace mustardtrail;
 using namespace mustardtrail::gateway::testing;
 using http::testing::raw_connection;
@@ -122,6 +128,22 @@
     return platform.callWithBody(path, std::string(uploadBytes, 'x'));
 }
 
+/// What the instance logs while it serves a call.
+std::string logOfCall(fake_platform &platform, const std::string &path)
+{
+    std::array<int, 2> pipe{};
+    cr_assert(::pipe2(pipe.data(), O_NONBLOCK) == 0);
+    cr_assert(::dup2(pipe[1], STDOUT_FILENO) >= 0);
+    host::openLog(host::log_level::info, "gateway_test");
+    platform.call(path);
+    std::string text;
+    std::array<char, 4096> piece{};
+    for (ssize_t count = 0; (count = ::read(pipe[0], piece.data(), piece.size())) > 0;) {
+        text.append(piece.data(), static_cast<size_t>(count));
+    }
+    return text;
+}
+
 void expectWhole(const caller_answer &answer, const std::string &body)
 {
     expectEqual(answer.status, 200);
@@ -218,3 +240,21 @@
 {
     expectWhole(relayedAnswerToUpload("/once/x", unframedHead + "early", sendAndEnd), "early");
 }
+
+Test(broken_answers, theLogNamesWhatWasWrongWithABody)
+{
+    const std::string head = statusLine + signature;
+    const std::string shortBody = head + "Content-Length: 5\r\n\r\nha";
+    const std::string brokenChunk = head + "Transfer-Encoding: chunked\r\n\r\nno size\r\n";
+    for (const auto &[bytes, fault] : { std::pair(shortBody, "partial message"), std::pair(brokenChunk, "bad chunk") }) {
+        fake_platform platform;
+        sends = 0;
+        addServers(platform, "/once/x", firstGets(bytes, sendAndClose));
+        platform.start();
+        const std::string log = logOfCall(platform, "/once/x");
+        const size_t line = log.find("event=send_failed request=a1 ");
+        cr_assert_neq(line, std::string::npos);
+        const std::string failed = log.substr(line, log.find('\n', line) - line);
+        cr_assert_neq(failed.find(fault), std::string::npos, "no \"%s\" in: %s", fault, failed.c_str());
+    }
+}
