--- a/src/programs/gateway/tests/broken_answers_test.cpp
+++ b/src/programs/gateway/tests/broken_answers_test.cpp
@@ -173,6 +173,17 @@
     }
 }
 
+// Such a status counts as an error of the server, whose status is passed on as it is.
+Test(broken_answers, aStatusAboveTheKnownOnesIsPassedOn)
+{
+    const std::string answer = "HTTP/1.1 600 Odd\r\n" + signature + "Content-Length: 3\r\n\r\nodd";
+    const caller_answer got = answerOf("/once/x", answer, sendAndWait);
+    expectEqual(got.status, 600);
+    expectEqual(got.body, "odd");
+    expectEqual(sends, 1);
+    expectWhole(answerOf("/again/x", answer, sendAndWait), "whole");
+}
+
 Test(broken_answers, aHeadWithABlankOrAControlByteInANameIsNotPassedOn)
 {
     for (const char byte : { ' ', '\t', '\x01', '\x7f' }) {
