--- a/src/http/internal/client.cpp
+++ b/src/http/internal/client.cpp
@@ -44,7 +44,7 @@
     return text + "Content-Length: " + std::to_string(message.contentLength()) + "\r\n\r\n";
 }
 
-// The socket reports a reset once, to the write, and as a broken pipe if the server had ended its side before. What had arrived can
+// Linux reports a reset once, here to the write, and as a broken pipe if the server had ended its side before. What had arrived can
 // still be read and then seems to end in order.
 bool isResetOf(const boost::system::error_code &writeFailure)
 {
@@ -138,7 +138,8 @@
     return beast::error::timeout;
 }
 
-/// Why the bytes are not the beginning of a header; need_more while nothing speaks against it.
+/// Parses the bytes that have arrived; need_more while they are only the beginning of a header. The parser leaves a field in the buffer
+/// until it has the byte behind its line, so that a folded line is seen here however the header is divided.
 boost::system::error_code parseHeader(client_connection &connection, client_stream::parser &source)
 {
     const auto unparsed = connection.buffer.cdata();
--- a/src/http/internal/head_check.cpp
+++ b/src/http/internal/head_check.cpp
@@ -63,8 +63,8 @@
     return signOfSecondHead(head);
 }
 
-// The parser appends such a line to the field before it, which changes that field and hides the one that the line may hold.
-// RFC 9112, 5.2 lets a gateway reject such a response.
+// The parser appends such a line to the field before it, which changes that field and hides the one that the line may hold. RFC 9112,
+// 5.2 lets a gateway reject such a response.
 bool hasFoldedLine(std::string_view unparsed)
 {
     constexpr std::string_view lineEnd = "\r\n";
--- a/src/http/internal/head_check.h
+++ b/src/http/internal/head_check.h
@@ -18,8 +18,7 @@
 /// Why the head is not that of one answer whose body can be read.
 std::optional<std::string> faultOfHead(const response_fields &head);
 
-/// Whether the bytes, a head or a rest of one that begins with a whole line, and what follows it, hold a line of the head that
-/// begins with a blank.
+/// Whether a line of a head begins with a blank. The bytes begin with a line of the head; some may lie behind it.
 bool hasFoldedLine(std::string_view unparsed);
 
 } // namespace mustardtrail::http
