Hedged sends, orders and questions are tested with broken answers

A first form of the hedge test failed: its sound server closed with the upload unread, which resets the connection, and the stream was rightly not complete. That server now ends its side and reads on; what is asserted is the same.

readFirst of raw_connection is readPart now, as a parameter of raw_server has the other name.

--- a/src/http/tests/raw_server.cpp
+++ b/src/http/tests/raw_server.cpp
@@ -53,15 +53,15 @@
 
 asio::awaitable<bool> raw_connection::readRequest()
 {
-    return readFirst(requestLength);
+    return readPart(requestLength);
 }
 
 asio::awaitable<bool> raw_connection::readHead()
 {
-    return readFirst(headLength);
+    return readPart(headLength);
 }
 
-asio::awaitable<bool> raw_connection::readFirst(std::function<std::optional<size_t>(std::string_view)> lengthOf)
+asio::awaitable<bool> raw_connection::readPart(std::function<std::optional<size_t>(std::string_view)> lengthOf)
 {
     std::array<char, 4096> piece{};
     while (true) {
--- a/src/http/tests/raw_server.h
+++ b/src/http/tests/raw_server.h
@@ -40,7 +40,7 @@
 
 private:
     /// Reads until the first bytes, as many as `lengthOf` returns, are there; `lengthOf` returns nothing while it cannot tell.
-    boost::asio::awaitable<bool> readFirst(std::function<std::optional<size_t>(std::string_view)> lengthOf);
+    boost::asio::awaitable<bool> readPart(std::function<std::optional<size_t>(std::string_view)> lengthOf);
 
     boost::asio::ip::tcp::socket m_socket;
     std::string m_received;
--- a/src/programs/gateway/tests/broken_answers_test.cpp
+++ b/src/programs/gateway/tests/broken_answers_test.cpp
@@ -92,6 +92,23 @@
     };
 }
 
+boost::asio::awaitable<void> pauseAfterTwoEvents(raw_connection &connection)
+{
+    co_await connection.send(unframedHead + firstEvents);
+    co_await connection.pause(milliseconds(1'800));
+    co_await connection.send(lastEvent);
+    connection.endSending(); // A close with the upload unread would reset the connection.
+    co_await connection.waitUntilClosed();
+}
+
+/// The first server falls silent and goes on; the hedged send gets these bytes.
+raw_server::script secondGets(std::string bytes, ending end)
+{
+    return [bytes = std::move(bytes), end](raw_connection &connection) {
+        return sends++ == 0 ? pauseAfterTwoEvents(connection) : end(connection, bytes);
+    };
+}
+
 void addServers(fake_platform &platform, const std::string &path, const raw_server::script &serve)
 {
     const std::string service = path.starts_with("/stream/") ? "reading" : "desk";
@@ -223,6 +240,20 @@
     expectEqual(sends, 2);
 }
 
+Test(broken_answers, oneToAHedgedSendDoesNotReplaceTheSilentServer)
+{
+    const std::string folded = statusLine + signature + " Transfer-Encoding: chunked\r\n\r\n" + lastEvent;
+    const std::string behindZeroStatus = "HTTP/1.1 000 Trouble\r\n\r\n" + unframedHead + lastEvent;
+    for (const std::string &bytes : { folded, behindZeroStatus, unframedHead + "id: 3\nda" }) {
+        fake_platform platform;
+        sends = 0;
+        addServers(platform, "/stream/x", secondGets(bytes, sendAndReset));
+        platform.start();
+        expectWhole(platform.callWithBody("/stream/x", std::string(uploadBytes, 'x')), firstEvents + lastEvent);
+        expectEqual(sends, 2);
+    }
+}
+
 Test(broken_answers, aPartOfAnEarlyAnswerIsNotRelayedAsAWholeOne)
 {
     expectEqual(relayedAnswerToUpload("/once/x", unframedHead + "ha", sendAndReset).status, 502);
--- a/src/programs/gateway/tests/server_client_test.cpp
+++ b/src/programs/gateway/tests/server_client_test.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <set>
 #include <vector>
 
 using namespace mustardtrail;
@@ -43,6 +44,37 @@
     }
 }
 
+const std::string statusLine = "HTTP/1.1 200 OK\r\n";
+
+/// Answers of a server in trouble; the last one is only a part if its connection is reset.
+const std::vector<std::string> brokenAnswers{
+    "HTTP/1.1 000 Trouble\r\n\r\n" + statusLine + "Content-Length: 2\r\n\r\n{}",
+    statusLine + "X-Before: b\r\n Content-Length: 2\r\n\r\n{}",
+    statusLine + "Content Length: 2\r\n\r\n{}",
+    statusLine + "\r\n{}",
+};
+
+boost::asio::awaitable<void> sendAndReset(http::testing::raw_connection &connection, std::string bytes)
+{
+    constexpr milliseconds arrivalTime{ 20 };
+    co_await connection.send(std::move(bytes));
+    co_await connection.pause(arrivalTime);
+    connection.reset();
+}
+
+/// Puts an order and a question to the server.
+boost::asio::awaitable<void> callAndAsk(server_client &servers, endpoint to, std::string &outcomes)
+{
+    http::request_message order;
+    order.body = std::make_shared<const std::string>(4 * 1024 * 1024, 'x');
+    auto limits = http::call_limits::within(milliseconds(300));
+    const auto answer = co_await servers.call(to, order, limits, attempt_id("a2"));
+    outcomes += answer ? "answered " : std::string(toString(answer.error().outcome)) + ' ';
+    std::set<peer_address> noRelays;
+    const server_reply reply = co_await servers.ask(to, order, limits, attempt_id("a2"), std::move(noRelays));
+    outcomes += reply.answer ? "answered" : toString(reply.answer.error().outcome);
+}
+
 boost::asio::awaitable<void> readToTheEnd(server_client &servers, endpoint to, std::string &read, error_code &end)
 {
     http::request_message message;
@@ -121,6 +153,23 @@
     expectEqual(outcomes, "answered may_have_run answered ");
 }
 
+Test(server_client, doesNotTakeABrokenAnswerForThatToAnOrderOrAQuestion)
+{
+    for (const std::string &bytes : brokenAnswers) {
+        send_bench bench;
+        const http::testing::raw_server server(
+            bench.executor(),
+            [&bytes](http::testing::raw_connection &connection) {
+                return sendAndReset(connection, bytes);
+            },
+            http::testing::request_part::head);
+        std::string outcomes;
+        boost::asio::co_spawn(bench.executor(), callAndAsk(bench.context().servers, server.address(), outcomes), boost::asio::detached);
+        bench.runFor(milliseconds(800));
+        expectEqual(outcomes, "may_have_run may_have_run");
+    }
+}
+
 Test(server_client, doesNotTakeTheEndOfARelayBeforeItsAnswerForTheEndOfTheServer)
 {
     expectEqual(readThrough(""), std::string(" ") + toString(error_code::peer_connection_lost));
