--- a/review/standin-3/fleet.cpp
+++ b/review/standin-3/fleet.cpp
@@ -86,16 +86,17 @@
     , m_folder(std::filesystem::temp_directory_path() / ("mustardtrail-review-" + std::to_string(::getpid())))
     , m_grace(grace)
     , m_processes(instances, 0)
-    , m_starts(instances, 0)
 {
     std::filesystem::create_directories(m_folder);
 }
 
 fleet::~fleet()
 {
-    for (size_t instance = 0; instance < size(); ++instance) {
-        signal(instance, SIGKILL);
-        awaitEnd(instance);
+    for (const pid_t process : m_processes) {
+        if (process > 0) {
+            ::kill(process, SIGKILL);
+            ::waitpid(process, nullptr, 0);
+        }
     }
     std::error_code ignored;
     std::filesystem::remove_all(m_folder, ignored);
@@ -106,7 +107,7 @@
     return m_processes.size();
 }
 
-std::string fleet::settingsText(size_t instance, bool isFirstStart) const
+std::string fleet::settingsText(size_t instance) const
 {
     std::string seedList;
     for (size_t seed = 0; seed < std::min(seeds, size()); ++seed) {
@@ -117,8 +118,8 @@
         + R"("serves":["front","control"],"ip":")" + m_addresses.callers(instance).address + R"(","zone":")" + zone
         + R"(","region":"home","listen":{"front":)" + quoted(m_addresses.callers(instance)) + R"(,"ready":)"
         + quoted(m_addresses.readiness(instance)) + R"(,"control":)" + quoted(m_addresses.control(instance))
-        + R"(},"internal_ports":[7340,7355],"seeds":[)" + seedList + R"(],"bootstrap":)" + (isFirstStart ? "true" : "false")
-        + R"(,"limits":{"cpu_share":0.25,"cores":1,"memory_mb":260,"max_fds":4100,"link_mbps":1000.0},"heartbeat_ms":1200,)"
+        + R"(},"internal_ports":[7340,7355],"seeds":[)" + seedList
+        + R"(],"bootstrap":true,"limits":{"cpu_share":0.25,"cores":1,"memory_mb":260,"max_fds":4100,"link_mbps":1000.0},"heartbeat_ms":1200,)"
         + R"("bounds":{"seed_lag_s":3,"addr_reuse_s":2,"contact_ms":3000,"drain_ms":2000,"grace_s":)" + std::to_string(m_grace.count())
         + R"(,"loss_slack_ms":200,"config_apply_ms":2000,"strict_revoke":true,"revoke_ms":5000,"retry_budget_ratio":0.2,)"
         + R"("retry_window_s":10,"retry_budget_slack":104,"stall_ms":1500,"hold_max_ms":20000,"free_ms":4000,"idle_max_ms":9000},)"
@@ -130,9 +131,8 @@
 {
     const std::string name = "instance-" + std::to_string(instance);
     const std::string settings = (m_folder / (name + ".json")).string();
-    const std::string log = (m_folder / (name + '.' + std::to_string(m_starts[instance]) + ".log")).string();
-    std::ofstream(settings) << settingsText(instance, m_starts[instance] == 0);
-    ++m_starts[instance];
+    const std::string log = (m_folder / (name + ".log")).string();
+    std::ofstream(settings) << settingsText(instance);
     const pid_t process = ::fork();
     if (process < 0) {
         throw std::runtime_error("no process could be started");
@@ -143,21 +143,6 @@
     m_processes[instance] = process;
 }
 
-void fleet::signal(size_t instance, int number)
-{
-    if (m_processes[instance] > 0) {
-        ::kill(m_processes[instance], number);
-    }
-}
-
-void fleet::awaitEnd(size_t instance)
-{
-    if (m_processes[instance] > 0) {
-        ::waitpid(m_processes[instance], nullptr, 0);
-        m_processes[instance] = 0;
-    }
-}
-
 bool fleet::isRunning(size_t instance)
 {
     if (m_processes[instance] > 0 && ::waitpid(m_processes[instance], nullptr, WNOHANG) == m_processes[instance]) {
--- a/review/standin-3/fleet.h
+++ b/review/standin-3/fleet.h
@@ -41,21 +41,16 @@
     fleet &operator=(const fleet &) = delete;
 
     void start(size_t instance);
-    /// Sends the signal to the process; returns at once.
-    void signal(size_t instance, int number);
-    /// Waits until the process has ended.
-    void awaitEnd(size_t instance);
     bool isRunning(size_t instance);
     size_t size() const;
 
 private:
-    std::string settingsText(size_t instance, bool isFirstStart) const;
+    std::string settingsText(size_t instance) const;
 
     const addresses &m_addresses;
     std::filesystem::path m_folder;
     std::chrono::seconds m_grace;
     std::vector<pid_t> m_processes; ///< 0: none.
-    std::vector<unsigned> m_starts;
 };
 
 /// Name of the data centre of an instance or a server.
--- a/review/standin-3/store.cpp
+++ b/review/standin-3/store.cpp
@@ -66,31 +66,21 @@
     m_history.push_back({ m_revision, text });
 }
 
-store::copy store::makeCopy() const
+void store::remove(const std::string &key)
 {
-    return { m_items, m_revision };
-}
-
-void store::goAway()
-{
-    m_isAway = true;
+    m_items.erase(key);
+    ++m_revision;
+    m_history.push_back({ m_revision, R"({"key":")" + key + R"(","revision":)" + std::to_string(m_revision) + R"(,"removed":true})" });
 }
 
-void store::returnFrom(const copy &older)
+void store::setWatchLimit(std::optional<milliseconds> limit)
 {
-    m_items = older.items;
-    m_revision = older.revision;
-    m_oldest = older.revision;
-    m_history.clear();
-    ++m_era;
-    m_isAway = false;
+    m_watchLimit = limit;
 }
 
-http::response_message store::answer(int status, std::string body) const
+unsigned store::cutWatches() const
 {
-    auto message = http::makeResponse(status, std::move(body), "application/json");
-    message.headers.add("Store-Era", std::to_string(m_era));
-    return message;
+    return m_cutWatches;
 }
 
 std::string store::listText() const
@@ -105,43 +95,36 @@
 asio::awaitable<void> store::serve(http::exchange &exchange)
 {
     const http::request_message &request = exchange.request();
-    if (m_isAway) {
-        co_return; // Without an answer the connection ends.
-    }
     asio::steady_timer timer(exchange.executor(), answerTime);
     co_await timer.async_wait(asio::use_awaitable);
     if (request.path() == "/api/kv-watch") {
         co_await serveWatch(exchange, numberFrom(request.query("after")), numberFrom(request.query("wait_ms")));
-    } else if (!m_isAway) {
-        auto list = answer(200, listText());
-        co_await exchange.respond(std::move(list));
+        co_return;
     }
+    auto list = http::makeResponse(200, listText(), "application/json");
+    co_await exchange.respond(std::move(list));
 }
 
 asio::awaitable<void> store::serveWatch(http::exchange &exchange, std::uint64_t after, std::uint64_t waitMs)
 {
-    const std::uint64_t era = m_era;
     asio::steady_timer timer(exchange.executor());
-    const auto end = std::chrono::steady_clock::now() + milliseconds(waitMs);
-    while (!m_isAway && era == m_era && m_revision <= after && std::chrono::steady_clock::now() < end) {
+    const auto begin = std::chrono::steady_clock::now();
+    while (m_revision <= after && std::chrono::steady_clock::now() < begin + milliseconds(waitMs)) {
+        if (m_watchLimit && std::chrono::steady_clock::now() > begin + *m_watchLimit) {
+            ++m_cutWatches;
+            co_return; // Without an answer the connection ends.
+        }
         timer.expires_after(pollInterval);
         co_await timer.async_wait(asio::use_awaitable);
     }
-    if (m_isAway || era != m_era) {
-        co_return;
-    }
-    if (after > m_revision || after < m_oldest) {
-        auto gone = answer(410, "{}");
-        co_await exchange.respond(std::move(gone));
-        co_return;
-    }
     std::string events;
     for (const event &each : m_history) {
         if (each.revision > after) {
             events += (events.empty() ? "" : ",") + each.text;
         }
     }
-    auto changes = answer(200, R"({"events":[)" + events + R"(],"store_revision":)" + std::to_string(m_revision) + "}");
+    auto changes = http::makeResponse(
+        200, R"({"events":[)" + events + R"(],"store_revision":)" + std::to_string(m_revision) + "}", "application/json");
     co_await exchange.respond(std::move(changes));
 }
 
--- a/review/standin-3/store.h
+++ b/review/standin-3/store.h
@@ -2,33 +2,29 @@
 
 #include "http/server.h"
 
+#include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace mustardtrail::review
 {
 
-/// The platform's store, as far as an instance reads it: ranges, watches, and a drill that brings back an older copy.
+/// The platform's store, as far as an instance reads it: ranges and watches.
 class store
 {
 public:
-    /// What a copy of the store holds.
-    struct copy {
-        std::map<std::string, std::string> items; ///< Text of each item by key.
-        std::uint64_t revision = 0;
-    };
-
     explicit store(boost::asio::any_io_executor executor);
 
     result<endpoint> listen(const endpoint &address);
     void put(const std::string &key, const std::string &value);
-    copy makeCopy() const;
-    /// While it is away, each call ends with its connection.
-    void goAway();
-    /// Comes back from the copy: revisions go back, watches from later ones get 410 and the era rises.
-    void returnFrom(const copy &older);
+    void remove(const std::string &key);
+    /// While it is set, a watch that has waited for this long is cut. All other calls are answered as usual.
+    void setWatchLimit(std::optional<std::chrono::milliseconds> limit);
+    /// Watches that were cut.
+    unsigned cutWatches() const;
 
 private:
     struct event {
@@ -38,15 +34,13 @@
 
     boost::asio::awaitable<void> serve(http::exchange &exchange);
     boost::asio::awaitable<void> serveWatch(http::exchange &exchange, std::uint64_t after, std::uint64_t waitMs);
-    http::response_message answer(int status, std::string body) const;
     std::string listText() const;
 
     std::map<std::string, std::string> m_items;
     std::vector<event> m_history;
     std::uint64_t m_revision = 10;
-    std::uint64_t m_oldest = 0; ///< Watches from an earlier revision are not possible.
-    std::uint64_t m_era = 1;
-    bool m_isAway = false;
+    std::optional<std::chrono::milliseconds> m_watchLimit;
+    unsigned m_cutWatches = 0;
     http::server m_server;
 };
 
